--- /dev/null
+++ b/internal/agent/io.go
@@ -0,0 +1,127 @@
+// Package agent is the deterministic core of the agent role: the small process
+// beside each endpoint and the only giver of orders to it. It queues attempts,
+// shares the endpoint fairly between client accounts, reserves engine memory,
+// and reconciles what the engine holds with what is owned.
+//
+// Core has no I/O, clock, goroutine or randomness of its own. A shell feeds it
+// inputs together with the monotonic time, and carries out its outputs.
+package agent
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/engine"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// Input is one input of the core. Exactly one field is set.
+type Input struct {
+	EntryUp     *EntryUp
+	EntryDown   *EntryDown
+	FromEntry   *FromEntry
+	BodyReady   *BodyReady
+	Engine      *engine.Event
+	EngineUp    *EngineUp
+	EngineDown  *EngineDown
+	ServiceDone *ServiceDone
+	Leaving     *Leaving
+}
+
+// EntryUp reports an open stream to an entry. The core answers with Hello.
+type EntryUp struct{ Entry wire.NodeID }
+
+// EntryDown reports the loss of the stream to an entry.
+type EntryDown struct{ Entry wire.NodeID }
+
+// FromEntry is a message from an entry. The shell keeps body chunks to itself.
+type FromEntry struct {
+	Entry wire.NodeID
+	Msg   wire.ToAgent
+}
+
+// BodyReady reports that the whole body of an attempt has arrived.
+type BodyReady struct{ Attempt wire.AttemptID }
+
+// EngineUp reports that the engine answers, with what it holds.
+type EngineUp struct{ State engine.State }
+
+// EngineDown reports that the engine does not answer. Lost is set if the engine
+// process is known to be gone together with its memory.
+type EngineDown struct{ Lost bool }
+
+// ServiceDone reports the end of a plain service call. Sent is false if nothing
+// was written to the service. OK is set if the whole answer was received.
+type ServiceDone struct {
+	Attempt wire.AttemptID
+	Sent    bool
+	OK      bool
+}
+
+// Leaving reports SIGTERM or that the VM list marks this VM as leaving.
+type Leaving struct{}
+
+// Output is one output of the core. Exactly one field is set.
+type Output struct {
+	ToEntry *ToEntry
+	Engine  *EngineCommand
+	Service *ServiceStart
+	Drop    *Drop
+	Drained bool // leaving: nothing is in flight any more
+	Log     *Event
+}
+
+// ToEntry is a message to one entry.
+type ToEntry struct {
+	Entry wire.NodeID
+	Msg   wire.ToEntry
+}
+
+// EngineCommand is a command to the engine. For a Submit the shell adds the
+// body of Attempt and turns what the engine generates into frames for it.
+type EngineCommand struct {
+	Attempt wire.AttemptID
+	Command engine.Command
+}
+
+// ServiceStart starts a plain service call with the body of Attempt. The shell
+// gives up after Timeout.
+type ServiceStart struct {
+	Attempt wire.AttemptID
+	Call    wire.ServiceCall
+	Timeout time.Duration
+}
+
+// Drop tells the shell to free the body and the frames of an attempt, and to
+// stop a plain service call that still runs.
+type Drop struct{ Attempt wire.AttemptID }
+
+// EventKind names what an Event reports.
+type EventKind string
+
+// The events that an agent core reports.
+const (
+	EventQueued     EventKind = "queued"
+	EventStarted    EventKind = "started"
+	EventRefused    EventKind = "refused"
+	EventFinished   EventKind = "finished"
+	EventFailed     EventKind = "failed"
+	EventCancelled  EventKind = "cancelled"
+	EventReclaimed  EventKind = "reclaimed"
+	EventOrder      EventKind = "order"
+	EventOrderStale EventKind = "order-stale"
+	EventEngineUp   EventKind = "engine-up"
+	EventEngineDown EventKind = "engine-down"
+	EventLeaving    EventKind = "leaving"
+)
+
+// Event is one line of the log. Zero fields are left out.
+type Event struct {
+	Kind    EventKind
+	Attempt wire.AttemptID
+	Request string
+	Account wire.AccountID
+	Entry   wire.NodeID
+	Reason  string
+	Tokens  int64
+	Elapsed time.Duration
+}
--- /dev/null
+++ b/internal/declaration/snapshot.go
@@ -0,0 +1,90 @@
+// Package declaration holds the operators' two lists: plans with their client
+// accounts, and entitlements that say what each plan may use. It parses,
+// validates and compares them, splits them into chunks for the platform's store,
+// and resolves them into the Snapshot that the cores read.
+package declaration
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// Snapshot is one revision of both lists, resolved for lookups. It is immutable
+// after construction and may be shared between goroutines.
+type Snapshot struct {
+	Revision uint64
+	Digest   uint64
+	Accounts map[wire.AccountID]*Account
+	Models   []Model   // sorted by name
+	Services []Service // sorted by name
+	keys     map[KeyHash]wire.AccountID
+}
+
+// KeyHash is the SHA-256 of a caller's bearer key.
+type KeyHash [32]byte
+
+// Account is one client account with what its plan gives it.
+type Account struct {
+	ID          wire.AccountID
+	Plan        string
+	Weight      float64 // share of service relative to other accounts
+	Limits      Limits
+	Deadlines   [wire.BandCount]time.Duration // by length band
+	FirstTokens [wire.BandCount]time.Duration // wanted time to first token, by length band
+	ServiceTime time.Duration                 // deadline of plain service calls
+	MaxPriority int32
+	MaxPrompt   int64 // tokens
+	MaxOutput   int64 // tokens
+	Models      map[string]*ModelGrant
+	Services    map[string]*ServiceGrant
+}
+
+// Limits bounds what one client account may use across all entries.
+type Limits struct {
+	RequestsPerSecond float64
+	TokensPerSecond   float64 // prompt and output tokens
+	BurstSeconds      float64 // bucket depth as seconds of the rate
+	Concurrency       int64
+}
+
+// ModelGrant says which adapters of a model the account may use.
+type ModelGrant struct {
+	Model    string
+	Adapters map[string]bool
+}
+
+// ServiceGrant says which calls of a plain service the account may make.
+type ServiceGrant struct {
+	Service string
+	Methods map[string]bool // empty: all
+}
+
+// Model is one model that the deployment runs.
+type Model struct {
+	Name        string
+	Version     string
+	Adapters    []string // sorted
+	MinReplicas int      // for each failure domain
+	MaxReplicas int      // over the whole deployment; 0: no bound
+	Weight      float64  // share of the replicas beyond the minimum, before demand
+	MaxGroups   int      // groups of engines for one prompt at a time
+	WeightBytes int64    // size of the weights
+}
+
+// Service is one plain service behind endpoints.
+type Service struct {
+	Name       string
+	Idempotent []string      // methods that may be repeated
+	KeyTTL     time.Duration // how long an idempotency record lasts
+}
+
+// Lookup returns the account that owns the key hash.
+func (s *Snapshot) Lookup(h KeyHash) (*Account, bool) {
+	id, ok := s.keys[h]
+	if !ok {
+		return nil, false
+	}
+	a, ok := s.Accounts[id]
+	return a, ok
+}
--- /dev/null
+++ b/internal/entry/event.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// EventKind names what an Event reports.
+type EventKind string
+
+// The events that an entry core reports.
+const (
+	EventAdmitted     EventKind = "admitted"
+	EventRefused      EventKind = "refused"
+	EventDispatched   EventKind = "dispatched"
+	EventRetried      EventKind = "retried"
+	EventFinished     EventKind = "finished"
+	EventEndpointUp   EventKind = "endpoint-up"
+	EventEndpointOut  EventKind = "endpoint-ejected"
+	EventEndpointIn   EventKind = "endpoint-returned"
+	EventEndpointGone EventKind = "endpoint-down"
+	EventRevision     EventKind = "revision"
+	EventReady        EventKind = "ready"
+	EventLease        EventKind = "lease"
+	EventOrder        EventKind = "order"
+)
+
+// Event is one line of the log. Zero fields are left out.
+type Event struct {
+	Kind      EventKind
+	Request   string
+	Account   wire.AccountID
+	Endpoint  wire.EndpointID
+	Attempt   wire.AttemptID
+	Outcome   wire.Outcome
+	Code      Code
+	Detail    string
+	Revision  uint64
+	Elapsed   time.Duration
+	FirstWait time.Duration // time to first token
+}
--- /dev/null
+++ b/internal/entry/io.go
@@ -0,0 +1,169 @@
+// Package entry is the deterministic core of the entry role: it admits callers'
+// requests under their plans, routes them to endpoints, follows each attempt to
+// one typed outcome, and shares limits and declarations with its peers.
+//
+// Core has no I/O, clock, goroutine or randomness of its own. A shell feeds it
+// inputs together with the monotonic time, and carries out its outputs.
+package entry
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/store"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// RequestID identifies a caller's request within one incarnation of an entry.
+type RequestID uint64
+
+// Input is one input of the core. Exactly one field is set.
+type Input struct {
+	Request      *Request
+	CallerGone   *CallerGone
+	Stream       *Stream
+	AgentUp      *AgentUp
+	AgentDown    *AgentDown
+	FromAgent    *FromAgent
+	FromPeer     *FromPeer
+	PeerDown     *PeerDown
+	VMList       *VMList
+	StoreResult  *store.Result
+	Shutdown     *Shutdown
+	DeclareLocal *declaration.Snapshot // lists given directly, without a store
+}
+
+// Request is a caller's request whose credentials the shell has checked.
+type Request struct {
+	ID           RequestID
+	ExternalID   string // shown in logs and headers
+	Account      wire.AccountID
+	Kind         wire.Kind
+	Model        string
+	Adapter      string
+	PromptBytes  int64
+	PromptTokens int64         // estimate; 0: the core derives it from PromptBytes
+	MaxOutput    int64         // tokens; 0: the account's maximum
+	Deadline     time.Duration // asked for by the caller; 0: the plan's
+	Priority     int32
+	Prefixes     []uint64
+	BodyBytes    int64
+	BodyDigest   uint64
+	Call         *wire.ServiceCall
+	Repeatable   bool // the caller declares the call safe to repeat
+}
+
+// CallerGone reports that the caller has disconnected.
+type CallerGone struct{ ID RequestID }
+
+// StreamEvent says what happened to the answer of an attempt.
+type StreamEvent uint8
+
+// The events of an answer stream.
+const (
+	StreamFirst  StreamEvent = 1 // the first data has gone to the caller
+	StreamDone   StreamEvent = 2 // count and digest agree; all data has gone to the caller
+	StreamBroken StreamEvent = 3 // a gap, a wrong digest or a wrong count
+)
+
+// Stream reports progress of the answer assembly.
+type Stream struct {
+	ID        RequestID
+	Attempt   wire.AttemptID
+	Event     StreamEvent
+	Delivered int64 // output tokens that the caller has
+	Total     wire.FrameTotal
+}
+
+// AgentUp reports a new agent stream.
+type AgentUp struct{ Hello wire.Hello }
+
+// AgentDown reports the loss of an agent stream.
+type AgentDown struct {
+	Endpoint    wire.EndpointID
+	Incarnation wire.Incarnation
+}
+
+// FromAgent is a message on an agent stream.
+type FromAgent struct {
+	Endpoint wire.EndpointID
+	Msg      wire.ToEntry
+}
+
+// FromPeer is a message from another entry.
+type FromPeer struct {
+	Peer wire.NodeID
+	Msg  wire.ToPeer
+}
+
+// PeerDown reports that the transport to a peer failed.
+type PeerDown struct{ Peer wire.NodeID }
+
+// VM is one row of the platform's VM list.
+type VM struct {
+	Node          wire.NodeID
+	Address       string
+	Region        wire.Region
+	FailureDomain wire.FailureDomain
+	Leaving       bool
+	Endpoint      wire.EndpointID // set for an agent's VM
+}
+
+// VMList is the platform's lagging list of VMs, entries and agents.
+type VMList struct{ VMs []VM }
+
+// Shutdown starts a graceful shutdown.
+type Shutdown struct{}
+
+// Output is one output of the core. Exactly one field is set.
+type Output struct {
+	ToAgent  *ToAgent
+	ToPeer   *ToPeer
+	Store    *store.Op
+	Attempt  *Attempt
+	Answer   *Answer
+	Snapshot *declaration.Snapshot // a newer revision is in force here
+	Ready    *Ready
+	Drained  bool // shutdown: nothing is in flight any more
+	Log      *Event
+}
+
+// ToAgent is a message to an agent. For a Dispatch the shell sends the body of
+// Request after it, and for a continuation the text that the caller has.
+type ToAgent struct {
+	Endpoint wire.EndpointID
+	Request  RequestID
+	Msg      wire.ToAgent
+}
+
+// ToPeer is a message to another entry.
+type ToPeer struct {
+	Peer    wire.NodeID
+	Address string
+	Msg     wire.ToPeer
+}
+
+// Attempt names the attempt whose frames the shell passes on from now on.
+// Frames of any other attempt are discarded.
+type Attempt struct {
+	ID         RequestID
+	Attempt    wire.AttemptID
+	ResumeFrom int64
+}
+
+// Answer ends a request. The shell sends it unless the stream is already
+// complete. Nothing follows for the request.
+type Answer struct {
+	ID         RequestID
+	Outcome    wire.Outcome
+	Code       Code
+	Detail     string
+	RetryAfter time.Duration
+	Total      wire.FrameTotal
+}
+
+// Ready reports a change of readiness.
+type Ready struct {
+	OK     bool
+	Reason string
+}
--- /dev/null
+++ b/internal/store/api.go
@@ -0,0 +1,78 @@
+// Package store is the client side of the platform's key-value service: the
+// operations that it offers, a budget for calls, unknown outcomes, leases and
+// watches.
+package store
+
+import "time"
+
+// OpKind is one kind of operation.
+type OpKind uint8
+
+// The operations of the platform's key-value service.
+const (
+	OpGet    OpKind = 1
+	OpList   OpKind = 2 // all keys that begin with Key
+	OpPut    OpKind = 3 // compare-and-swap: succeeds if the key's version equals Expect
+	OpDelete OpKind = 4 // compare-and-swap delete
+	OpGrant  OpKind = 5 // creates a lease that lasts TTL
+	OpRenew  OpKind = 6 // extends Lease by its TTL
+	OpRevoke OpKind = 7 // ends Lease and deletes the keys attached to it
+	OpWatch  OpKind = 8 // answers when a key with prefix Key changes after version Expect, or after TTL
+)
+
+// Op is one operation. Its ID pairs it with its Result.
+type Op struct {
+	ID     uint64        `json:"id"`
+	Kind   OpKind        `json:"kind"`
+	Key    string        `json:"key,omitempty"`
+	Value  []byte        `json:"value,omitempty"`
+	Expect uint64        `json:"expect,omitempty"` // 0: the key must not exist
+	Lease  uint64        `json:"lease,omitempty"`  // OpPut: attach the key to this lease
+	TTL    time.Duration `json:"ttl,omitempty"`
+}
+
+// Writes reports whether the operation may change the store.
+func (o Op) Writes() bool {
+	switch o.Kind {
+	case OpGet, OpList, OpWatch:
+		return false
+	}
+	return true
+}
+
+// Status is the result of an operation.
+type Status uint8
+
+// The results of an operation.
+const (
+	StatusOK          Status = 1
+	StatusConflict    Status = 2 // compare-and-swap failed; Version is the current one
+	StatusNotFound    Status = 3 // no such key or lease
+	StatusUnavailable Status = 4 // not executed
+	StatusUnknown     Status = 5 // no answer; a write may have taken effect, now or later
+	StatusTimeout     Status = 6 // OpWatch: nothing changed within TTL
+	StatusInvalid     Status = 7 // the store rejected the operation, for example a value over a megabyte
+)
+
+// Result answers an Op. Versions are positive and increase with every write to
+// the store, whatever the key; a lease holder uses its key's version as fence.
+type Result struct {
+	ID      uint64 `json:"id"`
+	Status  Status `json:"status"`
+	Version uint64 `json:"version,omitempty"` // of the key
+	Latest  uint64 `json:"latest,omitempty"`  // of the store
+	Value   []byte `json:"value,omitempty"`
+	Lease   uint64 `json:"lease,omitempty"`
+	Pairs   []Pair `json:"pairs,omitempty"` // OpList, OpWatch; sorted by key
+}
+
+// Pair is one key with its value.
+type Pair struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"version"`
+	Deleted bool   `json:"deleted,omitempty"` // OpWatch only
+}
+
+// MaxValueBytes is the largest value that the service holds.
+const MaxValueBytes = 1 << 20
