Fix the block size of prefix hashes

Cause: prefix hashes had no agreed length of text, so a generator, an engine and a cache index could count blocks differently. Change: engine.PrefixBlockTokens and engine.MaxPrefixBlocks name the size of a block and the longest chain that a request carries. Result: one constant for all; 128 hashes cover 131,072 tokens in 1 KB.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -9,6 +9,13 @@
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
+// Prefix hashes cover successive blocks of a prompt, each together with all
+// blocks before it.
+const (
+	PrefixBlockTokens = 1024 // prompt tokens that one hash covers
+	MaxPrefixBlocks   = 128  // hashes that a request carries at most
+)
+
 // SequenceID names one sequence in an engine. The agent derives it from the
 // attempt, so that an agent that takes over a living engine can tell whose
 // sequences it finds.
