Generate deterministic workloads

Cause: load, soak and experiment runs need the same requests from one seed, with and without the long prompts. Change: internal/workload draws arrivals (Poisson with bursts), accounts, prompt and output lengths, shared prefixes and service calls; CapacityOf turns engine rates into the arrival rate at full load. Result: go test ./internal/workload passes; two runs of one seed are equal and leaving out long prompts keeps all the other requests.

--- /dev/null
+++ b/internal/workload/deployment.go
@@ -0,0 +1,75 @@
+package workload
+
+import (
+	"github.com/pkg/errors"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// Deployment is the shape of one fleet: its failure domains, entries, engines
+// and plain services.
+type Deployment struct {
+	Name     string
+	Region   wire.Region
+	Domains  []wire.FailureDomain
+	Entries  int // spread over the failure domains in turn
+	Model    string
+	Engines  int // replicas of Model
+	Service  string
+	Services int // replicas of Service
+	Write    Call
+	Read     Call
+}
+
+// Call is one kind of plain service call.
+type Call struct {
+	Method string
+	Path   string
+}
+
+// Atitlan returns the shape of the Atitlán deployment.
+func Atitlan() Deployment {
+	return Deployment{
+		Name:     "atitlan",
+		Region:   "guate-central",
+		Domains:  []wire.FailureDomain{"zona-antigua", "zona-xela", "zona-capital"},
+		Entries:  3,
+		Model:    "luthier-modelo",
+		Engines:  18,
+		Service:  "mostrador-pedidos",
+		Services: 3,
+		Write:    Call{Method: "POST", Path: "/reservations"},
+		Read:     Call{Method: "GET", Path: "/stock"},
+	}
+}
+
+// Sanabil returns the shape of the Sanabil deployment.
+func Sanabil() Deployment {
+	return Deployment{
+		Name:     "sanabil",
+		Region:   "tell-nord",
+		Domains:  []wire.FailureDomain{"beja", "jendouba", "siliana"},
+		Entries:  3,
+		Model:    "sanabil-llm",
+		Engines:  16,
+		Service:  "sanabil-ledger",
+		Services: 3,
+		Write:    Call{Method: "POST", Path: "/estimates"},
+		Read:     Call{Method: "GET", Path: "/parcels"},
+	}
+}
+
+// ByName returns the deployment of the given name.
+func ByName(name string) (Deployment, error) {
+	for _, d := range []Deployment{Atitlan(), Sanabil()} {
+		if d.Name == name {
+			return d, nil
+		}
+	}
+	return Deployment{}, errors.Errorf("deployment %q does not exist: want atitlan or sanabil", name)
+}
+
+// DomainOf returns the failure domain of the i-th process of a role.
+func (d Deployment) DomainOf(i int) wire.FailureDomain {
+	return d.Domains[i%len(d.Domains)]
+}
--- /dev/null
+++ b/internal/workload/workload_test.go
@@ -0,0 +1,134 @@
+package workload
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+func testConfig() Config {
+	return Config{
+		Deployment: Atitlan(),
+		Rate:       20,
+		Burst:      DefaultBurst(),
+		Mix:        DefaultMix(),
+		Accounts:   Shares([]wire.AccountID{"a", "b", "c", "d", "e", "f"}),
+		Seed:       7,
+	}
+}
+
+type arrival struct {
+	At  time.Duration
+	Req Request
+}
+
+func take(t *testing.T, cfg Config, n int) []arrival {
+	t.Helper()
+	g, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := make([]arrival, 0, n)
+	for range n {
+		at, r := g.Next()
+		out = append(out, arrival{At: at, Req: r})
+	}
+	return out
+}
+
+func TestSameSeedSameRequests(t *testing.T) {
+	if diff := cmp.Diff(take(t, testConfig(), 500), take(t, testConfig(), 500)); diff != "" {
+		t.Errorf("two runs differ (-first +second):\n%s", diff)
+	}
+}
+
+func TestOmitLongKeepsTheOthers(t *testing.T) {
+	all := take(t, testConfig(), 2000)
+	cfg := testConfig()
+	cfg.Mix.OmitLong = true
+	var kept []arrival
+	for _, a := range all {
+		if a.Req.Kind != wire.KindEngine || a.Req.Band() <= wire.BandMedium {
+			kept = append(kept, a)
+		}
+	}
+	if len(kept) == len(all) {
+		t.Fatal("the sample has no long prompt")
+	}
+	if diff := cmp.Diff(kept, take(t, cfg, len(kept))); diff != "" {
+		t.Errorf("requests differ without long prompts (-with +without):\n%s", diff)
+	}
+}
+
+func TestMixAndRate(t *testing.T) {
+	const n = 50_000
+	sample := take(t, testConfig(), n)
+	var prompts, long, unkeyed, keyed int
+	for _, a := range sample {
+		r := a.Req
+		if r.Kind == wire.KindService {
+			if r.Call.IdempotencyKey != "" {
+				keyed++
+			} else if !r.Repeatable {
+				unkeyed++
+			}
+			continue
+		}
+		prompts++
+		if r.PromptTokens < minPrompt || r.PromptTokens > maxPrompt {
+			t.Fatalf("prompt of %d tokens", r.PromptTokens)
+		}
+		if r.PromptTokens > wire.MediumMaxTokens {
+			long++
+		}
+	}
+	if share := float64(long) / float64(prompts); share < 0.015 || share > 0.025 {
+		t.Errorf("long prompts are %.3f of all, want one in fifty", share)
+	}
+	if keyed == 0 || unkeyed == 0 {
+		t.Errorf("%d keyed and %d unkeyed writes, want both", keyed, unkeyed)
+	}
+	rate := n / sample[n-1].At.Seconds()
+	if rate < 18 || rate > 22 {
+		t.Errorf("arrivals at %.1f a second, want 20", rate)
+	}
+}
+
+func TestRepeatedKeysCarryTheSameBody(t *testing.T) {
+	bodies := map[string]Request{}
+	repeats := 0
+	for _, a := range take(t, testConfig(), 20_000) {
+		if a.Req.Call == nil || a.Req.Call.IdempotencyKey == "" {
+			continue
+		}
+		first, seen := bodies[a.Req.Call.IdempotencyKey]
+		if !seen {
+			bodies[a.Req.Call.IdempotencyKey] = a.Req
+			continue
+		}
+		repeats++
+		if first.BodyDigest != a.Req.BodyDigest || first.Account != a.Req.Account {
+			t.Fatalf("key %s repeats with another body or account", a.Req.Call.IdempotencyKey)
+		}
+	}
+	if repeats == 0 {
+		t.Error("no call repeats an earlier key")
+	}
+}
+
+func TestCapacityFollowsTheRates(t *testing.T) {
+	slow, err := CapacityOf(testConfig(), EngineRates{Prefill: 20_000, Decode: 1_000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fast, err := CapacityOf(testConfig(), EngineRates{Prefill: 40_000, Decode: 2_000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if ratio := fast.RequestsPerSecond / slow.RequestsPerSecond; ratio < 1.999 || ratio > 2.001 {
+		t.Errorf("capacity grows by %.3f when the rates double", ratio)
+	}
+}
