--- /dev/null
+++ b/internal/membership/subset.go
@@ -0,0 +1,52 @@
+package membership
+
+import (
+	"slices"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// EntryNode is one entry that an agent may keep a stream to.
+type EntryNode struct {
+	Node          wire.NodeID
+	Address       string
+	FailureDomain wire.FailureDomain
+}
+
+// SubsetSize bounds the number of entries that an agent keeps streams to.
+type SubsetSize struct {
+	Own    int // in the agent's failure domain
+	Others int // in all other failure domains together
+}
+
+// DefaultSubsetSize covers every entry of a deployment with up to eight entries
+// a failure domain.
+var DefaultSubsetSize = SubsetSize{Own: 8, Others: 8}
+
+// Subset returns the entries that the agent keeps streams to: the first Own of
+// its failure domain and the first Others of the remaining ones, by rendezvous
+// hashing over the agent's name. One entry that comes or goes changes at most
+// one member. The result is sorted by node.
+func Subset(agent wire.EndpointID, domain wire.FailureDomain, entries []EntryNode, size SubsetSize) []EntryNode {
+	byNode := make(map[wire.NodeID]EntryNode, len(entries))
+	var own, others []wire.NodeID
+	for _, e := range entries {
+		if _, ok := byNode[e.Node]; ok {
+			continue
+		}
+		byNode[e.Node] = e
+		if e.FailureDomain == domain {
+			own = append(own, e.Node)
+		} else {
+			others = append(others, e.Node)
+		}
+	}
+	picked := Pick(string(agent), own, size.Own)
+	picked = append(picked, Pick(string(agent), others, size.Others)...)
+	slices.Sort(picked)
+	subset := make([]EntryNode, len(picked))
+	for i, node := range picked {
+		subset[i] = byNode[node]
+	}
+	return subset
+}
