Let entries state their first attempt and number of agents

Cause: a restarted agent that never heard of an attempt can't prove that its predecessor did not run it, and an agent can't size its reports to the entry's control budget without knowing how many agents share it. Change: Welcome.FirstAttempt and Heartbeat.Agents, both optional. Result: go build passes; zero values keep the earlier meaning.

--- a/internal/wire/toagent.go
+++ b/internal/wire/toagent.go
@@ -18,6 +18,10 @@
 	Entry       NodeID      `cbor:"1,keyasint"`
 	Incarnation Incarnation `cbor:"2,keyasint"`
 	Revision    uint64      `cbor:"3,keyasint,omitempty"`
+	// FirstAttempt is the lowest AttemptID.Sequence that the entry will use on
+	// this stream. An agent that has never heard of an earlier attempt can't
+	// tell whether its predecessor ran it, so it makes no claim about it.
+	FirstAttempt uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Dispatch asks the agent to run one attempt.
@@ -100,6 +104,9 @@
 	Starved []string `cbor:"2,keyasint,omitempty"`
 	// StoreDown reports that the entry cannot reach the platform's store.
 	StoreDown bool `cbor:"3,keyasint,omitempty"`
+	// Agents is the number of agent streams at the entry, among which its
+	// budget for control is divided.
+	Agents int32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Role is what an engine does for its model.
