--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,105 @@
+// Package examples embeds the example lists of both deployments together with
+// the plain keys of their client accounts. The keys are published here and must
+// never be used outside development.
+package examples
+
+import (
+	"embed"
+	"encoding/json"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+//go:embed atitlan/*.json sanabil/*.json
+var files embed.FS
+
+// Deployment is the shape of one example deployment.
+type Deployment struct {
+	Name           string
+	Region         wire.Region
+	FailureDomains []wire.FailureDomain
+	Model          Replicas
+	Service        Replicas
+}
+
+// Replicas is a number of endpoints for one model or plain service.
+type Replicas struct {
+	Name  string
+	Count int
+}
+
+// Key is the plain development key of one example client account.
+type Key struct {
+	Account wire.AccountID `json:"account"`
+	Key     string         `json:"key"`
+}
+
+// Deployments returns the example deployments.
+func Deployments() []Deployment {
+	return []Deployment{
+		{
+			Name:           "atitlan",
+			Region:         "guate-central",
+			FailureDomains: []wire.FailureDomain{"zona-antigua", "zona-xela", "zona-capital"},
+			Model:          Replicas{Name: "luthier-modelo", Count: 18},
+			Service:        Replicas{Name: "mostrador-pedidos", Count: 3},
+		},
+		{
+			Name:           "sanabil",
+			Region:         "tell-nord",
+			FailureDomains: []wire.FailureDomain{"beja", "jendouba", "siliana"},
+			Model:          Replicas{Name: "sanabil-llm", Count: 16},
+			Service:        Replicas{Name: "sanabil-ledger", Count: 3},
+		},
+	}
+}
+
+// Find returns the example deployment of that name.
+func Find(name string) (Deployment, bool) {
+	all := Deployments()
+	i := slices.IndexFunc(all, func(d Deployment) bool { return d.Name == name })
+	if i < 0 {
+		return Deployment{}, false
+	}
+	return all[i], true
+}
+
+// Lists parses the deployment's two lists.
+func (d Deployment) Lists() (*declaration.Lists, error) {
+	plans, err := d.file("plans.json")
+	if err != nil {
+		return nil, err
+	}
+	entitlements, err := d.file("entitlements.json")
+	if err != nil {
+		return nil, err
+	}
+	return declaration.Parse(plans, entitlements)
+}
+
+// Keys returns the plain keys of the deployment's client accounts, in the
+// order of the accounts. They are for development only.
+func (d Deployment) Keys() ([]Key, error) {
+	f, err := d.file("example-keys.json")
+	if err != nil {
+		return nil, err
+	}
+	var keys []Key
+	if err := json.Unmarshal(f.Data, &keys); err != nil {
+		return nil, errors.Wrap(err, f.Name)
+	}
+	return keys, nil
+}
+
+func (d Deployment) file(name string) (declaration.File, error) {
+	path := d.Name + "/" + name
+	data, err := files.ReadFile(path)
+	if err != nil {
+		return declaration.File{}, errors.Wrap(err, "read example")
+	}
+	return declaration.File{Name: path, Data: data}, nil
+}
--- a/internal/declaration/snapshot.go
+++ b/internal/declaration/snapshot.go
@@ -5,6 +5,8 @@
 package declaration
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/wire"
@@ -18,7 +20,7 @@
 	Accounts map[wire.AccountID]*Account
 	Models   []Model   // sorted by name
 	Services []Service // sorted by name
-	keys     map[KeyHash]wire.AccountID
+	keys     keyIndex
 }
 
 // KeyHash is the SHA-256 of a caller's bearer key.
@@ -79,9 +81,32 @@
 	KeyTTL     time.Duration // how long an idempotency record lasts
 }
 
+// NewSnapshot returns a snapshot of accounts, models and services given directly,
+// without lists. It copies the slices' elements.
+func NewSnapshot(revision uint64, accounts []Account, models []Model, services []Service, keys map[KeyHash]wire.AccountID) *Snapshot {
+	s := &Snapshot{
+		Revision: revision,
+		Accounts: make(map[wire.AccountID]*Account, len(accounts)),
+		Models:   slices.SortedFunc(slices.Values(models), compareModels),
+		Services: slices.SortedFunc(slices.Values(services), compareServices),
+		keys:     make(keyIndex, len(keys)),
+	}
+	for _, a := range accounts {
+		s.Accounts[a.ID] = &a
+	}
+	for h, id := range keys {
+		s.keys.add(h, id)
+	}
+	return s
+}
+
+func compareModels(a, b Model) int { return strings.Compare(a.Name, b.Name) }
+
+func compareServices(a, b Service) int { return strings.Compare(a.Name, b.Name) }
+
 // Lookup returns the account that owns the key hash.
 func (s *Snapshot) Lookup(h KeyHash) (*Account, bool) {
-	id, ok := s.keys[h]
+	id, ok := s.keys.find(h)
 	if !ok {
 		return nil, false
 	}
