--- /dev/null
+++ b/internal/store/gate_test.go
@@ -0,0 +1,187 @@
+package store_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"trefoilpath.org/trefoilpath/internal/store"
+)
+
+func newGate(cfg store.GateConfig) *store.Gate {
+	cfg.Rand = rand.New(rand.NewPCG(3, 4))
+	return store.NewGate(cfg)
+}
+
+func get(id uint64, key string) store.Op { return store.Op{ID: id, Kind: store.OpGet, Key: key} }
+
+func put(id uint64) store.Op { return store.Op{ID: id, Kind: store.OpPut, Key: "k"} }
+
+// drive ticks the gate until end, answering each operation with status.
+func drive(g *store.Gate, from, end time.Duration, status store.Status) (sent int) {
+	for now := from; now < end; now += 10 * time.Millisecond {
+		g.Tick(now)
+		for _, op := range g.TakeReady() {
+			sent++
+			g.Result(now, store.Result{ID: op.ID, Status: status})
+		}
+	}
+	return sent
+}
+
+func TestGateHoldsBudget(t *testing.T) {
+	g := newGate(store.GateConfig{WritesPerSecond: 10, Burst: 5, MaxWait: time.Hour})
+	for i := range 200 {
+		g.Submit(0, put(uint64(i+1)))
+	}
+	if sent := drive(g, 0, 10*time.Second, store.StatusOK); sent < 100 || sent > 105 {
+		t.Fatalf("%d writes in 10 s at 10 a second and a burst of 5", sent)
+	}
+}
+
+func TestGateCountsWaitingWatches(t *testing.T) {
+	g := newGate(store.GateConfig{ReadsPerSecond: 10, Burst: 1, MaxWatches: 4, MaxWait: time.Hour})
+	now := time.Duration(0)
+	for i := range 5 {
+		g.Submit(now, store.Op{ID: uint64(i + 1), Kind: store.OpWatch, Key: string(rune('a' + i)), TTL: time.Minute})
+		now += time.Second
+		g.Tick(now)
+	}
+	if n := len(g.TakeReady()); n != 4 {
+		t.Fatalf("%d watches sent, want 4", n)
+	}
+	if diff := cmp.Diff([]store.Result{{ID: 5, Status: store.StatusUnavailable}}, g.TakeFailed()); diff != "" {
+		t.Fatal(diff)
+	}
+	for i := range 200 {
+		g.Submit(now, get(uint64(i+100), string(rune(i+1000))))
+	}
+	if sent := drive(g, now, now+10*time.Second, store.StatusOK); sent < 59 || sent > 62 {
+		t.Fatalf("%d reads in 10 s beside 4 watches, want 10 - 4 a second", sent)
+	}
+}
+
+func TestGateSharesWaitingReadsOnly(t *testing.T) {
+	g := newGate(store.GateConfig{ReadsPerSecond: 1, Burst: 1})
+	g.Submit(0, get(1, "k")) // sent at once
+	g.Submit(0, get(2, "k")) // must not take the answer of 1, which may be older
+	g.Submit(0, get(3, "k"))
+	if diff := cmp.Diff([]store.Op{get(1, "k")}, g.TakeReady()); diff != "" {
+		t.Fatal(diff)
+	}
+	ok := store.Result{ID: 1, Status: store.StatusOK, Version: 7}
+	if diff := cmp.Diff([]store.Result{ok}, g.Result(0, ok)); diff != "" {
+		t.Fatal(diff)
+	}
+	g.Tick(time.Second)
+	if diff := cmp.Diff([]store.Op{get(2, "k")}, g.TakeReady()); diff != "" {
+		t.Fatal(diff)
+	}
+	want := []store.Result{{ID: 2, Status: store.StatusOK, Version: 8}, {ID: 3, Status: store.StatusOK, Version: 8}}
+	if diff := cmp.Diff(want, g.Result(time.Second, want[0])); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func TestGateRefusesWhatWaitsTooLong(t *testing.T) {
+	g := newGate(store.GateConfig{WritesPerSecond: 0.01, Burst: 1, MaxWait: time.Second, MaxWaiting: 2})
+	for i := range 4 {
+		g.Submit(0, put(uint64(i+1)))
+	}
+	if n := len(g.TakeFailed()); n != 1 {
+		t.Fatalf("%d refused by the full queue, want 1", n)
+	}
+	if next := g.Next(); next != time.Second {
+		t.Fatalf("next at %s", next)
+	}
+	g.Tick(time.Second)
+	if n := len(g.TakeFailed()); n != 2 {
+		t.Fatalf("%d refused for waiting, want 2", n)
+	}
+}
+
+func TestGateRenewalsGoFirst(t *testing.T) {
+	g := newGate(store.GateConfig{WritesPerSecond: 1, Burst: 1})
+	g.Submit(0, put(1))
+	g.Submit(0, put(2))
+	g.Submit(0, store.Op{ID: 3, Kind: store.OpRenew, Lease: 9})
+	g.TakeReady()
+	g.Tick(time.Second)
+	if ready := g.TakeReady(); len(ready) != 1 || ready[0].ID != 3 {
+		t.Fatalf("sent %v", ready)
+	}
+}
+
+func TestGateBreaksAndReturnsSlowly(t *testing.T) {
+	cfg := store.GateConfig{ReadsPerSecond: 100, Burst: 10, BreakAfter: 3, MaxBackoff: 4 * time.Second, Ramp: 10 * time.Second}
+	g := newGate(cfg)
+	id := uint64(0)
+	offer := func(from, end time.Duration, status store.Status) (sent int) {
+		for now := from; now < end; now += 5 * time.Millisecond {
+			id++
+			g.Submit(now, get(id, string(rune(id))))
+			g.Tick(now)
+			for _, op := range g.TakeReady() {
+				sent++
+				g.Result(now, store.Result{ID: op.ID, Status: status})
+			}
+		}
+		return sent
+	}
+	outage := time.Minute
+	sent := offer(0, outage, store.StatusUnavailable)
+	// Three failures, then probes at pauses of at least 0.1, 0.2, ... 2, 2, ... s.
+	if sent < 12 || sent > 3+35 {
+		t.Fatalf("%d calls sent into an outage of a minute", sent)
+	}
+	if !g.Open(outage) {
+		t.Fatal("breaker closed during the outage")
+	}
+	back := outage + 6*time.Second
+	offer(outage, back, store.StatusOK)
+	if g.Open(back) {
+		t.Fatal("breaker still open after the longest pause")
+	}
+	early := offer(back, back+time.Second, store.StatusOK)
+	late := offer(back+20*time.Second, back+21*time.Second, store.StatusOK)
+	if early >= late {
+		t.Fatalf("%d calls in the first second after the outage, %d later", early, late)
+	}
+}
+
+// TestGatesReturnApart checks that processes that lost the store together do
+// not probe it together.
+func TestGatesReturnApart(t *testing.T) {
+	const gates = 50
+	probes := make(map[time.Duration]int)
+	for i := range gates {
+		g := store.NewGate(store.GateConfig{BreakAfter: 1, Rand: rand.New(rand.NewPCG(uint64(i), 1))})
+		g.Submit(0, get(1, "k"))
+		g.Result(0, store.Result{ID: g.TakeReady()[0].ID, Status: store.StatusUnavailable})
+		now := time.Duration(0)
+		for g.Open(now) {
+			now += 10 * time.Millisecond
+		}
+		probes[now]++
+	}
+	for at, n := range probes {
+		if n > gates/4 {
+			t.Fatalf("%d of %d gates probe at %s", n, gates, at)
+		}
+	}
+}
+
+func BenchmarkGate(b *testing.B) {
+	g := newGate(store.GateConfig{ReadsPerSecond: 1e9, Burst: 1e9})
+	id := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		g.Submit(time.Duration(id), get(id, "k"))
+		for _, op := range g.TakeReady() {
+			g.Result(time.Duration(id), store.Result{ID: op.ID, Status: store.StatusOK})
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/lease_test.go
@@ -0,0 +1,190 @@
+package store_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"trefoilpath.org/trefoilpath/internal/store"
+	"trefoilpath.org/trefoilpath/internal/store/storetest"
+)
+
+const leaseKey = "lease/fd-1"
+
+// candidate is one process that seeks the key.
+type candidate struct {
+	lease  *store.Lease
+	link   *storetest.Link
+	paused time.Duration // until
+	fence  uint64
+}
+
+func newCandidate(m *storetest.Model, i int, choose func(store.Op) storetest.Fate) *candidate {
+	id := uint64(i) << 32
+	return &candidate{
+		lease: store.NewLease(store.LeaseConfig{
+			Key:    leaseKey,
+			Holder: fmt.Sprintf("entry-%d", i),
+			NextOp: func() uint64 { id++; return id },
+			Rand:   rand.New(rand.NewPCG(uint64(i), 7)),
+		}),
+		link: &storetest.Link{Model: m, Delay: time.Millisecond, LateBy: 2 * time.Second, Choose: choose},
+	}
+}
+
+// step lets the candidate act at now unless it is paused. Answers wait meanwhile.
+func (c *candidate) step(now time.Duration) {
+	if now < c.paused {
+		return
+	}
+	for _, r := range c.link.Receive(now) {
+		c.lease.StoreResult(now, r)
+	}
+	c.lease.Tick(now)
+	c.link.Send(now, c.lease.TakeStore())
+}
+
+func runUntilHeld(t *testing.T, c *candidate, now, limit time.Duration) time.Duration {
+	t.Helper()
+	for end := now + limit; now < end; now += time.Millisecond {
+		c.step(now)
+		if c.lease.Held(now) {
+			return now
+		}
+	}
+	t.Fatalf("not held after %s", limit)
+	return 0
+}
+
+func TestLeaseSurvivesLostAnswerOfEachWrite(t *testing.T) {
+	for _, kind := range []store.OpKind{store.OpGrant, store.OpPut, store.OpRenew} {
+		for _, fate := range []storetest.Fate{storetest.Refuse, storetest.LoseOp, storetest.LoseBack, storetest.Late} {
+			t.Run(fmt.Sprintf("kind=%d/fate=%d", kind, fate), func(t *testing.T) {
+				hit := 0
+				c := newCandidate(storetest.NewModel(), 1, func(op store.Op) storetest.Fate {
+					if op.Kind == kind && hit == 0 {
+						hit++
+						return fate
+					}
+					return storetest.Deliver
+				})
+				now := runUntilHeld(t, c, 0, 10*time.Second)
+				for end := now + 20*time.Second; now < end; now += time.Millisecond {
+					c.step(now)
+					if !c.lease.Held(now) {
+						t.Fatalf("lost the key at %s", now)
+					}
+				}
+				if hit == 0 {
+					t.Fatal("the fault did not happen")
+				}
+			})
+		}
+	}
+}
+
+func TestLeaseNotHeldAfterPausePastExpiry(t *testing.T) {
+	m := storetest.NewModel()
+	a, b := newCandidate(m, 1, nil), newCandidate(m, 2, nil)
+	now := runUntilHeld(t, a, 0, 10*time.Second)
+	oldFence := a.lease.Fence()
+	now = runUntilHeld(t, b, now, 20*time.Second)
+	if a.lease.Held(now) {
+		t.Fatal("both hold the key")
+	}
+	if b.lease.Fence() <= oldFence {
+		t.Fatalf("fence %d after %d", b.lease.Fence(), oldFence)
+	}
+	a.step(now)
+	a.step(now + 5*time.Millisecond)
+	if a.lease.Held(now + 5*time.Millisecond) {
+		t.Fatal("the paused holder claims the key again")
+	}
+}
+
+func TestLeaseLapsesWhenStoreIsDownAndNobodyTakesIt(t *testing.T) {
+	down := false
+	choose := func(store.Op) storetest.Fate {
+		if down {
+			return storetest.Refuse
+		}
+		return storetest.Deliver
+	}
+	m := storetest.NewModel()
+	a, b := newCandidate(m, 1, choose), newCandidate(m, 2, choose)
+	now := runUntilHeld(t, a, 0, 10*time.Second)
+	down = true
+	for end := now + time.Hour; now < end; now += 50 * time.Millisecond {
+		a.step(now)
+		b.step(now)
+	}
+	if a.lease.Held(now) || b.lease.Held(now) {
+		t.Fatal("held without a store")
+	}
+	down = false
+	runUntilHeld(t, a, now, 10*time.Second)
+}
+
+func TestLeaseGivenUpGoesToTheNextAtOnce(t *testing.T) {
+	m := storetest.NewModel()
+	a, b := newCandidate(m, 1, nil), newCandidate(m, 2, nil)
+	now := runUntilHeld(t, a, 0, 10*time.Second)
+	a.lease.SetWanted(now, false)
+	if a.lease.Held(now) {
+		t.Fatal("held after giving up")
+	}
+	a.step(now)
+	for i := range 3 {
+		a.link.Receive(now + time.Duration(i)*time.Millisecond)
+	}
+	runUntilHeld(t, b, now, store.DefaultLeaseRetry*2)
+}
+
+// TestLeaseExclusive runs three candidates under random faults and pauses. At
+// no time do two hold the key, and fences only rise.
+func TestLeaseExclusive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		faults := rapid.IntRange(0, 40).Draw(t, "fault percent")
+		choose := func(store.Op) storetest.Fate {
+			if r.IntN(100) >= faults {
+				return storetest.Deliver
+			}
+			return storetest.Fate(1 + r.IntN(4))
+		}
+		m := storetest.NewModel()
+		var all []*candidate
+		for i := range 3 {
+			all = append(all, newCandidate(m, i+1, choose))
+		}
+		var highest uint64
+		var heldAt time.Duration
+		for now := time.Duration(0); now < 3*time.Minute; now += 20 * time.Millisecond {
+			holders := 0
+			for _, c := range all {
+				if r.IntN(2000) == 0 {
+					c.paused = now + time.Duration(r.IntN(15000))*time.Millisecond
+				}
+				c.step(now)
+				if !c.lease.Held(now) {
+					continue
+				}
+				holders++
+				heldAt = now
+				if f := c.lease.Fence(); f < highest {
+					t.Fatalf("holder with fence %d after %d at %s", f, highest, now)
+				}
+				highest = max(highest, c.lease.Fence())
+			}
+			if holders > 1 {
+				t.Fatalf("%d holders at %s", holders, now)
+			}
+		}
+		if faults == 0 && heldAt == 0 {
+			t.Fatal("nobody ever held the key")
+		}
+	})
+}
