Add a deterministic model of a model engine

Cause: the HTTP stand-in and the virtual-clock runs need an engine whose batching, memory, cache, loads and faults behave alike and repeatably. Change: internal/standin/enginemodel computes runs of identical steps at once and keeps a ledger of what ran and what memory is held.

--- /dev/null
+++ b/internal/standin/enginemodel/memory.go
@@ -0,0 +1,54 @@
+package enginemodel
+
+import "trefoilpath.org/trefoilpath/internal/engine"
+
+// free returns the KV cache tokens that nothing holds.
+func (m *Model) free() int64 { return m.cfg.CapacityTokens - m.used }
+
+// running returns the number of sequences that hold memory.
+func (m *Model) running() int {
+	return m.importing + len(m.prefilling) + len(m.decoding)
+}
+
+// growth returns the KV cache tokens that one step may add.
+func (m *Model) growth() int64 {
+	return int64(len(m.decoding) + len(m.prefilling))
+}
+
+// makeRoom preempts sequences until the next step has memory: the lowest
+// priority first, among equals the latest. A preempted sequence waits and is
+// computed again; its output is kept. The last one fails instead.
+func (m *Model) makeRoom() {
+	for m.free() < m.growth() {
+		s := m.victim()
+		if s == nil {
+			return
+		}
+		if m.running() == 1 {
+			m.fail(s, engine.FailMemory)
+			return
+		}
+		m.preempt(s)
+	}
+}
+
+func (m *Model) preempt(s *sequence) {
+	m.ledger.Preemptions++
+	m.ledger.RecomputedTokens += s.held(m.step) - s.remaining
+	m.detach(s)
+	s.imported = 0
+	m.waiting = insertOrdered(m.waiting, s)
+}
+
+func (m *Model) victim() *sequence {
+	var worst *sequence
+	if n := len(m.prefilling); n > 0 {
+		worst = m.prefilling[n-1]
+	}
+	for _, s := range m.decoding {
+		if worst == nil || before(worst, s) < 0 {
+			worst = s
+		}
+	}
+	return worst
+}
