--- a/internal/workload/deployment.go
+++ b/internal/workload/deployment.go
@@ -1,6 +1,8 @@
 package workload
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
 
 	"trefoilpath.org/trefoilpath/internal/wire"
@@ -19,6 +21,8 @@
 	Services int // replicas of Service
 	Write    Call
 	Read     Call
+	// DomainDelay is the one-way latency between failure domains.
+	DomainDelay time.Duration
 }
 
 // Call is one kind of plain service call.
@@ -40,6 +44,8 @@
 		Services: 3,
 		Write:    Call{Method: "POST", Path: "/reservations"},
 		Read:     Call{Method: "GET", Path: "/stock"},
+
+		DomainDelay: 500 * time.Microsecond,
 	}
 }
 
@@ -56,6 +62,8 @@
 		Services: 3,
 		Write:    Call{Method: "POST", Path: "/estimates"},
 		Read:     Call{Method: "GET", Path: "/parcels"},
+
+		DomainDelay: time.Millisecond,
 	}
 }
 
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -120,15 +120,26 @@
 }
 
 func TestCapacityFollowsTheRates(t *testing.T) {
-	slow, err := CapacityOf(testConfig(), EngineRates{Prefill: 20_000, Decode: 1_000})
-	if err != nil {
-		t.Fatal(err)
+	base := StandinRates()
+	fast := base
+	fast.Prefill *= 2
+	fast.Decode *= 2
+	fast.TokenTime /= 2
+	if ratio := rateOf(t, fast) / rateOf(t, base); ratio < 1.999 || ratio > 2.001 {
+		t.Errorf("capacity grows by %.3f when the rates double", ratio)
 	}
-	fast, err := CapacityOf(testConfig(), EngineRates{Prefill: 40_000, Decode: 2_000})
+	small := base
+	small.Memory /= 10
+	if ratio := rateOf(t, small) / rateOf(t, base); ratio > 0.5 {
+		t.Errorf("capacity falls to %.3f with a tenth of the memory", ratio)
+	}
+}
+
+func rateOf(t *testing.T, rates EngineRates) float64 {
+	t.Helper()
+	c, err := CapacityOf(testConfig(), rates)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if ratio := fast.RequestsPerSecond / slow.RequestsPerSecond; ratio < 1.999 || ratio > 2.001 {
-		t.Errorf("capacity grows by %.3f when the rates double", ratio)
-	}
+	return c.RequestsPerSecond
 }
