--- a/internal/store/gate_test.go
+++ b/internal/store/gate_test.go
@@ -151,6 +151,18 @@
 	}
 }
 
+func TestGateRefusesWaitingCallsWhenItBreaks(t *testing.T) {
+	g := newGate(store.GateConfig{ReadsPerSecond: 1, Burst: 1, BreakAfter: 1})
+	g.Submit(0, get(1, "a"))
+	g.Submit(0, get(2, "b"))
+	g.Result(0, store.Result{ID: 1, Status: store.StatusUnavailable})
+	g.Submit(0, get(3, "c"))
+	want := []store.Result{{ID: 2, Status: store.StatusUnavailable}, {ID: 3, Status: store.StatusUnavailable}}
+	if diff := cmp.Diff(want, g.TakeFailed()); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
 // TestGatesReturnApart checks that processes that lost the store together do
 // not probe it together.
 func TestGatesReturnApart(t *testing.T) {
