--- a/internal/membership/rendezvous_test.go
+++ b/internal/membership/rendezvous_test.go
@@ -1,7 +1,9 @@
 package membership
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"slices"
 	"testing"
 
@@ -11,6 +13,13 @@
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
 func nodeNames(n int) []wire.NodeID {
 	nodes := make([]wire.NodeID, n)
 	for i := range nodes {
