Add at-most-once records

Cause: a call that is not idempotent may run at most once through lost answers. Change: a record per key, created by compare-and-swap with a nonce, read back when in doubt, withdrawn after StoreDown; records share store leases for expiry.

--- /dev/null
+++ b/internal/idempotency/machine_test.go
@@ -0,0 +1,351 @@
+package idempotency
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"trefoilpath.org/trefoilpath/internal/store"
+	"trefoilpath.org/trefoilpath/internal/store/storetest"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// node is one entry with its link to the shared store.
+type node struct {
+	m        *Machine
+	link     *storetest.Link
+	verdicts map[uint64][]Decision
+}
+
+func newNode(model *storetest.Model, i int, choose func(store.Op) storetest.Fate) *node {
+	op := uint64(0)
+	return &node{
+		m: New(Config{
+			Self:        wire.NodeID(fmt.Sprintf("entry-%d", i)),
+			Incarnation: 1,
+			NextOp:      func() uint64 { op++; return op },
+			Rand:        rand.New(rand.NewPCG(uint64(i), 5)),
+			TTL:         time.Hour,
+		}),
+		link:     &storetest.Link{Model: model, Delay: time.Millisecond, LateBy: 3 * time.Second, Choose: choose},
+		verdicts: make(map[uint64][]Decision),
+	}
+}
+
+// step handles what is due at now and returns the new decisions.
+func (n *node) step(now time.Duration) []Decision {
+	for _, r := range n.link.Receive(now) {
+		n.m.StoreResult(now, r)
+	}
+	if n.m.Next() <= now {
+		n.m.Tick(now)
+	}
+	n.link.Send(now, n.m.TakeStore())
+	decisions := n.m.TakeDecisions()
+	for _, d := range decisions {
+		n.verdicts[d.Handle] = append(n.verdicts[d.Handle], d)
+	}
+	return decisions
+}
+
+// run advances the nodes to end in steps of a millisecond.
+func run(from, end time.Duration, nodes ...*node) time.Duration {
+	for now := from; now < end; now += time.Millisecond {
+		for _, n := range nodes {
+			n.step(now)
+		}
+	}
+	return end
+}
+
+func (n *node) last(handle uint64) Verdict {
+	ds := n.verdicts[handle]
+	if len(ds) == 0 {
+		return 0
+	}
+	return ds[len(ds)-1].Verdict
+}
+
+func (n *node) wantLast(t *testing.T, handle uint64, want Verdict) {
+	t.Helper()
+	if got := n.last(handle); got != want {
+		t.Fatalf("verdict %d, want %d (all: %+v)", got, want, n.verdicts[handle])
+	}
+}
+
+var testKey = Key{Account: "antigua", Service: "pedidos", Key: "reserve-17"}
+
+const budget = 10 * time.Second
+
+func TestRepeatGetsStoredAnswerThenConflict(t *testing.T) {
+	model := storetest.NewModel()
+	a, b := newNode(model, 1, nil), newNode(model, 2, nil)
+	a.m.Begin(0, 1, testKey, 7, 0, budget)
+	now := run(0, 100*time.Millisecond, a, b)
+	a.wantLast(t, 1, Run)
+
+	b.m.Begin(now, 1, testKey, 7, 0, budget)
+	now = run(now, now+300*time.Millisecond, a, b)
+	b.wantLast(t, 1, Wait)
+
+	answer := Stored{Status: 201, Headers: []wire.Header{{Name: "Location", Value: "/r/17"}}, Body: []byte("ok")}
+	a.m.Finish(now, 1, wire.OutcomeCompleted, answer)
+	now = run(now, now+5*time.Second, a, b)
+	b.wantLast(t, 1, Replay)
+	if diff := cmp.Diff(answer, b.verdicts[1][1].Stored); diff != "" {
+		t.Fatal(diff)
+	}
+
+	b.m.Begin(now, 2, testKey, 8, 0, budget)
+	now = run(now, now+time.Second, a, b)
+	b.wantLast(t, 2, Conflict)
+
+	now = run(now+2*time.Hour, now+2*time.Hour+time.Millisecond, a, b)
+	b.m.Begin(now, 3, testKey, 8, 0, budget)
+	run(now, now+time.Second, a, b)
+	b.wantLast(t, 3, Run) // the record has expired
+}
+
+func TestLargeAnswerIsOmitted(t *testing.T) {
+	model := storetest.NewModel()
+	a := newNode(model, 1, nil)
+	a.m.Begin(0, 1, testKey, 7, 0, budget)
+	now := run(0, 100*time.Millisecond, a)
+	a.m.Finish(now, 1, wire.OutcomeCompleted, Stored{Status: 200, Body: make([]byte, MaxStoredBody+1)})
+	a.m.Begin(now, 2, testKey, 7, 0, budget)
+	run(now, now+5*time.Second, a)
+	a.wantLast(t, 2, Replay)
+	if d := a.verdicts[2]; !d[len(d)-1].Stored.Omitted || a.m.Pending() != 0 {
+		t.Fatalf("%+v, %d pending", d, a.m.Pending())
+	}
+}
+
+func TestRepeatOfCallWhoseOwnerIsGoneIsUnknown(t *testing.T) {
+	model := storetest.NewModel()
+	a, b := newNode(model, 1, nil), newNode(model, 2, nil)
+	a.m.Begin(0, 1, testKey, 7, 0, 2*time.Second)
+	now := run(0, 100*time.Millisecond, a)
+	a.wantLast(t, 1, Run) // and the entry dies
+	b.m.Begin(now, 1, testKey, 7, 0, time.Minute)
+	run(now, now+2*time.Second+DefaultGrace+200*time.Millisecond, b)
+	b.wantLast(t, 1, Unknown)
+}
+
+func TestReleasedCallMayRunAgain(t *testing.T) {
+	model := storetest.NewModel()
+	a, b := newNode(model, 1, nil), newNode(model, 2, nil)
+	a.m.Begin(0, 1, testKey, 7, 0, budget)
+	now := run(0, 100*time.Millisecond, a, b)
+	a.m.Release(now, 1)
+	b.m.Begin(now, 1, testKey, 99, 0, budget) // another body is fine: nothing ran
+	run(now, now+time.Second, a, b)
+	b.wantLast(t, 1, Run)
+}
+
+// TestLostAnswerOfEachWrite loses one operation or answer of each kind of write
+// in each way and expects the call to run once, and its repeat to be replayed.
+func TestLostAnswerOfEachWrite(t *testing.T) {
+	for _, kind := range []store.OpKind{store.OpGrant, store.OpPut} {
+		for nth := 1; nth <= 2; nth++ {
+			for _, fate := range []storetest.Fate{storetest.Refuse, storetest.LoseOp, storetest.LoseBack, storetest.Late} {
+				t.Run(fmt.Sprintf("kind=%d/nth=%d/fate=%d", kind, nth, fate), func(t *testing.T) {
+					seen := 0
+					model := storetest.NewModel()
+					a := newNode(model, 1, func(op store.Op) storetest.Fate {
+						if op.Kind == kind {
+							seen++
+							if seen == nth {
+								return fate
+							}
+						}
+						return storetest.Deliver
+					})
+					b := newNode(model, 2, nil)
+					a.m.Begin(0, 1, testKey, 7, 0, budget)
+					now := run(0, time.Second, a, b)
+					a.wantLast(t, 1, Run)
+					a.m.Finish(now, 1, wire.OutcomeCompleted, Stored{Status: 200})
+					now = run(now, now+5*time.Second, a, b)
+					b.m.Begin(now, 1, testKey, 7, 0, budget)
+					run(now, now+5*time.Second, a, b)
+					b.wantLast(t, 1, Replay)
+					if a.m.Pending() != 0 {
+						t.Fatal("the record is not settled")
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestLateWriteAfterStoreDownNeverRuns lets the write of the record take effect
+// after the caller was told that the call was not run.
+func TestLateWriteAfterStoreDownNeverRuns(t *testing.T) {
+	model := storetest.NewModel()
+	down := false
+	a := newNode(model, 1, func(op store.Op) storetest.Fate {
+		switch {
+		case op.Kind == store.OpPut && !down:
+			down = true
+			return storetest.Late
+		case down:
+			return storetest.Refuse
+		}
+		return storetest.Deliver
+	})
+	b := newNode(model, 2, nil)
+	a.m.Begin(0, 1, testKey, 7, 0, time.Minute)
+	now := run(0, 10*time.Second, a, b)
+	a.wantLast(t, 1, StoreDown)
+	if _, _, ok := model.Get(now, testKey.StoreKey()); !ok {
+		t.Fatal("the late write did not take effect")
+	}
+	// The other entry's repeat does not run while the record is in doubt, and
+	// runs after the first entry has withdrawn it.
+	b.m.Begin(now, 1, testKey, 7, 0, time.Minute)
+	now = run(now, now+5*time.Second, a, b)
+	b.wantLast(t, 1, Wait)
+	a.link.Choose = nil
+	run(now, now+10*time.Second, a, b)
+	b.wantLast(t, 1, Run)
+	a.wantLast(t, 1, StoreDown)
+	if a.m.Pending() != 0 {
+		t.Fatal("the record is not settled")
+	}
+}
+
+func TestVerdictAfterPausePastTheDeadlineIsNotRun(t *testing.T) {
+	model := storetest.NewModel()
+	a := newNode(model, 1, nil)
+	a.m.Begin(0, 1, testKey, 7, 0, budget)
+	run(0, 4*time.Millisecond, a) // the write is on its way
+	late := budget + time.Second
+	run(late, late+time.Second, a)
+	a.wantLast(t, 1, StoreDown)
+	if a.m.Pending() != 0 {
+		t.Fatal("the record was not withdrawn")
+	}
+}
+
+// TestAtMostOnce runs three entries that repeat calls under random store faults,
+// entry deaths and releases, and counts what was run.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkAtMostOnce(t, rapid.Uint64().Draw(t, "seed")) })
+}
+
+type dispatched struct {
+	node   *node
+	handle uint64
+	key    int
+	endsAt time.Duration
+}
+
+func checkAtMostOnce(t *rapid.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 9))
+	faults := r.IntN(50)
+	choose := func(store.Op) storetest.Fate {
+		if r.IntN(100) >= faults {
+			return storetest.Deliver
+		}
+		return storetest.Fate(1 + r.IntN(4))
+	}
+	model := storetest.NewModel()
+	const keys = 3
+	var nodes []*node
+	created := 0
+	addNode := func() *node { created++; return newNode(model, created, choose) }
+	for range 3 {
+		nodes = append(nodes, addNode())
+	}
+	handles := make(map[*node]map[uint64]int)
+	var running []dispatched
+	var ran, completed [keys]int
+	next := uint64(0)
+	for now := time.Duration(0); now < 40*time.Second; now += 5 * time.Millisecond {
+		if r.IntN(100) == 0 {
+			n := nodes[r.IntN(len(nodes))]
+			next++
+			if handles[n] == nil {
+				handles[n] = make(map[uint64]int)
+			}
+			handles[n][next] = r.IntN(keys)
+			n.m.Begin(now, next, Key{Key: fmt.Sprint(handles[n][next])}, 1, 0, time.Duration(1+r.IntN(8))*time.Second)
+		}
+		if r.IntN(1500) == 0 {
+			i := r.IntN(len(nodes)) // the entry dies; what it dispatched may have run
+			nodes[i] = addNode()
+		}
+		for _, n := range nodes {
+			for _, d := range n.step(now) {
+				key := handles[n][d.Handle]
+				switch d.Verdict {
+				case Run:
+					if told := n.verdicts[d.Handle]; len(told) > 1 && told[len(told)-2].Verdict != Wait {
+						t.Fatalf("Run after %+v", told)
+					}
+					ran[key]++
+					if ran[key] > 1 {
+						t.Fatalf("key %d ran twice by %s", key, now)
+					}
+					running = append(running, dispatched{n, d.Handle, key, now + time.Duration(r.IntN(500))*time.Millisecond})
+				case Replay:
+					if completed[key] == 0 {
+						t.Fatalf("key %d replayed before it completed", key)
+					}
+				}
+			}
+		}
+		kept := running[:0]
+		for _, c := range running {
+			if now < c.endsAt {
+				kept = append(kept, c)
+				continue
+			}
+			if r.IntN(3) == 0 { // the agent refused it: it has not run
+				ran[c.key]--
+				c.node.m.Release(now, c.handle)
+				continue
+			}
+			completed[c.key]++
+			c.node.m.Finish(now, c.handle, wire.OutcomeCompleted, Stored{Status: 200})
+		}
+		running = kept
+	}
+}
+
+func BenchmarkCall(b *testing.B) {
+	model := storetest.NewModel()
+	n := newNode(model, 1, nil)
+	n.link.Delay = 0
+	now := time.Duration(0)
+	handle := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		handle++
+		now += time.Microsecond
+		n.m.Begin(now, handle, Key{Account: "a", Service: "s", Key: fmt.Sprint(handle)}, 1, time.Hour, budget)
+		for n.last(handle) != Run {
+			n.step(now)
+		}
+		n.m.Finish(now, handle, wire.OutcomeCompleted, Stored{Status: 200})
+		for n.m.Pending() > 0 {
+			n.step(now)
+		}
+		delete(n.verdicts, handle)
+	}
+	b.ReportMetric(float64(model.Writes)/float64(b.N), "writes/op")
+	b.ReportMetric(float64(model.Reads)/float64(b.N), "reads/op")
+}
