Add the check for broken invariants

Cause: the agent core needs to stop the process when a condition that must always hold does not. Change: internal/invariant with Check, Fail, Recover and the typed Violation.

--- /dev/null
+++ b/internal/invariant/invariant.go
@@ -0,0 +1,64 @@
+// Package invariant checks conditions that must hold whatever fails outside the
+// program. A violated one is a defect of the program itself: the check panics
+// with *Violation, and the shell of the role logs it, dumps the state and stops
+// the process.
+package invariant
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Violation describes a broken invariant.
+type Violation struct {
+	Name   string // short, stable name of the invariant
+	Detail string // key=value pairs
+}
+
+// Error implements error.
+func (v *Violation) Error() string {
+	if v.Detail == "" {
+		return "invariant violated: " + v.Name
+	}
+	return "invariant violated: " + v.Name + ": " + v.Detail
+}
+
+// Check panics with *Violation unless ok. The args are alternating keys and
+// values for the message.
+func Check(ok bool, name string, args ...any) {
+	if ok {
+		return
+	}
+	Fail(name, args...)
+}
+
+// Fail panics with *Violation. Callers on hot paths test the condition
+// themselves, so that the arguments cost nothing while it holds.
+func Fail(name string, args ...any) {
+	panic(&Violation{Name: name, Detail: detail(args)})
+}
+
+// Recover turns a panic of Check into its *Violation. It returns nil for a nil
+// value and panics again with anything else. Use it as
+// invariant.Recover(recover()).
+func Recover(recovered any) *Violation {
+	if recovered == nil {
+		return nil
+	}
+	v, ok := recovered.(*Violation)
+	if !ok {
+		panic(recovered)
+	}
+	return v
+}
+
+func detail(args []any) string {
+	var b strings.Builder
+	for i := 0; i+1 < len(args); i += 2 {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%v=%v", args[i], args[i+1])
+	}
+	return b.String()
+}
