--- /dev/null
+++ b/internal/agent/config.go
@@ -0,0 +1,244 @@
+package agent
+
+import (
+	"fmt"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// QueuePolicy selects how waiting attempts are ordered.
+type QueuePolicy uint8
+
+// The queue policies.
+const (
+	// QueueFair shares service between client accounts by weight and keeps short
+	// prompts apart from long ones.
+	QueueFair QueuePolicy = 0
+	// QueueFIFO starts attempts in order of arrival, as far as memory goes. It is
+	// the baseline of experiments.
+	QueueFIFO QueuePolicy = 1
+)
+
+// FenceMode says whether the engine itself checks fencing numbers.
+type FenceMode uint8
+
+// The fence modes.
+const (
+	FenceChecked FenceMode = 0 // the engine refuses old fencing numbers
+	FenceIgnored FenceMode = 1 // the engine obeys any order
+)
+
+// Weights is how much time to first token counts against the slowdown of short
+// requests. Only their ratio matters.
+type Weights struct {
+	FirstToken    float64
+	ShortSlowdown float64
+}
+
+// shortShare returns the weight of short-request slowdown in [0, 1].
+func (w Weights) shortShare() float64 {
+	return w.ShortSlowdown / (w.FirstToken + w.ShortSlowdown)
+}
+
+// Defaults of Config.
+const (
+	defaultMaxLongPrefills   = 1
+	defaultMaxMediumPrefills = 2
+	defaultMaxCalls          = 64
+	defaultMaxQueued         = 4096
+	defaultMaxTombstones     = 1 << 15
+	defaultMemoryHeadroom    = 0.03
+	defaultShortReserve      = 0.2
+	defaultControlBytes      = 2048 // bytes a second at each entry
+	defaultPrefillWindow     = 250 * time.Millisecond
+	defaultReportInterval    = time.Second
+	defaultQueryInterval     = time.Second
+	defaultEntryGrace        = 5 * time.Second
+	defaultClaimGrace        = 5 * time.Second
+	defaultTombstoneTTL      = 2 * time.Minute
+	defaultStallAfter        = 15 * time.Second
+	defaultOrderMaxAge       = 10 * time.Second
+	defaultAgeAfter          = 2 * time.Second
+	defaultLeavingGrace      = 2 * time.Second
+)
+
+// Config holds the options of a Core. Zero values of the optional fields stand
+// for the defaults.
+type Config struct {
+	Endpoint      wire.EndpointID
+	FailureDomain wire.FailureDomain
+	Kind          wire.Kind
+	Service       string // for KindService
+	Incarnation   wire.Incarnation
+	Fence         FenceMode
+
+	Queue   QueuePolicy
+	Weights Weights
+
+	// MaxLongPrefills and MaxMediumPrefills bound how many prompts of the long
+	// and huge bands, and of the medium band, are in prefill at once.
+	MaxLongPrefills   int
+	MaxMediumPrefills int
+	// MaxCalls bounds the calls of a plain service that run at once.
+	MaxCalls int
+	// MaxQueued bounds the attempts that wait.
+	MaxQueued int
+	// MaxTombstones bounds the attempts that are remembered after their end.
+	MaxTombstones int
+
+	// MemoryHeadroom is the part of the engine's memory that is never reserved.
+	MemoryHeadroom float64
+	// ShortReserve is the part of the memory that only short prompts may use.
+	ShortReserve float64
+	// ControlBytes is the budget for control messages in bytes a second at each
+	// entry. All agents of the entry share it.
+	ControlBytes int64
+
+	// PrefillWindow is how much prefill work of short prompts the engine holds
+	// at once; the rest waits here, where it is shared fairly.
+	PrefillWindow  time.Duration
+	ReportInterval time.Duration
+	QueryInterval  time.Duration // between reads of the engine's state
+	// EntryGrace is how long attempts outlive the stream to their entry.
+	EntryGrace time.Duration
+	// ClaimGrace is how long sequences that a predecessor left are kept.
+	ClaimGrace time.Duration
+	// TombstoneTTL is how long an ended attempt is remembered one by one. It must
+	// exceed the longest start-by allowance.
+	TombstoneTTL time.Duration
+	StallAfter   time.Duration // without progress
+	// OrderMaxAge is the longest age limit that an order can have.
+	OrderMaxAge time.Duration
+	// AgeAfter is the wait after which memory is kept free for a long prompt.
+	AgeAfter time.Duration
+	// LeavingGrace is how long a leaving endpoint goes on starting attempts that
+	// had arrived before.
+	LeavingGrace time.Duration
+
+	without mechanism
+}
+
+// mechanism names one protection that tests can switch off.
+type mechanism uint32
+
+const (
+	withoutFairness mechanism = 1 << iota
+	withoutLongBound
+	withoutMemoryCheck
+	withoutReconcile
+	withoutDeadline
+	withoutTombstones
+	withoutStartBy
+	withoutOrphans
+	withoutOrderAge
+	withoutFence
+	withoutQuietTime
+	withoutDrain
+	withoutLeaving
+	withoutStall
+	withoutAgeing
+	withoutLease
+	withoutFloor
+	withoutStray
+)
+
+func (c *Config) lacks(m mechanism) bool { return c.without&m != 0 }
+
+// OptionError reports an option of Config that is out of range.
+type OptionError struct {
+	Option string
+	Value  any
+	Want   string
+}
+
+// Error implements error.
+func (e *OptionError) Error() string {
+	return fmt.Sprintf("agent option %s is %v, want %s", e.Option, e.Value, e.Want)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.Weights, Weights{FirstToken: 1, ShortSlowdown: 1})
+	setDefault(&c.MaxLongPrefills, defaultMaxLongPrefills)
+	setDefault(&c.MaxMediumPrefills, defaultMaxMediumPrefills)
+	setDefault(&c.MaxCalls, defaultMaxCalls)
+	setDefault(&c.MaxQueued, defaultMaxQueued)
+	setDefault(&c.MaxTombstones, defaultMaxTombstones)
+	setDefault(&c.MemoryHeadroom, defaultMemoryHeadroom)
+	setDefault(&c.ShortReserve, defaultShortReserve)
+	setDefault(&c.ControlBytes, defaultControlBytes)
+	setDefault(&c.PrefillWindow, defaultPrefillWindow)
+	setDefault(&c.ReportInterval, defaultReportInterval)
+	setDefault(&c.QueryInterval, defaultQueryInterval)
+	setDefault(&c.EntryGrace, defaultEntryGrace)
+	setDefault(&c.ClaimGrace, defaultClaimGrace)
+	setDefault(&c.TombstoneTTL, defaultTombstoneTTL)
+	setDefault(&c.StallAfter, defaultStallAfter)
+	setDefault(&c.OrderMaxAge, defaultOrderMaxAge)
+	setDefault(&c.AgeAfter, defaultAgeAfter)
+	setDefault(&c.LeavingGrace, defaultLeavingGrace)
+}
+
+// Validate returns an *OptionError for the first option that is out of range.
+func (c Config) Validate() error {
+	c.setDefaults()
+	checks := []struct {
+		ok     bool
+		option string
+		value  any
+		want   string
+	}{
+		{c.Endpoint != "", "Endpoint", c.Endpoint, "a name"},
+		{c.Kind == wire.KindEngine || c.Kind == wire.KindService, "Kind", c.Kind, "an engine or a service"},
+		{c.Kind != wire.KindService || c.Service != "", "Service", c.Service, "a name for a plain service"},
+		{c.Queue <= QueueFIFO, "Queue", c.Queue, "a known policy"},
+		{c.Fence <= FenceIgnored, "Fence", c.Fence, "a known mode"},
+		{c.Weights.FirstToken >= 0 && c.Weights.ShortSlowdown >= 0, "Weights", c.Weights, "no negative weight"},
+		{c.Weights.FirstToken+c.Weights.ShortSlowdown > 0, "Weights", c.Weights, "a positive sum"},
+		{c.MaxLongPrefills > 0, "MaxLongPrefills", c.MaxLongPrefills, "at least 1"},
+		{c.MaxMediumPrefills > 0, "MaxMediumPrefills", c.MaxMediumPrefills, "at least 1"},
+		{c.MaxCalls > 0, "MaxCalls", c.MaxCalls, "at least 1"},
+		{c.MaxQueued > 0, "MaxQueued", c.MaxQueued, "at least 1"},
+		{c.MaxTombstones > 0, "MaxTombstones", c.MaxTombstones, "at least 1"},
+		{c.MemoryHeadroom > 0 && c.MemoryHeadroom < 1, "MemoryHeadroom", c.MemoryHeadroom, "between 0 and 1"},
+		{c.ShortReserve > 0 && c.ShortReserve < 1, "ShortReserve", c.ShortReserve, "between 0 and 1"},
+		{c.ControlBytes > 0, "ControlBytes", c.ControlBytes, "a positive rate"},
+	}
+	for _, k := range checks {
+		if !k.ok {
+			return &OptionError{Option: k.option, Value: k.value, Want: k.want}
+		}
+	}
+	return c.validateDurations()
+}
+
+func (c Config) validateDurations() error {
+	durations := []struct {
+		option string
+		value  time.Duration
+	}{
+		{"PrefillWindow", c.PrefillWindow},
+		{"ReportInterval", c.ReportInterval},
+		{"QueryInterval", c.QueryInterval},
+		{"EntryGrace", c.EntryGrace},
+		{"ClaimGrace", c.ClaimGrace},
+		{"TombstoneTTL", c.TombstoneTTL},
+		{"StallAfter", c.StallAfter},
+		{"OrderMaxAge", c.OrderMaxAge},
+		{"AgeAfter", c.AgeAfter},
+		{"LeavingGrace", c.LeavingGrace},
+	}
+	for _, d := range durations {
+		if d.value <= 0 {
+			return &OptionError{Option: d.option, Value: d.value, Want: "a positive duration"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/agent/core.go
@@ -0,0 +1,169 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"trefoilpath.org/trefoilpath/internal/engine"
+	"trefoilpath.org/trefoilpath/internal/table"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// Core decides for one endpoint what runs, what waits and what is refused. It
+// is not safe for concurrent use.
+type Core struct {
+	cfg Config
+	now time.Duration
+	out []Output
+
+	timers timerHeap
+
+	attempts     *table.Table[wire.AttemptID, attempt]
+	accounts     *table.Table[wire.AccountID, account]
+	reservations *table.Table[wire.AttemptID, reservation]
+	orders       *table.Table[orderKey, order]
+	entries      *table.Table[wire.NodeID, entryRow]
+	tombstones   *table.Table[wire.AttemptID, tombstone]
+	models       *table.Table[string, modelStats]
+
+	arrivals *table.Table[wire.AttemptID, arrival] // of this tick
+	orphaned []wire.NodeID                         // entries whose attempts are to be given up
+	state    *engine.State                         // of this tick
+
+	graves []wire.AttemptID // tombstones in order of their expiry
+
+	share   shareState
+	memory  memoryState
+	engine  engineState
+	fence   fenceState
+	cache   cacheState
+	leaving leavingState
+
+	tombTimer  timer
+	queryTimer timer
+	orderTimer timer
+	leaveTimer timer
+	holdTimer  timer
+
+	started  bool
+	urgent   bool // a change that entries must hear at once
+	audited  time.Duration
+	revision uint64
+}
+
+// engineState is what the core knows of its endpoint.
+type engineState struct {
+	up          bool
+	seen        bool // a state has been read in this life
+	have        wire.Assignment
+	loading     bool
+	prefillRate float64
+	decodeRate  float64
+	running     int // attempts running or ending
+	prefills    [classCount]int
+	prefill     [classCount]int64 // tokens still to prefill
+}
+
+// leavingState follows the endpoint's departure.
+type leavingState struct {
+	on      bool
+	since   time.Duration
+	drained bool
+}
+
+// New returns a Core, or an error that wraps an *OptionError.
+func New(cfg Config) (*Core, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	cfg.setDefaults()
+	c := &Core{
+		cfg:          cfg,
+		attempts:     table.New[wire.AttemptID, attempt](),
+		accounts:     table.New[wire.AccountID, account](),
+		reservations: table.New[wire.AttemptID, reservation](),
+		orders:       table.New[orderKey, order](),
+		entries:      table.New[wire.NodeID, entryRow](),
+		tombstones:   table.New[wire.AttemptID, tombstone](),
+		arrivals:     table.New[wire.AttemptID, arrival](),
+		models:       table.New[string, modelStats](),
+		tombTimer:    timer{kind: timerTombstones},
+		queryTimer:   timer{kind: timerQuery},
+		orderTimer:   timer{kind: timerOrder},
+		leaveTimer:   timer{kind: timerLeaving},
+		holdTimer:    timer{kind: timerHold},
+	}
+	c.cache.init()
+	c.engine.up = cfg.Kind == wire.KindService
+	return c, nil
+}
+
+// Tick applies the inputs at the given time since the start of the process and
+// returns what is to be done. Time must not go backwards. The result is valid
+// until the next Tick.
+func (c *Core) Tick(now time.Duration, in []Input) []Output {
+	c.now = now
+	c.out = c.out[:0]
+	c.begin()
+	for i := range in {
+		c.ingest(&in[i])
+	}
+	c.expire()
+	c.reconcile()
+	c.reclaim()
+	c.runOrders()
+	c.admit()
+	c.start()
+	c.drain()
+	c.report()
+	c.checkInvariants()
+	c.compact()
+	return c.out
+}
+
+// Next returns the time at which Tick is due even without inputs.
+func (c *Core) Next() time.Duration { return c.timers.next() }
+
+// begin runs once, on the first tick.
+func (c *Core) begin() {
+	if c.started {
+		return
+	}
+	c.started = true
+	c.fence.quietUntil = c.now + c.cfg.OrderMaxAge
+	if c.cfg.Kind == wire.KindEngine {
+		c.timers.set(&c.queryTimer, c.now+c.cfg.QueryInterval)
+	}
+}
+
+func (c *Core) compact() {
+	c.attempts.Compact()
+	c.accounts.Compact()
+	c.reservations.Compact()
+	c.orders.Compact()
+	c.tombstones.Compact()
+	c.arrivals.Compact()
+	c.orphaned = c.orphaned[:0]
+	c.state = nil
+}
+
+func (c *Core) emit(o Output) { c.out = append(c.out, o) }
+
+func (c *Core) command(id wire.AttemptID, cmd engine.Command) {
+	c.emit(Output{Engine: &EngineCommand{Attempt: id, Command: cmd}})
+}
+
+func (c *Core) log(e Event) { c.emit(Output{Log: &e}) }
+
+func (c *Core) logAttempt(kind EventKind, a *attempt, reason string, tokens int64) {
+	c.log(Event{
+		Kind:    kind,
+		Attempt: a.id,
+		Request: a.d.RequestID,
+		Account: a.d.Account,
+		Reason:  reason,
+		Tokens:  tokens,
+		Elapsed: c.now - a.arrived,
+	})
+}
--- /dev/null
+++ b/internal/agent/drain.go
@@ -0,0 +1,44 @@
+package agent
+
+import "trefoilpath.org/trefoilpath/internal/wire"
+
+// ingestLeaving begins the endpoint's departure: all entries hear of it in this
+// tick, and new work is refused as not run.
+func (c *Core) ingestLeaving() {
+	if c.leaving.on {
+		return
+	}
+	c.leaving = leavingState{on: true, since: c.now}
+	c.timers.set(&c.leaveTimer, later(c.now, c.cfg.LeavingGrace))
+	c.log(Event{Kind: EventLeaving})
+	c.entries.Each(func(_ wire.NodeID, e *entryRow) bool {
+		c.reportNow(e)
+		return true
+	})
+}
+
+// drain refuses what still waits after the grace and reports when nothing is in
+// flight any more.
+func (c *Core) drain() {
+	if !c.leaving.on || c.leaving.drained {
+		return
+	}
+	if c.now >= c.leaving.since+c.cfg.LeavingGrace && !c.cfg.lacks(withoutLeaving) {
+		c.refuseAllWaiting(refusal{reason: wire.RefuseLeaving})
+	}
+	if c.attempts.Len() > 0 || c.reservations.Len() > 0 {
+		return
+	}
+	c.leaving.drained = true
+	c.emit(Output{Drained: true})
+}
+
+// refuseAllWaiting ends every attempt that has not started.
+func (c *Core) refuseAllWaiting(r refusal) {
+	c.attempts.Each(func(_ wire.AttemptID, a *attempt) bool {
+		if a.state == attemptBody || a.state == attemptQueued {
+			c.refuseWaiting(a, r)
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/agent/dump.go
@@ -0,0 +1,192 @@
+package agent
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// Dump is the state of a Core for operators.
+type Dump struct {
+	Now          time.Duration     `json:"now_ns"`
+	Endpoint     wire.EndpointID   `json:"endpoint"`
+	Incarnation  wire.Incarnation  `json:"incarnation"`
+	Revision     uint64            `json:"revision"`
+	Engine       DumpEngine        `json:"engine"`
+	Memory       DumpMemory        `json:"memory"`
+	Leaving      bool              `json:"leaving"`
+	Drained      bool              `json:"drained"`
+	Attempts     []DumpAttempt     `json:"attempts"`
+	Accounts     []DumpAccount     `json:"accounts"`
+	Reservations []DumpReservation `json:"reservations"`
+	Orders       []DumpOrder       `json:"orders"`
+	Entries      []DumpEntry       `json:"entries"`
+	Tombstones   int               `json:"tombstones"`
+}
+
+// DumpEngine is what the core knows of its endpoint.
+type DumpEngine struct {
+	Up          bool            `json:"up"`
+	Have        wire.Assignment `json:"have"`
+	Loading     bool            `json:"loading"`
+	Draining    bool            `json:"draining"`
+	Running     int             `json:"running"`
+	Queued      int             `json:"queued"`
+	PrefillRate float64         `json:"prefill_tokens_per_second"`
+	DecodeRate  float64         `json:"decode_tokens_per_second"`
+	CacheHashes int             `json:"cache_hashes"`
+	Fence       uint64          `json:"fence"`
+}
+
+// DumpMemory is the engine memory in KV cache tokens.
+type DumpMemory struct {
+	Total    int64 `json:"total"`
+	Capacity int64 `json:"capacity"`
+	Reserved int64 `json:"reserved"`
+}
+
+// DumpAttempt is one row of the Attempts table.
+type DumpAttempt struct {
+	ID       string         `json:"id"`
+	Request  string         `json:"request"`
+	Account  wire.AccountID `json:"account"`
+	State    string         `json:"state"`
+	Band     string         `json:"band"`
+	Prompt   int64          `json:"prompt_tokens"`
+	Output   int64          `json:"output_tokens"`
+	Age      time.Duration  `json:"age_ns"`
+	TimeLeft time.Duration  `json:"time_left_ns"`
+	Adopted  bool           `json:"adopted,omitempty"`
+}
+
+// DumpAccount is one row of the Accounts table.
+type DumpAccount struct {
+	ID           wire.AccountID `json:"id"`
+	Weight       float64        `json:"weight"`
+	Queued       int            `json:"queued"`
+	QueuedTokens int64          `json:"queued_tokens"`
+	Active       int            `json:"active"`
+	Served       int64          `json:"served_tokens"`
+	Behind       float64        `json:"behind"` // virtual start time less the queue's virtual time
+}
+
+// DumpReservation is one row of the Reservations table.
+type DumpReservation struct {
+	ID     string        `json:"id"`
+	Group  bool          `json:"group,omitempty"`
+	Tokens int64         `json:"tokens"`
+	Lease  time.Duration `json:"lease_ns,omitempty"`
+	Handle string        `json:"handle,omitempty"`
+}
+
+// DumpOrder is one row of the Orders table.
+type DumpOrder struct {
+	ID      uint64          `json:"id"`
+	Fence   uint64          `json:"fence"`
+	From    wire.NodeID     `json:"from"`
+	Want    wire.Assignment `json:"want"`
+	Age     time.Duration   `json:"age_ns"`
+	Loading bool            `json:"loading"`
+}
+
+// DumpEntry is one row of the Entries table.
+type DumpEntry struct {
+	ID          wire.NodeID      `json:"id"`
+	Incarnation wire.Incarnation `json:"incarnation"`
+	Up          bool             `json:"up"`
+	StoreDown   bool             `json:"store_down"`
+	Outbox      int              `json:"outbox"`
+	Reports     uint64           `json:"reports"`
+}
+
+// Dump returns the state of the core.
+func (c *Core) Dump() Dump {
+	d := Dump{
+		Now:         c.now,
+		Endpoint:    c.cfg.Endpoint,
+		Incarnation: c.cfg.Incarnation,
+		Revision:    c.revision,
+		Engine: DumpEngine{
+			Up:          c.engine.up,
+			Have:        c.engine.have,
+			Loading:     c.engine.loading,
+			Draining:    c.fence.draining,
+			Running:     c.engine.running,
+			Queued:      c.share.queued,
+			PrefillRate: c.engine.prefillRate,
+			DecodeRate:  c.engine.decodeRate,
+			CacheHashes: len(c.cache.known),
+			Fence:       c.fence.highest,
+		},
+		Memory:     DumpMemory{Total: c.memory.total, Capacity: c.memory.capacity, Reserved: c.memory.reserved},
+		Leaving:    c.leaving.on,
+		Drained:    c.leaving.drained,
+		Tombstones: c.tombstones.Len(),
+	}
+	c.dumpWork(&d)
+	c.dumpPeers(&d)
+	return d
+}
+
+func (c *Core) dumpWork(d *Dump) {
+	c.attempts.Each(func(id wire.AttemptID, a *attempt) bool {
+		d.Attempts = append(d.Attempts, DumpAttempt{
+			ID:       id.String(),
+			Request:  a.d.RequestID,
+			Account:  a.d.Account,
+			State:    a.state.String(),
+			Band:     a.band.String(),
+			Prompt:   a.prompt,
+			Output:   a.output,
+			Age:      c.now - a.arrived,
+			TimeLeft: a.deadline - c.now,
+			Adopted:  a.adopted,
+		})
+		return true
+	})
+	c.accounts.Each(func(id wire.AccountID, acc *account) bool {
+		d.Accounts = append(d.Accounts, DumpAccount{
+			ID:           id,
+			Weight:       acc.weight,
+			Queued:       acc.queued,
+			QueuedTokens: acc.tokens,
+			Active:       acc.active,
+			Served:       acc.served,
+			Behind:       acc.start - c.share.virtual,
+		})
+		return true
+	})
+	c.reservations.Each(func(id wire.AttemptID, r *reservation) bool {
+		row := DumpReservation{ID: id.String(), Group: r.kind == reservationGroup, Tokens: r.tokens, Handle: r.handle}
+		if r.expires != never {
+			row.Lease = r.expires - c.now
+		}
+		d.Reservations = append(d.Reservations, row)
+		return true
+	})
+}
+
+func (c *Core) dumpPeers(d *Dump) {
+	c.orders.Each(func(_ orderKey, o *order) bool {
+		d.Orders = append(d.Orders, DumpOrder{
+			ID:      o.ID,
+			Fence:   o.Fence,
+			From:    o.from,
+			Want:    o.Want,
+			Age:     c.now - o.received,
+			Loading: o.state == orderLoading,
+		})
+		return true
+	})
+	c.entries.Each(func(id wire.NodeID, e *entryRow) bool {
+		d.Entries = append(d.Entries, DumpEntry{
+			ID:          id,
+			Incarnation: e.incarnation,
+			Up:          e.up,
+			StoreDown:   e.storeDown,
+			Outbox:      len(e.outbox),
+			Reports:     e.reports,
+		})
+		return true
+	})
+}
--- /dev/null
+++ b/internal/agent/expire.go
@@ -0,0 +1,77 @@
+package agent
+
+import (
+	"trefoilpath.org/trefoilpath/internal/engine"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// expire acts on every timer that is due.
+func (c *Core) expire() {
+	for t := c.timers.due(c.now); t != nil; t = c.timers.due(c.now) {
+		c.fire(t)
+	}
+}
+
+func (c *Core) fire(t *timer) {
+	switch t.kind {
+	case timerAttempt:
+		c.expireAttempt(c.attempts.Get(t.attempt))
+	case timerReservation:
+		c.expireReservation(c.reservations.Get(t.attempt))
+	case timerTombstones:
+		c.expireTombstones()
+	case timerOrphans:
+		c.orphaned = append(c.orphaned, t.entry)
+	case timerReport:
+		c.reportDue(c.entries.Get(t.entry))
+	case timerQuery:
+		c.query()
+	case timerOrder, timerLeaving, timerHold:
+		// The systems that follow look at the time themselves.
+	}
+}
+
+// expireAttempt ends an attempt whose time is over.
+func (c *Core) expireAttempt(a *attempt) {
+	if a == nil {
+		return
+	}
+	if due := c.dueOf(a); due > c.now {
+		c.timers.set(&a.timer, due)
+		return
+	}
+	switch {
+	case a.state == attemptBody || a.state == attemptQueued:
+		c.refuseWaiting(a, refusal{reason: wire.RefuseLate})
+	case a.adopted:
+		c.logAttempt(EventReclaimed, a, "unclaimed", a.need)
+		c.giveUp(a)
+	default:
+		c.expireRunning(a)
+	}
+}
+
+func (c *Core) expireRunning(a *attempt) {
+	reason := wire.FailStalled
+	if a.deadline <= c.now {
+		reason = wire.FailDeadline
+	}
+	if !a.silent {
+		c.reportFailed(a, reason, false)
+	}
+	c.giveUp(a)
+}
+
+func (c *Core) expireReservation(r *reservation) {
+	if r == nil || r.kind != reservationGroup {
+		return
+	}
+	c.log(Event{Kind: EventReclaimed, Attempt: r.id, Reason: "lease", Tokens: r.tokens})
+	c.endGroup(r, wire.FailLease)
+}
+
+// query asks the engine for its state.
+func (c *Core) query() {
+	c.timers.set(&c.queryTimer, c.now+c.cfg.QueryInterval)
+	c.command(wire.AttemptID{}, engine.Command{Query: true})
+}
--- /dev/null
+++ b/internal/agent/ingest.go
@@ -0,0 +1,175 @@
+package agent
+
+import (
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// ingest applies one input to the tables.
+func (c *Core) ingest(in *Input) {
+	switch {
+	case in.EntryUp != nil:
+		c.ingestEntryUp(in.EntryUp.Entry)
+	case in.EntryDown != nil:
+		c.ingestEntryDown(in.EntryDown.Entry)
+	case in.FromEntry != nil:
+		c.ingestFromEntry(in.FromEntry.Entry, &in.FromEntry.Msg)
+	case in.BodyReady != nil:
+		c.ingestBody(in.BodyReady.Attempt)
+	case in.Engine != nil:
+		c.ingestEngine(in.Engine)
+	case in.EngineUp != nil:
+		c.ingestEngineUp(&in.EngineUp.State)
+	case in.EngineDown != nil:
+		c.ingestEngineDown(in.EngineDown.Lost)
+	case in.ServiceDone != nil:
+		c.ingestServiceDone(in.ServiceDone)
+	case in.Leaving != nil:
+		c.ingestLeaving()
+	}
+}
+
+func (c *Core) entry(id wire.NodeID) *entryRow {
+	if e := c.entries.Get(id); e != nil {
+		return e
+	}
+	return c.entries.Put(id, entryRow{
+		id:      id,
+		report:  timer{kind: timerReport, entry: id},
+		orphans: timer{kind: timerOrphans, entry: id},
+	})
+}
+
+// ingestEntryUp opens a stream: Hello, the outcomes that waited, and the state.
+func (c *Core) ingestEntryUp(id wire.NodeID) {
+	e := c.entry(id)
+	e.up = true
+	e.cacheReset = true
+	c.timers.stop(&e.orphans)
+	c.send(id, wire.ToEntry{Hello: &wire.Hello{
+		Endpoint:      c.cfg.Endpoint,
+		FailureDomain: c.cfg.FailureDomain,
+		Incarnation:   c.cfg.Incarnation,
+		Kind:          c.cfg.Kind,
+		Service:       c.cfg.Service,
+		Capacity:      c.memory.capacity,
+		Have:          c.engine.have,
+		Leaving:       c.leaving.on,
+		Live:          c.liveOf(id),
+	}})
+	outbox := e.outbox
+	e.outbox = nil
+	for _, msg := range outbox {
+		c.send(id, msg)
+	}
+	c.reportNow(e)
+}
+
+// liveOf lists the attempts of an entry that have no outcome yet.
+func (c *Core) liveOf(id wire.NodeID) []wire.AttemptID {
+	var live []wire.AttemptID
+	c.attempts.Each(func(_ wire.AttemptID, a *attempt) bool {
+		if a.id.Entry == id && !a.silent {
+			live = append(live, a.id)
+		}
+		return true
+	})
+	return live
+}
+
+func (c *Core) ingestEntryDown(id wire.NodeID) {
+	e := c.entries.Get(id)
+	if e == nil || !e.up {
+		return
+	}
+	e.up = false
+	c.timers.stop(&e.report)
+	c.timers.set(&e.orphans, c.now+c.cfg.EntryGrace)
+}
+
+func (c *Core) ingestFromEntry(from wire.NodeID, msg *wire.ToAgent) {
+	if owner, ok := ownerOf(msg); ok && owner != from {
+		return
+	}
+	e := c.entry(from)
+	switch {
+	case msg.Welcome != nil:
+		c.learnIncarnation(e, msg.Welcome.Incarnation, msg.Welcome.FirstAttempt)
+		c.revision = max(c.revision, msg.Welcome.Revision)
+	case msg.Dispatch != nil:
+		c.ingestDispatch(e, *msg.Dispatch)
+	case msg.Cancel != nil:
+		c.learnIncarnation(e, msg.Cancel.Attempt.Incarnation, 0)
+		c.cancel(msg.Cancel.Attempt)
+	case msg.Order != nil:
+		c.ingestOrder(from, *msg.Order)
+	case msg.Heartbeat != nil:
+		c.ingestHeartbeat(e, msg.Heartbeat)
+	case msg.Reserve != nil:
+		c.learnIncarnation(e, msg.Reserve.Attempt.Incarnation, 0)
+		c.ingestReserve(*msg.Reserve)
+	}
+}
+
+// ownerOf returns the entry whose attempt a message is about. An entry has no
+// say over the attempts of another.
+func ownerOf(msg *wire.ToAgent) (wire.NodeID, bool) {
+	switch {
+	case msg.Dispatch != nil:
+		return msg.Dispatch.Attempt.Entry, true
+	case msg.Cancel != nil:
+		return msg.Cancel.Attempt.Entry, true
+	case msg.Reserve != nil:
+		return msg.Reserve.Attempt.Entry, true
+	}
+	return "", false
+}
+
+// learnIncarnation notes a later life of an entry. What its earlier life left
+// here is given up at once.
+func (c *Core) learnIncarnation(e *entryRow, inc wire.Incarnation, first uint64) {
+	if inc <= e.incarnation {
+		return
+	}
+	if e.incarnation != 0 {
+		c.orphaned = append(c.orphaned, e.id)
+		e.outbox = nil
+	}
+	e.incarnation = inc
+	e.first = first
+	e.floor = 0
+	e.last = 0
+}
+
+func (c *Core) ingestDispatch(e *entryRow, d wire.Dispatch) {
+	c.learnIncarnation(e, d.Attempt.Incarnation, 0)
+	if d.Attempt.Incarnation == e.incarnation {
+		e.last = max(e.last, d.Attempt.Sequence)
+	}
+	if c.arrivals.Get(d.Attempt) != nil {
+		c.refuse(d, refusal{reason: wire.RefuseDuplicate})
+		return
+	}
+	c.arrivals.Put(d.Attempt, arrival{d: d})
+}
+
+func (c *Core) ingestHeartbeat(e *entryRow, h *wire.Heartbeat) {
+	c.revision = max(c.revision, h.Revision)
+	e.storeDown = h.StoreDown
+	e.starved = h.Starved
+	e.agents = h.Agents
+}
+
+// ingestBody makes an attempt ready whose body is complete. The body of an
+// attempt that arrived in this tick is dealt with as it is admitted.
+func (c *Core) ingestBody(id wire.AttemptID) {
+	if in := c.arrivals.Get(id); in != nil {
+		in.bodyReady = true
+		return
+	}
+	a := c.attempts.Get(id)
+	if a == nil || a.state != attemptBody {
+		return
+	}
+	c.enqueue(a)
+	c.timers.set(&a.timer, c.dueOf(a))
+}
--- /dev/null
+++ b/internal/agent/orders.go
@@ -0,0 +1,334 @@
+package agent
+
+import (
+	"slices"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/engine"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// fenceState is what the core knows of orders beyond the Orders table.
+type fenceState struct {
+	highest    uint64 // fencing number
+	latest     orderKey
+	assigned   wire.Assignment // what the last completed order gave the engine
+	assignedOK bool
+	draining   bool          // running work ends before the next load
+	quietUntil time.Duration // until then a predecessor's order may still arrive
+	loadedAt   time.Duration
+	local      uint64 // orders of the agent's own
+}
+
+// localOrderBase is the first number of orders that the agent gives itself.
+const localOrderBase = 1 << 62
+
+// ingestOrder takes an order, or refuses it as stale.
+func (c *Core) ingestOrder(from wire.NodeID, o wire.Order) {
+	key := orderKey{fence: o.Fence, id: o.ID}
+	if c.isStale(key, o) {
+		c.log(Event{Kind: EventOrderStale, Entry: from, Reason: o.Want.Model})
+		c.answerOrder(from, o, wire.OrderStale)
+		return
+	}
+	c.fence.highest = max(c.fence.highest, o.Fence)
+	if c.cfg.Kind != wire.KindEngine || c.leaving.on {
+		c.answerOrder(from, o, wire.OrderFailed)
+		return
+	}
+	if row := c.orders.Get(key); row != nil {
+		row.received = c.now
+		row.from = from
+		return
+	}
+	c.fence.latest = key
+	c.supersede()
+	c.orders.Put(key, order{Order: o, from: from, received: c.now, state: orderWaiting})
+}
+
+func (c *Core) isStale(key orderKey, o wire.Order) bool {
+	if c.cfg.lacks(withoutFence) {
+		return false
+	}
+	if o.TargetIncarnation != 0 && o.TargetIncarnation != c.cfg.Incarnation {
+		return true
+	}
+	return o.Fence < c.fence.highest || (o.Fence == c.fence.latest.fence && key.id < c.fence.latest.id)
+}
+
+// supersede drops the orders that wait: a newer one takes their place.
+func (c *Core) supersede() {
+	c.orders.Each(func(key orderKey, o *order) bool {
+		if o.state == orderWaiting {
+			c.finishOrder(key, o, wire.OrderStale)
+		}
+		return true
+	})
+}
+
+// finishOrder answers an order and deletes its row.
+func (c *Core) finishOrder(key orderKey, o *order, status wire.OrderStatus) {
+	c.log(Event{Kind: EventOrder, Entry: o.from, Reason: orderStatusNames[status]})
+	c.answerOrder(o.from, o.Order, status)
+	c.orders.Delete(key)
+}
+
+var orderStatusNames = map[wire.OrderStatus]string{
+	wire.OrderDone:     "done",
+	wire.OrderStale:    "stale",
+	wire.OrderFailed:   "failed",
+	wire.OrderAccepted: "accepted",
+}
+
+func (c *Core) answerOrder(to wire.NodeID, o wire.Order, status wire.OrderStatus) {
+	if to == "" {
+		return
+	}
+	c.send(to, wire.ToEntry{OrderResult: &wire.OrderResult{ID: o.ID, Fence: o.Fence, Status: status, Have: c.engine.have}})
+}
+
+// runOrders moves the engine towards the newest order.
+func (c *Core) runOrders() {
+	if c.cfg.Kind != wire.KindEngine {
+		return
+	}
+	c.checkLoading()
+	c.undoStray()
+	c.takeStarved()
+	key, o := c.waitingOrder()
+	if o == nil {
+		c.fence.draining = false
+		return
+	}
+	if c.now > later(o.received, o.MaxAge) && !c.cfg.lacks(withoutOrderAge) {
+		c.fence.draining = false
+		c.log(Event{Kind: EventOrderStale, Entry: o.from, Reason: "age"})
+		c.finishOrder(key, o, wire.OrderStale)
+		return
+	}
+	c.timers.set(&c.orderTimer, max(later(o.received, o.MaxAge), c.now)+1)
+	if c.engine.up && !c.engine.loading {
+		c.advance(key, o)
+	}
+}
+
+func (c *Core) waitingOrder() (orderKey, *order) {
+	var key orderKey
+	var found *order
+	c.orders.Each(func(k orderKey, o *order) bool {
+		if o.state == orderWaiting {
+			key, found = k, o
+		}
+		return true
+	})
+	return key, found
+}
+
+// advance takes the next step of an order whose age has just been checked.
+func (c *Core) advance(key orderKey, o *order) {
+	if sameAssignment(c.engine.have, o.Want) {
+		c.fence.assigned, c.fence.assignedOK = c.engine.have, true
+		c.fence.draining = false
+		c.finishOrder(key, o, wire.OrderDone)
+		return
+	}
+	if c.quiet() {
+		c.timers.set(&c.orderTimer, min(c.fence.quietUntil, c.orderTimer.at))
+		return
+	}
+	if c.mustDrain(o) {
+		c.startDraining()
+		if c.engine.running > 0 || c.reservations.Len() > 0 {
+			return
+		}
+	}
+	c.load(o)
+}
+
+// quiet reports whether an order that a predecessor sent to an engine that
+// checks nothing may still be on its way.
+func (c *Core) quiet() bool {
+	return c.cfg.Fence == FenceIgnored && c.now < c.fence.quietUntil && !c.cfg.lacks(withoutQuietTime)
+}
+
+// mustDrain reports whether a load would cut off running work. Adapters load
+// beside it.
+func (c *Core) mustDrain(o *order) bool {
+	have, want := c.engine.have, o.Want
+	same := have.Model == want.Model && have.Version == want.Version && roleOf(have) == roleOf(want)
+	return !same && !c.cfg.lacks(withoutDrain)
+}
+
+func (c *Core) startDraining() {
+	if c.fence.draining {
+		return
+	}
+	c.fence.draining = true
+	c.refuseAllWaiting(refusal{reason: wire.RefuseModel, retryAfter: modelRetryAfter})
+}
+
+func (c *Core) load(o *order) {
+	o.state = orderLoading
+	o.sent = c.now
+	c.engine.loading = true
+	c.urgent = true
+	c.answerOrder(o.from, o.Order, wire.OrderAccepted)
+	c.command(wire.AttemptID{}, engine.Command{Load: &engine.Load{
+		OrderID:     o.ID,
+		Want:        o.Want,
+		Fence:       c.fence.highest,
+		Incarnation: c.cfg.Incarnation,
+	}})
+}
+
+func (c *Core) loadingOrder(match func(*order) bool) (orderKey, *order) {
+	var key orderKey
+	var found *order
+	c.orders.Each(func(k orderKey, o *order) bool {
+		if o.state == orderLoading && match(o) {
+			key, found = k, o
+		}
+		return found == nil
+	})
+	return key, found
+}
+
+// ingestLoaded takes the engine's answer to a load.
+func (c *Core) ingestLoaded(ev *engine.Loaded) {
+	key, o := c.loadingOrder(func(o *order) bool { return o.ID == ev.OrderID })
+	if o == nil {
+		return
+	}
+	status := wire.OrderFailed
+	switch {
+	case ev.OK:
+		status = wire.OrderDone
+	case ev.Stale:
+		status = wire.OrderStale
+	}
+	c.finishLoad(key, o, status, ev.Have)
+}
+
+func (c *Core) finishLoad(key orderKey, o *order, status wire.OrderStatus, have wire.Assignment) {
+	c.engine.have = have
+	c.engine.loading = false
+	c.fence.loadedAt = c.now
+	c.fence.draining = false
+	c.urgent = true
+	c.forgetCache()
+	if status == wire.OrderDone {
+		c.fence.assigned, c.fence.assignedOK = have, true
+	}
+	c.finishOrder(key, o, status)
+}
+
+// checkLoading settles a load whose answer was lost, by the engine's state.
+func (c *Core) checkLoading() {
+	s := c.state
+	if s == nil || s.Loading {
+		return
+	}
+	taken := c.now - s.Age
+	key, o := c.loadingOrder(func(o *order) bool { return taken > o.sent+stateSlack })
+	if o == nil {
+		return
+	}
+	status := wire.OrderFailed
+	if sameAssignment(s.Have, o.Want) {
+		status = wire.OrderDone
+	}
+	c.finishLoad(key, o, status, s.Have)
+}
+
+// learnAssignment takes from the engine's state what it runs, unless an answer
+// to a load is newer.
+func (c *Core) learnAssignment(s *engine.State, taken time.Duration) {
+	if taken < c.fence.loadedAt || c.engine.loading {
+		return
+	}
+	if !sameAssignment(c.engine.have, s.Have) {
+		c.urgent = true
+	}
+	c.engine.have = s.Have
+	if s.Have.Model == "" {
+		c.fence.assignedOK = false
+	}
+}
+
+// undoStray loads the last assignment again if the engine runs another one that
+// no order of this agent has given it.
+func (c *Core) undoStray() {
+	if c.state == nil || !c.fence.assignedOK || c.cfg.lacks(withoutStray) || c.orders.Len() > 0 {
+		return
+	}
+	if c.state.Loading || sameAssignment(c.engine.have, c.fence.assigned) {
+		return
+	}
+	c.log(Event{Kind: EventOrder, Reason: "undo-stray"})
+	c.orderOwn(c.fence.assigned)
+}
+
+// takeStarved gives an engine without any assignment the most starved model
+// while the platform's store is down and nobody can give orders.
+func (c *Core) takeStarved() {
+	if c.engine.have.Model != "" || !c.engine.seen || c.engine.loading || c.leaving.on || c.orders.Len() > 0 || c.quiet() {
+		return
+	}
+	var model string
+	c.entries.Each(func(_ wire.NodeID, e *entryRow) bool {
+		if e.up && e.storeDown && len(e.starved) > 0 {
+			model = e.starved[0]
+		}
+		return model == ""
+	})
+	if model == "" {
+		return
+	}
+	c.log(Event{Kind: EventOrder, Reason: "starved " + model})
+	c.orderOwn(wire.Assignment{Model: model, Role: wire.RoleServe})
+}
+
+// orderOwn adds an order that the agent gives itself.
+func (c *Core) orderOwn(want wire.Assignment) {
+	c.fence.local++
+	o := wire.Order{
+		ID:     localOrderBase + c.fence.local,
+		Fence:  c.fence.highest,
+		MaxAge: c.cfg.OrderMaxAge,
+		Want:   want,
+	}
+	key := orderKey{fence: o.Fence, id: o.ID}
+	c.orders.Put(key, order{Order: o, received: c.now, state: orderWaiting})
+}
+
+// loseOrders fails the loads of an engine that is gone. What it was assigned is
+// for the holder of the controller's lease to say anew, as loads take slots of
+// the weight store.
+func (c *Core) loseOrders() {
+	c.orders.Each(func(key orderKey, o *order) bool {
+		if o.state == orderLoading {
+			c.finishOrder(key, o, wire.OrderFailed)
+		}
+		return true
+	})
+	c.fence.assignedOK = false
+}
+
+func roleOf(a wire.Assignment) wire.Role {
+	if a.Role == "" {
+		return wire.RoleServe
+	}
+	return a.Role
+}
+
+// sameAssignment reports whether an engine that runs have runs what want asks
+// for. An empty version stands for any.
+func sameAssignment(have, want wire.Assignment) bool {
+	if have.Model != want.Model || roleOf(have) != roleOf(want) {
+		return false
+	}
+	if want.Version != "" && have.Version != want.Version {
+		return false
+	}
+	return slices.Equal(have.Adapters, want.Adapters)
+}
--- /dev/null
+++ b/internal/agent/outcome.go
@@ -0,0 +1,227 @@
+package agent
+
+import (
+	"trefoilpath.org/trefoilpath/internal/engine"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// maxOutbox bounds the outcomes kept for an entry whose stream is down.
+const maxOutbox = 4096
+
+// send sends a message to an entry. Outcomes wait for a stream that is down;
+// anything else is dropped, as a new stream starts with the full state.
+func (c *Core) send(entry wire.NodeID, msg wire.ToEntry) {
+	e := c.entries.Get(entry)
+	if e == nil {
+		return
+	}
+	if e.up {
+		c.emit(Output{ToEntry: &ToEntry{Entry: entry, Msg: msg}})
+		return
+	}
+	if isOutcome(msg) && len(e.outbox) < maxOutbox {
+		e.outbox = append(e.outbox, msg)
+	}
+}
+
+func isOutcome(msg wire.ToEntry) bool {
+	return msg.Refused != nil || msg.Finished != nil || msg.Failed != nil || msg.Cancelled != nil
+}
+
+// refuse tells the entry that an attempt that has no row will not run.
+func (c *Core) refuse(d wire.Dispatch, r refusal) {
+	c.log(Event{Kind: EventRefused, Attempt: d.Attempt, Request: d.RequestID, Account: d.Account, Reason: r.reason.String()})
+	c.send(d.Attempt.Entry, refused(d.Attempt, r))
+	if r.reason != wire.RefuseDuplicate {
+		c.emit(Output{Drop: &Drop{Attempt: d.Attempt}})
+	}
+}
+
+func refused(id wire.AttemptID, r refusal) wire.ToEntry {
+	return wire.ToEntry{Refused: &wire.Refused{Attempt: id, Reason: r.reason, RetryAfter: r.retryAfter}}
+}
+
+// refuseWaiting ends an attempt that has not started.
+func (c *Core) refuseWaiting(a *attempt, r refusal) {
+	c.logAttempt(EventRefused, a, r.reason.String(), 0)
+	c.send(a.id.Entry, refused(a.id, r))
+	c.remove(a)
+}
+
+func (c *Core) reportFinished(a *attempt, f wire.Finished) {
+	a.silent = true
+	c.logAttempt(EventFinished, a, "", f.OutputTokens)
+	c.send(a.id.Entry, wire.ToEntry{Finished: &f})
+}
+
+func (c *Core) reportFailed(a *attempt, reason wire.FailReason, rejected bool) {
+	a.silent = true
+	c.logAttempt(EventFailed, a, reason.String(), a.output)
+	c.send(a.id.Entry, wire.ToEntry{Failed: &wire.Failed{Attempt: a.id, Reason: reason, Rejected: rejected}})
+}
+
+// giveUp breaks off a started attempt whose entry has heard the outcome, or is
+// gone. Its memory stays reserved until the endpoint has confirmed.
+func (c *Core) giveUp(a *attempt) {
+	a.silent = true
+	if a.state == attemptEnding {
+		return
+	}
+	a.state = attemptEnding
+	c.timers.stop(&a.timer)
+	if a.d.Kind == wire.KindEngine {
+		c.cancelSequence(a)
+	}
+	c.emit(Output{Drop: &Drop{Attempt: a.id}})
+}
+
+func (c *Core) cancelSequence(a *attempt) {
+	id := a.sequence
+	c.command(a.id, engine.Command{Cancel: &id})
+}
+
+// remove deletes the row of an attempt that neither waits nor runs any more,
+// frees its memory and remembers that it has ended.
+func (c *Core) remove(a *attempt) {
+	ran := a.state == attemptRunning || a.state == attemptEnding
+	if a.state == attemptQueued {
+		c.dequeue(a)
+	}
+	c.timers.stop(&a.timer)
+	if ran {
+		c.engine.running--
+		c.endPrefill(a)
+		c.freeMemory(a)
+		if !a.adopted {
+			c.settleCharge(a)
+		}
+	}
+	// A service call that has ended on its own has been read whole by the shell.
+	if a.state != attemptEnding {
+		c.emit(Output{Drop: &Drop{Attempt: a.id}})
+	}
+	c.bury(a.id, ran)
+	c.attempts.Delete(a.id)
+}
+
+// endPrefill takes an attempt out of the count of prefills.
+func (c *Core) endPrefill(a *attempt) {
+	if a.first || a.adopted || a.d.Kind != wire.KindEngine {
+		return
+	}
+	c.engine.prefills[a.class]--
+	c.engine.prefill[a.class] -= a.uncached
+}
+
+func (c *Core) freeMemory(a *attempt) {
+	r := c.reservations.Get(a.reservation)
+	if r == nil {
+		return
+	}
+	if r.kind == reservationSequence {
+		c.release(a.reservation)
+		return
+	}
+	if r.user == a.id {
+		c.leaveGroup(r)
+	}
+}
+
+// bury remembers an attempt that has ended, so that a late or repeated Dispatch
+// does not run it.
+func (c *Core) bury(id wire.AttemptID, ran bool) {
+	if t := c.tombstones.Get(id); t != nil {
+		t.ran = t.ran || ran
+		return
+	}
+	c.tombstones.Put(id, tombstone{ran: ran, expires: c.now + c.cfg.TombstoneTTL})
+	c.graves = append(c.graves, id)
+	if c.tombstones.Len() > c.cfg.MaxTombstones {
+		c.forgetOldest()
+	}
+	if c.tombTimer.pos == 0 {
+		c.timers.set(&c.tombTimer, c.now+c.cfg.TombstoneTTL)
+	}
+}
+
+// forgetOldest drops the oldest tombstone. All attempts of its entry up to it
+// count as ended from then on.
+func (c *Core) forgetOldest() {
+	id := c.graves[0]
+	c.graves = c.graves[1:]
+	c.tombstones.Delete(id)
+	if e := c.entries.Get(id.Entry); e != nil && e.incarnation == id.Incarnation {
+		e.floor = max(e.floor, id.Sequence)
+	}
+}
+
+// expireTombstones forgets the attempts that ended long ago.
+func (c *Core) expireTombstones() {
+	for len(c.graves) > 0 && c.tombstones.Get(c.graves[0]).expires <= c.now {
+		c.forgetOldest()
+	}
+	next := never
+	if len(c.graves) > 0 {
+		next = c.tombstones.Get(c.graves[0]).expires
+	}
+	c.timers.set(&c.tombTimer, next)
+}
+
+// cancel stops an attempt at the wish of its entry, and answers honestly whether
+// it has run.
+func (c *Core) cancel(id wire.AttemptID) {
+	if r := c.reservations.Get(id); r != nil && r.kind == reservationGroup {
+		c.endGroup(r, 0)
+	}
+	notRun := c.stopForCancel(id)
+	c.log(Event{Kind: EventCancelled, Attempt: id, Reason: outcomeName(notRun)})
+	c.send(id.Entry, wire.ToEntry{Cancelled: &wire.Cancelled{Attempt: id, NotRun: notRun}})
+}
+
+func outcomeName(notRun bool) string {
+	if notRun {
+		return wire.OutcomeNotRun.String()
+	}
+	return wire.OutcomeUnknown.String()
+}
+
+// stopForCancel stops an attempt and reports whether it is proven that it has
+// not run and will not run.
+func (c *Core) stopForCancel(id wire.AttemptID) bool {
+	c.withdrawArrival(id)
+	a := c.attempts.Get(id)
+	if a == nil {
+		notRun := c.provenNotRun(id)
+		c.bury(id, !notRun)
+		return notRun
+	}
+	if a.state == attemptBody || a.state == attemptQueued {
+		c.remove(a)
+		return true
+	}
+	if mayStop(a) {
+		c.giveUp(a)
+	}
+	a.silent = true
+	return false
+}
+
+// withdrawArrival drops a Dispatch of this tick that a Cancel follows.
+func (c *Core) withdrawArrival(id wire.AttemptID) {
+	if c.arrivals.Delete(id) {
+		c.emit(Output{Drop: &Drop{Attempt: id}})
+	}
+}
+
+// provenNotRun reports whether an attempt without a row is known not to have
+// run at this endpoint.
+func (c *Core) provenNotRun(id wire.AttemptID) bool {
+	if t := c.tombstones.Get(id); t != nil {
+		return !t.ran
+	}
+	e := c.entries.Get(id.Entry)
+	if e == nil || e.incarnation != id.Incarnation {
+		return false
+	}
+	return id.Sequence > e.floor && id.Sequence >= e.first
+}
--- /dev/null
+++ b/internal/agent/report.go
@@ -0,0 +1,145 @@
+package agent
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+const (
+	// reportBytes is the encoded size of a typical Report.
+	reportBytes = 96
+	// cacheDeltaBytes and cacheHashBytes are the encoded size of a CacheDelta.
+	cacheDeltaBytes = 24
+	cacheHashBytes  = 9
+	// reportShare is the part of the entry's control budget that reports and
+	// cache deltas may use; heartbeats take the rest.
+	reportShare = 0.75
+	// idleReports is the number of intervals after which an unchanged report is
+	// sent again.
+	idleReports = 4
+)
+
+// report tells all entries at once of a change that they must not miss.
+func (c *Core) report() {
+	if !c.urgent {
+		return
+	}
+	c.urgent = false
+	c.entries.Each(func(_ wire.NodeID, e *entryRow) bool {
+		c.reportNow(e)
+		return true
+	})
+}
+
+// reportDue sends what has changed since the last report to an entry.
+func (c *Core) reportDue(e *entryRow) {
+	if e == nil || !e.up {
+		return
+	}
+	r := c.reportFor(e)
+	interval := c.reportInterval(e, reportBytes)
+	if r == e.summary && c.now-e.reported < idleReports*interval {
+		c.timers.set(&e.report, c.now+c.reportInterval(e, c.sendCacheDelta(e)))
+		return
+	}
+	c.sendReport(e, r)
+}
+
+func (c *Core) reportNow(e *entryRow) {
+	if e.up {
+		c.sendReport(e, c.reportFor(e))
+	}
+}
+
+func (c *Core) sendReport(e *entryRow, r reportSummary) {
+	e.reports++
+	msg := c.reportMessage(e, r)
+	e.summary = r
+	e.reported = c.now
+	c.send(e.id, wire.ToEntry{Report: &msg})
+	bytes := int64(reportBytes) + c.sendCacheDelta(e)
+	c.timers.set(&e.report, c.now+c.reportInterval(e, bytes))
+}
+
+// sendCacheDelta sends the next cache changes and returns their size in bytes.
+func (c *Core) sendCacheDelta(e *entryRow) int64 {
+	if c.cfg.Kind != wire.KindEngine {
+		return 0
+	}
+	delta := c.nextCacheDelta(e)
+	if delta == nil {
+		return 0
+	}
+	c.send(e.id, wire.ToEntry{CacheDelta: delta})
+	return cacheDeltaBytes + cacheHashBytes*int64(len(delta.Add)+len(delta.Remove))
+}
+
+// reportInterval returns the time until the next messages after sending some of
+// the given size, so that all agents together keep to the entry's budget for
+// control.
+func (c *Core) reportInterval(e *entryRow, bytes int64) time.Duration {
+	agents := max(int64(e.agents), 1)
+	seconds := float64(bytes*agents) / (float64(c.cfg.ControlBytes) * reportShare)
+	return max(c.cfg.ReportInterval, time.Duration(seconds*float64(time.Second)))
+}
+
+// reportSummary is the comparable part of a Report.
+type reportSummary struct {
+	last          uint64
+	queue         [wire.BandCount]int64
+	running       int32
+	longRunning   int32
+	prefill       int64
+	free          int64
+	prefillRate   float64
+	decodeRate    float64
+	failing       bool
+	loading       bool
+	leaving       bool
+	revision      uint64
+	tokensPerByte float64
+}
+
+func (c *Core) reportFor(e *entryRow) reportSummary {
+	r := reportSummary{
+		last:        e.last,
+		queue:       c.share.tokens,
+		running:     int32(c.engine.running),
+		longRunning: int32(c.engine.prefills[classLong]),
+		free:        c.freeTokens(),
+		prefillRate: c.engine.prefillRate,
+		decodeRate:  c.engine.decodeRate,
+		failing:     !c.engine.up,
+		loading:     c.engine.loading,
+		leaving:     c.leaving.on,
+		revision:    c.revision,
+	}
+	for _, tokens := range c.engine.prefill {
+		r.prefill += tokens
+	}
+	if m := c.models.Get(c.engine.have.Model); m != nil {
+		r.tokensPerByte = m.tokensPerByte
+	}
+	return r
+}
+
+func (c *Core) reportMessage(e *entryRow, r reportSummary) wire.Report {
+	return wire.Report{
+		Sequence:      e.reports,
+		LastAttempt:   r.last,
+		Have:          c.engine.have,
+		Loading:       r.loading,
+		Leaving:       r.leaving,
+		QueueTokens:   r.queue,
+		Running:       r.running,
+		LongRunning:   r.longRunning,
+		PrefillTokens: r.prefill,
+		FreeTokens:    r.free,
+		PrefillRate:   r.prefillRate,
+		DecodeRate:    r.decodeRate,
+		Failing:       r.failing,
+		Revision:      r.revision,
+		TokensPerByte: r.tokensPerByte,
+	}
+}
--- /dev/null
+++ b/internal/agent/sequences.go
@@ -0,0 +1,202 @@
+package agent
+
+import (
+	"strconv"
+	"strings"
+
+	"trefoilpath.org/trefoilpath/internal/engine"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+const (
+	statsGain = 0.2
+	// minRatio and maxRatio bound the correction of prompt estimates.
+	minRatio = 0.25
+	maxRatio = 4
+)
+
+// ingestEngine applies one event of the engine.
+func (c *Core) ingestEngine(ev *engine.Event) {
+	switch {
+	case ev.Accepted != nil:
+		c.progress(ev.Accepted.ID, 0)
+	case ev.First != nil:
+		c.ingestFirst(ev.First)
+	case ev.Progress != nil:
+		c.progress(ev.Progress.ID, ev.Progress.Output)
+	case ev.Finished != nil:
+		c.ingestFinished(ev.Finished)
+	case ev.Failed != nil:
+		c.ingestFailed(ev.Failed)
+	case ev.Loaded != nil:
+		c.ingestLoaded(ev.Loaded)
+	case ev.State != nil:
+		c.state = ev.State
+	case ev.Cache != nil:
+		c.ingestCache(ev.Cache)
+	}
+}
+
+// started returns the row of a sequence that has been handed to the engine.
+func (c *Core) sequence(id engine.SequenceID) *attempt {
+	attemptID, ok := parseSequence(id)
+	if !ok {
+		return nil
+	}
+	a := c.attempts.Get(attemptID)
+	if a == nil || (a.state != attemptRunning && a.state != attemptEnding) {
+		return nil
+	}
+	return a
+}
+
+// parseSequence returns the attempt that a sequence belongs to.
+func parseSequence(id engine.SequenceID) (wire.AttemptID, bool) {
+	s := string(id)
+	last := strings.LastIndexByte(s, '/')
+	if last < 0 {
+		return wire.AttemptID{}, false
+	}
+	middle := strings.LastIndexByte(s[:last], '/')
+	if middle < 0 {
+		return wire.AttemptID{}, false
+	}
+	inc, err := strconv.ParseUint(s[middle+1:last], 10, 64)
+	if err != nil {
+		return wire.AttemptID{}, false
+	}
+	seq, err := strconv.ParseUint(s[last+1:], 10, 64)
+	if err != nil {
+		return wire.AttemptID{}, false
+	}
+	return wire.AttemptID{Entry: wire.NodeID(s[:middle]), Incarnation: wire.Incarnation(inc), Sequence: seq}, true
+}
+
+func (c *Core) progress(id engine.SequenceID, output int64) {
+	a := c.sequence(id)
+	if a == nil {
+		return
+	}
+	a.progressed = c.now
+	a.missing = 0
+	a.output = max(a.output, output)
+}
+
+// ingestFirst takes the engine's own count of the prompt.
+func (c *Core) ingestFirst(ev *engine.First) {
+	a := c.sequence(ev.ID)
+	if a == nil || a.first {
+		return
+	}
+	c.endPrefill(a)
+	a.first = true
+	a.progressed = c.now
+	a.missing = 0
+	if ev.PromptTokens > 0 && !a.adopted {
+		c.learnPrompt(a, ev.PromptTokens)
+	}
+}
+
+// learnPrompt corrects the reservation and the estimates for later prompts.
+func (c *Core) learnPrompt(a *attempt, counted int64) {
+	a.prompt = counted
+	if a.d.Slice != nil {
+		return
+	}
+	a.need = counted + a.d.MaxOutput
+	c.resize(a.reservation, a.need)
+	m := c.modelStats(a.d.Model)
+	if a.d.PromptTokens > 0 {
+		ratio := float64(counted) / float64(a.d.PromptTokens)
+		m.promptRatio = average(m.promptRatio, min(max(ratio, minRatio), maxRatio))
+	}
+	if a.d.BodyBytes > 0 {
+		m.tokensPerByte = average(m.tokensPerByte, float64(counted)/float64(a.d.BodyBytes))
+	}
+}
+
+func average(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + statsGain*(sample-old)
+}
+
+func (c *Core) modelStats(model string) *modelStats {
+	if m := c.models.Get(model); m != nil {
+		return m
+	}
+	return c.models.Put(model, modelStats{})
+}
+
+func (c *Core) ingestFinished(ev *engine.Finished) {
+	a := c.sequence(ev.ID)
+	if a == nil {
+		c.dropUnowned(ev.Handle)
+		return
+	}
+	a.output = ev.Output
+	if ev.PromptTokens > 0 {
+		a.prompt = ev.PromptTokens
+	}
+	c.endPrefill(a)
+	a.first = true
+	kept := ev.Handle != "" && c.keepHandle(a, ev.Handle)
+	if !kept {
+		c.dropUnowned(ev.Handle)
+	}
+	exports := a.d.Slice != nil && a.d.Slice.Index+1 < a.d.Slice.Count
+	switch {
+	case a.silent:
+	case exports && !kept:
+		c.reportFailed(a, wire.FailInternal, false)
+	default:
+		c.learnOutput(a)
+		c.reportFinished(a, wire.Finished{
+			Attempt:      a.id,
+			PromptTokens: ev.PromptTokens,
+			CachedTokens: ev.CachedTokens,
+			OutputTokens: ev.Output,
+			KVHandle:     ev.Handle,
+		})
+	}
+	c.remove(a)
+}
+
+func (c *Core) learnOutput(a *attempt) {
+	if a.d.Slice != nil {
+		return
+	}
+	m := c.modelStats(a.d.Model)
+	m.output = average(m.output, float64(a.output))
+}
+
+func (c *Core) dropUnowned(handle string) {
+	if handle == "" {
+		return
+	}
+	c.command(wire.AttemptID{}, engine.Command{Drop: &handle})
+}
+
+func (c *Core) ingestFailed(ev *engine.Failed) {
+	a := c.sequence(ev.ID)
+	if a == nil {
+		return
+	}
+	if !a.silent {
+		c.reportFailed(a, failReason(ev.Reason), ev.Rejected)
+	}
+	c.remove(a)
+}
+
+func failReason(r engine.FailReason) wire.FailReason {
+	switch r {
+	case engine.FailMemory, engine.FailTooLarge:
+		return wire.FailMemory
+	case engine.FailInvalid:
+		return wire.FailInvalid
+	case engine.FailLost:
+		return wire.FailEngineLost
+	}
+	return wire.FailInternal
+}
--- /dev/null
+++ b/internal/agent/service.go
@@ -0,0 +1,35 @@
+package agent
+
+import "trefoilpath.org/trefoilpath/internal/wire"
+
+// startCall starts a plain service call.
+func (c *Core) startCall(a *attempt) {
+	c.emit(Output{Service: &ServiceStart{
+		Attempt: a.id,
+		Call:    *a.d.Call,
+		Timeout: a.deadline - c.now,
+	}})
+}
+
+// mayStop reports whether work on a started attempt may be broken off. A call
+// that may not be repeated runs to its end or its deadline: breaking it off
+// would gain nothing but an unknown outcome.
+func mayStop(a *attempt) bool {
+	return a.d.Kind != wire.KindService || a.d.Idempotent
+}
+
+// ingestServiceDone takes the end of a plain service call.
+func (c *Core) ingestServiceDone(done *ServiceDone) {
+	a := c.attempts.Get(done.Attempt)
+	if a == nil || (a.state != attemptRunning && a.state != attemptEnding) {
+		return
+	}
+	switch {
+	case a.silent:
+	case done.OK:
+		c.reportFinished(a, wire.Finished{Attempt: a.id})
+	default:
+		c.reportFailed(a, wire.FailEngineLost, !done.Sent)
+	}
+	c.remove(a)
+}
--- /dev/null
+++ b/internal/agent/world_test.go
@@ -0,0 +1,468 @@
+package agent
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"testing"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/engine"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	fakeStep      = 10 * time.Millisecond
+	fakeChunk     = 2048 // prompt tokens of one sequence in one step, at most
+	fakePrefill   = 100_000.0
+	fakeDecode    = 50.0
+	fakeCallTime  = 200 * time.Millisecond
+	fakeTotal     = 500_000
+	fakeModelName = "luthier-modelo"
+)
+
+// fakeSequence is one sequence of the fake engine.
+type fakeSequence struct {
+	submit  engine.Submit
+	prefill float64
+	output  float64
+	first   bool
+	hung    bool
+}
+
+// fakeEngine prefills by priority, decodes all others side by side, and keeps a
+// ledger of what it was told to run.
+type fakeEngine struct {
+	total   int64
+	have    wire.Assignment
+	fence   uint64
+	checks  bool
+	seqs    []*fakeSequence
+	handles map[string]int64
+	loading *engine.Load
+	loadEnd time.Duration
+	ran     map[engine.SequenceID]int
+	loads   []string
+	dead    bool
+	paused  bool
+	silent  bool // loses cancels
+	ratio   float64
+	rate    float64
+}
+
+func newFakeEngine() *fakeEngine {
+	return &fakeEngine{
+		total:   fakeTotal,
+		have:    wire.Assignment{Model: fakeModelName, Role: wire.RoleServe},
+		checks:  true,
+		handles: map[string]int64{},
+		ran:     map[engine.SequenceID]int{},
+		ratio:   1,
+		rate:    fakePrefill,
+	}
+}
+
+func (e *fakeEngine) held() int64 {
+	var n int64
+	for _, s := range e.seqs {
+		n += s.submit.PromptTokens + int64(s.output)
+	}
+	for _, tokens := range e.handles {
+		n += tokens
+	}
+	return n
+}
+
+func (e *fakeEngine) state() engine.State {
+	s := engine.State{Capacity: e.total, HeldTokens: e.held(), Have: e.have, Loading: e.loading != nil, PrefillRate: e.rate, DecodeRate: fakeDecode}
+	for _, q := range e.seqs {
+		s.Held = append(s.Held, engine.Held{ID: q.submit.ID, Tokens: q.submit.PromptTokens + int64(q.output), Output: int64(q.output)})
+	}
+	sort.Slice(s.Held, func(i, j int) bool { return s.Held[i].ID < s.Held[j].ID })
+	names := make([]string, 0, len(e.handles))
+	for h := range e.handles {
+		names = append(names, h)
+	}
+	sort.Strings(names)
+	for _, h := range names {
+		s.Held = append(s.Held, engine.Held{Handle: h, Tokens: e.handles[h]})
+	}
+	return s
+}
+
+func (e *fakeEngine) command(now time.Duration, cmd engine.Command) []engine.Event {
+	switch {
+	case e.dead:
+		return nil
+	case cmd.Submit != nil:
+		return e.submit(*cmd.Submit)
+	case cmd.Cancel != nil && !e.silent:
+		return e.cancel(*cmd.Cancel)
+	case cmd.Drop != nil:
+		delete(e.handles, *cmd.Drop)
+	case cmd.Query:
+		s := e.state()
+		return []engine.Event{{State: &s}}
+	case cmd.Load != nil:
+		return e.load(now, *cmd.Load)
+	}
+	return nil
+}
+
+func (e *fakeEngine) submit(s engine.Submit) []engine.Event {
+	fail := func(r engine.FailReason) []engine.Event {
+		return []engine.Event{{Failed: &engine.Failed{ID: s.ID, Reason: r, Rejected: true}}}
+	}
+	if s.Model != e.have.Model || e.loading != nil {
+		return fail(engine.FailModel)
+	}
+	if e.held()+s.PromptTokens > e.total {
+		return fail(engine.FailMemory)
+	}
+	e.ran[s.ID]++
+	e.seqs = append(e.seqs, &fakeSequence{submit: s, prefill: float64(s.PromptTokens) * e.ratio})
+	return []engine.Event{{Accepted: &engine.Accepted{ID: s.ID}}}
+}
+
+func (e *fakeEngine) cancel(id engine.SequenceID) []engine.Event {
+	for i, s := range e.seqs {
+		if s.submit.ID == id {
+			e.seqs = append(e.seqs[:i], e.seqs[i+1:]...)
+			return []engine.Event{{Failed: &engine.Failed{ID: id, Reason: engine.FailCancelled}}}
+		}
+	}
+	return nil
+}
+
+func (e *fakeEngine) load(now time.Duration, l engine.Load) []engine.Event {
+	if e.checks && l.Fence < e.fence {
+		return []engine.Event{{Loaded: &engine.Loaded{OrderID: l.OrderID, Stale: true, Have: e.have}}}
+	}
+	e.fence = max(e.fence, l.Fence)
+	var out []engine.Event
+	for len(e.seqs) > 0 {
+		out = append(out, engine.Event{Failed: &engine.Failed{ID: e.seqs[0].submit.ID, Reason: engine.FailModel}})
+		e.seqs = e.seqs[1:]
+	}
+	e.loading = &l
+	e.loadEnd = now + 500*time.Millisecond
+	return out
+}
+
+// advance runs the engine for one step.
+func (e *fakeEngine) advance(now time.Duration) []engine.Event {
+	if e.dead || e.paused {
+		return nil
+	}
+	var out []engine.Event
+	if e.loading != nil && now >= e.loadEnd {
+		e.have = e.loading.Want
+		e.loads = append(e.loads, e.have.Model)
+		out = append(out, engine.Event{Loaded: &engine.Loaded{OrderID: e.loading.OrderID, OK: true, Have: e.have}})
+		e.loading = nil
+	}
+	budget := e.rate * fakeStep.Seconds()
+	order := append([]*fakeSequence(nil), e.seqs...)
+	sort.SliceStable(order, func(i, j int) bool { return order[i].submit.Priority > order[j].submit.Priority })
+	for _, s := range order {
+		if s.hung {
+			continue
+		}
+		if s.prefill > 0 {
+			part := min(s.prefill, budget, fakeChunk)
+			s.prefill -= part
+			budget -= part
+			continue
+		}
+		out = append(out, e.decode(s)...)
+	}
+	return out
+}
+
+func (e *fakeEngine) decode(s *fakeSequence) []engine.Event {
+	var out []engine.Event
+	prompt := int64(float64(s.submit.PromptTokens) * e.ratio)
+	if !s.first {
+		s.first = true
+		out = append(out, engine.Event{First: &engine.First{ID: s.submit.ID, PromptTokens: prompt}})
+	}
+	s.output += fakeDecode * fakeStep.Seconds()
+	out = append(out, engine.Event{Progress: &engine.Progress{ID: s.submit.ID, Output: int64(s.output)}})
+	if s.output < float64(s.submit.MaxOutput) && !s.submit.Export {
+		return out
+	}
+	e.cancel(s.submit.ID)
+	done := engine.Finished{ID: s.submit.ID, PromptTokens: prompt, Output: int64(s.output)}
+	if s.submit.Export {
+		done.Handle = "kv-" + string(s.submit.ID)
+		e.handles[done.Handle] = prompt
+	}
+	return append(out, engine.Event{Finished: &done})
+}
+
+// fakeCall is one call at the fake plain service.
+type fakeCall struct {
+	attempt wire.AttemptID
+	ends    time.Duration
+}
+
+// world joins one core with a fake engine or service on a virtual clock, and
+// records what each entry hears.
+type world struct {
+	core    *Core
+	cfg     Config
+	now     time.Duration
+	eng     *fakeEngine
+	calls   []fakeCall
+	called  map[wire.AttemptID]int
+	inbox   []Input
+	paused  bool
+	drained bool
+
+	heard    map[wire.AttemptID][]string
+	notRun   map[wire.AttemptID]bool
+	started  map[wire.AttemptID]time.Duration
+	first    map[wire.AttemptID]time.Duration
+	outcome  map[wire.AttemptID]time.Duration
+	reports  map[wire.NodeID]wire.Report
+	hellos   map[wire.NodeID]wire.Hello
+	orders   map[uint64]wire.OrderStatus
+	reserved map[wire.AttemptID]bool
+	sent     map[wire.NodeID][]wire.ToEntry
+	handles  map[wire.AttemptID]string
+}
+
+// failer is what tests, benchmarks and properties have in common.
+type failer interface{ Fatal(args ...any) }
+
+func newWorld(tb failer, cfg Config) *world {
+	if cfg.Endpoint == "" {
+		cfg.Endpoint = "luthier-01"
+	}
+	if cfg.Kind == 0 {
+		cfg.Kind = wire.KindEngine
+	}
+	if cfg.Incarnation == 0 {
+		cfg.Incarnation = 1
+	}
+	w := &world{cfg: cfg, eng: newFakeEngine(), called: map[wire.AttemptID]int{}, notRun: map[wire.AttemptID]bool{}}
+	w.forget()
+	w.restart(tb)
+	return w
+}
+
+func (w *world) forget() {
+	w.heard = map[wire.AttemptID][]string{}
+	w.started = map[wire.AttemptID]time.Duration{}
+	w.first = map[wire.AttemptID]time.Duration{}
+	w.outcome = map[wire.AttemptID]time.Duration{}
+	w.reports = map[wire.NodeID]wire.Report{}
+	w.hellos = map[wire.NodeID]wire.Hello{}
+	w.orders = map[uint64]wire.OrderStatus{}
+	w.reserved = map[wire.AttemptID]bool{}
+	w.sent = map[wire.NodeID][]wire.ToEntry{}
+	w.handles = map[wire.AttemptID]string{}
+}
+
+// restart replaces the agent beside the living engine.
+func (w *world) restart(tb failer) {
+	core, err := New(w.cfg)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	w.core = core
+	w.inbox = nil
+	w.calls = nil
+	if w.cfg.Kind == wire.KindEngine && !w.eng.dead {
+		s := w.eng.state()
+		w.give(Input{EngineUp: &EngineUp{State: s}})
+	}
+	w.tick()
+}
+
+func (w *world) give(in Input) { w.inbox = append(w.inbox, in) }
+
+func (w *world) from(entry wire.NodeID, msg wire.ToAgent) {
+	w.give(Input{FromEntry: &FromEntry{Entry: entry, Msg: msg}})
+}
+
+// tick runs the core until the commands it gives have no immediate answer.
+func (w *world) tick() {
+	if w.paused {
+		return
+	}
+	for {
+		in := w.inbox
+		w.inbox = nil
+		for _, o := range w.core.Tick(w.now, in) {
+			w.carryOut(o)
+		}
+		w.core.audit()
+		if len(w.inbox) == 0 {
+			return
+		}
+	}
+}
+
+func (w *world) carryOut(o Output) {
+	switch {
+	case o.ToEntry != nil:
+		w.hear(o.ToEntry.Entry, o.ToEntry.Msg)
+	case o.Engine != nil:
+		for _, ev := range w.eng.command(w.now, o.Engine.Command) {
+			w.engineEvent(ev)
+		}
+	case o.Service != nil:
+		w.called[o.Service.Attempt]++
+		w.calls = append(w.calls, fakeCall{attempt: o.Service.Attempt, ends: w.now + fakeCallTime})
+	case o.Drop != nil:
+		w.stopCall(o.Drop.Attempt)
+	case o.Drained:
+		w.drained = true
+	}
+}
+
+func (w *world) engineEvent(ev engine.Event) {
+	if ev.First != nil {
+		if id, ok := parseSequence(ev.First.ID); ok {
+			w.first[id] = w.now
+		}
+	}
+	w.give(Input{Engine: &ev})
+}
+
+func (w *world) stopCall(id wire.AttemptID) {
+	for i := range w.calls {
+		if w.calls[i].attempt == id {
+			w.calls = append(w.calls[:i], w.calls[i+1:]...)
+			w.give(Input{ServiceDone: &ServiceDone{Attempt: id, Sent: true}})
+			return
+		}
+	}
+}
+
+func (w *world) hear(entry wire.NodeID, msg wire.ToEntry) {
+	w.sent[entry] = append(w.sent[entry], msg)
+	note := func(id wire.AttemptID, text string, final bool) {
+		w.heard[id] = append(w.heard[id], text)
+		if final {
+			w.outcome[id] = w.now
+		}
+	}
+	switch {
+	case msg.Hello != nil:
+		w.hellos[entry] = *msg.Hello
+	case msg.Report != nil:
+		w.reports[entry] = *msg.Report
+	case msg.Started != nil:
+		w.started[msg.Started.Attempt] = w.now
+		note(msg.Started.Attempt, "started", false)
+	case msg.Refused != nil:
+		note(msg.Refused.Attempt, "refused "+msg.Refused.Reason.String(), true)
+		if msg.Refused.Reason != wire.RefuseDuplicate {
+			w.notRun[msg.Refused.Attempt] = true
+		}
+	case msg.Finished != nil:
+		w.handles[msg.Finished.Attempt] = msg.Finished.KVHandle
+		note(msg.Finished.Attempt, "finished", true)
+	case msg.Failed != nil:
+		text := "failed " + msg.Failed.Reason.String()
+		if msg.Failed.Rejected {
+			text += " rejected"
+		}
+		note(msg.Failed.Attempt, text, true)
+	case msg.Cancelled != nil:
+		text := "cancelled"
+		if msg.Cancelled.NotRun {
+			text += " not-run"
+			w.notRun[msg.Cancelled.Attempt] = true
+		}
+		note(msg.Cancelled.Attempt, text, true)
+	case msg.Reserved != nil:
+		w.reserved[msg.Reserved.Attempt] = msg.Reserved.Granted
+	case msg.OrderResult != nil:
+		w.orders[msg.OrderResult.ID] = msg.OrderResult.Status
+	}
+}
+
+// run advances the clock.
+func (w *world) run(d time.Duration) {
+	end := w.now + d
+	w.tick()
+	for w.now < end {
+		next := w.now + fakeStep
+		if w.idle() {
+			next = max(next, min(w.core.Next(), end))
+		}
+		w.now = min(next, end)
+		for _, ev := range w.eng.advance(w.now) {
+			w.engineEvent(ev)
+		}
+		w.endCalls()
+		if len(w.inbox) > 0 || w.core.Next() <= w.now {
+			w.tick()
+		}
+	}
+}
+
+func (w *world) idle() bool {
+	return len(w.eng.seqs) == 0 && w.eng.loading == nil && len(w.calls) == 0
+}
+
+func (w *world) endCalls() {
+	kept := w.calls[:0]
+	for _, call := range w.calls {
+		if call.ends > w.now {
+			kept = append(kept, call)
+			continue
+		}
+		w.give(Input{ServiceDone: &ServiceDone{Attempt: call.attempt, Sent: true, OK: true}})
+	}
+	w.calls = kept
+}
+
+// check verifies the promises that the agent makes alone: what was said not to
+// have run did not run, and nothing ran twice.
+func (w *world) check() error {
+	for id := range w.notRun {
+		if w.eng.ran[engine.SequenceID(id.String())]+w.called[id] > 0 {
+			return fmt.Errorf("attempt %v ran and was reported as not run: %v", id, w.heard[id])
+		}
+	}
+	for id, n := range w.eng.ran {
+		if n > 1 {
+			return fmt.Errorf("sequence %v ran %d times", id, n)
+		}
+	}
+	for id, n := range w.called {
+		if n > 1 {
+			return fmt.Errorf("call %v ran %d times", id, n)
+		}
+	}
+	return nil
+}
+
+func dispatch(entry wire.NodeID, seq uint64, account wire.AccountID, prompt, output int64) wire.Dispatch {
+	return wire.Dispatch{
+		Attempt:      wire.AttemptID{Entry: entry, Incarnation: 1, Sequence: seq},
+		RequestID:    fmt.Sprintf("r%d", seq),
+		Account:      account,
+		Weight:       1,
+		Kind:         wire.KindEngine,
+		Model:        fakeModelName,
+		PromptTokens: prompt,
+		MaxOutput:    output,
+		TimeLeft:     time.Minute,
+		StartBy:      20 * time.Second,
+		Idempotent:   true,
+	}
+}
