--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -48,7 +48,7 @@
 	if bodyReady || d.BodyBytes == 0 {
 		c.enqueue(row)
 	}
-	c.timers.set(&row.timer, c.dueOf(row))
+	c.setTimer(row.timer(), c.dueOf(row))
 }
 
 // known refuses an attempt that this agent has seen or may have forgotten.
@@ -81,7 +81,6 @@
 		deadline: later(c.now, d.TimeLeft),
 		startBy:  later(c.now, d.StartBy),
 		sequence: engine.SequenceID(d.Attempt.String()),
-		timer:    timer{kind: timerAttempt, attempt: d.Attempt},
 	}
 	if d.Kind == wire.KindService {
 		a.uncached = callTokens
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -7,6 +7,7 @@
 
 	"trefoilpath.org/trefoilpath/internal/engine"
 	"trefoilpath.org/trefoilpath/internal/table"
+	"trefoilpath.org/trefoilpath/internal/timer"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -17,7 +18,7 @@
 	now time.Duration
 	out []Output
 
-	timers timerHeap
+	timers *timer.Queue[timerKey]
 
 	attempts     *table.Table[wire.AttemptID, attempt]
 	accounts     *table.Table[wire.AccountID, account]
@@ -40,12 +41,6 @@
 	cache   cacheState
 	leaving leavingState
 
-	tombTimer  timer
-	queryTimer timer
-	orderTimer timer
-	leaveTimer timer
-	holdTimer  timer
-
 	started  bool
 	urgent   bool // a change that entries must hear at once
 	audited  time.Duration
@@ -80,6 +75,7 @@
 	cfg.setDefaults()
 	c := &Core{
 		cfg:          cfg,
+		timers:       timer.New[timerKey](),
 		attempts:     table.New[wire.AttemptID, attempt](),
 		accounts:     table.New[wire.AccountID, account](),
 		reservations: table.New[wire.AttemptID, reservation](),
@@ -88,11 +84,6 @@
 		tombstones:   table.New[wire.AttemptID, tombstone](),
 		arrivals:     table.New[wire.AttemptID, arrival](),
 		models:       table.New[string, modelStats](),
-		tombTimer:    timer{kind: timerTombstones},
-		queryTimer:   timer{kind: timerQuery},
-		orderTimer:   timer{kind: timerOrder},
-		leaveTimer:   timer{kind: timerLeaving},
-		holdTimer:    timer{kind: timerHold},
 	}
 	c.cache.init()
 	c.engine.up = cfg.Kind == wire.KindService
@@ -123,7 +114,7 @@
 }
 
 // Next returns the time at which Tick is due even without inputs.
-func (c *Core) Next() time.Duration { return c.timers.next() }
+func (c *Core) Next() time.Duration { return c.timers.Next() }
 
 // begin runs once, on the first tick.
 func (c *Core) begin() {
@@ -133,7 +124,7 @@
 	c.started = true
 	c.fence.quietUntil = c.now + c.cfg.OrderMaxAge
 	if c.cfg.Kind == wire.KindEngine {
-		c.timers.set(&c.queryTimer, c.now+c.cfg.QueryInterval)
+		c.setTimer(timerKey{kind: timerQuery}, c.now+c.cfg.QueryInterval)
 	}
 }
 
--- a/internal/agent/core_rapid_test.go
+++ b/internal/agent/core_rapid_test.go
@@ -19,7 +19,6 @@
 	up      map[wire.NodeID]bool
 	fence   uint64
 	order   uint64
-	groups  []wire.AttemptID
 }
 
 func (r *randomWorld) step(t *rapid.T) {
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -9,7 +9,7 @@
 		return
 	}
 	c.leaving = leavingState{on: true, since: c.now}
-	c.timers.set(&c.leaveTimer, later(c.now, c.cfg.LeavingGrace))
+	c.setTimer(timerKey{kind: timerLeaving}, later(c.now, c.cfg.LeavingGrace))
 	c.log(Event{Kind: EventLeaving})
 	c.entries.Each(func(_ wire.NodeID, e *entryRow) bool {
 		c.reportNow(e)
--- a/internal/agent/expire.go
+++ b/internal/agent/expire.go
@@ -7,23 +7,27 @@
 
 // expire acts on every timer that is due.
 func (c *Core) expire() {
-	for t := c.timers.due(c.now); t != nil; t = c.timers.due(c.now) {
-		c.fire(t)
+	for {
+		key, ok := c.timers.Pop(c.now)
+		if !ok {
+			return
+		}
+		c.fire(key)
 	}
 }
 
-func (c *Core) fire(t *timer) {
-	switch t.kind {
+func (c *Core) fire(key timerKey) {
+	switch key.kind {
 	case timerAttempt:
-		c.expireAttempt(c.attempts.Get(t.attempt))
+		c.expireAttempt(c.attempts.Get(key.attempt))
 	case timerReservation:
-		c.expireReservation(c.reservations.Get(t.attempt))
+		c.expireReservation(c.reservations.Get(key.attempt))
 	case timerTombstones:
 		c.expireTombstones()
 	case timerOrphans:
-		c.orphaned = append(c.orphaned, t.entry)
+		c.orphaned = append(c.orphaned, key.entry)
 	case timerReport:
-		c.reportDue(c.entries.Get(t.entry))
+		c.reportDue(c.entries.Get(key.entry))
 	case timerQuery:
 		c.query()
 	case timerOrder, timerLeaving, timerHold:
@@ -37,7 +41,7 @@
 		return
 	}
 	if due := c.dueOf(a); due > c.now {
-		c.timers.set(&a.timer, due)
+		c.setTimer(a.timer(), due)
 		return
 	}
 	switch {
@@ -72,6 +76,6 @@
 
 // query asks the engine for its state.
 func (c *Core) query() {
-	c.timers.set(&c.queryTimer, c.now+c.cfg.QueryInterval)
+	c.setTimer(timerKey{kind: timerQuery}, c.now+c.cfg.QueryInterval)
 	c.command(wire.AttemptID{}, engine.Command{Query: true})
 }
--- a/internal/agent/groups.go
+++ b/internal/agent/groups.go
@@ -39,7 +39,7 @@
 func (c *Core) setLease(r *reservation, req wire.Reserve) {
 	r.expires = later(c.now, req.Lease)
 	if !c.cfg.lacks(withoutLease) {
-		c.timers.set(&r.timer, r.expires)
+		c.setTimer(r.timer(), r.expires)
 	}
 }
 
@@ -76,7 +76,7 @@
 		return
 	}
 	c.memory.hold = memoryHold{id: req.Attempt, tokens: req.Tokens, until: later(c.now, holdTime)}
-	c.timers.set(&c.holdTimer, c.memory.hold.until)
+	c.setTimer(timerKey{kind: timerHold}, c.memory.hold.until)
 }
 
 // endGroup ends a group's reservation and what runs or is held under it. A
@@ -84,7 +84,7 @@
 func (c *Core) endGroup(r *reservation, reason wire.FailReason) {
 	c.dropHandle(r)
 	r.expires = c.now
-	c.timers.stop(&r.timer)
+	c.timers.Stop(r.timer())
 	user := c.attempts.Get(r.user)
 	if user == nil {
 		c.bury(r.id, r.used)
--- a/internal/agent/ingest.go
+++ b/internal/agent/ingest.go
@@ -32,11 +32,7 @@
 	if e := c.entries.Get(id); e != nil {
 		return e
 	}
-	return c.entries.Put(id, entryRow{
-		id:      id,
-		report:  timer{kind: timerReport, entry: id},
-		orphans: timer{kind: timerOrphans, entry: id},
-	})
+	return c.entries.Put(id, entryRow{id: id})
 }
 
 // ingestEntryUp opens a stream: Hello, the outcomes that waited, and the state.
@@ -44,7 +40,7 @@
 	e := c.entry(id)
 	e.up = true
 	e.cacheReset = true
-	c.timers.stop(&e.orphans)
+	c.timers.Stop(e.orphansTimer())
 	c.send(id, wire.ToEntry{Hello: &wire.Hello{
 		Endpoint:      c.cfg.Endpoint,
 		FailureDomain: c.cfg.FailureDomain,
@@ -82,8 +78,8 @@
 		return
 	}
 	e.up = false
-	c.timers.stop(&e.report)
-	c.timers.set(&e.orphans, c.now+c.cfg.EntryGrace)
+	c.timers.Stop(e.reportTimer())
+	c.setTimer(e.orphansTimer(), c.now+c.cfg.EntryGrace)
 }
 
 func (c *Core) ingestFromEntry(from wire.NodeID, msg *wire.ToAgent) {
@@ -171,5 +167,5 @@
 		return
 	}
 	c.enqueue(a)
-	c.timers.set(&a.timer, c.dueOf(a))
+	c.setTimer(a.timer(), c.dueOf(a))
 }
--- a/internal/agent/invariants.go
+++ b/internal/agent/invariants.go
@@ -19,7 +19,7 @@
 	if c.engine.running < 0 || c.share.queued < 0 {
 		invariant.Fail("counters", "running", c.engine.running, "queued", c.share.queued)
 	}
-	if next := c.timers.next(); next <= c.now {
+	if next := c.timers.Next(); next <= c.now {
 		invariant.Fail("timers", "next", next, "now", c.now)
 	}
 	if c.cfg.Kind == wire.KindService && c.engine.running > c.cfg.MaxCalls {
--- a/internal/agent/memory.go
+++ b/internal/agent/memory.go
@@ -75,7 +75,6 @@
 		class:   cl,
 		tokens:  tokens,
 		expires: never,
-		timer:   timer{kind: timerReservation, attempt: id},
 	})
 }
 
@@ -98,7 +97,7 @@
 	if r == nil {
 		return
 	}
-	c.timers.stop(&r.timer)
+	c.timers.Stop(r.timer())
 	c.memory.reserved -= r.tokens
 	c.memory.byClass[r.class] -= r.tokens
 	c.memory.freed += r.tokens
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -106,7 +106,7 @@
 		c.finishOrder(key, o, wire.OrderStale)
 		return
 	}
-	c.timers.set(&c.orderTimer, max(later(o.received, o.MaxAge), c.now)+1)
+	c.setTimer(timerKey{kind: timerOrder}, max(later(o.received, o.MaxAge), c.now)+1)
 	if c.engine.up && !c.engine.loading {
 		c.advance(key, o)
 	}
@@ -133,7 +133,7 @@
 		return
 	}
 	if c.quiet() {
-		c.timers.set(&c.orderTimer, min(c.fence.quietUntil, c.orderTimer.at))
+		c.setTimer(timerKey{kind: timerOrder}, min(c.fence.quietUntil, later(o.received, o.MaxAge)+1))
 		return
 	}
 	if c.mustDrain(o) {
--- a/internal/agent/outcome.go
+++ b/internal/agent/outcome.go
@@ -68,7 +68,7 @@
 		return
 	}
 	a.state = attemptEnding
-	c.timers.stop(&a.timer)
+	c.timers.Stop(a.timer())
 	if a.d.Kind == wire.KindEngine {
 		c.cancelSequence(a)
 	}
@@ -87,7 +87,7 @@
 	if a.state == attemptQueued {
 		c.dequeue(a)
 	}
-	c.timers.stop(&a.timer)
+	c.timers.Stop(a.timer())
 	if ran {
 		c.engine.running--
 		c.endPrefill(a)
@@ -139,8 +139,8 @@
 	if c.tombstones.Len() > c.cfg.MaxTombstones {
 		c.forgetOldest()
 	}
-	if c.tombTimer.pos == 0 {
-		c.timers.set(&c.tombTimer, c.now+c.cfg.TombstoneTTL)
+	if len(c.graves) == 1 {
+		c.setTimer(timerKey{kind: timerTombstones}, c.now+c.cfg.TombstoneTTL)
 	}
 }
 
@@ -164,7 +164,7 @@
 	if len(c.graves) > 0 {
 		next = c.tombstones.Get(c.graves[0]).expires
 	}
-	c.timers.set(&c.tombTimer, next)
+	c.setTimer(timerKey{kind: timerTombstones}, next)
 }
 
 // cancel stops an attempt at the wish of its entry, and answers honestly whether
--- a/internal/agent/reconcile.go
+++ b/internal/agent/reconcile.go
@@ -185,9 +185,8 @@
 		silent:      true,
 		reservation: id,
 		sequence:    h.ID,
-		timer:       timer{kind: timerAttempt, attempt: id},
 	})
 	c.engine.running++
 	c.reserve(id, reservationSequence, a.class, min(h.Tokens, c.freeTokens()))
-	c.timers.set(&a.timer, c.dueOf(a))
+	c.setTimer(a.timer(), c.dueOf(a))
 }
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -40,7 +40,7 @@
 	r := c.reportFor(e)
 	interval := c.reportInterval(e, reportBytes)
 	if r == e.summary && c.now-e.reported < idleReports*interval {
-		c.timers.set(&e.report, c.now+c.reportInterval(e, c.sendCacheDelta(e)))
+		c.setTimer(e.reportTimer(), c.now+c.reportInterval(e, c.sendCacheDelta(e)))
 		return
 	}
 	c.sendReport(e, r)
@@ -59,7 +59,7 @@
 	e.reported = c.now
 	c.send(e.id, wire.ToEntry{Report: &msg})
 	bytes := int64(reportBytes) + c.sendCacheDelta(e)
-	c.timers.set(&e.report, c.now+c.reportInterval(e, bytes))
+	c.setTimer(e.reportTimer(), c.now+c.reportInterval(e, bytes))
 }
 
 // sendCacheDelta sends the next cache changes and returns their size in bytes.
--- a/internal/agent/start.go
+++ b/internal/agent/start.go
@@ -135,7 +135,7 @@
 	} else {
 		c.startSequence(a)
 	}
-	c.timers.set(&a.timer, c.dueOf(a))
+	c.setTimer(a.timer(), c.dueOf(a))
 }
 
 func (c *Core) startSequence(a *attempt) {
--- a/internal/agent/tables.go
+++ b/internal/agent/tables.go
@@ -77,7 +77,6 @@
 
 	key      time.Duration // order within the account's queue
 	queuePos int           // position in the account's queue plus one
-	timer    timer
 }
 
 // account is one row of the Accounts table: a client account with waiting or
@@ -113,7 +112,6 @@
 	user    wire.AttemptID // groups: attempt that runs in it
 	used    bool           // groups: an attempt has started in it
 	handle  string         // groups: exported KV cache that it holds
-	timer   timer
 }
 
 // orderKey identifies an order. A new lease holder may number anew.
@@ -154,9 +152,6 @@
 	cacheSent  uint64 // position in the cache log
 	cacheSeq   uint64
 	cacheReset bool
-
-	report  timer
-	orphans timer
 }
 
 // tombstone is one row of the Tombstones table: an attempt that has ended.
--- a/internal/agent/timer.go
+++ b/internal/agent/timer.go
@@ -1,15 +1,14 @@
 package agent
 
 import (
-	"container/heap"
-	"math"
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/timer"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
 // never is the due time of a timer that is not set.
-const never = time.Duration(math.MaxInt64)
+const never = timer.Never
 
 type timerKind uint8
 
@@ -25,93 +24,34 @@
 	timerHold        timerKind = 9
 )
 
-// timer is the one pending timer of a row. It lives inside the row, so that
-// setting it anew replaces the earlier time.
-type timer struct {
+// timerKey names the one timer of a row, or of the core itself.
+type timerKey struct {
 	kind    timerKind
-	at      time.Duration
-	pos     int // position in the heap plus one; 0: not set
 	attempt wire.AttemptID
 	entry   wire.NodeID
 }
 
-// timerHeap orders the pending timers of all tables by time.
-type timerHeap struct{ rows timerRows }
-
-func (h *timerHeap) set(t *timer, at time.Duration) {
+// setTimer starts the timer of key or moves it; never stops it.
+func (c *Core) setTimer(key timerKey, at time.Duration) {
 	if at == never {
-		h.stop(t)
-		return
-	}
-	if t.pos == 0 {
-		t.at = at
-		heap.Push(&h.rows, t)
+		c.timers.Stop(key)
 		return
 	}
-	if t.at != at {
-		t.at = at
-		heap.Fix(&h.rows, t.pos-1)
-	}
-}
-
-func (h *timerHeap) stop(t *timer) {
-	if t.pos > 0 {
-		heap.Remove(&h.rows, t.pos-1)
-	}
-}
-
-// due removes and returns the earliest timer at or before now, or nil.
-func (h *timerHeap) due(now time.Duration) *timer {
-	if h.next() > now {
-		return nil
-	}
-	return heap.Pop(&h.rows).(*timer)
+	c.timers.Set(key, at)
 }
 
-func (h *timerHeap) next() time.Duration {
-	if len(h.rows) == 0 {
-		return never
-	}
-	return h.rows[0].at
-}
-
-type timerRows []*timer
-
-func (r timerRows) Len() int { return len(r) }
-
-// Less breaks ties by kind and owner, so that timers due at the same instant
-// fire in the same order on every run.
-func (r timerRows) Less(i, j int) bool {
-	a, b := r[i], r[j]
-	if a.at != b.at {
-		return a.at < b.at
-	}
-	if a.kind != b.kind {
-		return a.kind < b.kind
-	}
-	if a.entry != b.entry {
-		return a.entry < b.entry
-	}
-	return a.attempt.Compare(b.attempt) < 0
+func (a *attempt) timer() timerKey {
+	return timerKey{kind: timerAttempt, attempt: a.id}
 }
 
-func (r timerRows) Swap(i, j int) {
-	r[i], r[j] = r[j], r[i]
-	r[i].pos = i + 1
-	r[j].pos = j + 1
+func (r *reservation) timer() timerKey {
+	return timerKey{kind: timerReservation, attempt: r.id}
 }
 
-func (r *timerRows) Push(x any) {
-	t := x.(*timer)
-	*r = append(*r, t)
-	t.pos = len(*r)
+func (e *entryRow) reportTimer() timerKey {
+	return timerKey{kind: timerReport, entry: e.id}
 }
 
-func (r *timerRows) Pop() any {
-	last := len(*r) - 1
-	t := (*r)[last]
-	(*r)[last] = nil
-	*r = (*r)[:last]
-	t.pos = 0
-	return t
+func (e *entryRow) orphansTimer() timerKey {
+	return timerKey{kind: timerOrphans, entry: e.id}
 }
