--- /dev/null
+++ b/internal/standin/servicemodel/model_test.go
@@ -0,0 +1,17 @@
+package servicemodel
+
+import "testing"
+
+func TestDoubledCallIsCounted(t *testing.T) {
+	m := New()
+	m.Do(Call{Method: "POST", Path: "/reservations", IdempotencyKey: "a"})
+	m.Do(Call{Method: "POST", Path: "/reservations", IdempotencyKey: "b"})
+	m.Do(Call{Method: "GET", Path: "/stock", IdempotencyKey: "a"})
+	if m.Doubled() != 0 {
+		t.Error("doubled before the repeat")
+	}
+	m.Do(Call{Method: "POST", Path: "/reservations", IdempotencyKey: "a"})
+	if m.Executions("a") != 2 || m.Executions("b") != 1 || m.Doubled() != 1 || len(m.Ledger()) != 3 {
+		t.Errorf("a %d, b %d, doubled %d, ledger %v", m.Executions("a"), m.Executions("b"), m.Doubled(), m.Ledger())
+	}
+}
