Serve the stand-ins over HTTP on loopback

Cause: tests, dev and load runs need engines, a store, services and a VM list to talk to over real sockets, with faults. Change: internal/standin wraps the models on the real clock, each with a constructor on a free loopback port and a Close.

--- /dev/null
+++ b/internal/standin/broadcast.go
@@ -0,0 +1,50 @@
+package standin
+
+import (
+	"sync"
+
+	"trefoilpath.org/trefoilpath/internal/engine"
+)
+
+// broadcast keeps the latest cache events for any number of readers. A reader
+// that falls behind loses events, which shows as a gap in their numbers.
+type broadcast struct {
+	mu      sync.Mutex
+	limit   int
+	base    int // position of events[0]
+	events  []engine.Cache
+	changed chan struct{}
+}
+
+func newBroadcast(limit int) *broadcast {
+	return &broadcast{limit: limit, changed: make(chan struct{})}
+}
+
+func (b *broadcast) publish(ev engine.Cache) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.events = append(b.events, ev)
+	if len(b.events) > 2*b.limit {
+		b.events = append([]engine.Cache(nil), b.events[b.limit:]...)
+		b.base += b.limit
+	}
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// end returns the position after the last event.
+func (b *broadcast) end() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.base + len(b.events)
+}
+
+// since returns the events from a position on, the position after them, and a
+// channel that is closed when there are more.
+func (b *broadcast) since(at int) ([]engine.Cache, int, <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at = max(at, b.base)
+	events := append([]engine.Cache(nil), b.events[at-b.base:]...)
+	return events, b.base + len(b.events), b.changed
+}
--- /dev/null
+++ b/internal/standin/enginecalls.go
@@ -0,0 +1,235 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/engine"
+	"trefoilpath.org/trefoilpath/internal/engine/enginehttp"
+)
+
+// maxSubmitBytes bounds a submit call.
+const maxSubmitBytes = 64 << 20
+
+func (e *Engine) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/sequences", e.serveSubmit)
+	mux.HandleFunc("GET /v1/sequences/{id}", e.serveResume)
+	mux.HandleFunc("DELETE /v1/sequences/{id}", e.serveCancel)
+	mux.HandleFunc("POST /v1/load", e.serveLoad)
+	mux.HandleFunc("DELETE /v1/kv/{handle}", e.serveDrop)
+	mux.HandleFunc("GET /v1/state", e.serveState)
+	mux.HandleFunc("GET /v1/cache-events", e.serveCacheEvents)
+	return mux
+}
+
+func (e *Engine) serveSubmit(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxSubmitBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	sub, body, err := enginehttp.DecodeSubmit(raw)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	prompt, err := parsePrompt(body, sub.ResumeFrom)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.writeAnswer(w, r, e.submit(prompt.apply(sub), prompt.digest), position{})
+}
+
+// submit gives a sequence to the model, unless it holds the sequence already.
+func (e *Engine) submit(sub engine.Submit, digest uint64) *answerStream {
+	var s *answerStream
+	e.with(func(now time.Duration) {
+		s = e.streams[sub.ID]
+		if s == nil {
+			s = newAnswerStream(digest, sub.ResumeFrom)
+			e.streams[sub.ID] = s
+		}
+		if !s.over() {
+			e.model.Do(now, engine.Command{Submit: &sub})
+		}
+	})
+	return s
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	from := int64(0)
+	if text := r.URL.Query().Get("from"); text != "" {
+		var err error
+		if from, err = strconv.ParseInt(text, 10, 64); err != nil || from < 0 {
+			http.Error(w, "from is not a number of tokens", http.StatusBadRequest)
+			return
+		}
+	}
+	s := e.stream(engine.SequenceID(r.PathValue("id")))
+	if s == nil {
+		http.Error(w, "no such sequence", http.StatusNotFound)
+		return
+	}
+	e.writeAnswer(w, r, s, position{next: from})
+}
+
+func (e *Engine) stream(id engine.SequenceID) *answerStream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.streams[id]
+}
+
+// writeAnswer streams the lines of an answer until its end. A reader that goes
+// away does not stop the sequence.
+func (e *Engine) writeAnswer(w http.ResponseWriter, r *http.Request, s *answerStream, p position) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	enc := json.NewEncoder(w)
+	flush := http.NewResponseController(w)
+	life := e.lifetime()
+	for {
+		lines, over, changed := e.readLines(s, &p)
+		for _, line := range lines {
+			if enc.Encode(line) != nil {
+				return
+			}
+		}
+		if over || flush.Flush() != nil {
+			return
+		}
+		e.await(r, changed, life)
+	}
+}
+
+func (e *Engine) readLines(s *answerStream, p *position) ([]enginehttp.Line, bool, <-chan struct{}) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	lines, over := s.lines(p)
+	return lines, over, s.changed
+}
+
+func (e *Engine) lifetime() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life
+}
+
+// await waits for a change. It breaks the connection if the engine dies and
+// ends the call if the reader goes away.
+func (e *Engine) await(r *http.Request, changed, life <-chan struct{}) {
+	select {
+	case <-changed:
+	case <-life:
+		panic(http.ErrAbortHandler)
+	case <-e.done:
+		panic(http.ErrAbortHandler)
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	id := engine.SequenceID(r.PathValue("id"))
+	e.do(engine.Command{Cancel: &id})
+	failed := engine.Failed{ID: id, Reason: engine.FailCancelled}
+	if s := e.stream(id); s != nil {
+		e.awaitEnd(r, s)
+		failed.Rejected = e.neverWorked(s)
+	}
+	writeJSON(w, http.StatusOK, failed)
+}
+
+// awaitEnd waits for a hung engine to carry out a cancellation.
+func (e *Engine) awaitEnd(r *http.Request, s *answerStream) {
+	life := e.lifetime()
+	for {
+		e.mu.Lock()
+		over, changed := s.over(), s.changed
+		e.mu.Unlock()
+		if over {
+			return
+		}
+		e.await(r, changed, life)
+	}
+}
+
+func (e *Engine) neverWorked(s *answerStream) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return s.failed != nil && s.failed.Rejected
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
+	var l engine.Load
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSubmitBytes)).Decode(&l); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	waiter := make(chan engine.Loaded, 1)
+	e.with(func(now time.Duration) {
+		e.loads[l.OrderID] = append(e.loads[l.OrderID], waiter)
+		e.model.Do(now, engine.Command{Load: &l})
+	})
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusOK)
+	http.NewResponseController(w).Flush()
+	life := e.lifetime()
+	select {
+	case loaded := <-waiter:
+		json.NewEncoder(w).Encode(loaded)
+	case <-life:
+		panic(http.ErrAbortHandler)
+	case <-e.done:
+		panic(http.ErrAbortHandler)
+	case <-r.Context().Done():
+	}
+}
+
+func (e *Engine) serveDrop(w http.ResponseWriter, r *http.Request) {
+	handle := r.PathValue("handle")
+	e.do(engine.Command{Drop: &handle})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveState(w http.ResponseWriter, r *http.Request) {
+	waiter := make(chan engine.State, 1)
+	e.with(func(now time.Duration) {
+		e.queries = append(e.queries, waiter)
+		e.model.Do(now, engine.Command{Query: true})
+	})
+	life := e.lifetime()
+	select {
+	case st := <-waiter:
+		writeJSON(w, http.StatusOK, st)
+	case <-life:
+		panic(http.ErrAbortHandler)
+	case <-e.done:
+		panic(http.ErrAbortHandler)
+	case <-r.Context().Done():
+	}
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	enc := json.NewEncoder(w)
+	flush := http.NewResponseController(w)
+	life := e.lifetime()
+	at := e.cache.end()
+	for {
+		events, next, changed := e.cache.since(at)
+		at = next
+		for _, ev := range events {
+			if enc.Encode(ev) != nil {
+				return
+			}
+		}
+		if flush.Flush() != nil {
+			return
+		}
+		e.await(r, changed, life)
+	}
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,63 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// headerTimeout bounds how long a stand-in waits for the headers of a call.
+const headerTimeout = 10 * time.Second
+
+// server is the HTTP side that all stand-ins share.
+type server struct {
+	listener net.Listener
+	http     *http.Server
+	down     atomic.Bool
+}
+
+// listen serves h on a loopback port chosen by the system.
+func listen(h http.Handler) (*server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "stand-in")
+	}
+	s := &server{listener: l}
+	s.http = &http.Server{Handler: s.guard(h), ReadHeaderTimeout: headerTimeout}
+	go s.http.Serve(l)
+	return s, nil
+}
+
+// guard closes the connection of every call while the stand-in is down.
+func (s *server) guard(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.down.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// Address returns host and port.
+func (s *server) Address() string { return s.listener.Addr().String() }
+
+// URL returns the base URL.
+func (s *server) URL() string { return "http://" + s.Address() }
+
+// Close stops serving and breaks all connections.
+func (s *server) Close() error { return s.http.Close() }
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	w.Write(append(raw, '\n'))
+}
