--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -66,7 +66,8 @@
 	if e == nil || c.cfg.lacks(withoutFloor) {
 		return refusal{}
 	}
-	if id.Incarnation < e.incarnation || (id.Incarnation == e.incarnation && id.Sequence <= e.floor) {
+	earlier := id.Sequence <= e.floor || id.Sequence < e.first
+	if id.Incarnation < e.incarnation || (id.Incarnation == e.incarnation && earlier) {
 		return refusal{reason: wire.RefuseDuplicate}
 	}
 	return refusal{}
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -58,6 +58,8 @@
 	running     int // attempts running or ending
 	prefills    [classCount]int
 	prefill     [classCount]int64 // tokens still to prefill
+	longStarted time.Duration     // start of the first long prefill under way
+	shortUsed   float64           // prefill tokens of shorter prompts while it is overdue
 }
 
 // leavingState follows the endpoint's departure.
--- a/internal/agent/core_rapid_test.go
+++ b/internal/agent/core_rapid_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	"trefoilpath.org/trefoilpath/internal/engine"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -23,7 +24,7 @@
 
 func (r *randomWorld) step(t *rapid.T) {
 	entry := rapid.SampledFrom(r.entries).Draw(t, "entry")
-	switch rapid.IntRange(0, 19).Draw(t, "action") {
+	switch rapid.IntRange(0, 25).Draw(t, "action") {
 	case 0, 1, 2, 3, 4, 5:
 		r.offer(t, entry)
 	case 6:
@@ -34,7 +35,7 @@
 		r.flip(entry)
 	case 10:
 		r.inc[entry]++
-		r.from(entry, wire.ToAgent{Welcome: &wire.Welcome{Entry: entry, Incarnation: r.inc[entry], FirstAttempt: r.next}})
+		r.from(entry, wire.ToAgent{Welcome: &wire.Welcome{Entry: entry, Incarnation: r.inc[entry], FirstAttempt: r.next + 1}})
 	case 11:
 		r.reserveSome(t, entry)
 	case 12:
@@ -47,6 +48,22 @@
 		}
 	case 15:
 		r.eng.silent = !r.eng.silent
+	case 16:
+		r.world.cfg.Incarnation++
+		r.restart(t)
+		r.up = map[wire.NodeID]bool{}
+		r.flip("entry-1")
+		r.flip("entry-2")
+	case 17:
+		r.lateBody(t)
+	case 18:
+		r.cacheEvent(t)
+	case 19:
+		r.from(entry, wire.ToAgent{Heartbeat: &wire.Heartbeat{StoreDown: rapid.Bool().Draw(t, "store_down"), Starved: []string{"other"}, Agents: 20}})
+	case 20:
+		if rapid.IntRange(0, 9).Draw(t, "leave") == 0 {
+			r.give(Input{Leaving: &Leaving{}})
+		}
 	default:
 		r.run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 	}
@@ -84,6 +101,22 @@
 	r.give(Input{BodyReady: &BodyReady{Attempt: d.Attempt}})
 }
 
+func (r *randomWorld) lateBody(t *rapid.T) {
+	if len(r.sent) == 0 {
+		return
+	}
+	r.give(Input{BodyReady: &BodyReady{Attempt: rapid.SampledFrom(r.sent).Draw(t, "body_of").Attempt}})
+}
+
+func (r *randomWorld) cacheEvent(t *rapid.T) {
+	hashes := rapid.SliceOfN(rapid.Uint64Range(1, 50), 0, 20)
+	r.give(Input{Engine: &engine.Event{Cache: &engine.Cache{
+		Sequence: rapid.Uint64Range(1, 8).Draw(t, "cache_sequence"),
+		Add:      hashes.Draw(t, "add"),
+		Remove:   hashes.Draw(t, "remove"),
+	}}})
+}
+
 func (r *randomWorld) cancelSome(t *rapid.T) {
 	if len(r.sent) == 0 {
 		return
@@ -96,6 +129,7 @@
 	r.up[entry] = !r.up[entry]
 	if r.up[entry] {
 		r.give(Input{EntryUp: &EntryUp{Entry: entry}})
+		r.from(entry, wire.ToAgent{Welcome: &wire.Welcome{Entry: entry, Incarnation: r.inc[entry], FirstAttempt: r.next + 1}})
 		return
 	}
 	r.give(Input{EntryDown: &EntryDown{Entry: entry}})
@@ -198,6 +232,9 @@
 	if r.core.memory.reserved != 0 || r.eng.held() != 0 {
 		t.Fatalf("reserved %d, held by the engine %d, want none", r.core.memory.reserved, r.eng.held())
 	}
+	if r.core.leaving.on && !r.drained {
+		t.Fatal("the endpoint is leaving, nothing is in flight, and it has not drained")
+	}
 	if r.core.share.queued != 0 || r.core.engine.running != 0 {
 		t.Fatalf("queued %d, running %d, want none", r.core.share.queued, r.core.engine.running)
 	}
--- a/internal/agent/expire.go
+++ b/internal/agent/expire.go
@@ -30,7 +30,7 @@
 		c.reportDue(c.entries.Get(key.entry))
 	case timerQuery:
 		c.query()
-	case timerOrder, timerLeaving, timerHold:
+	case timerOrder, timerLeaving, timerHold, timerYield:
 		// The systems that follow look at the time themselves.
 	}
 }
--- a/internal/agent/groups.go
+++ b/internal/agent/groups.go
@@ -5,6 +5,12 @@
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
+// exports reports whether an attempt is a group member that hands on its KV
+// cache instead of generating.
+func (a *attempt) exports() bool {
+	return a.d.Slice != nil && a.d.Slice.Index+1 < a.d.Slice.Count
+}
+
 // ingestReserve grants or renews memory for a member of a group. The entry asks
 // its engines in ascending order, and gives up what it has on a refusal, so that
 // two groups never wait for each other.
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -151,11 +151,11 @@
 	return c.cfg.Fence == FenceIgnored && c.now < c.fence.quietUntil && !c.cfg.lacks(withoutQuietTime)
 }
 
-// mustDrain reports whether a load would cut off running work. Adapters load
-// beside it.
+// mustDrain reports whether a load would cut off running work. Adapters and
+// roles change beside it.
 func (c *Core) mustDrain(o *order) bool {
 	have, want := c.engine.have, o.Want
-	same := have.Model == want.Model && have.Version == want.Version && roleOf(have) == roleOf(want)
+	same := have.Model == want.Model && have.Version == want.Version
 	return !same && !c.cfg.lacks(withoutDrain)
 }
 
@@ -250,8 +250,8 @@
 		c.urgent = true
 	}
 	c.engine.have = s.Have
-	if s.Have.Model == "" {
-		c.fence.assignedOK = false
+	if s.Have.Model == "" && !s.Loading {
+		c.fence.assignedOK = false // the engine has restarted
 	}
 }
 
--- a/internal/agent/sequences.go
+++ b/internal/agent/sequences.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// started returns the row of a sequence that has been handed to the engine.
+// sequence returns the row of a sequence that has been handed to the engine.
 func (c *Core) sequence(id engine.SequenceID) *attempt {
 	attemptID, ok := parseSequence(id)
 	if !ok {
@@ -145,10 +145,9 @@
 	if !kept {
 		c.dropUnowned(ev.Handle)
 	}
-	exports := a.d.Slice != nil && a.d.Slice.Index+1 < a.d.Slice.Count
 	switch {
 	case a.silent:
-	case exports && !kept:
+	case a.exports() && !kept:
 		c.reportFailed(a, wire.FailInternal, false)
 	default:
 		c.learnOutput(a)
--- a/internal/agent/start.go
+++ b/internal/agent/start.go
@@ -99,6 +99,9 @@
 }
 
 func (c *Core) hasPrefillRoom(a *attempt) bool {
+	if c.yieldsToLong(a) {
+		return false
+	}
 	running := c.engine.prefills[a.class]
 	if running == 0 || c.cfg.lacks(withoutLongBound) {
 		return true
@@ -116,6 +119,48 @@
 	return c.engine.prefill[classShort]+a.uncached <= window
 }
 
+// longShare is the part of the engine's prefill that an overdue long prompt is
+// sure of, whatever short ones arrive.
+const longShare = 0.25
+
+// overdueFactor is how many times its undisturbed prefill a long prompt may take
+// before it is overdue.
+const overdueFactor = 3
+
+// yieldsToLong reports whether a shorter prompt must wait because a long one in
+// the engine is overdue and the shorter ones have used up their part.
+func (c *Core) yieldsToLong(a *attempt) bool {
+	e := &c.engine
+	if a.class == classLong || e.prefills[classLong] == 0 || e.prefillRate <= 0 || c.cfg.lacks(withoutAgeing) {
+		return false
+	}
+	since := e.longStarted + overdueFactor*c.prefillTime(e.prefill[classLong]) + c.cfg.AgeAfter
+	if c.now < since {
+		e.shortUsed = 0
+		return false
+	}
+	seconds := e.shortUsed / ((1 - longShare) * e.prefillRate)
+	resume := since + time.Duration(seconds*float64(time.Second))
+	if resume <= c.now {
+		return false
+	}
+	c.setTimer(timerKey{kind: timerYield}, resume)
+	return true
+}
+
+// noteStart counts the prefill of a started prompt.
+func (c *Core) noteStart(a *attempt) {
+	e := &c.engine
+	if a.class != classLong {
+		e.shortUsed += float64(a.uncached)
+	} else if e.prefills[classLong] == 0 {
+		e.longStarted = c.now
+		e.shortUsed = 0
+	}
+	e.prefills[a.class]++
+	e.prefill[a.class] += a.uncached
+}
+
 // startOne hands one attempt to the endpoint. From here on its outcome is
 // unknown until the endpoint reports it.
 func (c *Core) startOne(a *attempt) {
@@ -139,8 +184,7 @@
 }
 
 func (c *Core) startSequence(a *attempt) {
-	c.engine.prefills[a.class]++
-	c.engine.prefill[a.class] += a.uncached
+	c.noteStart(a)
 	submit := engine.Submit{
 		ID:           a.sequence,
 		Model:        a.d.Model,
@@ -159,7 +203,10 @@
 		r.used = true
 		submit.PromptTokens = a.d.Slice.Tokens
 		submit.Imports = a.d.Slice.Imports
-		submit.Export = a.d.Slice.Index+1 < a.d.Slice.Count
+		submit.Export = a.exports()
+		if submit.Export {
+			submit.MaxOutput = 1
+		}
 	} else {
 		c.reserve(a.id, reservationSequence, a.class, a.need)
 	}
--- a/internal/agent/timer.go
+++ b/internal/agent/timer.go
@@ -22,6 +22,7 @@
 	timerOrder       timerKind = 7
 	timerLeaving     timerKind = 8
 	timerHold        timerKind = 9
+	timerYield       timerKind = 10
 )
 
 // timerKey names the one timer of a row, or of the core itself.
--- a/internal/agent/world_test.go
+++ b/internal/agent/world_test.go
@@ -14,15 +14,16 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		if err := seed.Value.Set("1"); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
 
 const (
 	fakeStep      = 10 * time.Millisecond
-	fakeChunk     = 2048 // prompt tokens of one sequence in one step, at most
 	fakePrefill   = 100_000.0
 	fakeDecode    = 50.0
 	fakeCallTime  = 200 * time.Millisecond
@@ -173,21 +174,33 @@
 	budget := e.rate * fakeStep.Seconds()
 	order := append([]*fakeSequence(nil), e.seqs...)
 	sort.SliceStable(order, func(i, j int) bool { return order[i].submit.Priority > order[j].submit.Priority })
-	for _, s := range order {
+	for i, s := range order {
 		if s.hung {
 			continue
 		}
-		if s.prefill > 0 {
-			part := min(s.prefill, budget, fakeChunk)
-			s.prefill -= part
-			budget -= part
+		if s.prefill <= 0 {
+			out = append(out, e.decode(s)...)
 			continue
 		}
-		out = append(out, e.decode(s)...)
+		part := min(s.prefill, budget/float64(alike(order[i:])))
+		s.prefill -= part
+		budget -= part
 	}
 	return out
 }
 
+// alike returns how many prompts of the priority of the first are in prefill,
+// the first included.
+func alike(order []*fakeSequence) int {
+	n := 0
+	for _, s := range order {
+		if s.submit.Priority == order[0].submit.Priority && s.prefill > 0 && !s.hung {
+			n++
+		}
+	}
+	return n
+}
+
 func (e *fakeEngine) decode(s *fakeSequence) []engine.Event {
 	var out []engine.Event
 	prompt := int64(float64(s.submit.PromptTokens) * e.ratio)
--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -13,8 +13,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		if err := seed.Value.Set("1"); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
