Add load runs against running entries

Cause: what callers see has to be measured from outside, over HTTP, with arrivals that don't wait for answers. Result: tests show refused, cut and spliced answers counted apart, and times that include the wait before a late send.

--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,162 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"trefoilpath.org/trefoilpath/internal/standin/enginemodel"
+	"trefoilpath.org/trefoilpath/internal/wire"
+	"trefoilpath.org/trefoilpath/internal/workload"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeEntry answers like an entry, or as one of its fields says.
+type fakeEntry struct {
+	refuse   atomic.Bool // answer not-run
+	cut      atomic.Bool // leave out the end of answers
+	splice   atomic.Bool // answer with another request's text
+	calls    atomic.Int64
+	unkeyed  atomic.Int64
+	unlawful atomic.Int64 // without a bearer key
+}
+
+func (f *fakeEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.calls.Add(1)
+	if !strings.HasPrefix(r.Header.Get("Authorization"), "Bearer key-of-") {
+		f.unlawful.Add(1)
+	}
+	if f.refuse.Load() {
+		w.Header().Set(headerOutcome, "not-run")
+		w.WriteHeader(http.StatusTooManyRequests)
+		fmt.Fprint(w, `{"error":{"message":"no","type":"rate_limit","code":"rate_limited"}}`)
+		return
+	}
+	if strings.HasPrefix(r.URL.Path, "/services/") {
+		if r.Method == http.MethodPost && r.Header.Get("Idempotency-Key") == "" {
+			f.unkeyed.Add(1)
+		}
+		w.Header().Set(headerOutcome, "completed")
+		return
+	}
+	f.answer(w, r)
+}
+
+func (f *fakeEntry) answer(w http.ResponseWriter, r *http.Request) {
+	var req chatRequest
+	json.NewDecoder(r.Body).Decode(&req)
+	digest := xxhash.Sum64String(req.Messages[0].Content)
+	if f.splice.Load() {
+		digest++
+	}
+	text := enginemodel.AppendTokens(nil, digest, 0, req.MaxTokens)
+	fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", text)
+	if f.cut.Load() {
+		return
+	}
+	fmt.Fprintf(w, "data: {\"choices\":[],\"usage\":{\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", req.MaxTokens)
+}
+
+func offer(t *testing.T, f *fakeEntry) *Result {
+	t.Helper()
+	srv := httptest.NewServer(f)
+	defer srv.Close()
+	accounts := workload.Shares([]wire.AccountID{"a", "b"})
+	mix := workload.DefaultMix()
+	mix.Service = 0.3
+	mix.OmitLong = true
+	res, err := Run(context.Background(), Config{
+		Targets:     []string{srv.URL},
+		Keys:        map[wire.AccountID]string{"a": "key-of-a", "b": "key-of-b"},
+		Workload:    workload.Config{Deployment: workload.Atitlan(), Rate: 5000, Mix: mix, Accounts: accounts, Seed: 1},
+		MaxRequests: 60,
+		CheckAnswer: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res
+}
+
+func TestRunCountsEveryRequest(t *testing.T) {
+	f := &fakeEntry{}
+	res := offer(t, f)
+	if res.Sent != 60 || res.Completed != 60 || res.Wrong != 0 || f.calls.Load() != 60 || f.unlawful.Load() != 0 {
+		t.Errorf("%+v after %d calls, %d without key", res, f.calls.Load(), f.unlawful.Load())
+	}
+	requests := 0
+	for _, row := range res.Rows {
+		requests += row.Requests
+	}
+	if last := res.Rows[len(res.Rows)-1]; requests != 60 || last.Band != ServiceRow || last.Requests == 0 {
+		t.Errorf("rows %+v", res.Rows)
+	}
+}
+
+func TestRunTellsBadAnswersApart(t *testing.T) {
+	refusing, cutting, splicing := &fakeEntry{}, &fakeEntry{}, &fakeEntry{}
+	refusing.refuse.Store(true)
+	cutting.cut.Store(true)
+	splicing.splice.Store(true)
+	refused := offer(t, refusing)
+	if diff := cmp.Diff([]CodeCount{{Code: "rate_limited", Count: 60}}, refused.Codes); diff != "" || refused.NotRun != 60 {
+		t.Errorf("%d not run: %s", refused.NotRun, diff)
+	}
+	cut := offer(t, cutting)
+	chats := cut.Sent - cut.Rows[len(cut.Rows)-1].Requests
+	if cut.Completed != cut.Sent-chats || chats == 0 || cut.NoAnswer != chats {
+		t.Errorf("cut answers: %+v", cut)
+	}
+	if spliced := offer(t, splicing); spliced.Wrong != chats {
+		t.Errorf("%d of %d answers from another request noticed", spliced.Wrong, chats)
+	}
+}
+
+func TestTimesCountFromWhenARequestWasDue(t *testing.T) {
+	srv := httptest.NewServer(&fakeEntry{})
+	defer srv.Close()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	c := caller{cfg: &Config{Keys: map[wire.AccountID]string{"a": "key-of-a"}}, client: client}
+	r := workload.Request{Account: "a", Kind: wire.KindEngine, PromptTokens: 1000, OutputTokens: 5, Deadline: time.Minute}
+	s := c.do(context.Background(), srv.URL, r, time.Now().Add(-time.Hour))
+	if s.first < time.Hour || s.total < s.first || !s.late || s.outcome != "completed" {
+		t.Errorf("%+v", s)
+	}
+}
+
+func TestSharedPrefixesHaveTheSameText(t *testing.T) {
+	a := promptText(workload.Request{PromptTokens: 3000, Prefixes: []uint64{1, 2}, BodyDigest: 7})
+	b := promptText(workload.Request{PromptTokens: 3000, Prefixes: []uint64{1, 3}, BodyDigest: 8})
+	if len(a) != 12000 || !bytes.Equal(a[:blockBytes], b[:blockBytes]) {
+		t.Errorf("%d bytes; first blocks differ", len(a))
+	}
+	if bytes.Equal(a[blockBytes:2*blockBytes], b[blockBytes:2*blockBytes]) || bytes.Equal(a[2*blockBytes:], b[2*blockBytes:]) {
+		t.Error("blocks with different hashes have the same text")
+	}
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	bounded := Config{Targets: []string{"http://127.0.0.1:1"}, Duration: time.Second}
+	unbounded, untargeted, keyless := bounded, bounded, bounded
+	unbounded.Duration = 0
+	untargeted.Targets = nil
+	keyless.Workload.Accounts = []workload.Account{{ID: "a", Share: 1}}
+	for _, cfg := range []Config{unbounded, untargeted, keyless} {
+		if _, err := Run(context.Background(), cfg); err == nil {
+			t.Errorf("accepted %+v", cfg)
+		}
+	}
+}
