Keep outcomes and memory through broken streams

Cause: redialling a dead entry renewed the grace of its attempts for ever; an outcome in flight as a stream broke was lost; and a broken answer connection freed memory that the engine still held. Change: a stream counts as back only when the entry has sent something on it; outcomes of the last two graces are sent again on a new stream; a lost answer connection keeps the reservation until the engine has confirmed the cancel.

--- a/internal/agent/dump.go
+++ b/internal/agent/dump.go
@@ -95,7 +95,7 @@
 	Incarnation wire.Incarnation `json:"incarnation"`
 	Up          bool             `json:"up"`
 	StoreDown   bool             `json:"store_down"`
-	Outbox      int              `json:"outbox"`
+	Outcomes    int              `json:"outcomes"` // kept for a stream that may have lost them
 	Reports     uint64           `json:"reports"`
 }
 
@@ -184,7 +184,7 @@
 			Incarnation: e.incarnation,
 			Up:          e.up,
 			StoreDown:   e.storeDown,
-			Outbox:      len(e.outbox),
+			Outcomes:    len(e.recent),
 			Reports:     e.reports,
 		})
 		return true
--- a/internal/agent/ingest.go
+++ b/internal/agent/ingest.go
@@ -35,12 +35,12 @@
 	return c.entries.Put(id, entryRow{id: id})
 }
 
-// ingestEntryUp opens a stream: Hello, the outcomes that waited, and the state.
+// ingestEntryUp opens a stream: Hello, the recent outcomes, and the state. Until
+// the entry answers, it counts as lost.
 func (c *Core) ingestEntryUp(id wire.NodeID) {
 	e := c.entry(id)
 	e.up = true
 	e.cacheReset = true
-	c.timers.Stop(e.orphansTimer())
 	c.send(id, wire.ToEntry{Hello: &wire.Hello{
 		Endpoint:      c.cfg.Endpoint,
 		FailureDomain: c.cfg.FailureDomain,
@@ -52,10 +52,9 @@
 		Leaving:       c.leaving.on,
 		Live:          c.liveOf(id),
 	}})
-	outbox := e.outbox
-	e.outbox = nil
-	for _, msg := range outbox {
-		c.send(id, msg)
+	c.forgetOutcomes(e)
+	for _, kept := range e.recent {
+		c.emit(Output{ToEntry: &ToEntry{Entry: id, Msg: kept.msg}})
 	}
 	c.reportNow(e)
 }
@@ -79,7 +78,10 @@
 	}
 	e.up = false
 	c.timers.Stop(e.reportTimer())
-	c.setTimer(e.orphansTimer(), c.now+c.cfg.EntryGrace)
+	if e.confirmed {
+		e.confirmed = false
+		c.setTimer(e.orphansTimer(), c.now+c.cfg.EntryGrace)
+	}
 }
 
 func (c *Core) ingestFromEntry(from wire.NodeID, msg *wire.ToAgent) {
@@ -87,6 +89,10 @@
 		return
 	}
 	e := c.entry(from)
+	if e.up && !e.confirmed {
+		e.confirmed = true
+		c.timers.Stop(e.orphansTimer())
+	}
 	switch {
 	case msg.Welcome != nil:
 		c.learnIncarnation(e, msg.Welcome.Incarnation, msg.Welcome.FirstAttempt)
@@ -128,7 +134,7 @@
 	}
 	if e.incarnation != 0 {
 		c.orphaned = append(c.orphaned, e.id)
-		e.outbox = nil
+		e.recent = nil
 	}
 	e.incarnation = inc
 	e.first = first
--- a/internal/agent/outcome.go
+++ b/internal/agent/outcome.go
@@ -5,27 +5,52 @@
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
-// maxOutbox bounds the outcomes kept for an entry whose stream is down.
-const maxOutbox = 4096
+const (
+	// maxRecent bounds the outcomes kept for an entry.
+	maxRecent = 4096
+	// recentGraces is the time for which outcomes are kept, as a multiple of
+	// EntryGrace.
+	recentGraces = 2
+)
 
-// send sends a message to an entry. Outcomes wait for a stream that is down;
-// anything else is dropped, as a new stream starts with the full state.
+// send sends a message to an entry whose stream is open. Outcomes are kept, as
+// the stream may be down or break before it has delivered them; anything else
+// is not, as a new stream starts with the full state.
 func (c *Core) send(entry wire.NodeID, msg wire.ToEntry) {
 	e := c.entries.Get(entry)
 	if e == nil {
 		return
 	}
+	if isOutcome(msg) {
+		c.keepOutcome(e, msg)
+	}
 	if e.up {
 		c.emit(Output{ToEntry: &ToEntry{Entry: entry, Msg: msg}})
-		return
-	}
-	if isOutcome(msg) && len(e.outbox) < maxOutbox {
-		e.outbox = append(e.outbox, msg)
 	}
 }
 
 func isOutcome(msg wire.ToEntry) bool {
-	return msg.Refused != nil || msg.Finished != nil || msg.Failed != nil || msg.Cancelled != nil
+	if msg.Refused != nil {
+		return msg.Refused.Reason != wire.RefuseDuplicate
+	}
+	return msg.Finished != nil || msg.Failed != nil || msg.Cancelled != nil
+}
+
+func (c *Core) keepOutcome(e *entryRow, msg wire.ToEntry) {
+	c.forgetOutcomes(e)
+	if len(e.recent) >= maxRecent {
+		e.recent = e.recent[1:]
+	}
+	e.recent = append(e.recent, outcomeRow{at: c.now, msg: msg})
+}
+
+// forgetOutcomes drops the outcomes that a stream has surely delivered.
+func (c *Core) forgetOutcomes(e *entryRow) {
+	old := 0
+	for old < len(e.recent) && c.now-e.recent[old].at > recentGraces*c.cfg.EntryGrace {
+		old++
+	}
+	e.recent = e.recent[old:]
 }
 
 // refuse tells the entry that an attempt that has no row will not run.
--- a/internal/agent/reclaim.go
+++ b/internal/agent/reclaim.go
@@ -26,8 +26,7 @@
 		}
 		return true
 	})
-	if !e.up {
-		e.outbox = nil
+	if !e.confirmed {
 		e.starved = nil
 		e.storeDown = false
 	}
@@ -35,7 +34,7 @@
 
 // orphan reports whether nobody waits for an attempt any more.
 func orphan(e *entryRow, id wire.AttemptID) bool {
-	return id.Entry == e.id && (!e.up || id.Incarnation < e.incarnation)
+	return id.Entry == e.id && (!e.confirmed || id.Incarnation < e.incarnation)
 }
 
 func (c *Core) reclaimAttempt(a *attempt) {
--- a/internal/agent/scenario_test.go
+++ b/internal/agent/scenario_test.go
@@ -214,6 +214,9 @@
 	switch a.word(1) {
 	case "up":
 		s.give(Input{EntryUp: &EntryUp{Entry: id}})
+		s.from(id, wire.ToAgent{Heartbeat: &wire.Heartbeat{}})
+	case "unreachable":
+		s.give(Input{EntryUp: &EntryUp{Entry: id}})
 	case "down":
 		s.give(Input{EntryDown: &EntryDown{Entry: id}})
 	case "restart":
@@ -293,6 +296,9 @@
 		s.eng.silent = true
 	case "heed-cancels":
 		s.eng.silent = false
+	case "break-stream":
+		id := engine.SequenceID(attemptArg(a.word(1)).String())
+		s.give(Input{Engine: &engine.Event{Failed: &engine.Failed{ID: id, Reason: engine.FailLost}}})
 	case "run-unowned":
 		id := engine.SequenceID(attemptArg(a.word(1)).String())
 		s.eng.submit(engine.Submit{ID: id, Model: s.eng.have.Model, PromptTokens: a.num("prompt", 1000), MaxOutput: 1 << 40})
--- a/internal/agent/sequences.go
+++ b/internal/agent/sequences.go
@@ -185,6 +185,10 @@
 	if !a.silent {
 		c.reportFailed(a, failReason(ev.Reason), ev.Rejected)
 	}
+	if ev.Reason == engine.FailLost && !ev.Rejected {
+		c.giveUp(a) // the engine may still hold it
+		return
+	}
 	c.remove(a)
 }
 
--- a/internal/agent/tables.go
+++ b/internal/agent/tables.go
@@ -143,8 +143,9 @@
 	last        uint64 // highest sequence received
 	storeDown   bool
 	starved     []string
-	agents      int32 // agents that share the entry's control budget
-	outbox      []wire.ToEntry
+	agents      int32        // agents that share the entry's control budget
+	confirmed   bool         // the entry has sent something on the open stream
+	recent      []outcomeRow // outcomes that a broken stream may have lost
 
 	reports    uint64
 	reported   time.Duration
@@ -154,6 +155,12 @@
 	cacheReset bool
 }
 
+// outcomeRow is an outcome kept for a stream that may not have delivered it.
+type outcomeRow struct {
+	at  time.Duration
+	msg wire.ToEntry
+}
+
 // tombstone is one row of the Tombstones table: an attempt that has ended.
 type tombstone struct {
 	ran     bool
