Carry messages between processes over connect streams

Cause: agents and entries need one stream for control and bulk, and entries need to reach each other, with roles checked.

--- /dev/null
+++ b/internal/tlsconfig/tlsconfig.go
@@ -0,0 +1,157 @@
+// Package tlsconfig provides mutual TLS between the processes of a deployment.
+// Certificates come from files named in the settings and are read again when
+// the files change. The role of a process is a DNS name in its certificate, its
+// own name the common name.
+package tlsconfig
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Role is the DNS name in a certificate that states what its holder may act as.
+type Role string
+
+// The roles of processes.
+const (
+	RoleEntry Role = "entry.trefoilpath"
+	RoleAgent Role = "agent.trefoilpath"
+)
+
+// Files names the PEM files of one process.
+type Files struct {
+	Cert string
+	Key  string
+	CA   string
+}
+
+// recheckEvery bounds how often the files are examined for changes.
+const recheckEvery = 2 * time.Second
+
+// Source holds the certificate, key and authorities of one process. It is safe
+// for concurrent use.
+type Source struct {
+	files Files
+
+	mu      sync.Mutex
+	checked time.Time
+	stamp   [3]time.Time
+	cert    *tls.Certificate
+	pool    *x509.CertPool
+}
+
+// Load reads the files and fails if they don't hold a usable certificate.
+func Load(f Files) (*Source, error) {
+	s := &Source{files: f}
+	if err := s.reload(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Static returns a source that does not read files.
+func Static(cert tls.Certificate, pool *x509.CertPool) *Source {
+	return &Source{cert: &cert, pool: pool}
+}
+
+func (s *Source) reload() error {
+	stamp, err := s.files.stamp()
+	if err != nil {
+		return err
+	}
+	cert, err := tls.LoadX509KeyPair(s.files.Cert, s.files.Key)
+	if err != nil {
+		return errors.Wrap(err, "certificate and key")
+	}
+	pem, err := os.ReadFile(s.files.CA)
+	if err != nil {
+		return errors.Wrap(err, "certificate authorities")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return errors.Errorf("%s holds no certificate", s.files.CA)
+	}
+	s.cert, s.pool, s.stamp = &cert, pool, stamp
+	return nil
+}
+
+func (f Files) stamp() (stamp [3]time.Time, err error) {
+	for i, name := range []string{f.Cert, f.Key, f.CA} {
+		info, err := os.Stat(name)
+		if err != nil {
+			return stamp, errors.WithStack(err)
+		}
+		stamp[i] = info.ModTime()
+	}
+	return stamp, nil
+}
+
+// current returns the newest usable certificate and authorities. A change that
+// can't be read leaves the earlier ones in force.
+func (s *Source) current() (*tls.Certificate, *x509.CertPool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.files.Cert == "" || time.Since(s.checked) < recheckEvery {
+		return s.cert, s.pool
+	}
+	s.checked = time.Now()
+	stamp, err := s.files.stamp()
+	if err == nil && stamp != s.stamp {
+		_ = s.reload()
+	}
+	return s.cert, s.pool
+}
+
+// Server returns the configuration for a listener that requires client
+// certificates.
+func (s *Source) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{"h2"},
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			cert, pool := s.current()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				NextProtos:   []string{"h2"},
+				Certificates: []tls.Certificate{*cert},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    pool,
+			}, nil
+		},
+	}
+}
+
+// DialEntry connects to an entry and verifies that its certificate carries
+// RoleEntry.
+func (s *Source) DialEntry(ctx context.Context, network, address string) (net.Conn, error) {
+	cert, pool := s.current()
+	d := tls.Dialer{Config: &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{"h2"},
+		Certificates: []tls.Certificate{*cert},
+		RootCAs:      pool,
+		ServerName:   string(RoleEntry),
+	}}
+	return d.DialContext(ctx, network, address)
+}
+
+// PeerIdentity returns the name in the verified certificate of the other side,
+// or an error if the certificate does not carry the role.
+func PeerIdentity(state *tls.ConnectionState, role Role) (string, error) {
+	if state == nil || len(state.VerifiedChains) == 0 {
+		return "", errors.New("no verified client certificate")
+	}
+	leaf := state.PeerCertificates[0]
+	if !slices.Contains(leaf.DNSNames, string(role)) {
+		return "", errors.Errorf("certificate of %q does not carry the role %s", leaf.Subject.CommonName, role)
+	}
+	return leaf.Subject.CommonName, nil
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,48 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/tlsconfig"
+)
+
+// headerTimeout bounds how long a client may take to send its request headers.
+const headerTimeout = 10 * time.Second
+
+// Server accepts the connections of agents and other entries.
+type Server struct {
+	http *http.Server
+	done chan struct{}
+}
+
+// Serve starts serving on l, with mutual TLS if source is not nil.
+func Serve(l net.Listener, source *tlsconfig.Source, handler http.Handler) *Server {
+	var protocols http.Protocols
+	protocols.SetHTTP2(source != nil)
+	protocols.SetUnencryptedHTTP2(source == nil)
+	s := &Server{
+		http: &http.Server{Handler: handler, Protocols: &protocols, ReadHeaderTimeout: headerTimeout},
+		done: make(chan struct{}),
+	}
+	if source != nil {
+		l = tls.NewListener(l, source.Server())
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(l) // returns only after Close, or with the listener's error
+	}()
+	return s
+}
+
+// Close ends all connections and waits for the listener.
+func (s *Server) Close() {
+	_ = s.http.Close()
+	<-s.done
+}
+
+// Shutdown waits until no call is in progress or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
