Let grant messages carry leases, lending and views

Cause: a home entry must know until when a share that it grants is backed. Change: additive fields in GrantRequest and GrantReply: sequence and echo, the lent term, and digests of the entries that the sender counts. Result: builds; the fields are optional on the wire.

--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -39,10 +39,24 @@
 	Bodies [][]byte `cbor:"2,keyasint,omitempty"`
 }
 
-// GrantRequest asks the home entry of client accounts for slices of their limits.
+// GrantRequest asks the home entry of client accounts for slices of their
+// limits, and lends the home the sender's equal share of the limits of all
+// accounts that are at home there.
 type GrantRequest struct {
 	Incarnation Incarnation `cbor:"1,keyasint"`
-	Wants       []GrantWant `cbor:"2,keyasint"`
+	Wants       []GrantWant `cbor:"2,keyasint,omitempty"`
+	Sequence    uint64      `cbor:"3,keyasint"` // increases with each request to the same peer
+	// Echo is the Sequence of the last GrantReply that the sender has taken, in
+	// the life of the receiver that EchoIncarnation names.
+	Echo            uint64      `cbor:"4,keyasint,omitempty"`
+	EchoIncarnation Incarnation `cbor:"5,keyasint,omitempty"`
+	// Lend is how long from the sending of this request the sender leaves its
+	// equal share to the receiver; 0: it does not.
+	Lend    time.Duration `cbor:"6,keyasint,omitempty"`
+	Count   uint32        `cbor:"7,keyasint"`            // entries among which the sender divides the limits
+	Members uint64        `cbor:"8,keyasint"`            // digest of their names
+	Homes   uint64        `cbor:"9,keyasint"`            // digest of the names of the home entries
+	Moved   uint64        `cbor:"10,keyasint,omitempty"` // digest of the earlier homes, while accounts that have moved are not lent
 }
 
 // GrantWant is what one entry would use of one account's limits.
@@ -60,8 +74,17 @@
 // counted from when it sent the request.
 type GrantReply struct {
 	Incarnation Incarnation   `cbor:"1,keyasint"` // of the home entry
-	Lease       time.Duration `cbor:"2,keyasint"`
-	Grants      []Grant       `cbor:"3,keyasint"`
+	Lease       time.Duration `cbor:"2,keyasint,omitempty"`
+	Grants      []Grant       `cbor:"3,keyasint,omitempty"`
+	Sequence    uint64        `cbor:"4,keyasint"` // increases with each reply to the same peer
+	Echo        uint64        `cbor:"5,keyasint"` // Sequence of the request
+	// EchoIncarnation is the life of the receiver that sent the request.
+	EchoIncarnation Incarnation `cbor:"6,keyasint"`
+	Members         uint64      `cbor:"7,keyasint"` // as in GrantRequest, of the sender of the reply
+	// Wait is how long shares that the receiver lent, or grants that it gave, may
+	// still be in use. A receiver that has just started waits that long before
+	// it uses or lends its equal share.
+	Wait time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // Grant is one leased slice of one account's limits.
