Share the limits of client accounts among entries

Cause: limits must be exact across entries through loss, pause and partition. Change: equal shares lent to a home entry by promises with a known end, granted by demand for shorter terms; an entry out of reach uses its own share once its promise has ended; entries that start or leave count for the lag of the list.

--- /dev/null
+++ b/internal/limits/bench_test.go
@@ -0,0 +1,169 @@
+package limits
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+func benchAccounts(n int) map[wire.AccountID]declaration.Limits {
+	accounts := make(map[wire.AccountID]declaration.Limits, n)
+	for i := range n {
+		accounts[wire.AccountID(fmt.Sprintf("account-%04d", i))] = declaration.Limits{
+			RequestsPerSecond: 1e6, TokensPerSecond: 1e9, BurstSeconds: 2, Concurrency: 1000,
+		}
+	}
+	return accounts
+}
+
+func BenchmarkAdmitAndSettle(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			f := newFleet(b, 1, 1, benchAccounts(n))
+			ids := accountIDs(benchAccounts(n))
+			f.run(maxListLag + time.Second)
+			m := f.nodes[0].m
+			for _, id := range ids {
+				m.Admit(f.now, id, 100)
+				m.Settle(f.now, id, 100, 100)
+			}
+			i := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				id := ids[i%n]
+				i++
+				if m.Admit(f.now, id, 0).OK {
+					m.Settle(f.now, id, 0, 0)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkControlBytes reports the bytes a second that an entry sends for the
+// limits, on average and at the entry that sends most, while each account is
+// used at ten entries.
+func BenchmarkControlBytes(b *testing.B) {
+	for _, size := range []struct{ entries, accounts int }{{3, 10}, {30, 500}, {107, 2025}} {
+		b.Run(fmt.Sprintf("entries=%d/accounts=%d", size.entries, size.accounts), func(b *testing.B) {
+			for b.Loop() {
+				mean, most, messages := controlBytes(b, size.entries, size.accounts)
+				b.ReportMetric(mean, "B/s/node")
+				b.ReportMetric(most, "B/s/busiest")
+				b.ReportMetric(messages, "msg/s/node")
+			}
+		})
+	}
+}
+
+func controlBytes(b *testing.B, entries, accounts int) (mean, most, messages float64) {
+	const measured = 60 * time.Second
+	limits := benchAccounts(accounts)
+	ids := accountIDs(limits)
+	f := &benchFleet{nodes: make(map[wire.NodeID]*Machine), sent: make(map[wire.NodeID]int)}
+	for i := range entries {
+		id := wire.NodeID(fmt.Sprintf("entry-%03d", i))
+		f.order = append(f.order, id)
+		f.nodes[id] = New(Config{Self: id, Incarnation: 1, Region: testRegion, ListLag: time.Second})
+	}
+	snapshot := &declaration.Snapshot{Accounts: make(map[wire.AccountID]*declaration.Account)}
+	for _, id := range ids {
+		snapshot.Accounts[id] = &declaration.Account{ID: id, Limits: limits[id]}
+	}
+	var peers []Peer
+	for _, id := range f.order {
+		peers = append(peers, Peer{Node: id, Region: testRegion})
+	}
+	for _, id := range f.order {
+		f.nodes[id].SetSnapshot(0, snapshot)
+		f.nodes[id].SetPeers(0, peers)
+	}
+	warm := 40 * time.Second
+	for now := time.Duration(0); now < warm+measured; now += 20 * time.Millisecond {
+		if now == warm {
+			clear(f.sent)
+			f.count = 0
+		}
+		for i := range accounts / 50 { // each account once a second
+			a := (int(now/(20*time.Millisecond))*(accounts/50) + i) % accounts
+			node := f.order[(a*7+int(now/time.Second)%10)%entries]
+			if f.nodes[node].Admit(now, ids[a], 100).OK {
+				f.nodes[node].Settle(now, ids[a], 100, 100)
+			}
+		}
+		f.exchange(b, now)
+	}
+	total := 0
+	for _, sent := range f.sent {
+		total += sent
+		most = max(most, float64(sent)/measured.Seconds())
+	}
+	nodes := measured.Seconds() * float64(entries)
+	return float64(total) / nodes, most, float64(f.count) / nodes
+}
+
+// benchFleet delivers messages at once and counts their bytes.
+type benchFleet struct {
+	order []wire.NodeID
+	nodes map[wire.NodeID]*Machine
+	sent  map[wire.NodeID]int
+	count int
+}
+
+func (f *benchFleet) exchange(b *testing.B, now time.Duration) {
+	for busy := true; busy; {
+		busy = false
+		for _, id := range f.order {
+			m := f.nodes[id]
+			if m.Next() <= now {
+				m.Tick(now)
+			}
+			for _, msg := range m.TakePeer() {
+				busy = true
+				raw, err := cbor.Marshal(msg.Msg)
+				if err != nil {
+					b.Fatal(err)
+				}
+				f.sent[id] += len(raw)
+				f.count++
+				f.nodes[msg.Peer].FromPeer(now, id, msg.Msg)
+			}
+		}
+	}
+}
+
+// BenchmarkAccountState reports the heap bytes of one account in use, at its
+// home and at an entry that uses it.
+func BenchmarkAccountState(b *testing.B) {
+	for _, n := range []int{100, 1000, 8100} {
+		b.Run(fmt.Sprintf("accounts=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				f := newFleet(b, 1, 2, benchAccounts(n))
+				f.run(maxListLag + time.Second)
+				before := heap()
+				for _, id := range accountIDs(benchAccounts(n)) {
+					f.admit(f.nodes[0], id, 0)
+				}
+				f.now += step
+				f.act(f.nodes[0])
+				f.now += 2 * step
+				f.act(f.nodes[1])
+				b.ReportMetric(float64(heap()-before)/float64(n), "B/account")
+				runtime.KeepAlive(f)
+			}
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- /dev/null
+++ b/internal/limits/machine.go
@@ -0,0 +1,217 @@
+package limits
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/table"
+	"trefoilpath.org/trefoilpath/internal/timer"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// Config describes one entry. Self, Incarnation and Region must be set.
+type Config struct {
+	Self        wire.NodeID
+	Incarnation wire.Incarnation
+	Region      wire.Region
+	// Regions is the number of regions among which each limit is divided.
+	Regions int
+	// Lease is the shortest term of a grant. Larger regions have longer terms.
+	Lease time.Duration
+	// ListLag bounds how long after its start an entry may be missing from the
+	// list that other entries read. An entry that has started uses its equal
+	// share only after this time; until then it depends on grants.
+	ListLag time.Duration
+	// Settle is how long an entry counts after it has left the list.
+	Settle time.Duration
+	// Homes bounds the number of entries of a region that are home to accounts.
+	Homes int
+	// Idle is how long an unused account is kept.
+	Idle time.Duration
+}
+
+// The defaults of Config.
+const (
+	DefaultLease   = 1500 * time.Millisecond
+	DefaultListLag = 2 * time.Second
+	DefaultSettle  = 10 * time.Second
+	DefaultHomes   = 16
+	DefaultIdle    = 30 * time.Second
+)
+
+// never is the time of a timer that is not set.
+const never = timer.Never
+
+// Terms in periods of the exchange with a home.
+const (
+	leasePeriods = 3 // of a grant
+	lendPeriods  = 6 // of a promise: a grant, two missed exchanges, and one to spare
+	wantPeriods  = 3 // after which a want that is not repeated is forgotten
+)
+
+// periodPerEntry lengthens the period with the number of entries, so that the
+// bytes that a home exchanges each second stay the same.
+const periodPerEntry = 70 * time.Millisecond
+
+// Peer is one entry on the list of entries.
+type Peer struct {
+	Node    wire.NodeID
+	Address string
+	Region  wire.Region
+}
+
+// PeerMsg is a message to another entry.
+type PeerMsg struct {
+	Peer    wire.NodeID
+	Address string // empty: answer on the connection from the peer
+	Msg     wire.ToPeer
+}
+
+// Machine is the part of the limits that one entry plays. It is deterministic
+// and not safe for concurrent use.
+type Machine struct {
+	cfg      Config
+	snapshot *declaration.Snapshot
+
+	view        view
+	peers       *table.Table[wire.NodeID, peer]
+	joined      bool          // the own share counts for the other entries
+	joinFrom    time.Duration // earliest time of joining
+	joinBy      time.Duration // latest
+	joinWait    time.Duration
+	prevHomes   *homeSet      // before the last change, until frozenUntil
+	frozenUntil time.Duration // shares of accounts whose home changed are still promised
+	selfPromise time.Duration // end of the last grant given to another entry
+	gonePromise time.Duration // end of the last promise to entries that are gone
+
+	accounts *table.Table[wire.AccountID, account]
+	homes    *table.Table[wire.AccountID, homeAccount]
+
+	sends  *timer.Queue[wire.NodeID]    // requests to homes
+	idle   *timer.Queue[wire.AccountID] // removal of unused accounts
+	unheld *timer.Queue[wire.AccountID] // removal of home accounts without holders
+	gone   *timer.Queue[wire.NodeID]    // removal of entries that left the list
+	out    []PeerMsg
+
+	shares scratch
+}
+
+// New returns a Machine that admits nothing until SetSnapshot and SetPeers.
+func New(cfg Config) *Machine {
+	setDefault(&cfg.Lease, DefaultLease)
+	setDefault(&cfg.ListLag, DefaultListLag)
+	setDefault(&cfg.Settle, DefaultSettle)
+	setDefault(&cfg.Homes, DefaultHomes)
+	setDefault(&cfg.Idle, DefaultIdle)
+	setDefault(&cfg.Regions, 1)
+	return &Machine{
+		cfg:      cfg,
+		peers:    table.New[wire.NodeID, peer](),
+		accounts: table.New[wire.AccountID, account](),
+		homes:    table.New[wire.AccountID, homeAccount](),
+		sends:    timer.New[wire.NodeID](),
+		idle:     timer.New[wire.AccountID](),
+		unheld:   timer.New[wire.AccountID](),
+		gone:     timer.New[wire.NodeID](),
+	}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// SetSnapshot puts a revision of the declarations in force.
+func (m *Machine) SetSnapshot(now time.Duration, s *declaration.Snapshot) {
+	m.snapshot = s
+	m.accounts.Each(func(id wire.AccountID, a *account) bool {
+		a.limits = m.limitsOf(id)
+		return true
+	})
+	m.homes.Each(func(id wire.AccountID, h *homeAccount) bool {
+		h.setLimits(m.limitsOf(id), now, max(m.selfPromise, now+m.period()))
+		return true
+	})
+}
+
+// limitsOf returns this region's part of an account's limits. An account that
+// the declarations do not know has none.
+func (m *Machine) limitsOf(id wire.AccountID) declaration.Limits {
+	if m.snapshot == nil {
+		return declaration.Limits{}
+	}
+	a := m.snapshot.Accounts[id]
+	if a == nil {
+		return declaration.Limits{}
+	}
+	l := a.Limits
+	regions := m.cfg.Regions
+	l.RequestsPerSecond /= float64(regions)
+	l.TokensPerSecond /= float64(regions)
+	l.Concurrency /= int64(regions)
+	return l
+}
+
+// Tick sends what is due and drops what has expired.
+func (m *Machine) Tick(now time.Duration) {
+	m.expireMembers(now)
+	m.join(now)
+	for {
+		node, ok := m.sends.Pop(now)
+		if !ok {
+			break
+		}
+		if p := m.peers.Get(node); p != nil {
+			m.request(now, p)
+		}
+	}
+	for {
+		id, ok := m.idle.Pop(now)
+		if !ok {
+			break
+		}
+		m.expireAccount(now, id)
+	}
+	for {
+		id, ok := m.unheld.Pop(now)
+		if !ok {
+			break
+		}
+		m.expireHome(now, id)
+	}
+	m.accounts.Compact()
+	m.homes.Compact()
+	m.peers.Compact()
+}
+
+// Next returns the time at which Tick is due.
+func (m *Machine) Next() time.Duration {
+	next := min(m.sends.Next(), m.idle.Next(), m.unheld.Next(), m.gone.Next())
+	if !m.joined && m.joinBy > 0 {
+		next = min(next, m.joinDue())
+	}
+	return next
+}
+
+// Joined reports whether this entry may use its equal share of the limits.
+func (m *Machine) Joined(now time.Duration) bool { return m.joined && now >= m.joinWait }
+
+// TakePeer returns the messages to send to other entries.
+func (m *Machine) TakePeer() []PeerMsg {
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// settle is how long an entry that was on the list, or has just started, may
+// matter without being heard.
+func (m *Machine) settle() time.Duration {
+	return max(m.cfg.Settle, lendPeriods*m.period())
+}
+
+// period is the time between two exchanges with a home.
+func (m *Machine) period() time.Duration {
+	return max(m.cfg.Lease/leasePeriods, periodPerEntry*time.Duration(len(m.view.members)))
+}
--- /dev/null
+++ b/internal/limits/machine_test.go
@@ -0,0 +1,283 @@
+package limits
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+var large = declaration.Limits{RequestsPerSecond: 2000, TokensPerSecond: 1e6, BurstSeconds: 2, Concurrency: 30}
+
+func oneAccount(l declaration.Limits) map[wire.AccountID]declaration.Limits {
+	return map[wire.AccountID]declaration.Limits{"antigua": l}
+}
+
+// offer keeps want requests of the account in flight at the entry for d, each
+// lasting 50 ms, and returns how many were admitted and refused.
+func (f *fleet) offer(n *node, id wire.AccountID, want int, d time.Duration) (admitted, refused int) {
+	var ends []time.Duration
+	for end := f.now + d; f.now < end; {
+		for len(ends) > 0 && ends[0] <= f.now {
+			f.settle(n, id)
+			ends = ends[1:]
+		}
+		for len(ends) < want {
+			if !f.admit(n, id, 100).OK {
+				refused++
+				break
+			}
+			admitted++
+			ends = append(ends, f.now+50*time.Millisecond)
+		}
+		f.step()
+	}
+	for range ends {
+		f.settle(n, id)
+	}
+	return admitted, refused
+}
+
+func TestSingleEntryUsesTheWholeLimit(t *testing.T) {
+	f := newFleet(t, 1, 1, oneAccount(large))
+	f.run(listPeriod)
+	if f.nodes[0].m.Joined(f.now) || f.admit(f.nodes[0], "antigua", 100).OK {
+		t.Fatal("admitted before other entries could be on the list")
+	}
+	f.run(maxListLag + time.Second)
+	for i := range large.Concurrency {
+		if d := f.admit(f.nodes[0], "antigua", 100); !d.OK {
+			t.Fatalf("request %d: %+v", i, d)
+		}
+	}
+	if d := f.admit(f.nodes[0], "antigua", 100); d.OK || d.Code != Concurrency {
+		t.Fatalf("%+v over the limit", d)
+	}
+	f.settle(f.nodes[0], "antigua")
+	if d := f.admit(f.nodes[0], "antigua", 100); !d.OK {
+		t.Fatalf("%+v after one has ended", d)
+	}
+}
+
+func TestRatesAreHeldAndReached(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		limits declaration.Limits
+		code   Code
+		want   int // admitted in 20 s
+	}{
+		{"requests", declaration.Limits{RequestsPerSecond: 10, TokensPerSecond: 1e6, BurstSeconds: 1, Concurrency: 50}, Rate, 200},
+		{"tokens", declaration.Limits{RequestsPerSecond: 100, TokensPerSecond: 1000, BurstSeconds: 1, Concurrency: 50}, Tokens, 200},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(t, 1, 3, oneAccount(tc.limits))
+			f.run(maxListLag + time.Second)
+			n := f.nodes[1]
+			f.offer(n, "antigua", 20, 5*time.Second)
+			admitted, _ := f.offer(n, "antigua", 20, 20*time.Second)
+			if admitted < tc.want*8/10 || admitted > tc.want*105/100 {
+				t.Fatalf("%d admitted at the only busy entry, limit %d", admitted, tc.want)
+			}
+			if d := f.admit(n, "antigua", 100); d.OK || d.Code != tc.code || d.RetryAfter <= 0 {
+				t.Fatalf("%+v", d)
+			}
+		})
+	}
+}
+
+// TestBusyEntryBorrowsAndIdleShareComesBack checks that one busy entry gets
+// nearly the whole concurrency, and that the others get their part within
+// seconds once they need it.
+func TestBusyEntryBorrowsAndIdleShareComesBack(t *testing.T) {
+	f := newFleet(t, 1, 3, oneAccount(large))
+	f.run(maxListLag + time.Second)
+	f.offer(f.nodes[0], "antigua", 100, 5*time.Second)
+	if u := f.usable(f.nodes[0], "antigua"); u.concurrency < large.Concurrency*8/10 {
+		t.Fatalf("the only busy entry may use %+v", u)
+	}
+	back := f.now
+	for f.usable(f.nodes[2], "antigua").concurrency < large.Concurrency/4 {
+		f.offer(f.nodes[2], "antigua", 100, 50*time.Millisecond)
+		if f.now > back+3*time.Second {
+			t.Fatalf("share not back after %s: %s", f.now-back, f.describe("antigua"))
+		}
+	}
+}
+
+func TestPendingIsAnsweredByTheHome(t *testing.T) {
+	f := newFleet(t, 1, 3, oneAccount(large))
+	f.run(maxListLag + 2*time.Second)
+	home := f.nodes[0].m.Home("antigua")
+	for _, n := range f.nodes {
+		if n.id == home {
+			continue
+		}
+		d := f.admit(n, "antigua", 100)
+		if d.OK || !d.Pending {
+			t.Fatalf("first request away from home: %+v", d)
+		}
+		f.run(30 * time.Millisecond)
+		if d := f.admit(n, "antigua", 100); !d.OK {
+			t.Fatalf("after a round trip: %+v", d)
+		}
+	}
+}
+
+// TestCutOffEntryUsesItsEqualShare cuts one entry off and checks that it and
+// the rest go on within their parts.
+func TestCutOffEntryUsesItsEqualShare(t *testing.T) {
+	f := newFleet(t, 1, 3, oneAccount(large))
+	f.run(maxListLag + time.Second)
+	home := f.node(f.nodes[0].m.Home("antigua"))
+	var away *node
+	for _, n := range f.nodes {
+		if n != home {
+			away = n
+		}
+	}
+	f.offer(away, "antigua", 100, 3*time.Second)
+	for _, n := range f.nodes {
+		if n != away {
+			f.partition(away, n, true)
+		}
+	}
+	f.run(6 * time.Second)
+	if u := f.usable(away, "antigua"); u.concurrency != large.Concurrency/3 {
+		t.Fatalf("cut off, it may use %+v", u)
+	}
+	f.offer(home, "antigua", 100, 5*time.Second)
+	if u := f.usable(home, "antigua"); u.concurrency < large.Concurrency*2/3-2 {
+		t.Fatalf("the home may use %+v beside an entry that is cut off", u)
+	}
+	for _, n := range f.nodes {
+		f.partition(away, n, false)
+	}
+	f.run(3 * time.Second)
+	f.offer(away, "antigua", 100, 5*time.Second)
+	if u := f.usable(away, "antigua"); u.concurrency < large.Concurrency/2 {
+		t.Fatalf("healed, it may use %+v", u)
+	}
+}
+
+func TestHomeLostForGood(t *testing.T) {
+	f := newFleet(t, 1, 3, oneAccount(large))
+	f.run(maxListLag + time.Second)
+	home := f.node(f.nodes[0].m.Home("antigua"))
+	var away *node
+	for _, n := range f.nodes {
+		if n != home {
+			away = n
+		}
+	}
+	f.offer(away, "antigua", 100, 3*time.Second)
+	home.up = false
+	f.list()
+	f.run(8 * time.Second)
+	if u := f.usable(away, "antigua"); u.concurrency != large.Concurrency/3 {
+		t.Fatalf("without a home it may use %+v", u)
+	}
+	f.run(DefaultSettle)
+	f.offer(away, "antigua", 100, 5*time.Second)
+	if u := f.usable(away, "antigua"); u.concurrency < large.Concurrency*2/3 {
+		t.Fatalf("with a new home it may use %+v", u)
+	}
+}
+
+func TestLoweredLimitHoldsAfterOneTerm(t *testing.T) {
+	f := newFleet(t, 1, 3, oneAccount(large))
+	f.run(maxListLag + time.Second)
+	f.offer(f.nodes[1], "antigua", 100, 3*time.Second)
+	low := large
+	low.Concurrency = 5
+	lowered := &declaration.Snapshot{Revision: 2, Accounts: map[wire.AccountID]*declaration.Account{"antigua": {ID: "antigua", Limits: low}}}
+	for _, n := range f.nodes {
+		n.m.SetSnapshot(f.now, lowered)
+	}
+	f.run(leasePeriods * f.nodes[0].m.period())
+	f.snapshot = lowered // from here on check asserts the new limits
+	f.offer(f.nodes[1], "antigua", 100, 3*time.Second)
+}
+
+// TestLimitsHoldUnderFaults kills, restarts, pauses and partitions entries and
+// loses, doubles and delays messages while the load moves about.
+func TestLimitsHoldUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		stress(newFleet(t, seed, 2+int(seed%4), manyAccounts), 40*time.Second)
+	})
+}
+
+var manyAccounts = map[wire.AccountID]declaration.Limits{
+	"antigua": large,
+	"xela":    {RequestsPerSecond: 5, TokensPerSecond: 500, BurstSeconds: 1, Concurrency: 2},
+	"capital": {RequestsPerSecond: 50, TokensPerSecond: 5000, BurstSeconds: 3, Concurrency: 7},
+}
+
+type ending struct {
+	at   time.Duration
+	n    *node
+	life wire.Incarnation
+	id   wire.AccountID
+}
+
+func stress(f *fleet, d time.Duration) {
+	r := f.r
+	f.loss = r.IntN(20)
+	f.jitter = 1 + r.IntN(40)
+	ids := accountIDs(manyAccounts)
+	var ends []ending
+	for end := f.now + d; f.now < end; f.step() {
+		f.fault(r)
+		ends = f.finish(ends)
+		for range 3 {
+			n, id := f.nodes[r.IntN(len(f.nodes))], ids[r.IntN(len(ids))]
+			if n.up && f.now >= n.paused && f.admit(n, id, 100).OK {
+				ends = append(ends, ending{f.now + time.Duration(r.IntN(400))*time.Millisecond, n, n.incarnation, id})
+			}
+		}
+	}
+}
+
+func (f *fleet) finish(ends []ending) []ending {
+	kept := ends[:0]
+	for _, e := range ends {
+		switch {
+		case e.life != e.n.incarnation || !e.n.up:
+		case f.now < e.at || f.now < e.n.paused:
+			kept = append(kept, e)
+		default:
+			f.settle(e.n, e.id)
+		}
+	}
+	return kept
+}
+
+func (f *fleet) fault(r *rand.Rand) {
+	n := f.nodes[r.IntN(len(f.nodes))]
+	switch r.IntN(1600) {
+	case 0:
+		n.up = false
+		f.list()
+	case 1, 2:
+		if !n.up {
+			f.start(n)
+			f.list()
+		}
+	case 3:
+		if n.up { // restarted before the list shows it
+			f.start(n)
+		}
+	case 4:
+		n.paused = f.now + time.Duration(r.IntN(6000))*time.Millisecond
+	case 5:
+		f.partition(n, f.nodes[r.IntN(len(f.nodes))], true)
+	case 6:
+		f.cut[[2]wire.NodeID{n.id, f.nodes[r.IntN(len(f.nodes))].id}] = true
+	case 7, 8:
+		clear(f.cut)
+	}
+}
