Add the VM list client and the membership machine

Cause: the platform's list lags both ways and processes come back with new lives. Change: Fetch with checks of every row; a machine that suspects before it ejects and ignores messages from earlier incarnations. Settle no longer allocates.

--- a/internal/limits/admit.go
+++ b/internal/limits/admit.go
@@ -166,7 +166,9 @@
 	if a == nil {
 		return
 	}
-	invariant.Check(a.inUse > 0, "limits-settle", "account", id, "in_use", a.inUse)
+	if a.inUse <= 0 {
+		invariant.Fail("limits-settle", "account", id, "in_use", a.inUse)
+	}
 	a.inUse--
 	a.used = now
 	a.budget.level += float64(estimated - actual)
--- /dev/null
+++ b/internal/membership/machine_test.go
@@ -0,0 +1,119 @@
+package membership
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func listOf(nodes ...VM) []VM { return nodes }
+
+func TestListLagsBothWays(t *testing.T) {
+	m := New(Config{})
+	a, b := VM{Node: "a", Address: "10.0.0.1:1"}, VM{Node: "b", Address: "10.0.0.2:1"}
+	m.SetList(0, listOf(a))
+	// b is heard before the list shows it.
+	m.Heard(0, Heartbeat{Node: "b", Incarnation: 1})
+	if got, _ := m.Get("b"); got.State != Alive || got.OnList {
+		t.Fatalf("%+v", got)
+	}
+	m.SetList(time.Second, listOf(a, b))
+	// a is on the list but silent: suspected, then ejected, and kept.
+	m.Tick(DefaultSuspectAfter)
+	if got, _ := m.Get("a"); got.State != Suspect {
+		t.Fatalf("%+v", got)
+	}
+	m.Heard(DefaultSuspectAfter, Heartbeat{Node: "b", Incarnation: 1})
+	m.Tick(DefaultSuspectAfter + DefaultEjectAfter)
+	if got, ok := m.Get("a"); !ok || got.State != Ejected || !got.OnList {
+		t.Fatalf("%+v %v", got, ok)
+	}
+	// b leaves the list while it is heard, and goes once it is silent.
+	now := DefaultSuspectAfter + DefaultEjectAfter
+	m.Heard(now, Heartbeat{Node: "b", Incarnation: 1})
+	m.SetList(now, listOf(a))
+	if got, _ := m.Get("b"); got.State != Alive {
+		t.Fatalf("%+v", got)
+	}
+	m.Tick(now + DefaultSuspectAfter)
+	m.Tick(now + DefaultSuspectAfter + DefaultEjectAfter)
+	if _, ok := m.Get("b"); ok {
+		t.Fatal("b is neither on the list nor heard")
+	}
+}
+
+func TestSuspectReturns(t *testing.T) {
+	m := New(Config{})
+	m.SetList(0, listOf(VM{Node: "a", Address: "x"}))
+	m.Heard(0, Heartbeat{Node: "a", Incarnation: 4})
+	m.Down(time.Second, "a")
+	m.Heard(2*time.Second, Heartbeat{Node: "a", Incarnation: 4})
+	m.TakeChanges()
+	m.Tick(2*time.Second + DefaultSuspectAfter - 1)
+	if changes := m.TakeChanges(); len(changes) != 0 {
+		t.Fatalf("%+v although it was heard in time", changes)
+	}
+}
+
+func TestNewLifeReplacesTheOldOne(t *testing.T) {
+	m := New(Config{})
+	m.Heard(0, Heartbeat{Node: "a", Incarnation: 4, Leaving: true})
+	m.TakeChanges()
+	if !m.Heard(1, Heartbeat{Node: "a", Incarnation: 5}) {
+		t.Fatal("new life refused")
+	}
+	if diff := cmp.Diff([]Change{{Node: "a", State: Alive, NewLife: true}}, m.TakeChanges()); diff != "" {
+		t.Fatal(diff)
+	}
+	if got, _ := m.Get("a"); got.Leaving {
+		t.Fatal("the new life is not leaving")
+	}
+	if m.Heard(2, Heartbeat{Node: "a", Incarnation: 4}) {
+		t.Fatal("a message of the old life was taken")
+	}
+	m.SetList(3, listOf(VM{Node: "a", Address: "x", Leaving: true}))
+	if got, _ := m.Get("a"); !got.Leaving {
+		t.Fatal("the list says that it is leaving")
+	}
+}
+
+func TestFetch(t *testing.T) {
+	for _, tc := range []struct {
+		name, body, err string
+		status          int
+	}{
+		{"ok", `{"vms":[{"node":"a","address":"10.0.0.1:1","region":"r","failure_domain":"f","leaving":true,"endpoint":"e"}]}`, "", 200},
+		{"status", `{}`, "status 503", 503},
+		{"not JSON", `<`, "invalid character", 200},
+		{"no address", `{"vms":[{"node":"a"}]}`, "row 0", 200},
+		{"twice", `{"vms":[{"node":"a","address":"x"},{"node":"a","address":"y"}]}`, "occurs twice", 200},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/v1/vms" {
+					w.WriteHeader(http.StatusNotFound)
+					return
+				}
+				w.WriteHeader(tc.status)
+				w.Write([]byte(tc.body))
+			}))
+			defer srv.Close()
+			vms, err := NewHTTPClient(srv.URL, srv.Client()).Fetch(context.Background())
+			if tc.err != "" {
+				if err == nil || !strings.Contains(err.Error(), tc.err) {
+					t.Fatalf("error %v, want %q", err, tc.err)
+				}
+				return
+			}
+			want := []VM{{Node: "a", Address: "10.0.0.1:1", Region: "r", FailureDomain: "f", Leaving: true, Endpoint: "e"}}
+			if diff := cmp.Diff(want, vms); err != nil || diff != "" {
+				t.Fatal(err, diff)
+			}
+		})
+	}
+}
