Let measurements switch off protections of the agent

Cause: runs that show what each protection is for must switch it off, but only the package's own tests could. Change: Config.SwitchOff and MechanismNames name the eighteen protections.

--- /dev/null
+++ b/internal/agent/mechanism.go
@@ -0,0 +1,29 @@
+package agent
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// mechanismNames lists the protections that SwitchOff knows, in the order of
+// their bits.
+var mechanismNames = []string{
+	"fairness", "long-bound", "memory-check", "reconcile", "deadline",
+	"tombstones", "start-by", "orphans", "order-age", "fence", "quiet-time",
+	"drain", "leaving", "stall", "ageing", "lease", "floor", "stray",
+}
+
+// MechanismNames lists the protections that can be switched off.
+func MechanismNames() []string { return slices.Clone(mechanismNames) }
+
+// SwitchOff disables one protection, so that a run can show that it is needed.
+// It is for tests and measurements only.
+func (c *Config) SwitchOff(name string) error {
+	i := slices.Index(mechanismNames, name)
+	if i < 0 {
+		return errors.Errorf("agent has no mechanism %q", name)
+	}
+	c.without |= 1 << i
+	return nil
+}
