Find the capacity at which memory and processors are in balance

Change: CapacityOf searches the rate at which an engine's processor or memory is full, with every shared prefix cached.

--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -124,7 +124,8 @@
 	fast := base
 	fast.Prefill *= 2
 	fast.Decode *= 2
-	fast.TokenTime /= 2
+	fast.IdleTokenTime /= 2
+	fast.BusyTokenTime /= 2
 	if ratio := rateOf(t, fast) / rateOf(t, base); ratio < 1.999 || ratio > 2.001 {
 		t.Errorf("capacity grows by %.3f when the rates double", ratio)
 	}
