--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -99,21 +99,23 @@
 	leaving       bool
 	revision      uint64
 	tokensPerByte float64
+	shortPrefill  int64
 }
 
 func (c *Core) reportFor(e *entryRow) reportSummary {
 	r := reportSummary{
-		last:        e.last,
-		queue:       c.share.tokens,
-		running:     int32(c.engine.running),
-		longRunning: int32(c.engine.prefills[classLong]),
-		free:        c.freeTokens(),
-		prefillRate: c.engine.prefillRate,
-		decodeRate:  c.engine.decodeRate,
-		failing:     !c.engine.up,
-		loading:     c.engine.loading,
-		leaving:     c.leaving.on,
-		revision:    c.revision,
+		last:         e.last,
+		queue:        c.share.tokens,
+		running:      int32(c.engine.running),
+		longRunning:  int32(c.engine.prefills[classLong]),
+		free:         c.freeTokens(),
+		prefillRate:  c.engine.prefillRate,
+		decodeRate:   c.engine.decodeRate,
+		failing:      !c.engine.up,
+		loading:      c.engine.loading,
+		leaving:      c.leaving.on,
+		revision:     c.revision,
+		shortPrefill: c.engine.prefill[classShort],
 	}
 	for _, tokens := range c.engine.prefill {
 		r.prefill += tokens
@@ -141,5 +143,6 @@
 		Failing:       r.failing,
 		Revision:      r.revision,
 		TokensPerByte: r.tokensPerByte,
+		ShortPrefill:  r.shortPrefill,
 	}
 }
--- /dev/null
+++ b/internal/entry/admit.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+const (
+	// defaultTokensPerByte converts prompt bytes to tokens until engines have
+	// counted some.
+	defaultTokensPerByte = 0.25
+	// serviceTokens is what one plain service call counts against token limits.
+	serviceTokens = 1
+	// notReadyRetryAfter is when a caller may come back to an entry without
+	// declarations or endpoints.
+	notReadyRetryAfter = time.Second
+	// minRefusalRetry is the shortest Retry-After for overload.
+	minRefusalRetry = 500 * time.Millisecond
+)
+
+// admit checks a request against the declarations, the limits and the
+// prediction, and takes it or refuses it as not run.
+func (c *Core) admit(in *Request) {
+	if c.requests.Get(in.ID) != nil {
+		return
+	}
+	r, f := c.prepare(in)
+	if f.code != CodeOK {
+		c.refuse(in, f)
+		return
+	}
+	if f := c.withinLimits(r); f.code != CodeOK {
+		c.refuse(in, f)
+		return
+	}
+	c.counts.Admitted++
+	c.retry.earn()
+	row := c.requests.Put(in.ID, *r)
+	c.log(Event{Kind: EventAdmitted, Request: in.ExternalID, Account: in.Account})
+	c.setDeadline(row)
+	if c.needsRecord(row) {
+		c.begin(row)
+		return
+	}
+	c.enqueue(row)
+}
+
+// refuse answers a request that has not been taken.
+func (c *Core) refuse(in *Request, f failure) {
+	c.counts.Refused++
+	c.counts.NotRun++
+	c.emit(Output{Answer: &Answer{ID: in.ID, Outcome: wire.OutcomeNotRun, Code: f.code, Detail: f.detail, RetryAfter: f.retryAfter}})
+	c.log(Event{Kind: EventRefused, Request: in.ExternalID, Account: in.Account, Outcome: wire.OutcomeNotRun, Code: f.code, Detail: f.detail})
+}
+
+// prepare resolves a request against the declarations in force.
+func (c *Core) prepare(in *Request) (*request, failure) {
+	if c.snapshot == nil || c.drain.refusing {
+		return nil, failure{code: CodeNotReady, retryAfter: notReadyRetryAfter}
+	}
+	acc, ok := c.snapshot.Accounts[in.Account]
+	if !ok {
+		return nil, failure{code: CodeNotEntitled, detail: "unknown client account"}
+	}
+	r := &request{id: in.ID, in: *in, account: acc, admitted: c.now}
+	if in.Kind == wire.KindService {
+		return r, c.prepareCall(r)
+	}
+	return r, c.prepareModel(r)
+}
+
+func (c *Core) prepareCall(r *request) failure {
+	grant, ok := r.account.Services[r.in.Call.Service]
+	switch {
+	case !ok && c.serviceDeclared(r.in.Call.Service) == nil:
+		return failure{code: CodeUnknownService, detail: r.in.Call.Service}
+	case !ok:
+		return failure{code: CodeNotEntitled, detail: r.in.Call.Service}
+	case len(grant.Methods) > 0 && !grant.Methods[r.in.Call.Method]:
+		return failure{code: CodeNotEntitled, detail: r.in.Call.Method + " " + r.in.Call.Service}
+	}
+	r.repeatable = r.in.Repeatable || c.idempotentMethod(r.in.Call)
+	limit := r.account.ServiceTime
+	if limit <= 0 {
+		limit = DefaultServiceTime
+	}
+	r.deadline = c.now + shorter(r.in.Deadline, limit)
+	r.prompt = serviceTokens
+	return failure{}
+}
+
+func (c *Core) serviceDeclared(name string) *declaration.Service {
+	for i := range c.snapshot.Services {
+		if c.snapshot.Services[i].Name == name {
+			return &c.snapshot.Services[i]
+		}
+	}
+	return nil
+}
+
+func (c *Core) idempotentMethod(call *wire.ServiceCall) bool {
+	s := c.serviceDeclared(call.Service)
+	if s == nil {
+		return false
+	}
+	for _, m := range s.Idempotent {
+		if m == call.Method {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) prepareModel(r *request) failure {
+	grant, ok := r.account.Models[r.in.Model]
+	switch {
+	case !ok && !c.modelDeclared(r.in.Model):
+		return failure{code: CodeUnknownModel, detail: r.in.Model}
+	case !ok:
+		return failure{code: CodeNotEntitled, detail: r.in.Model}
+	case r.in.Adapter != "" && !grant.Adapters[r.in.Adapter]:
+		return failure{code: CodeNotEntitled, detail: r.in.Model + " with adapter " + r.in.Adapter}
+	}
+	r.repeatable = true
+	r.prompt = c.estimate(&r.in)
+	r.output = r.in.MaxOutput
+	if r.output <= 0 || (r.account.MaxOutput > 0 && r.output > r.account.MaxOutput) {
+		r.output = r.account.MaxOutput
+	}
+	r.band = wire.BandOf(r.prompt)
+	if r.account.MaxPrompt > 0 && r.prompt > r.account.MaxPrompt {
+		return failure{code: CodeTooLarge, detail: "prompt exceeds the plan's limit"}
+	}
+	limit := r.account.Deadlines[r.band]
+	if limit <= 0 {
+		limit = DefaultRequestTime
+	}
+	r.deadline = c.now + shorter(r.in.Deadline, limit)
+	r.in.Priority = min(r.in.Priority, r.account.MaxPriority)
+	return c.predictedInTime(r)
+}
+
+func (c *Core) modelDeclared(name string) bool {
+	for i := range c.snapshot.Models {
+		if c.snapshot.Models[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// estimate returns the prompt tokens of a request, from its bytes if the shell
+// did not count them.
+func (c *Core) estimate(in *Request) int64 {
+	if in.PromptTokens > 0 {
+		return in.PromptTokens
+	}
+	perByte := defaultTokensPerByte
+	if m := c.models.Get(in.Model); m != nil && m.perByte > 0 {
+		perByte = m.perByte
+	}
+	return int64(float64(in.PromptBytes)*perByte) + 1
+}
+
+// shorter returns asked if it is set and shorter than limit.
+func shorter(asked, limit time.Duration) time.Duration {
+	if asked > 0 && asked < limit {
+		return asked
+	}
+	return limit
+}
+
+// predictedInTime refuses what can't finish in time by the predicted queue,
+// prefill and decode time, so that the caller hears at once and no engine works
+// in vain.
+func (c *Core) predictedInTime(r *request) failure {
+	m := c.models.Get(r.in.Model)
+	if c.cfg.Reactive || m == nil || len(m.endpoints) == 0 || c.isGroup(m, r) {
+		return failure{}
+	}
+	best := c.bestPrediction(m, r)
+	if best < 0 {
+		return failure{}
+	}
+	left := r.deadline - c.now
+	need := best + c.decodeTime(m, r)
+	if need <= left {
+		return failure{}
+	}
+	return failure{code: CodeOverloaded, detail: "predicted not to finish in time", retryAfter: max(need-left, minRefusalRetry)}
+}
+
+// withinLimits takes the request into its account's limits.
+func (c *Core) withinLimits(r *request) failure {
+	return c.fleet.takeLimit(r)
+}
--- /dev/null
+++ b/internal/entry/config.go
@@ -0,0 +1,169 @@
+package entry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// Routing selects how an entry chooses an endpoint.
+type Routing uint8
+
+// The routing policies.
+const (
+	// RoutingPredicted scores a few endpoints by the predicted time to first
+	// token.
+	RoutingPredicted Routing = 0
+	// RoutingRoundRobin takes the endpoints of a model in turn.
+	RoutingRoundRobin Routing = 1
+	// RoutingLeastOutstanding takes the endpoint with the fewest attempts of
+	// this entry in flight.
+	RoutingLeastOutstanding Routing = 2
+)
+
+// Weights is how much time to first token counts against the slowdown of short
+// requests. Only their ratio matters.
+type Weights struct {
+	FirstToken    float64
+	ShortSlowdown float64
+}
+
+// shortShare returns the weight of short-request slowdown in [0, 1].
+func (w Weights) shortShare() float64 {
+	return w.ShortSlowdown / (w.FirstToken + w.ShortSlowdown)
+}
+
+// Defaults of Config.
+const (
+	DefaultCandidates      = 6
+	DefaultRetryRatio      = 0.1
+	DefaultRetryBurst      = 20
+	DefaultStreamGrace     = 700 * time.Millisecond
+	DefaultCapacityWait    = 2 * time.Second
+	DefaultSettleMargin    = 150 * time.Millisecond
+	DefaultHeartbeat       = 2 * time.Second
+	DefaultBalancerLag     = 5 * time.Second
+	DefaultServiceTime     = 10 * time.Second
+	DefaultRequestTime     = 60 * time.Second
+	DefaultTransferSame    = 500 * time.Microsecond
+	DefaultTransferRegion  = time.Millisecond
+	DefaultTransferRemote  = 40 * time.Millisecond
+	DefaultEjectAfter      = 3
+	DefaultEjectFor        = 2 * time.Second
+	DefaultMaxEjectFor     = time.Minute
+	DefaultGroupLease      = 10 * time.Second
+	DefaultMaxRequestBytes = 64 << 20
+	DefaultMaxPrefixHashes = 2048
+)
+
+// Config holds the options of a Core. Self, Incarnation and Rand must be set;
+// zero values of the other fields stand for the defaults.
+type Config struct {
+	Self          wire.NodeID
+	Incarnation   wire.Incarnation
+	Address       string // at which peers and agents reach this entry
+	Region        wire.Region
+	FailureDomain wire.FailureDomain
+	Rand          *rand.Rand
+
+	// NoStore runs on lists given by Input.DeclareLocal, without a store.
+	NoStore bool
+
+	Routing Routing
+	// Reactive switches off proactive admission: requests are accepted whatever
+	// the prediction, and end by timeout.
+	Reactive bool
+	Weights  Weights
+
+	Candidates   int           // endpoints sampled for one routing decision
+	RetryRatio   float64       // retries allowed for each first attempt
+	RetryBurst   float64       // retries that may be saved up
+	StreamGrace  time.Duration // how long an attempt outlives its agent's stream
+	CapacityWait time.Duration // how long a request waits for a first endpoint of its model
+	SettleMargin time.Duration // before the deadline: an attempt that has not started is withdrawn
+	Heartbeat    time.Duration
+	BalancerLag  time.Duration // how long the balancer still sends after readiness fails
+	GroupLease   time.Duration
+	EjectAfter   int // consecutive failures
+	EjectFor     time.Duration
+	MaxEjectFor  time.Duration
+
+	MaxPrefixHashes int // for each endpoint
+
+	without mechanism
+}
+
+// OptionError reports an option of Config that is out of range.
+type OptionError struct {
+	Option string
+	Value  any
+	Want   string
+}
+
+// Error implements error.
+func (e *OptionError) Error() string {
+	return fmt.Sprintf("option %s is %v, want %s", e.Option, e.Value, e.Want)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.Weights, Weights{FirstToken: 1, ShortSlowdown: 1})
+	setDefault(&c.Candidates, DefaultCandidates)
+	setDefault(&c.RetryRatio, DefaultRetryRatio)
+	setDefault(&c.RetryBurst, DefaultRetryBurst)
+	setDefault(&c.StreamGrace, DefaultStreamGrace)
+	setDefault(&c.CapacityWait, DefaultCapacityWait)
+	setDefault(&c.SettleMargin, DefaultSettleMargin)
+	setDefault(&c.Heartbeat, DefaultHeartbeat)
+	setDefault(&c.BalancerLag, DefaultBalancerLag)
+	setDefault(&c.GroupLease, DefaultGroupLease)
+	setDefault(&c.EjectAfter, DefaultEjectAfter)
+	setDefault(&c.EjectFor, DefaultEjectFor)
+	setDefault(&c.MaxEjectFor, DefaultMaxEjectFor)
+	setDefault(&c.MaxPrefixHashes, DefaultMaxPrefixHashes)
+}
+
+// Validate returns an *OptionError for the first option that is out of range.
+func (c Config) Validate() error {
+	switch {
+	case c.Self == "":
+		return &OptionError{"Self", c.Self, "a name"}
+	case c.Incarnation == 0:
+		return &OptionError{"Incarnation", c.Incarnation, "a positive number"}
+	case c.Rand == nil:
+		return &OptionError{"Rand", nil, "a seeded source"}
+	case c.Routing > RoutingLeastOutstanding:
+		return &OptionError{"Routing", c.Routing, "a known policy"}
+	case !(c.Weights.FirstToken >= 0) || !(c.Weights.ShortSlowdown >= 0) || c.Weights.FirstToken+c.Weights.ShortSlowdown <= 0:
+		return &OptionError{"Weights", c.Weights, "two shares, not both zero"}
+	case c.Candidates < 1:
+		return &OptionError{"Candidates", c.Candidates, "at least 1"}
+	case c.RetryRatio < 0 || c.RetryBurst < 0:
+		return &OptionError{"RetryRatio", c.RetryRatio, "at least 0"}
+	}
+	return c.validateDurations()
+}
+
+func (c Config) validateDurations() error {
+	for _, d := range []struct {
+		name  string
+		value time.Duration
+	}{
+		{"StreamGrace", c.StreamGrace}, {"CapacityWait", c.CapacityWait}, {"SettleMargin", c.SettleMargin},
+		{"Heartbeat", c.Heartbeat}, {"BalancerLag", c.BalancerLag}, {"GroupLease", c.GroupLease},
+		{"EjectFor", c.EjectFor}, {"MaxEjectFor", c.MaxEjectFor},
+	} {
+		if d.value <= 0 {
+			return &OptionError{d.name, d.value, "a positive duration"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/core.go
@@ -0,0 +1,196 @@
+package entry
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/idempotency"
+	"trefoilpath.org/trefoilpath/internal/store"
+	"trefoilpath.org/trefoilpath/internal/table"
+	"trefoilpath.org/trefoilpath/internal/timer"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// Core is the state of one entry. It is deterministic and not safe for
+// concurrent use.
+type Core struct {
+	cfg Config
+	now time.Duration
+	out []Output
+
+	requests  *table.Table[RequestID, request]
+	attempts  *table.Table[uint64, attempt]
+	endpoints *table.Table[wire.EndpointID, endpoint]
+	models    *table.Table[string, modelRow]
+	services  *table.Table[string, serviceRow]
+	timers    *timer.Queue[timerKey]
+
+	snapshot *declaration.Snapshot
+	records  *idempotency.Machine
+	gate     *store.Gate
+	fleet    *fleet
+
+	sequence  uint64 // of the last attempt
+	firstUsed uint64 // lowest sequence of this incarnation
+	lastOp    uint64
+	toRoute   []RequestID
+	retry     retryBudget
+	drain     drainState
+	ready     readiness
+	counts    Counts
+	scratch   []*endpoint // candidates of one routing decision
+	starved   []string
+}
+
+// modelRow is what an entry knows of one model.
+type modelRow struct {
+	name      string
+	endpoints []*endpoint             // that run it now, in order of arrival
+	turn      int                     // of the round-robin policy
+	waiting   []RequestID             // that found no room, oldest first
+	groups    int                     // in progress
+	demand    float64                 // moving prompt and output tokens a second
+	perByte   float64                 // prompt tokens a byte, from engines' counts
+	output    [wire.BandCount]float64 // moving output tokens, by band
+	arrived   float64                 // tokens since the last update of demand
+	capacity  int64                   // largest KV cache of an endpoint, in tokens
+}
+
+// serviceRow is what an entry knows of one plain service.
+type serviceRow struct {
+	name      string
+	endpoints []*endpoint
+	waiting   []RequestID
+}
+
+// New returns an entry without agents, peers or declarations. The error is an
+// *OptionError.
+func New(cfg Config) (*Core, error) {
+	cfg.setDefaults()
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	c := &Core{
+		cfg:       cfg,
+		requests:  table.New[RequestID, request](),
+		attempts:  table.New[uint64, attempt](),
+		endpoints: table.New[wire.EndpointID, endpoint](),
+		models:    table.New[string, modelRow](),
+		services:  table.New[string, serviceRow](),
+		timers:    timer.New[timerKey](),
+		gate:      store.NewGate(store.GateConfig{Rand: cfg.Rand}),
+		firstUsed: 1,
+		retry:     retryBudget{ratio: cfg.RetryRatio, burst: cfg.RetryBurst, saved: cfg.RetryBurst},
+	}
+	c.records = idempotency.New(idempotency.Config{
+		Self: cfg.Self, Incarnation: cfg.Incarnation, NextOp: c.nextOp, Rand: cfg.Rand,
+	})
+	c.fleet = newFleet(c)
+	c.timers.Set(timerKey{kind: timerHeartbeat}, 0)
+	return c, nil
+}
+
+func (c *Core) nextOp() uint64 {
+	c.lastOp++
+	return c.lastOp
+}
+
+// Tick advances the core to now and applies the inputs in order. The returned
+// outputs are to be carried out in order; the slice is valid until the next call.
+func (c *Core) Tick(now time.Duration, in []Input) []Output {
+	c.now = max(c.now, now)
+	c.out = c.out[:0]
+	for i := range in {
+		c.ingest(&in[i])
+	}
+	c.expire()
+	c.fleet.tick()
+	c.decide()
+	c.route()
+	c.finishDrain()
+	c.updateReady()
+	c.store()
+	c.compact()
+	c.check()
+	return c.out
+}
+
+// Next returns the time at which the core is to be ticked even without input.
+func (c *Core) Next() time.Duration {
+	return min(c.timers.Next(), c.records.Next(), c.gate.Next(), c.fleet.next())
+}
+
+func (c *Core) emit(o Output) { c.out = append(c.out, o) }
+
+func (c *Core) send(id wire.EndpointID, m wire.ToAgent) {
+	c.emit(Output{ToAgent: &ToAgent{Endpoint: id, Msg: m}})
+}
+
+func (c *Core) log(e Event) { c.emit(Output{Log: &e}) }
+
+// store hands the operations of the sub-machines to the gate, and what the gate
+// refuses back to them, until nothing is left.
+func (c *Core) store() {
+	for {
+		ops := c.records.TakeStore()
+		ops = append(ops, c.fleet.takeStore()...)
+		for _, op := range ops {
+			c.gate.Submit(c.now, op)
+		}
+		c.gate.Tick(c.now)
+		for _, op := range c.gate.TakeReady() {
+			c.emit(Output{Store: &op})
+		}
+		failed := c.gate.TakeFailed()
+		if len(failed) == 0 && len(ops) == 0 {
+			return
+		}
+		for _, r := range failed {
+			c.storeAnswer(r)
+		}
+		c.decide()
+		c.route()
+	}
+}
+
+// storeResult takes the store's answer to an operation.
+func (c *Core) storeResult(r store.Result) {
+	for _, answered := range c.gate.Result(c.now, r) {
+		c.storeAnswer(answered)
+	}
+}
+
+func (c *Core) storeAnswer(r store.Result) {
+	if c.records.StoreResult(c.now, r) {
+		return
+	}
+	c.fleet.storeResult(r)
+}
+
+func (c *Core) compact() {
+	c.requests.Compact()
+	c.attempts.Compact()
+	c.endpoints.Compact()
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	Admitted   uint64
+	Refused    uint64
+	Completed  uint64
+	NotRun     uint64
+	Unknown    uint64
+	Dispatched uint64
+	Retried    uint64
+	Refusals   uint64 // by agents
+	Groups     uint64
+}
+
+// Counts returns the totals since the start.
+func (c *Core) Counts() Counts { return c.counts }
+
+// InFlight returns the number of requests that have no answer yet.
+func (c *Core) InFlight() int { return c.requests.Len() }
+
+// Snapshot returns the declarations in force here, or nil.
+func (c *Core) Snapshot() *declaration.Snapshot { return c.snapshot }
--- /dev/null
+++ b/internal/entry/core_test.go
@@ -0,0 +1,302 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// bench drives one core by hand.
+type bench struct {
+	t    *testing.T
+	core *Core
+	now  time.Duration
+	last []Output
+}
+
+func newBench(t *testing.T, change func(*Config)) *bench {
+	t.Helper()
+	cfg := Config{Self: "entry-1", Incarnation: 1, FailureDomain: "fd-a", Rand: rand.New(rand.NewPCG(1, 2)), NoStore: true}
+	if change != nil {
+		change(&cfg)
+	}
+	core, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, core: core}
+	b.tick(Input{DeclareLocal: lists()})
+	return b
+}
+
+func lists() *declaration.Snapshot {
+	acc := declaration.Account{
+		ID: "shop", Weight: 1, MaxOutput: 1000, ServiceTime: 5 * time.Second,
+		Deadlines: [wire.BandCount]time.Duration{10 * time.Second, 20 * time.Second, 60 * time.Second, 120 * time.Second},
+		Models:    map[string]*declaration.ModelGrant{"m": {Model: "m"}},
+		Services:  map[string]*declaration.ServiceGrant{"orders": {Service: "orders"}},
+	}
+	return declaration.NewSnapshot(1, []declaration.Account{acc},
+		[]declaration.Model{{Name: "m", MaxGroups: 2}},
+		[]declaration.Service{{Name: "orders", Idempotent: []string{"GET"}}}, nil)
+}
+
+func (b *bench) tick(in ...Input) {
+	b.t.Helper()
+	b.last = append([]Output{}, b.core.Tick(b.now, in)...)
+}
+
+func (b *bench) after(d time.Duration, in ...Input) {
+	b.now += d
+	b.tick(in...)
+}
+
+func (b *bench) engineUp(id wire.EndpointID) {
+	b.tick(Input{AgentUp: &AgentUp{Hello: wire.Hello{
+		Endpoint: id, FailureDomain: "fd-a", Incarnation: 1, Kind: wire.KindEngine, Capacity: 400_000, Have: wire.Assignment{Model: "m"},
+	}}})
+	b.from(id, wire.ToEntry{Report: &wire.Report{Sequence: 1, Have: wire.Assignment{Model: "m"}, FreeTokens: 400_000}})
+}
+
+func (b *bench) serviceUp(id wire.EndpointID) {
+	b.tick(Input{AgentUp: &AgentUp{Hello: wire.Hello{Endpoint: id, FailureDomain: "fd-a", Incarnation: 1, Kind: wire.KindService, Service: "orders"}}})
+	b.from(id, wire.ToEntry{Report: &wire.Report{Sequence: 1}})
+}
+
+func (b *bench) from(id wire.EndpointID, m wire.ToEntry) {
+	b.tick(Input{FromAgent: &FromAgent{Endpoint: id, Msg: m}})
+}
+
+func (b *bench) offer(id RequestID, tokens int64) {
+	b.tick(Input{Request: &Request{ID: id, ExternalID: "r", Account: "shop", Kind: wire.KindEngine, Model: "m", PromptTokens: tokens, MaxOutput: 100}})
+}
+
+func (b *bench) call(id RequestID) {
+	b.tick(Input{Request: &Request{ID: id, Account: "shop", Kind: wire.KindService, Call: &wire.ServiceCall{Service: "orders", Method: "POST"}}})
+}
+
+// dispatched returns the only dispatch of the last tick.
+func (b *bench) dispatched() (wire.EndpointID, wire.Dispatch) {
+	b.t.Helper()
+	for _, o := range b.last {
+		if o.ToAgent != nil && o.ToAgent.Msg.Dispatch != nil {
+			return o.ToAgent.Endpoint, *o.ToAgent.Msg.Dispatch
+		}
+	}
+	b.t.Fatal("nothing was dispatched")
+	return "", wire.Dispatch{}
+}
+
+// answer returns the only answer of the last tick, or nil.
+func (b *bench) answer() *Answer {
+	for _, o := range b.last {
+		if o.Answer != nil {
+			return o.Answer
+		}
+	}
+	return nil
+}
+
+func (b *bench) wantAnswer(want Answer) {
+	b.t.Helper()
+	got := b.answer()
+	if got == nil {
+		b.t.Fatal("no answer")
+	}
+	brief := Answer{ID: got.ID, Outcome: got.Outcome, Code: got.Code}
+	if diff := cmp.Diff(want, brief); diff != "" {
+		b.t.Fatalf("answer differs (-want +got):\n%s\n%s", diff, got.Detail)
+	}
+}
+
+func TestRequestCompletes(t *testing.T) {
+	b := newBench(t, nil)
+	b.engineUp("e1")
+	b.offer(1, 1000)
+	at, d := b.dispatched()
+	b.from(at, wire.ToEntry{Started: &wire.Started{Attempt: d.Attempt}})
+	b.from(at, wire.ToEntry{Finished: &wire.Finished{Attempt: d.Attempt, OutputTokens: 5}})
+	if a := b.answer(); a != nil {
+		t.Fatalf("answered %v before the caller had everything", a)
+	}
+	b.tick(Input{Stream: &Stream{ID: 1, Attempt: d.Attempt, Event: StreamDone, Delivered: 5, Total: wire.FrameTotal{OutputTokens: 5}}})
+	b.wantAnswer(Answer{ID: 1, Outcome: wire.OutcomeCompleted})
+	if n := b.core.InFlight(); n != 0 {
+		t.Fatalf("%d requests left", n)
+	}
+}
+
+func TestRefusedRequestGoesToTheNextEndpoint(t *testing.T) {
+	b := newBench(t, nil)
+	b.engineUp("e1")
+	b.engineUp("e2")
+	b.offer(1, 1000)
+	first, d := b.dispatched()
+	b.from(first, wire.ToEntry{Refused: &wire.Refused{Attempt: d.Attempt, Reason: wire.RefuseNoRoom, RetryAfter: time.Second}})
+	second, _ := b.dispatched()
+	if second == first {
+		t.Fatalf("went back to %s", first)
+	}
+}
+
+func TestUnstartedRequestIsNotRunOnlyWithProof(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer bool
+		want   wire.Outcome
+	}{{"agent confirms", true, wire.OutcomeNotRun}, {"agent is silent", false, wire.OutcomeUnknown}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.engineUp("e1")
+			b.offer(1, 1000)
+			at, d := b.dispatched()
+			b.after(9900 * time.Millisecond)
+			if c.answer {
+				b.from(at, wire.ToEntry{Cancelled: &wire.Cancelled{Attempt: d.Attempt, NotRun: true}})
+			} else {
+				b.after(100 * time.Millisecond)
+			}
+			b.wantAnswer(Answer{ID: 1, Outcome: c.want, Code: CodeDeadline})
+		})
+	}
+}
+
+func TestLostEndpointResumesBehindWhatTheCallerHas(t *testing.T) {
+	b := newBench(t, nil)
+	b.engineUp("e1")
+	b.engineUp("e2")
+	b.offer(1, 1000)
+	first, d := b.dispatched()
+	b.from(first, wire.ToEntry{Started: &wire.Started{Attempt: d.Attempt}})
+	b.tick(Input{Stream: &Stream{ID: 1, Attempt: d.Attempt, Event: StreamFirst, Delivered: 7}})
+	b.from(first, wire.ToEntry{Failed: &wire.Failed{Attempt: d.Attempt, Reason: wire.FailEngineLost}})
+	b.after(time.Second)
+	second, retry := b.dispatched()
+	if second == first || retry.ResumeFrom != 7 {
+		t.Fatalf("retried at %s from token %d", second, retry.ResumeFrom)
+	}
+}
+
+func TestCallThatIsNotIdempotentIsNeverSentTwice(t *testing.T) {
+	b := newBench(t, nil)
+	b.serviceUp("s1")
+	b.serviceUp("s2")
+	b.call(1)
+	at, d := b.dispatched()
+	b.from(at, wire.ToEntry{Failed: &wire.Failed{Attempt: d.Attempt, Reason: wire.FailEngineLost}})
+	b.wantAnswer(Answer{ID: 1, Outcome: wire.OutcomeUnknown, Code: CodeOutcomeUnknown})
+
+	b.call(2)
+	at, d = b.dispatched()
+	b.from(at, wire.ToEntry{Failed: &wire.Failed{Attempt: d.Attempt, Reason: wire.FailEngineLost, Rejected: true}})
+	b.after(time.Second)
+	if _, again := b.dispatched(); again.Attempt == d.Attempt {
+		t.Fatal("the same attempt was sent twice")
+	}
+}
+
+func TestReturningAgentKeepsItsAttempts(t *testing.T) {
+	b := newBench(t, nil)
+	b.serviceUp("s1")
+	b.call(1)
+	_, d := b.dispatched()
+	b.tick(Input{AgentDown: &AgentDown{Endpoint: "s1", Incarnation: 1}})
+	b.after(300 * time.Millisecond)
+	b.tick(Input{AgentUp: &AgentUp{Hello: wire.Hello{Endpoint: "s1", Incarnation: 1, Kind: wire.KindService, Service: "orders", Live: []wire.AttemptID{d.Attempt}}}})
+	b.after(time.Second)
+	if a := b.answer(); a != nil {
+		t.Fatalf("answered %v although the attempt lives", a)
+	}
+	b.tick(Input{Stream: &Stream{ID: 1, Attempt: d.Attempt, Event: StreamDone}})
+	b.wantAnswer(Answer{ID: 1, Outcome: wire.OutcomeCompleted})
+}
+
+func TestLongPromptRunsOnAGroup(t *testing.T) {
+	b := newBench(t, nil)
+	for _, id := range []wire.EndpointID{"e3", "e1", "e2"} {
+		b.engineUp(id)
+	}
+	b.offer(1, 900_000)
+	var asked []wire.EndpointID
+	for {
+		at, res, ok := b.reserve()
+		if !ok {
+			break
+		}
+		asked = append(asked, at)
+		b.from(at, wire.ToEntry{Reserved: &wire.Reserved{Attempt: res.Attempt, Granted: true}})
+	}
+	if diff := cmp.Diff([]wire.EndpointID{"e1", "e2", "e3"}, asked); diff != "" {
+		t.Fatalf("reservations differ (-want +got):\n%s", diff)
+	}
+	for i := range 2 {
+		at, d := b.dispatched()
+		if d.Slice.Index != i || len(d.Slice.Imports) != i {
+			t.Fatalf("slice %+v", d.Slice)
+		}
+		b.from(at, wire.ToEntry{Finished: &wire.Finished{Attempt: d.Attempt, KVHandle: string(at)}})
+	}
+	at, d := b.dispatched()
+	if at != "e3" || d.Slice.Count != 3 {
+		t.Fatalf("last slice %+v at %s", d.Slice, at)
+	}
+	b.from("e1", wire.ToEntry{Failed: &wire.Failed{Attempt: d.Attempt, Reason: wire.FailLease}})
+	released := 0
+	for _, o := range b.last {
+		if o.ToAgent != nil && o.ToAgent.Msg.Cancel != nil {
+			released++
+		}
+	}
+	if released != 3 {
+		t.Fatalf("%d reservations released, want 3", released)
+	}
+}
+
+func (b *bench) reserve() (wire.EndpointID, wire.Reserve, bool) {
+	for _, o := range b.last {
+		if o.ToAgent != nil && o.ToAgent.Msg.Reserve != nil {
+			return o.ToAgent.Endpoint, *o.ToAgent.Msg.Reserve, true
+		}
+	}
+	return "", wire.Reserve{}, false
+}
+
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	b := newBench(t, nil)
+	b.engineUp("e1")
+	b.from("e1", wire.ToEntry{Report: &wire.Report{
+		Sequence: 2, Have: wire.Assignment{Model: "m"}, FreeTokens: 400_000, PrefillRate: 1000,
+		QueueTokens: [wire.BandCount]int64{50_000, 0, 0, 0},
+	}})
+	b.offer(1, 1000)
+	b.wantAnswer(Answer{ID: 1, Outcome: wire.OutcomeNotRun, Code: CodeOverloaded})
+	if b.answer().RetryAfter < 30*time.Second {
+		t.Fatalf("retry after %s, want the time until the queue has shrunk", b.answer().RetryAfter)
+	}
+}
+
+func TestShutdownWaitsForWorkInFlight(t *testing.T) {
+	b := newBench(t, nil)
+	b.engineUp("e1")
+	b.offer(1, 1000)
+	_, d := b.dispatched()
+	b.tick(Input{Shutdown: &Shutdown{}})
+	if ok, _ := b.core.Ready(); ok {
+		t.Fatal("still ready")
+	}
+	b.after(6 * time.Second)
+	b.tick(Input{Stream: &Stream{ID: 1, Attempt: d.Attempt, Event: StreamDone}})
+	b.wantAnswer(Answer{ID: 1, Outcome: wire.OutcomeCompleted})
+	drained := false
+	for _, o := range b.last {
+		drained = drained || o.Drained
+	}
+	if !drained {
+		t.Fatal("not drained")
+	}
+}
--- /dev/null
+++ b/internal/entry/drain.go
@@ -0,0 +1,62 @@
+package entry
+
+// drainState is the progress of a graceful shutdown.
+type drainState struct {
+	on       bool
+	refusing bool // the balancer has had time to stop sending
+	done     bool
+}
+
+// readiness is what the entry last said about being ready.
+type readiness struct {
+	known  bool
+	ok     bool
+	reason string
+}
+
+// startDrain fails readiness at once and goes on serving what still arrives
+// for as long as the balancer takes to notice.
+func (c *Core) startDrain() {
+	if c.drain.on {
+		return
+	}
+	c.drain.on = true
+	if c.cfg.lacks(withoutGrace) {
+		c.drain.refusing = true
+		c.drain.done = true
+		c.emit(Output{Drained: true})
+		return
+	}
+	c.timers.Set(timerKey{kind: timerDrain}, c.now+c.cfg.BalancerLag)
+}
+
+// finishDrain reports when nothing is in flight any more.
+func (c *Core) finishDrain() {
+	if !c.drain.refusing || c.drain.done || c.requests.Len() > 0 || c.records.Pending() > 0 {
+		return
+	}
+	c.drain.done = true
+	c.emit(Output{Drained: true})
+}
+
+// updateReady reports a change of readiness.
+func (c *Core) updateReady() {
+	next := readiness{known: true, ok: true}
+	switch {
+	case c.drain.on:
+		next = readiness{known: true, reason: "shutting down"}
+	case c.snapshot == nil:
+		next = readiness{known: true, reason: "no declarations yet"}
+	case !c.fleet.reachable():
+		next = readiness{known: true, reason: "neither the store nor any peer can be reached"}
+	}
+	if next == c.ready {
+		return
+	}
+	c.ready = next
+	c.emit(Output{Ready: &Ready{OK: next.ok, Reason: next.reason}})
+	c.log(Event{Kind: EventReady, Detail: next.reason})
+}
+
+// Ready returns whether the entry should get requests, and why not.
+func (c *Core) Ready() (bool, string) { return c.ready.ok, c.ready.reason }
--- /dev/null
+++ b/internal/entry/expire.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// expire acts on every timer that is due.
+func (c *Core) expire() {
+	for {
+		key, ok := c.timers.Pop(c.now)
+		if !ok {
+			return
+		}
+		c.fire(key)
+	}
+}
+
+func (c *Core) fire(key timerKey) {
+	switch key.kind {
+	case timerDeadline:
+		c.deadlinePassed(c.requests.Get(RequestID(key.id)))
+	case timerSettle:
+		c.settleDue(c.requests.Get(RequestID(key.id)))
+	case timerRetry:
+		c.retryDue(c.requests.Get(RequestID(key.id)))
+	case timerOrphan:
+		c.orphanDue(c.attempts.Get(key.id))
+	case timerEject:
+		c.returnEndpoint(c.endpoints.Get(key.endpoint))
+	case timerSilent:
+		c.endpointSilent(c.endpoints.Get(key.endpoint))
+	case timerGroup:
+		c.renewGroup(c.requests.Get(RequestID(key.id)))
+	case timerHeartbeat:
+		c.heartbeat()
+	case timerDrain:
+		c.drain.refusing = true
+	}
+}
+
+func (c *Core) setDeadline(r *request) {
+	if c.cfg.lacks(withoutDeadline) {
+		return
+	}
+	c.timers.Set(timerKey{kind: timerDeadline, id: uint64(r.id)}, r.deadline)
+	margin := min(c.cfg.SettleMargin, (r.deadline-c.now)/4)
+	c.timers.Set(timerKey{kind: timerSettle, id: uint64(r.id)}, r.deadline-margin)
+}
+
+// deadlinePassed ends a request whose time is over.
+func (c *Core) deadlinePassed(r *request) {
+	if r == nil {
+		return
+	}
+	c.fail(r, failure{code: CodeDeadline, detail: "deadline passed in phase " + r.phase.String(), retryAfter: r.failure.retryAfter})
+}
+
+// settleDue withdraws an attempt that has not started shortly before the
+// deadline, so that the caller can be told that the request has not run.
+func (c *Core) settleDue(r *request) {
+	if r == nil || r.phase != phaseRunning {
+		return
+	}
+	a := c.attempts.Get(r.current)
+	if a == nil || a.started || a.withdrawn {
+		return
+	}
+	r.phase = phaseSettling
+	r.failure = failure{code: CodeDeadline, detail: "not started in time", retryAfter: minRefusalRetry}
+	c.withdraw(a)
+}
+
+func (c *Core) retryDue(r *request) {
+	if r == nil || r.phase != phaseWaiting || r.current != 0 {
+		return
+	}
+	c.toRoute = append(c.toRoute, r.id)
+}
+
+// orphanDue decides on an attempt whose agent's stream was lost. If the agent
+// is back without having mentioned the attempt, it is asked.
+func (c *Core) orphanDue(a *attempt) {
+	if a == nil || !a.orphan {
+		return
+	}
+	if a.isReservation() {
+		c.reservationLost(a)
+		return
+	}
+	r := c.requests.Get(a.request)
+	e := c.endpoints.Get(a.endpoint)
+	if r != nil && !r.repeatable && e != nil && e.up && !a.withdrawn {
+		r.failure = failure{code: CodeOutcomeUnknown, detail: "connection to the endpoint was lost"}
+		r.phase = phaseSettling
+		c.withdraw(a)
+		c.timers.Set(timerKey{kind: timerOrphan, id: a.id.Sequence}, c.now+c.cfg.StreamGrace)
+		return
+	}
+	if e != nil && e.up && !a.withdrawn {
+		c.withdraw(a)
+	}
+	c.attemptLost(a, failure{code: CodeEndpointLost, detail: "connection to the endpoint was lost"})
+}
+
+// heartbeat shows all agents that the entry is alive.
+func (c *Core) heartbeat() {
+	c.timers.Set(timerKey{kind: timerHeartbeat}, c.now+c.cfg.Heartbeat)
+	hb := wire.Heartbeat{Revision: c.revision(), Starved: c.starved, StoreDown: c.fleet.storeDown()}
+	c.endpoints.Each(func(id wire.EndpointID, e *endpoint) bool {
+		if e.up {
+			c.send(id, wire.ToAgent{Heartbeat: &hb})
+		}
+		return true
+	})
+	c.updateDemand()
+}
+
+// updateDemand folds the tokens since the last heartbeat into each model's
+// moving demand.
+func (c *Core) updateDemand() {
+	per := float64(c.cfg.Heartbeat) / float64(time.Second)
+	c.models.Each(func(_ string, m *modelRow) bool {
+		m.demand += (m.arrived/per - m.demand) * 0.2
+		m.arrived = 0
+		return true
+	})
+}
+
+func (c *Core) revision() uint64 {
+	if c.snapshot == nil {
+		return 0
+	}
+	return c.snapshot.Revision
+}
--- /dev/null
+++ b/internal/entry/ingest.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// ingest applies one input to the tables.
+func (c *Core) ingest(in *Input) {
+	switch {
+	case in.Request != nil:
+		c.admit(in.Request)
+	case in.CallerGone != nil:
+		c.callerGone(in.CallerGone.ID)
+	case in.Stream != nil:
+		c.stream(in.Stream)
+	case in.FromAgent != nil:
+		c.fromAgent(in.FromAgent.Endpoint, &in.FromAgent.Msg)
+	case in.AgentUp != nil:
+		c.agentUp(in.AgentUp.Hello)
+	case in.AgentDown != nil:
+		c.agentDown(in.AgentDown)
+	case in.StoreResult != nil:
+		c.storeResult(*in.StoreResult)
+	case in.FromPeer != nil:
+		c.fleet.fromPeer(in.FromPeer.Peer, in.FromPeer.Msg)
+	case in.PeerDown != nil:
+		c.fleet.peerDown(in.PeerDown.Peer)
+	case in.VMList != nil:
+		c.fleet.vmList(in.VMList.VMs)
+	case in.DeclareLocal != nil:
+		c.fleet.declareLocal(in.DeclareLocal)
+	case in.Shutdown != nil:
+		c.startDrain()
+	}
+}
+
+// fromAgent applies one message of an agent.
+func (c *Core) fromAgent(id wire.EndpointID, m *wire.ToEntry) {
+	e := c.endpoints.Get(id)
+	if e == nil || !e.up {
+		return
+	}
+	switch {
+	case m.Report != nil:
+		c.reportArrived(e, *m.Report)
+	case m.Started != nil:
+		c.started(m.Started.Attempt)
+	case m.Refused != nil:
+		c.refused(m.Refused)
+	case m.Finished != nil:
+		c.finished(m.Finished)
+	case m.Failed != nil:
+		c.failed(m.Failed)
+	case m.Cancelled != nil:
+		c.cancelled(m.Cancelled)
+	case m.CacheDelta != nil:
+		e.prefixes.apply(m.CacheDelta, c.cfg.MaxPrefixHashes)
+	case m.Reserved != nil:
+		c.reserved(m.Reserved)
+	case m.OrderResult != nil:
+		c.fleet.orderResult(id, *m.OrderResult)
+	}
+}
+
+// attemptOf returns this incarnation's attempt, or nil.
+func (c *Core) attemptOf(id wire.AttemptID) *attempt {
+	if id.Entry != c.cfg.Self || id.Incarnation != c.cfg.Incarnation {
+		return nil
+	}
+	return c.attempts.Get(id.Sequence)
+}
+
+// stream applies progress of an answer.
+func (c *Core) stream(s *Stream) {
+	r := c.requests.Get(s.ID)
+	if r == nil {
+		return
+	}
+	r.delivered = max(r.delivered, s.Delivered)
+	switch s.Event {
+	case StreamFirst:
+		c.firstToken(r)
+	case StreamDone:
+		r.done = true
+		c.complete(r, s)
+	case StreamBroken:
+		c.streamBroken(r, s.Attempt)
+	}
+}
+
+// firstToken notes the time to first token and judges the endpoint by it.
+func (c *Core) firstToken(r *request) {
+	if r.first != 0 {
+		return
+	}
+	r.first = c.now
+	if a := c.attempts.Get(r.current); a != nil {
+		c.observeFirstToken(a)
+	}
+}
+
+// callerGone abandons a request whose caller has left. A call that must not run
+// twice is left to finish, so that its record tells the truth.
+func (c *Core) callerGone(id RequestID) {
+	r := c.requests.Get(id)
+	if r == nil {
+		return
+	}
+	if r.in.Kind == wire.KindService && !r.repeatable && r.phase == phaseRunning {
+		return
+	}
+	c.giveUp(r, failure{code: CodeCallerGone})
+}
--- a/internal/entry/io.go
+++ b/internal/entry/io.go
@@ -1,15 +1,10 @@
-// Package entry is the deterministic core of the entry role: it admits callers'
-// requests under their plans, routes them to endpoints, follows each attempt to
-// one typed outcome, and shares limits and declarations with its peers.
-//
-// Core has no I/O, clock, goroutine or randomness of its own. A shell feeds it
-// inputs together with the monotonic time, and carries out its outputs.
 package entry
 
 import (
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/idempotency"
 	"trefoilpath.org/trefoilpath/internal/store"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
@@ -73,6 +68,7 @@
 	Event     StreamEvent
 	Delivered int64 // output tokens that the caller has
 	Total     wire.FrameTotal
+	Reply     *idempotency.Stored // StreamDone of a plain service call
 }
 
 // AgentUp reports a new agent stream.
@@ -160,6 +156,7 @@
 	Detail     string
 	RetryAfter time.Duration
 	Total      wire.FrameTotal
+	Replay     *idempotency.Stored // the stored answer of an earlier call with the same key
 }
 
 // Ready reports a change of readiness.
--- /dev/null
+++ b/internal/entry/outcome.go
@@ -0,0 +1,326 @@
+package entry
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+const (
+	// failedAvoid is how long a request stays away from an endpoint that failed
+	// it.
+	failedAvoid = 5 * time.Second
+	// retryBackoff is the pause before the first retry; it doubles with each.
+	retryBackoff    = 10 * time.Millisecond
+	maxRetryBackoff = time.Second
+	maxAttempts     = 12
+)
+
+// started notes that an attempt has been handed to its endpoint.
+func (c *Core) started(id wire.AttemptID) {
+	a := c.attemptOf(id)
+	if a == nil {
+		return
+	}
+	a.started = true
+	if r := c.requests.Get(a.request); r != nil {
+		r.ran = true
+	}
+}
+
+// refused ends an attempt that has not run and will not run.
+func (c *Core) refused(m *wire.Refused) {
+	a := c.attemptOf(m.Attempt)
+	if a == nil || m.Reason == wire.RefuseDuplicate {
+		return
+	}
+	c.counts.Refusals++
+	r := c.endAttempt(a)
+	if r == nil {
+		return
+	}
+	r.unresolved--
+	if a.slice >= 0 {
+		c.groupBroken(r, failure{code: CodeOverloaded, detail: "group member refused: " + m.Reason.String(), retryAfter: m.RetryAfter})
+		return
+	}
+	if r.phase == phaseSettling {
+		c.conclude(r)
+		return
+	}
+	c.rerouteRefused(r, a, m)
+}
+
+// rerouteRefused tries the next endpoint at once, a few times, then waits.
+func (c *Core) rerouteRefused(r *request, a *attempt, m *wire.Refused) {
+	r.refusals++
+	pause := max(m.RetryAfter, waitMin)
+	r.avoidUntil(a.endpoint, c.now+pause)
+	if m.Reason == wire.RefuseTooLarge {
+		r.avoidUntil(a.endpoint, r.deadline)
+	}
+	if r.refusals%maxRefusals != 0 {
+		c.enqueue(r)
+		return
+	}
+	c.pauseThenRoute(r, c.jitter(min(pause, waitMax)))
+}
+
+// pauseThenRoute routes a request again after a pause, or ends it if that is
+// past its deadline.
+func (c *Core) pauseThenRoute(r *request, pause time.Duration) {
+	r.phase = phaseWaiting
+	if c.now+pause >= r.deadline {
+		c.fail(r, failure{code: CodeOverloaded, detail: "no endpoint has room in time", retryAfter: max(pause, minRefusalRetry)})
+		return
+	}
+	c.timers.Set(timerKey{kind: timerRetry, id: uint64(r.id)}, c.now+pause)
+}
+
+// finished notes the end of an attempt at its endpoint. The request is complete
+// once its answer has been assembled.
+func (c *Core) finished(m *wire.Finished) {
+	a := c.attemptOf(m.Attempt)
+	if a == nil {
+		return
+	}
+	r := c.requests.Get(a.request)
+	if r == nil {
+		return
+	}
+	r.ran = true
+	a.started = true
+	if a.slice >= 0 && r.group != nil && a.slice < len(r.group.members)-1 {
+		c.sliceFinished(r, a, m)
+	}
+}
+
+// complete ends a request whose answer the caller has whole.
+func (c *Core) complete(r *request, s *Stream) {
+	if a := c.attempts.Get(r.current); a != nil {
+		if e := c.endpoints.Get(a.endpoint); e != nil {
+			c.succeeded(e)
+		}
+		c.endAttempt(a)
+		r.unresolved--
+	}
+	r.ran = true
+	total := wire.Finished{PromptTokens: s.Total.PromptTokens, CachedTokens: s.Total.CachedTokens, OutputTokens: s.Total.OutputTokens}
+	r.finished = &total
+	if m := c.models.Get(r.in.Model); m != nil && r.in.Kind == wire.KindEngine {
+		m.learnOutput(r, &total)
+	}
+	c.finishRecord(r, wire.OutcomeCompleted, s.Reply)
+	c.end(r, Answer{Outcome: wire.OutcomeCompleted, Total: s.Total})
+}
+
+// failed ends a started attempt that did not complete.
+func (c *Core) failed(m *wire.Failed) {
+	a := c.attemptOf(m.Attempt)
+	if a == nil {
+		return
+	}
+	if e := c.endpoints.Get(a.endpoint); e != nil && blamesEndpoint(m.Reason) {
+		c.endpointFailed(e)
+	}
+	r := c.endAttempt(a)
+	if r == nil {
+		return
+	}
+	r.unresolved--
+	r.ran = r.ran || !m.Rejected
+	f := failure{code: CodeEndpointLost, detail: m.Reason.String()}
+	switch m.Reason {
+	case wire.FailDeadline:
+		f.code = CodeDeadline
+	case wire.FailInvalid:
+		f.code = CodeInvalid
+	}
+	r.avoidUntil(a.endpoint, c.now+failedAvoid)
+	c.afterFailure(r, a, f, m.Rejected)
+}
+
+// blamesEndpoint reports whether a failure counts against the endpoint's health.
+func blamesEndpoint(reason wire.FailReason) bool {
+	switch reason {
+	case wire.FailEngineLost, wire.FailStalled, wire.FailInternal:
+		return true
+	}
+	return false
+}
+
+// afterFailure retries a request whose attempt failed, if that can't run a call
+// twice that must not be, or ends it.
+func (c *Core) afterFailure(r *request, a *attempt, f failure, notRun bool) {
+	if a.slice >= 0 {
+		c.groupBroken(r, f)
+		return
+	}
+	if r.phase == phaseSettling {
+		c.conclude(r)
+		return
+	}
+	if f.code == CodeInvalid || f.code == CodeDeadline {
+		c.fail(r, f)
+		return
+	}
+	if !notRun && !r.repeatable && !c.cfg.lacks(withoutRetryRule) {
+		c.fail(r, failure{code: CodeOutcomeUnknown, detail: f.detail})
+		return
+	}
+	c.retryLater(r, f)
+}
+
+// retryLater starts another attempt after a pause, within the retry budget.
+func (c *Core) retryLater(r *request, f failure) {
+	if r.attempts >= maxAttempts || !c.retry.take() {
+		f.retryAfter = minRefusalRetry
+		c.fail(r, f)
+		return
+	}
+	c.counts.Retried++
+	c.log(Event{Kind: EventRetried, Request: r.in.ExternalID, Account: r.in.Account, Code: f.code, Detail: f.detail})
+	r.failure = f
+	backoff := min(retryBackoff<<min(r.attempts, 10), maxRetryBackoff)
+	c.pauseThenRoute(r, c.jitter(backoff))
+}
+
+// streamBroken replaces an attempt whose frames don't add up.
+func (c *Core) streamBroken(r *request, id wire.AttemptID) {
+	a := c.attemptOf(id)
+	if a == nil || r.current != id.Sequence {
+		return
+	}
+	c.withdraw(a)
+	c.attemptLost(a, failure{code: CodeAnswerBroken, detail: "frames missing"})
+}
+
+// withdraw asks the agent to stop an attempt and to say whether it has run.
+func (c *Core) withdraw(a *attempt) {
+	a.withdrawn = true
+	if e := c.endpoints.Get(a.endpoint); e != nil && e.up {
+		c.send(a.endpoint, wire.ToAgent{Cancel: &wire.Cancel{Attempt: a.id}})
+	}
+}
+
+// cancelled takes the agent's word on an attempt that was withdrawn.
+func (c *Core) cancelled(m *wire.Cancelled) {
+	a := c.attemptOf(m.Attempt)
+	if a == nil || !a.withdrawn {
+		return
+	}
+	r := c.endAttempt(a)
+	if r == nil {
+		return
+	}
+	r.unresolved--
+	r.ran = r.ran || !m.NotRun
+	switch {
+	case r.phase == phaseSettling:
+		c.conclude(r)
+	case r.current == 0 && r.phase == phaseRunning:
+		c.afterFailure(r, a, r.failure, m.NotRun)
+	}
+}
+
+// attemptLost ends an attempt whose fate nobody can tell.
+func (c *Core) attemptLost(a *attempt, f failure) {
+	r := c.endAttempt(a)
+	if r == nil {
+		return
+	}
+	r.avoidUntil(a.endpoint, c.now+failedAvoid)
+	c.afterFailure(r, a, f, false)
+}
+
+// endAttempt forgets an attempt and returns its request, or nil if that is over.
+func (c *Core) endAttempt(a *attempt) *request {
+	c.attempts.Delete(a.id.Sequence)
+	c.timers.Stop(timerKey{kind: timerOrphan, id: a.id.Sequence})
+	if e := c.endpoints.Get(a.endpoint); e != nil && !a.isReservation() {
+		e.inFlight--
+		e.dropRecent(a.id.Sequence)
+	}
+	r := c.requests.Get(a.request)
+	if r != nil && r.current == a.id.Sequence {
+		r.current = 0
+	}
+	return r
+}
+
+// fail ends a request that has no attempt to wait for. Its outcome is not-run
+// only if every attempt is proven not to have run.
+func (c *Core) fail(r *request, f failure) {
+	outcome := wire.OutcomeUnknown
+	if !r.ran && (r.unresolved == 0 || c.cfg.lacks(withoutProof)) {
+		outcome = wire.OutcomeNotRun
+	}
+	c.finishRecord(r, outcome, nil)
+	c.end(r, Answer{Outcome: outcome, Code: f.code, Detail: f.detail, RetryAfter: f.retryAfter})
+}
+
+// giveUp withdraws what runs for a request and ends it at once.
+func (c *Core) giveUp(r *request, f failure) {
+	c.fail(r, f)
+}
+
+// conclude ends a request that was waiting for the fate of its last attempt.
+func (c *Core) conclude(r *request) {
+	if r.unresolved > 0 && c.now < r.deadline {
+		return
+	}
+	c.fail(r, r.failure)
+}
+
+// end answers a request and forgets it with all that belongs to it.
+func (c *Core) end(r *request, answer Answer) {
+	answer.ID = r.id
+	c.dropAttempts(r)
+	c.releaseGroup(r)
+	c.fleet.settleLimit(r)
+	c.stopTimers(r)
+	c.count(answer.Outcome)
+	c.emit(Output{Answer: &answer})
+	c.log(Event{
+		Kind: EventFinished, Request: r.in.ExternalID, Account: r.in.Account, Outcome: answer.Outcome,
+		Code: answer.Code, Detail: answer.Detail, Elapsed: c.now - r.admitted, FirstWait: r.firstWait(),
+	})
+	c.checkEnd(r, answer.Outcome)
+	c.requests.Delete(r.id)
+}
+
+func (r *request) firstWait() time.Duration {
+	if r.first == 0 {
+		return 0
+	}
+	return r.first - r.admitted
+}
+
+// dropAttempts withdraws the attempt that still runs for a request.
+func (c *Core) dropAttempts(r *request) {
+	a := c.attempts.Get(r.current)
+	if a == nil {
+		return
+	}
+	if !a.withdrawn {
+		c.withdraw(a)
+	}
+	c.endAttempt(a)
+}
+
+func (c *Core) stopTimers(r *request) {
+	for _, kind := range []timerKind{timerDeadline, timerSettle, timerRetry, timerGroup} {
+		c.timers.Stop(timerKey{kind: kind, id: uint64(r.id)})
+	}
+}
+
+func (c *Core) count(o wire.Outcome) {
+	switch o {
+	case wire.OutcomeCompleted:
+		c.counts.Completed++
+	case wire.OutcomeNotRun:
+		c.counts.NotRun++
+	default:
+		c.counts.Unknown++
+	}
+}
--- /dev/null
+++ b/internal/entry/predict.go
@@ -0,0 +1,147 @@
+package entry
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+const (
+	// defaultPrefillRate and defaultDecodeRate stand in until an endpoint has
+	// reported its own.
+	defaultPrefillRate = 30_000.0 // tokens a second
+	defaultDecodeRate  = 40.0     // tokens a second and sequence
+	// longPrefillPenalty is the extra time to first token that a long prefill
+	// under way costs a short prompt at the same endpoint.
+	longPrefillPenalty = 40 * time.Millisecond
+	// sequencePenalty is the extra time that each running sequence costs.
+	sequencePenalty = 400 * time.Microsecond
+	// shortCrowdPenalty is what each running sequence counts against sending a
+	// long prompt to the same endpoint.
+	shortCrowdPenalty = 5 * time.Millisecond
+	// memoryPenalty is the wait for each token of memory that is not free.
+	memoryPenalty = 20 * time.Microsecond
+	// prefixBlockTokens is the number of prompt tokens that one prefix hash
+	// stands for.
+	prefixBlockTokens = 1024
+	// outputSmoothing is the weight of a new sample in the moving output length.
+	outputSmoothing = 0.05
+)
+
+// prediction is what routing expects of one endpoint for one request.
+type prediction struct {
+	first    time.Duration // time to first token
+	score    time.Duration // first, plus what the choice costs other requests
+	uncached int64
+}
+
+// predict estimates the time to first token of r at e from the last report, the
+// attempts sent since, and the prefix cache.
+func (c *Core) predict(e *endpoint, r *request) prediction {
+	rate := e.report.PrefillRate
+	if rate <= 0 {
+		rate = defaultPrefillRate
+	}
+	uncached := max(r.prompt-e.prefixes.match(r.in.Prefixes)*prefixBlockTokens, 1)
+	ahead := c.tokensAhead(e, r.band)
+	p := prediction{uncached: uncached}
+	p.first = seconds(float64(ahead+uncached)/rate) + c.transfer(e) + time.Duration(e.report.Running)*sequencePenalty
+	p.first += c.memoryWait(e, r)
+	p.score = p.first
+	share := c.cfg.Weights.shortShare()
+	if r.band == wire.BandShort {
+		p.first += time.Duration(e.report.LongRunning) * longPrefillPenalty
+		p.score += time.Duration(float64(e.report.LongRunning) * float64(longPrefillPenalty) * 2 * share)
+		return p
+	}
+	crowd := float64(e.report.Running) + float64(e.inFlight)
+	p.score += time.Duration(crowd * float64(shortCrowdPenalty) * 2 * share)
+	return p
+}
+
+// tokensAhead returns the prompt tokens that run before a request of the band.
+// Engines and agents prefer short prompts, so a short one waits only for others.
+func (c *Core) tokensAhead(e *endpoint, band wire.Band) int64 {
+	if band == wire.BandShort {
+		return e.report.QueueTokens[wire.BandShort] + e.report.ShortPrefill + e.ahead[wire.BandShort]
+	}
+	ahead := e.report.PrefillTokens
+	for b := wire.BandShort; b < wire.BandCount; b++ {
+		ahead += e.report.QueueTokens[b] + e.ahead[b]
+	}
+	return ahead
+}
+
+// memoryWait estimates the wait for memory to come free.
+func (c *Core) memoryWait(e *endpoint, r *request) time.Duration {
+	short := r.prompt + r.output - (e.report.FreeTokens - e.recentKV)
+	if short <= 0 || e.report.Sequence == 0 {
+		return 0
+	}
+	return time.Duration(short) * memoryPenalty
+}
+
+// transfer returns the time that messages to the endpoint take.
+func (c *Core) transfer(e *endpoint) time.Duration {
+	if e.hello.FailureDomain == c.cfg.FailureDomain {
+		return DefaultTransferSame
+	}
+	if c.fleet.sameRegion(e.hello.FailureDomain) {
+		return DefaultTransferRegion
+	}
+	return DefaultTransferRemote
+}
+
+// bestPrediction returns the shortest predicted time to first token over the
+// usable endpoints of the model, or -1 if there is none.
+func (c *Core) bestPrediction(m *modelRow, r *request) time.Duration {
+	best := time.Duration(-1)
+	for _, e := range m.endpoints {
+		if !c.usable(e) {
+			continue
+		}
+		if p := c.predict(e, r); best < 0 || p.first < best {
+			best = p.first
+		}
+	}
+	return best
+}
+
+// decodeTime estimates how long the output takes.
+func (c *Core) decodeTime(m *modelRow, r *request) time.Duration {
+	tokens := float64(r.output)
+	if usual := m.output[r.band]; usual > 0 && usual < tokens {
+		tokens = usual
+	}
+	rate := 0.0
+	n := 0
+	for _, e := range m.endpoints {
+		if e.report.DecodeRate > 0 {
+			rate += e.report.DecodeRate
+			n++
+		}
+	}
+	if n == 0 {
+		return seconds(tokens / defaultDecodeRate)
+	}
+	return seconds(tokens / (rate / float64(n)))
+}
+
+// learnOutput updates the model's usual output and bytes a token.
+func (m *modelRow) learnOutput(r *request, f *wire.Finished) {
+	m.arrived += float64(f.PromptTokens + f.OutputTokens)
+	usual := &m.output[r.band]
+	if *usual == 0 {
+		*usual = float64(f.OutputTokens)
+	}
+	*usual += (float64(f.OutputTokens) - *usual) * outputSmoothing
+	if r.in.PromptTokens == 0 && r.in.PromptBytes > 0 && f.PromptTokens > 0 {
+		sample := float64(f.PromptTokens) / float64(r.in.PromptBytes)
+		if m.perByte == 0 {
+			m.perByte = sample
+		}
+		m.perByte += (sample - m.perByte) * outputSmoothing
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/entry/prefix.go
@@ -0,0 +1,63 @@
+package entry
+
+import "trefoilpath.org/trefoilpath/internal/wire"
+
+// prefixSet holds the hashes of the prompt blocks that an endpoint is believed
+// to have cached. It is a hint: events come late and with gaps.
+type prefixSet struct {
+	have     map[uint64]struct{}
+	order    []uint64 // oldest first, from start
+	start    int
+	sequence uint64
+	known    bool
+}
+
+// apply takes one delta. A gap forgets everything until the next reset.
+func (p *prefixSet) apply(d *wire.CacheDelta, limit int) {
+	gap := p.known && d.Sequence != p.sequence+1
+	if d.Reset || gap || p.have == nil {
+		p.have = make(map[uint64]struct{})
+		p.order = p.order[:0]
+		p.start = 0
+	}
+	p.known = true
+	p.sequence = d.Sequence
+	for _, h := range d.Remove {
+		delete(p.have, h)
+	}
+	for _, h := range d.Add {
+		p.add(h, limit)
+	}
+}
+
+func (p *prefixSet) add(h uint64, limit int) {
+	if p.have == nil {
+		p.have = make(map[uint64]struct{})
+	}
+	if _, ok := p.have[h]; ok {
+		return
+	}
+	p.have[h] = struct{}{}
+	p.order = append(p.order, h)
+	for len(p.have) > limit || len(p.order)-p.start > 2*limit {
+		delete(p.have, p.order[p.start])
+		p.start++
+	}
+	if p.start > limit {
+		p.order = append(p.order[:0], p.order[p.start:]...)
+		p.start = 0
+	}
+}
+
+// match returns how many leading blocks are cached.
+func (p *prefixSet) match(blocks []uint64) int64 {
+	for i, h := range blocks {
+		if _, ok := p.have[h]; !ok {
+			return int64(i)
+		}
+	}
+	return int64(len(blocks))
+}
+
+// reset forgets everything.
+func (p *prefixSet) reset() { *p = prefixSet{} }
--- /dev/null
+++ b/internal/entry/route.go
@@ -0,0 +1,342 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+const (
+	// maxRefusals is how many agents may refuse a request before it waits.
+	maxRefusals = 4
+	// waitMin and waitMax bound the pause before a request without room is
+	// routed again.
+	waitMin = 20 * time.Millisecond
+	waitMax = time.Second
+	// wakeMost is how many waiting requests one report can wake.
+	wakeMost = 4
+	// minStartBy is the shortest allowance for an attempt to start.
+	minStartBy = 50 * time.Millisecond
+)
+
+// enqueue has a request routed in this tick.
+func (c *Core) enqueue(r *request) {
+	r.phase = phaseWaiting
+	c.toRoute = append(c.toRoute, r.id)
+}
+
+// route sends each queued request to an endpoint, or lets it wait.
+func (c *Core) route() {
+	for i := 0; i < len(c.toRoute); i++ {
+		r := c.requests.Get(c.toRoute[i])
+		if r == nil || r.phase != phaseWaiting || r.current != 0 {
+			continue
+		}
+		c.routeOne(r)
+	}
+	c.toRoute = c.toRoute[:0]
+}
+
+func (c *Core) routeOne(r *request) {
+	if r.in.Kind == wire.KindService {
+		c.routeCall(r)
+		return
+	}
+	m := c.models.Get(r.in.Model)
+	if m == nil || len(m.endpoints) == 0 {
+		c.waitForCapacity(r)
+		return
+	}
+	if c.isGroup(m, r) {
+		c.startGroup(m, r)
+		return
+	}
+	e, p := c.choose(m, r)
+	if e == nil {
+		c.waitForRoom(r, &m.waiting)
+		return
+	}
+	c.dispatch(r, e, p)
+}
+
+func (c *Core) routeCall(r *request) {
+	s := c.services.Get(r.in.Call.Service)
+	if s == nil || len(s.endpoints) == 0 {
+		c.waitForCapacity(r)
+		return
+	}
+	e := c.leastInFlight(s.endpoints, r)
+	if e == nil {
+		c.waitForRoom(r, &s.waiting)
+		return
+	}
+	c.dispatch(r, e, prediction{uncached: serviceTokens})
+}
+
+// choose applies the routing policy.
+func (c *Core) choose(m *modelRow, r *request) (*endpoint, prediction) {
+	switch c.cfg.Routing {
+	case RoutingRoundRobin:
+		return c.chooseInTurn(m, r)
+	case RoutingLeastOutstanding:
+		e := c.leastInFlight(m.endpoints, r)
+		if e == nil {
+			return nil, prediction{}
+		}
+		return e, c.predict(e, r)
+	}
+	return c.choosePredicted(m, r)
+}
+
+func (c *Core) chooseInTurn(m *modelRow, r *request) (*endpoint, prediction) {
+	for range m.endpoints {
+		e := m.endpoints[m.turn%len(m.endpoints)]
+		m.turn++
+		if c.usableFor(e, r) {
+			return e, c.predict(e, r)
+		}
+	}
+	return nil, prediction{}
+}
+
+func (c *Core) leastInFlight(endpoints []*endpoint, r *request) *endpoint {
+	var best *endpoint
+	start := 0
+	if len(endpoints) > 1 {
+		start = c.cfg.Rand.IntN(len(endpoints))
+	}
+	for i := range endpoints {
+		e := endpoints[(start+i)%len(endpoints)]
+		if !c.usableFor(e, r) {
+			continue
+		}
+		if best == nil || e.inFlight < best.inFlight {
+			best = e
+		}
+	}
+	return best
+}
+
+// choosePredicted scores a random sample of the endpoints together with those
+// that have the longest cached prefix. Sampling keeps entries whose reports lag
+// alike from all choosing the same endpoint.
+func (c *Core) choosePredicted(m *modelRow, r *request) (*endpoint, prediction) {
+	c.sample(m, r)
+	var best *endpoint
+	var bestP prediction
+	for _, e := range c.scratch {
+		p := c.predict(e, r)
+		if best == nil || p.score < bestP.score {
+			best, bestP = e, p
+		}
+	}
+	return best, bestP
+}
+
+// sample fills scratch with the candidates for r.
+func (c *Core) sample(m *modelRow, r *request) {
+	c.scratch = c.scratch[:0]
+	n := len(m.endpoints)
+	start := c.cfg.Rand.IntN(n)
+	step := c.stride(n)
+	var affine *endpoint
+	var affineBlocks int64
+	for i := range n {
+		e := m.endpoints[(start+i*step)%n]
+		if !c.usableFor(e, r) {
+			continue
+		}
+		if len(c.scratch) < c.cfg.Candidates {
+			c.scratch = append(c.scratch, e)
+			continue
+		}
+		if len(r.in.Prefixes) == 0 {
+			return
+		}
+		if blocks := e.prefixes.match(r.in.Prefixes); blocks > affineBlocks {
+			affine, affineBlocks = e, blocks
+		}
+	}
+	if affine != nil {
+		c.scratch = append(c.scratch, affine)
+	}
+}
+
+// stride returns a random step that visits all of n positions once.
+func (c *Core) stride(n int) int {
+	if n <= 2 {
+		return 1
+	}
+	step := 1 + c.cfg.Rand.IntN(n-1)
+	for gcd(step, n) != 1 {
+		step = step%(n-1) + 1
+	}
+	return step
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+// usableFor reports whether e may get an attempt of r now.
+func (c *Core) usableFor(e *endpoint, r *request) bool {
+	return c.usable(e) && !r.avoids(e.id, c.now)
+}
+
+func (r *request) avoids(id wire.EndpointID, now time.Duration) bool {
+	for _, a := range r.avoid {
+		if a.endpoint == id && a.until > now {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *request) avoidUntil(id wire.EndpointID, until time.Duration) {
+	for i := range r.avoid {
+		if r.avoid[i].endpoint == id {
+			r.avoid[i].until = until
+			return
+		}
+	}
+	r.avoid = append(r.avoid, avoided{id, until})
+}
+
+// waitForCapacity lets a request wait a little for a first endpoint.
+func (c *Core) waitForCapacity(r *request) {
+	waited := c.now - r.admitted
+	if waited >= c.cfg.CapacityWait {
+		c.fail(r, failure{code: CodeNoCapacity, detail: "no endpoint is up", retryAfter: c.cfg.CapacityWait})
+		return
+	}
+	c.timers.Set(timerKey{kind: timerRetry, id: uint64(r.id)}, c.now+min(waitMax/4, c.cfg.CapacityWait-waited))
+}
+
+// waitForRoom lets a request wait until an endpoint reports room.
+func (c *Core) waitForRoom(r *request, waiting *[]RequestID) {
+	pause := waitMax
+	for _, a := range r.avoid {
+		if a.until > c.now {
+			pause = min(pause, a.until-c.now)
+		}
+	}
+	if !c.cfg.Reactive && c.now+pause >= r.deadline {
+		c.fail(r, failure{code: CodeOverloaded, detail: "no endpoint has room in time", retryAfter: max(pause, minRefusalRetry)})
+		return
+	}
+	if !r.listed {
+		r.listed = true
+		*waiting = append(c.livingOf(*waiting), r.id)
+	}
+	pause = max(pause, waitMin)
+	c.timers.Set(timerKey{kind: timerRetry, id: uint64(r.id)}, c.now+c.jitter(pause))
+}
+
+// livingOf drops requests that have ended from a waiting list that has grown
+// beyond the number of requests in flight.
+func (c *Core) livingOf(waiting []RequestID) []RequestID {
+	if len(waiting) <= c.requests.Len() {
+		return waiting
+	}
+	return slices.DeleteFunc(waiting, func(id RequestID) bool { return c.requests.Get(id) == nil })
+}
+
+// jitter returns a duration between three quarters and five quarters of d.
+func (c *Core) jitter(d time.Duration) time.Duration {
+	return d*3/4 + time.Duration(c.cfg.Rand.Int64N(int64(d/2)+1))
+}
+
+// wake routes the oldest requests that wait for a model or service again.
+func (c *Core) wake(waiting *[]RequestID) {
+	woken := 0
+	kept := (*waiting)[:0]
+	for i, id := range *waiting {
+		r := c.requests.Get(id)
+		if r == nil {
+			continue
+		}
+		if r.phase != phaseWaiting || r.current != 0 {
+			r.listed = false
+			continue
+		}
+		if woken == wakeMost {
+			kept = append(kept, (*waiting)[i:]...)
+			break
+		}
+		woken++
+		r.listed = false
+		c.timers.Stop(timerKey{kind: timerRetry, id: uint64(id)})
+		c.toRoute = append(c.toRoute, id)
+	}
+	*waiting = kept
+}
+
+// dispatch sends r to e as a new attempt.
+func (c *Core) dispatch(r *request, e *endpoint, p prediction) {
+	a := c.newAttempt(r, e, p)
+	r.phase = phaseRunning
+	r.current = a.id.Sequence
+	resume := r.delivered
+	if c.cfg.lacks(withoutResume) {
+		resume = 0
+	}
+	d := c.dispatchMessage(r, a.id, p)
+	d.ResumeFrom = resume
+	c.emit(Output{Attempt: &Attempt{ID: r.id, Attempt: a.id, ResumeFrom: resume}})
+	c.emit(Output{ToAgent: &ToAgent{Endpoint: e.id, Request: r.id, Msg: wire.ToAgent{Dispatch: d}}})
+	c.log(Event{Kind: EventDispatched, Request: r.in.ExternalID, Account: r.in.Account, Endpoint: e.id, Attempt: a.id, FirstWait: p.first})
+}
+
+// newAttempt records an attempt of r at e.
+func (c *Core) newAttempt(r *request, e *endpoint, p prediction) *attempt {
+	c.sequence++
+	c.counts.Dispatched++
+	a := c.attempts.Put(c.sequence, attempt{
+		id:        wire.AttemptID{Entry: c.cfg.Self, Incarnation: c.cfg.Incarnation, Sequence: c.sequence},
+		request:   r.id,
+		endpoint:  e.id,
+		sent:      c.now,
+		predicted: p.first,
+		slice:     -1,
+		band:      r.band,
+		tokens:    p.uncached,
+	})
+	r.attempts++
+	r.unresolved++
+	e.inFlight++
+	e.noteSent(a, p.uncached, r.prompt+r.output)
+	return a
+}
+
+func (c *Core) dispatchMessage(r *request, id wire.AttemptID, p prediction) *wire.Dispatch {
+	left := r.deadline - c.now
+	c.checkTimeLeft(r, left)
+	return &wire.Dispatch{
+		Attempt:      id,
+		RequestID:    r.in.ExternalID,
+		Account:      r.in.Account,
+		Weight:       r.account.Weight,
+		Kind:         r.in.Kind,
+		Model:        r.in.Model,
+		Adapter:      r.in.Adapter,
+		PromptTokens: r.prompt,
+		MaxOutput:    r.output,
+		TimeLeft:     left,
+		StartBy:      c.startBy(left, p),
+		Priority:     r.in.Priority,
+		Prefixes:     r.in.Prefixes,
+		BodyBytes:    r.in.BodyBytes,
+		Idempotent:   r.repeatable,
+		Call:         r.in.Call,
+	}
+}
+
+// startBy returns how long an attempt may wait at the agent: the time left less
+// what the work itself takes, so that a refusal leaves time for another endpoint.
+func (c *Core) startBy(left time.Duration, p prediction) time.Duration {
+	return max(left-c.cfg.SettleMargin-min(p.first, left/2), min(minStartBy, left))
+}
--- /dev/null
+++ b/internal/entry/tables.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/idempotency"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// phase is what a request waits for.
+type phase uint8
+
+const (
+	phaseRecord   phase = 1 // the verdict of its at-most-once record
+	phaseWaiting  phase = 2 // an endpoint
+	phaseRunning  phase = 3 // its current attempt
+	phaseSettling phase = 4 // proof of what became of a withdrawn attempt
+	phaseGroup    phase = 5 // a group of engines
+)
+
+var phaseNames = [...]string{"", "record", "waiting", "running", "settling", "group"}
+
+func (p phase) String() string { return phaseNames[p] }
+
+// request is one admitted request.
+type request struct {
+	id       RequestID
+	in       Request
+	account  *declaration.Account
+	admitted time.Duration
+	deadline time.Duration
+	band     wire.Band
+	prompt   int64 // tokens, estimated
+	output   int64 // tokens, the limit
+	phase    phase
+
+	current    uint64 // sequence of the current attempt, or 0
+	attempts   int
+	refusals   int
+	listed     bool          // among those that wait for room
+	ran        bool          // an attempt may have run
+	unresolved int           // attempts sent whose fate is not known
+	delivered  int64         // output tokens that the caller has
+	first      time.Duration // when the caller got the first token; 0: not yet
+	finished   *wire.Finished
+	done       bool // all data has gone to the caller
+
+	avoid      []avoided
+	recorded   bool // an at-most-once record is ours
+	repeatable bool
+	group      *group
+
+	// failure is the answer if no other attempt succeeds.
+	failure failure
+}
+
+// failure says how a request ends if it can't be retried.
+type failure struct {
+	code       Code
+	detail     string
+	retryAfter time.Duration
+}
+
+// avoided is an endpoint that a request does not try again before a time.
+type avoided struct {
+	endpoint wire.EndpointID
+	until    time.Duration
+}
+
+// attempt is one try to run a request at one endpoint.
+type attempt struct {
+	id        wire.AttemptID
+	request   RequestID
+	endpoint  wire.EndpointID
+	sent      time.Duration
+	predicted time.Duration // time to first token
+	started   bool
+	withdrawn bool // Cancel has been sent
+	orphan    bool // its stream is lost
+	slice     int  // index in a group, or -1
+	band      wire.Band
+	tokens    int64 // uncached prompt tokens, estimated
+}
+
+// health is how an endpoint has answered.
+type health uint8
+
+const (
+	healthGood     health = 0
+	healthEjected  health = 1
+	healthReturned health = 2 // a bounded number of attempts at once
+)
+
+var healthNames = [...]string{"good", "ejected", "returning"}
+
+func (h health) String() string { return healthNames[h] }
+
+// endpoint is one endpoint whose agent has or had a stream to this entry.
+type endpoint struct {
+	id       wire.EndpointID
+	hello    wire.Hello
+	report   wire.Report
+	up       bool
+	reported time.Duration // when the last report arrived
+	leaving  bool
+
+	inFlight int
+	recent   []recent              // attempts sent that the last report does not include
+	ahead    [wire.BandCount]int64 // sum of recent by band
+	recentKV int64                 // memory that they will take
+
+	health    health
+	failures  int     // consecutive
+	ejections int     // consecutive
+	allowed   int     // attempts at once while returning
+	slow      float64 // moving ratio of first-token time to its prediction
+
+	prefixes prefixSet
+}
+
+// recent is an attempt that the endpoint's last report does not include.
+type recent struct {
+	sequence uint64
+	band     wire.Band
+	tokens   int64
+	memory   int64
+}
+
+// call is an at-most-once record's handle; it equals the request's number.
+type call = uint64
+
+func keyOf(r *request) idempotency.Key {
+	return idempotency.Key{Account: r.in.Account, Service: r.in.Call.Service, Key: r.in.Call.IdempotencyKey}
+}
+
+// timerKind says what a timer of the core is for.
+type timerKind uint8
+
+const (
+	timerDeadline  timerKind = 1
+	timerSettle    timerKind = 2
+	timerRetry     timerKind = 3
+	timerOrphan    timerKind = 4 // of an attempt
+	timerEject     timerKind = 5 // of an endpoint
+	timerHeartbeat timerKind = 6
+	timerGroup     timerKind = 7 // lease renewal of a request's group
+	timerDrain     timerKind = 8
+	timerSilent    timerKind = 9 // of an endpoint
+)
+
+// timerKey names one timer. The fields that do not apply are zero.
+type timerKey struct {
+	kind     timerKind
+	id       uint64 // request or attempt
+	endpoint wire.EndpointID
+}
--- a/internal/wire/toentry.go
+++ b/internal/wire/toentry.go
@@ -48,6 +48,7 @@
 	Failing       bool             `cbor:"13,keyasint,omitempty"` // the engine does not answer
 	Revision      uint64           `cbor:"14,keyasint,omitempty"` // declarations revision in force at the agent
 	TokensPerByte float64          `cbor:"15,keyasint,omitempty"` // correction of prompt estimates from the engine's counts
+	ShortPrefill  int64            `cbor:"16,keyasint,omitempty"` // part of PrefillTokens that belongs to short prompts
 }
 
 // Started reports that the agent has handed the attempt to its endpoint. From
