--- a/internal/declaration/assemble.go
+++ b/internal/declaration/assemble.go
@@ -133,3 +133,12 @@
 	}
 	return a.State()
 }
+
+// AddFrom offers the chunks that another assembly has collected.
+func (a *Assembly) AddFrom(other *Assembly) {
+	for _, body := range other.bodies {
+		if body != nil {
+			a.Add(body)
+		}
+	}
+}
--- a/internal/declaration/fetch.go
+++ b/internal/declaration/fetch.go
@@ -9,7 +9,8 @@
 	"trefoilpath.org/trefoilpath/internal/store"
 )
 
-// Doer executes one operation on the platform's store.
+// Doer executes one operation on the platform's store. It is safe for
+// concurrent use.
 type Doer interface {
 	Do(ctx context.Context, op store.Op) store.Result
 }
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -9,6 +9,7 @@
 	Chunks       *Chunks       `cbor:"3,keyasint,omitempty"`
 	GrantRequest *GrantRequest `cbor:"4,keyasint,omitempty"`
 	GrantReply   *GrantReply   `cbor:"5,keyasint,omitempty"`
+	Difference   *Difference   `cbor:"6,keyasint,omitempty"`
 }
 
 // Announce tells a peer that the sender is alive and which declarations it
@@ -31,9 +32,21 @@
 type ChunkRequest struct {
 	Revision uint64   `cbor:"1,keyasint"`
 	Have     []uint64 `cbor:"2,keyasint,omitempty"`
+	// FromDigest is the digest of the root that the sender holds. A receiver
+	// that knows it answers with Difference, any other with the root alone.
+	FromDigest uint64 `cbor:"3,keyasint,omitempty"`
+	// Want, if set, lists the digests of the only chunks that the sender needs.
+	Want []uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Chunks carries a root record and the chunks that the receiver lacks.
+// Difference carries what leads from the root that a ChunkRequest names to the
+// sender's.
+type Difference struct {
+	Body []byte `cbor:"1,keyasint"` // encoded declaration.Difference
+}
+
+// Chunks carries a root and chunks that the receiver lacks. The chunks of one
+// root may come in several messages.
 type Chunks struct {
 	Root   []byte   `cbor:"1,keyasint"` // encoded declaration root
 	Bodies [][]byte `cbor:"2,keyasint,omitempty"`
