Give every agent streams to the candidates for the placement duty

Cause: at the target an agent's subset is 8 of 39 entries of its failure domain, so the holder of the placement duty would not see most endpoints. Change: two candidates a failure domain by rendezvous hashing, part of every subset.

--- a/internal/membership/subset.go
+++ b/internal/membership/subset.go
@@ -23,10 +23,31 @@
 // a failure domain.
 var DefaultSubsetSize = SubsetSize{Own: 8, Others: 8}
 
-// Subset returns the entries that the agent keeps streams to: the first Own of
-// its failure domain and the first Others of the remaining ones, by rendezvous
-// hashing over the agent's name. One entry that comes or goes changes at most
-// one member. The result is sorted by node.
+// ControllerCandidates is the number of entries of a failure domain that seek
+// its placement duty. Every agent of the domain keeps a stream to each of them,
+// so the holder sees all endpoints.
+const ControllerCandidates = 2
+
+// controllerKeyPrefix is the prefix of the rendezvous keys of the candidates.
+const controllerKeyPrefix = "placement/"
+
+// Controllers returns the entries of the failure domain that seek its placement
+// duty, best first.
+func Controllers(domain wire.FailureDomain, entries []EntryNode) []wire.NodeID {
+	var own []wire.NodeID
+	for _, e := range entries {
+		if e.FailureDomain == domain {
+			own = append(own, e.Node)
+		}
+	}
+	return Pick(controllerKeyPrefix+string(domain), own, ControllerCandidates)
+}
+
+// Subset returns the entries that the agent keeps streams to: the candidates for
+// the placement duty of its failure domain, the first Own of that domain and the
+// first Others of the remaining ones, by rendezvous hashing over the agent's
+// name. One entry that comes or goes changes at most one candidate and one other
+// member. The result is sorted by node.
 func Subset(agent wire.EndpointID, domain wire.FailureDomain, entries []EntryNode, size SubsetSize) []EntryNode {
 	byNode := make(map[wire.NodeID]EntryNode, len(entries))
 	var own, others []wire.NodeID
@@ -43,7 +64,9 @@
 	}
 	picked := Pick(string(agent), own, size.Own)
 	picked = append(picked, Pick(string(agent), others, size.Others)...)
+	picked = append(picked, Controllers(domain, entries)...)
 	slices.Sort(picked)
+	picked = slices.Compact(picked)
 	subset := make([]EntryNode, len(picked))
 	for i, node := range picked {
 		subset[i] = byNode[node]
