--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -70,3 +70,7 @@
 
 // settleLimit gives back what takeLimit took.
 func (f *fleet) settleLimit(r *request) { f.inUse[r.in.Account]-- }
+
+func (f *fleet) placing() bool { return false }
+
+func (f *fleet) peerStatus() []PeerStatus { return nil }
--- /dev/null
+++ b/internal/entry/shell/agents.go
@@ -0,0 +1,167 @@
+package shell
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"trefoilpath.org/trefoilpath/internal/entry"
+	"trefoilpath.org/trefoilpath/internal/transport"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// bodyChunkBytes is the size of the pieces in which bodies are sent, so that
+// bodies of several attempts share a stream.
+const bodyChunkBytes = 32 << 10
+
+// agentStreams holds the agents' streams and hands their messages to the core.
+type agentStreams struct {
+	e *Entry
+
+	mu       sync.Mutex
+	byStream map[*transport.AgentStream]agentID
+	byName   map[wire.EndpointID]*transport.AgentStream
+}
+
+type agentID struct {
+	endpoint    wire.EndpointID
+	incarnation wire.Incarnation
+}
+
+func newAgentStreams(e *Entry) *agentStreams {
+	return &agentStreams{
+		e:        e,
+		byStream: make(map[*transport.AgentStream]agentID),
+		byName:   make(map[wire.EndpointID]*transport.AgentStream),
+	}
+}
+
+// AgentMessage implements transport.AgentServer.
+func (a *agentStreams) AgentMessage(s *transport.AgentStream, m *wire.ToEntry) error {
+	if m.Frame != nil {
+		a.e.exchanges.frame(a.e, m.Frame)
+		return nil
+	}
+	if m.Hello != nil {
+		return a.hello(s, m.Hello)
+	}
+	id, ok := a.identify(s)
+	if !ok {
+		return errors.New("hello expected")
+	}
+	a.e.input(entry.Input{FromAgent: &entry.FromAgent{Endpoint: id.endpoint, Msg: *m}})
+	return nil
+}
+
+// hello registers a stream. A stream replaces an earlier one of the same
+// endpoint unless that belongs to a later incarnation.
+func (a *agentStreams) hello(s *transport.AgentStream, h *wire.Hello) error {
+	if s.Identity != "" && s.Identity != string(h.Endpoint) {
+		return errors.Errorf("certificate of %q used by endpoint %q", s.Identity, h.Endpoint)
+	}
+	a.mu.Lock()
+	earlier := a.byName[h.Endpoint]
+	if earlier != nil && a.byStream[earlier].incarnation > h.Incarnation {
+		a.mu.Unlock()
+		return errors.Errorf("endpoint %q has a later agent", h.Endpoint)
+	}
+	if earlier != nil {
+		delete(a.byStream, earlier)
+	}
+	a.byName[h.Endpoint] = s
+	a.byStream[s] = agentID{h.Endpoint, h.Incarnation}
+	a.mu.Unlock()
+	if earlier != nil && earlier != s {
+		earlier.Close()
+	}
+	a.e.input(entry.Input{AgentUp: &entry.AgentUp{Hello: *h}})
+	return nil
+}
+
+func (a *agentStreams) identify(s *transport.AgentStream) (agentID, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	id, ok := a.byStream[s]
+	return id, ok
+}
+
+// AgentClosed implements transport.AgentServer.
+func (a *agentStreams) AgentClosed(s *transport.AgentStream) {
+	a.mu.Lock()
+	id, ok := a.byStream[s]
+	delete(a.byStream, s)
+	if ok && a.byName[id.endpoint] == s {
+		delete(a.byName, id.endpoint)
+	}
+	a.mu.Unlock()
+	if ok {
+		a.e.input(entry.Input{AgentDown: &entry.AgentDown{Endpoint: id.endpoint, Incarnation: id.incarnation}})
+	}
+}
+
+func (a *agentStreams) stream(id wire.EndpointID) *transport.AgentStream {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.byName[id]
+}
+
+// send sends one message of the core, and the body after a Dispatch.
+func (a *agentStreams) send(m *entry.ToAgent) {
+	s := a.stream(m.Endpoint)
+	if s == nil {
+		return // AgentDown is on its way to the core
+	}
+	msg := m.Msg
+	if msg.Dispatch == nil {
+		a.sendOn(s, msg)
+		return
+	}
+	body := a.e.exchanges.body(m.Request, msg.Dispatch)
+	d := *msg.Dispatch
+	d.BodyBytes = int64(len(body))
+	a.sendOn(s, wire.ToAgent{Dispatch: &d})
+	a.sendBody(s, d.Attempt, body)
+}
+
+func (a *agentStreams) sendOn(s *transport.AgentStream, m wire.ToAgent) {
+	if err := s.Send(m); err != nil {
+		s.Close()
+	}
+}
+
+// sendBody sends a body in chunks. One that is larger than a chunk goes from a
+// goroutine of its own, since the loop must not wait for the network.
+func (a *agentStreams) sendBody(s *transport.AgentStream, id wire.AttemptID, body []byte) {
+	if len(body) == 0 {
+		return
+	}
+	if len(body) <= bodyChunkBytes {
+		a.sendOn(s, wire.ToAgent{Body: &wire.BodyChunk{Attempt: id, Data: body, Last: true}})
+		return
+	}
+	a.e.background.Add(1)
+	go func() {
+		defer a.e.background.Done()
+		sendChunks(s, id, body)
+	}()
+}
+
+func sendChunks(s *transport.AgentStream, id wire.AttemptID, body []byte) {
+	for offset := 0; offset < len(body); offset += bodyChunkBytes {
+		end := min(offset+bodyChunkBytes, len(body))
+		chunk := wire.BodyChunk{Attempt: id, Offset: int64(offset), Data: body[offset:end], Last: end == len(body)}
+		if err := s.SendBulk(context.Background(), wire.ToAgent{Body: &chunk}); err != nil {
+			return // the stream has ended
+		}
+	}
+}
+
+// closeAll ends all streams.
+func (a *agentStreams) closeAll() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for s := range a.byStream {
+		s.Close()
+	}
+}
--- /dev/null
+++ b/internal/entry/shell/body.go
@@ -0,0 +1,207 @@
+package shell
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"trefoilpath.org/trefoilpath/internal/engine"
+)
+
+const (
+	// adapterSeparator separates model and adapter in the "model" field.
+	adapterSeparator = ":"
+	// bytesPerToken is the assumed length of a token where prompts are cut into
+	// blocks for prefix hashes.
+	bytesPerToken = 4
+	// maxPrefixBlocks bounds the prefix hashes of one request.
+	maxPrefixBlocks = 128
+	maxOutputTokens = 1 << 20
+)
+
+// shape distinguishes the two forms of the completions API.
+type shape uint8
+
+const (
+	shapeChat shape = 1
+	shapeText shape = 2
+)
+
+// completionBody is what the entry reads of a request body. Other fields go to
+// the engine as they are.
+type completionBody struct {
+	Model               string          `json:"model"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []chatMessage   `json:"messages"`
+	MaxTokens           *int64          `json:"max_tokens"`
+	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       *streamOptions  `json:"stream_options"`
+	N                   *int            `json:"n"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type contentPart struct {
+	Type string `json:"type"`
+	Text string `json:"text"`
+}
+
+// completion is a checked request body.
+type completion struct {
+	shape        shape
+	model        string
+	adapter      string
+	prompt       string
+	maxOutput    int64
+	stream       bool
+	includeUsage bool
+}
+
+// parseCompletion checks a body of the completions API.
+func parseCompletion(body []byte, s shape) (*completion, error) {
+	if !validText(body) {
+		return nil, errors.New("the body is not valid UTF-8")
+	}
+	var b completionBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return nil, errors.Wrap(err, "the body is not a valid request")
+	}
+	c := &completion{shape: s, stream: b.Stream}
+	c.model, c.adapter, _ = strings.Cut(b.Model, adapterSeparator)
+	if c.model == "" {
+		return nil, errors.New(`"model" is missing`)
+	}
+	if b.N != nil && *b.N != 1 {
+		return nil, errors.New(`"n" other than 1 is not supported`)
+	}
+	if b.StreamOptions != nil {
+		c.includeUsage = b.StreamOptions.IncludeUsage
+	}
+	if err := c.readLimit(&b); err != nil {
+		return nil, err
+	}
+	return c, c.readPrompt(&b)
+}
+
+func (c *completion) readLimit(b *completionBody) error {
+	limit := b.MaxTokens
+	if b.MaxCompletionTokens != nil {
+		limit = b.MaxCompletionTokens
+	}
+	if limit == nil {
+		return nil
+	}
+	if *limit < 1 || *limit > maxOutputTokens {
+		return errors.Errorf(`"max_tokens" is %d, want 1 to %d`, *limit, maxOutputTokens)
+	}
+	c.maxOutput = *limit
+	return nil
+}
+
+func (c *completion) readPrompt(b *completionBody) error {
+	if c.shape == shapeText {
+		text, err := contentText(b.Prompt)
+		if err != nil || text == "" {
+			return errors.New(`"prompt" must be a string that is not empty`)
+		}
+		c.prompt = text
+		return nil
+	}
+	if len(b.Messages) == 0 {
+		return errors.New(`"messages" must hold at least one message`)
+	}
+	var all strings.Builder
+	for i, m := range b.Messages {
+		text, err := contentText(m.Content)
+		if err != nil {
+			return errors.Errorf(`"messages[%d].content" must be a string or a list of text parts`, i)
+		}
+		all.WriteString(text)
+	}
+	c.prompt = all.String()
+	return nil
+}
+
+// contentText accepts a string or a list of text parts.
+func contentText(raw json.RawMessage) (string, error) {
+	var text string
+	if err := json.Unmarshal(raw, &text); err == nil {
+		return text, nil
+	}
+	var parts []contentPart
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return "", errors.WithStack(err)
+	}
+	var all strings.Builder
+	for _, p := range parts {
+		all.WriteString(p.Text)
+	}
+	return all.String(), nil
+}
+
+// prefixes returns the hashes of the successive whole blocks of the prompt. Each
+// covers the prompt up to its end, so that equal hashes mean equal prefixes.
+func (c *completion) prefixes() []uint64 {
+	const blockBytes = engine.PrefixBlockTokens * bytesPerToken
+	blocks := min(len(c.prompt)/blockBytes, maxPrefixBlocks)
+	if blocks == 0 {
+		return nil
+	}
+	d := xxhash.New()
+	_, _ = d.WriteString(c.model + adapterSeparator + c.adapter + "\n") // never fails
+	hashes := make([]uint64, blocks)
+	for i := range blocks {
+		_, _ = d.WriteString(c.prompt[i*blockBytes : (i+1)*blockBytes])
+		hashes[i] = d.Sum64()
+	}
+	return hashes
+}
+
+// continueBody returns the body that asks for the rest of an answer of which the
+// caller already has text.
+func continueBody(body []byte, s shape, text []byte) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if s == shapeText {
+		prompt, err := contentText(fields["prompt"])
+		if err != nil {
+			return nil, err
+		}
+		return withField(fields, "prompt", prompt+string(text))
+	}
+	var messages []json.RawMessage
+	if err := json.Unmarshal(fields["messages"], &messages); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	content, err := json.Marshal(string(text))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	last, err := json.Marshal(chatMessage{Role: "assistant", Content: content})
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return withField(fields, "messages", append(messages, last))
+}
+
+func withField(fields map[string]json.RawMessage, name string, value any) ([]byte, error) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	fields[name] = raw
+	out, err := json.Marshal(fields)
+	return out, errors.WithStack(err)
+}
--- /dev/null
+++ b/internal/entry/shell/callers.go
@@ -0,0 +1,187 @@
+package shell
+
+import (
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/pkg/errors"
+
+	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/entry"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// Headers of the callers' HTTP interface.
+const (
+	HeaderDeadline       = "X-Deadline-Ms"
+	HeaderPriority       = "X-Priority"
+	HeaderRequestID      = "X-Request-Id"
+	HeaderOutcome        = "X-Outcome"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+const (
+	maxRequestIDBytes = 128
+	maxDeadline       = 24 * time.Hour
+	maxPriority       = 1000
+)
+
+// CallerHandler returns the callers' HTTP interface.
+func (e *Entry) CallerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", e.serveHealth)
+	mux.HandleFunc("GET /readyz", e.serveReady)
+	mux.HandleFunc("GET /metrics", e.serveMetrics)
+	mux.HandleFunc("GET /v1/models", e.serveModels)
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { e.serveCompletion(w, r, shapeChat) })
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { e.serveCompletion(w, r, shapeText) })
+	mux.HandleFunc("/services/{name}/{path...}", e.serveService)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, apiError{Status: http.StatusNotFound, Type: "invalid_request_error", Code: "not_found", Message: "no such path: " + r.URL.Path})
+	})
+	return mux
+}
+
+func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
+
+func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if ok, reason := e.Ready(); !ok {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+	}
+}
+
+// caller is what the headers of a request say.
+type caller struct {
+	account  *declaration.Account
+	id       string
+	deadline time.Duration
+	priority int32
+}
+
+// authenticate resolves the bearer key and reads the common headers. It answers
+// the request and returns false if they are not acceptable.
+func (e *Entry) authenticate(w http.ResponseWriter, r *http.Request) (caller, bool) {
+	c := caller{id: e.requestID(r)}
+	w.Header().Set(HeaderRequestID, c.id)
+	snapshot := e.snapshot.Load()
+	if snapshot == nil {
+		writeError(w, refusal(entry.CodeNotReady, "no declarations yet", time.Second))
+		return c, false
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if ok {
+		c.account, ok = snapshot.Lookup(declaration.KeyHash(sha256.Sum256([]byte(key))))
+	}
+	if !ok {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		writeError(w, apiError{Status: http.StatusUnauthorized, Type: "authentication_error", Code: "invalid_api_key", Message: "missing or unknown key", Outcome: wire.OutcomeNotRun})
+		return c, false
+	}
+	if err := c.readHeaders(r); err != nil {
+		writeError(w, invalid(err.Error()))
+		return c, false
+	}
+	return c, true
+}
+
+// requestID returns the caller's own request ID if it is usable, or a new one.
+func (e *Entry) requestID(r *http.Request) string {
+	id := r.Header.Get(HeaderRequestID)
+	if id != "" && len(id) <= maxRequestIDBytes && printable(id) {
+		return id
+	}
+	return string(e.self()) + "-" + strconv.FormatUint(uint64(e.cfg.Core.Incarnation), 36) + "-" + strconv.FormatUint(e.lastRequest.Add(1), 36)
+}
+
+func printable(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *caller) readHeaders(r *http.Request) error {
+	if s := r.Header.Get(HeaderDeadline); s != "" {
+		ms, err := strconv.ParseInt(s, 10, 64)
+		if err != nil || ms <= 0 || time.Duration(ms) > maxDeadline/time.Millisecond {
+			return errors.Errorf("header %s: want milliseconds from 1 to %d", HeaderDeadline, maxDeadline/time.Millisecond)
+		}
+		c.deadline = time.Duration(ms) * time.Millisecond
+	}
+	if s := r.Header.Get(HeaderPriority); s != "" {
+		p, err := strconv.ParseInt(s, 10, 32)
+		if err != nil || p < -maxPriority || p > maxPriority {
+			return errors.Errorf("header %s: want a number from %d to %d", HeaderPriority, -maxPriority, maxPriority)
+		}
+		c.priority = int32(p)
+	}
+	return nil
+}
+
+// readBody reads the whole body within the bounds of size and time.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	limit := e.cfg.Limits.MaxBodyBytes
+	if r.ContentLength > limit {
+		writeError(w, tooLarge(limit))
+		return nil, false
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(time.Duration(e.cfg.Limits.ReadBodyTimeoutMS) * time.Millisecond)) // recorders in tests have none
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	var over *http.MaxBytesError
+	switch {
+	case errors.As(err, &over):
+		writeError(w, tooLarge(limit))
+		return nil, false
+	case err != nil:
+		writeError(w, apiError{Status: http.StatusRequestTimeout, Type: "invalid_request_error", Code: "body_incomplete", Message: "the body did not arrive whole in time", Outcome: wire.OutcomeNotRun})
+		return nil, false
+	}
+	return body, true
+}
+
+func tooLarge(limit int64) apiError {
+	return apiError{Status: http.StatusRequestEntityTooLarge, Type: "invalid_request_error", Code: "body_too_large", Message: "the body is larger than " + strconv.FormatInt(limit, 10) + " bytes", Outcome: wire.OutcomeNotRun}
+}
+
+// submit hands a request to the core and returns its exchange.
+func (e *Entry) submit(x *exchange, req *entry.Request) bool {
+	e.exchanges.add(x)
+	if e.input(entry.Input{Request: req}) {
+		return true
+	}
+	e.exchanges.end(&entry.Answer{ID: x.id, Outcome: wire.OutcomeNotRun, Code: entry.CodeShutdown})
+	return false
+}
+
+func (e *Entry) serveModels(w http.ResponseWriter, r *http.Request) {
+	c, ok := e.authenticate(w, r)
+	if !ok {
+		return
+	}
+	list := modelList{Object: "list", Data: []modelInfo{}}
+	for _, m := range e.snapshot.Load().Models {
+		grant, ok := c.account.Models[m.Name]
+		if !ok {
+			continue
+		}
+		list.Data = append(list.Data, modelInfo{ID: m.Name, Object: "model", OwnedBy: "trefoilpath"})
+		for _, a := range m.Adapters {
+			if grant.Adapters[a] {
+				list.Data = append(list.Data, modelInfo{ID: m.Name + adapterSeparator + a, Object: "model", OwnedBy: "trefoilpath"})
+			}
+		}
+	}
+	w.Header().Set(HeaderOutcome, wire.OutcomeCompleted.String())
+	writeJSON(w, http.StatusOK, list)
+}
+
+func validText(body []byte) bool { return utf8.Valid(body) }
--- /dev/null
+++ b/internal/entry/shell/completions.go
@@ -0,0 +1,85 @@
+package shell
+
+import (
+	"net/http"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/entry"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// serveCompletion serves both forms of the completions API.
+func (e *Entry) serveCompletion(w http.ResponseWriter, r *http.Request, s shape) {
+	c, ok := e.authenticate(w, r)
+	if !ok {
+		return
+	}
+	if !e.streams.take(c.account.ID) {
+		writeError(w, refusal(entry.CodeConcurrency, "too many open requests at this entry", time.Second))
+		return
+	}
+	defer e.streams.release(c.account.ID)
+	body, ok := e.readBody(w, r)
+	if !ok {
+		return
+	}
+	req, err := parseCompletion(body, s)
+	if err != nil {
+		writeError(w, invalid(err.Error()))
+		return
+	}
+	x := newExchange(e.nextRequest(), body)
+	x.continued = func(text []byte) ([]byte, error) { return continueBody(body, s, text) }
+	in := &entry.Request{
+		ID: x.id, ExternalID: c.id, Account: c.account.ID, Kind: wire.KindEngine,
+		Model: req.model, Adapter: req.adapter, PromptBytes: int64(len(req.prompt)), MaxOutput: req.maxOutput,
+		Deadline: c.deadline, Priority: c.priority, Prefixes: req.prefixes(), BodyBytes: int64(len(body)),
+	}
+	req.prompt = ""
+	if !e.submit(x, in) {
+		writeError(w, refusal(entry.CodeShutdown, "", time.Second))
+		return
+	}
+	out := newRenderer(w, req, c.id)
+	e.follow(r, x, out)
+}
+
+// sink receives an answer as it arrives.
+type sink interface {
+	piece(head *wire.ReplyHead, p piece) error
+	flush() error
+	final(a *entry.Answer)
+}
+
+// follow passes an answer on until it ends or the caller leaves.
+func (e *Entry) follow(r *http.Request, x *exchange, out sink) {
+	for {
+		select {
+		case <-x.wake:
+		case <-r.Context().Done():
+			e.input(entry.Input{CallerGone: &entry.CallerGone{ID: x.id}})
+			return
+		}
+		pieces, head, final := x.take()
+		if err := passOn(out, head, pieces); err != nil {
+			e.input(entry.Input{CallerGone: &entry.CallerGone{ID: x.id}})
+			return
+		}
+		if final != nil {
+			out.final(final)
+			return
+		}
+	}
+}
+
+func passOn(out sink, head *wire.ReplyHead, pieces []piece) error {
+	if len(pieces) == 0 {
+		return nil
+	}
+	for _, p := range pieces {
+		if err := out.piece(head, p); err != nil {
+			return err
+		}
+	}
+	return out.flush()
+}
--- /dev/null
+++ b/internal/entry/shell/entry.go
@@ -0,0 +1,285 @@
+package shell
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/entry"
+	"trefoilpath.org/trefoilpath/internal/invariant"
+	"trefoilpath.org/trefoilpath/internal/membership"
+	"trefoilpath.org/trefoilpath/internal/store"
+	"trefoilpath.org/trefoilpath/internal/transport"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+const (
+	inboxLen   = 8192 // inputs
+	batchLen   = 1024 // inputs
+	storeCalls = 64   // operations in progress, waiting watches included
+)
+
+// ErrStopped reports that the entry has stopped.
+var ErrStopped = errors.New("entry has stopped")
+
+// Entry runs one entry core. Its HTTP handlers may be used as soon as Run has
+// been started.
+type Entry struct {
+	cfg     Config
+	core    *entry.Core
+	start   time.Time
+	inbox   chan entry.Input
+	queries chan func(*entry.Core)
+	stopped chan struct{}
+
+	lastRequest atomic.Uint64
+	snapshot    atomic.Pointer[declaration.Snapshot]
+	ready       atomic.Pointer[entry.Ready]
+
+	exchanges  *exchanges
+	agents     *agentStreams
+	peers      *peerSender
+	client     *http.Client
+	store      *store.HTTPClient
+	vms        *membership.HTTPClient
+	streams    *streamLimit
+	meters     *meters
+	drained    chan struct{}
+	background sync.WaitGroup
+	storeSlots chan struct{}
+}
+
+// New returns an entry that does nothing until Run.
+func New(cfg Config) (*Entry, error) {
+	core, err := entry.New(cfg.Core)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{
+		cfg:        cfg,
+		core:       core,
+		start:      time.Now(),
+		inbox:      make(chan entry.Input, inboxLen),
+		queries:    make(chan func(*entry.Core)),
+		stopped:    make(chan struct{}),
+		exchanges:  newExchanges(),
+		client:     transport.NewHTTPClient(cfg.TLS),
+		streams:    newStreamLimit(cfg.Limits.MaxStreams, cfg.Limits.MaxStreamsPerAccount),
+		meters:     newMeters(),
+		drained:    make(chan struct{}),
+		storeSlots: make(chan struct{}, storeCalls),
+	}
+	e.agents = newAgentStreams(e)
+	e.peers, err = newPeerSender(e)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.StoreURL != "" {
+		e.store = store.NewHTTPClient(cfg.StoreURL, plainClient())
+	}
+	if cfg.VMListURL != "" {
+		e.vms = membership.NewHTTPClient(cfg.VMListURL, plainClient())
+	}
+	e.ready.Store(&entry.Ready{Reason: "starting"})
+	return e, nil
+}
+
+// plainClient returns a client for the platform's services.
+func plainClient() *http.Client {
+	return &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+}
+
+// PeerHandler returns the handler for agents and other entries.
+func (e *Entry) PeerHandler() (http.Handler, error) {
+	return transport.Handler(e.agents, e.peers, e.cfg.TLS != nil)
+}
+
+// Run runs the entry until it has drained after Shutdown, or until ctx ends. A
+// broken invariant is returned as *invariant.Violation.
+func (e *Entry) Run(ctx context.Context) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer e.background.Wait()
+	defer e.exchanges.closeAll()
+	defer e.agents.closeAll()
+	defer e.client.CloseIdleConnections()
+	defer close(e.stopped)
+	defer cancel()
+	defer func() {
+		if v := invariant.Recover(recover()); v != nil {
+			e.reportViolation(v)
+			err = v
+		}
+	}()
+	if e.cfg.Lists != nil {
+		e.carryOut(ctx, e.core.Tick(e.now(), []entry.Input{{DeclareLocal: e.cfg.Lists}}))
+	}
+	e.watchVMs(ctx)
+	return e.loop(ctx)
+}
+
+func (e *Entry) now() time.Duration { return time.Since(e.start) }
+
+// loop ticks the core whenever an input waits or a timer is due.
+func (e *Entry) loop(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	batch := make([]entry.Input, 0, batchLen)
+	for {
+		batch = batch[:0]
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.drained:
+			return nil
+		case query := <-e.queries:
+			query(e.core)
+			continue
+		case in := <-e.inbox:
+			batch = e.gather(append(batch, in))
+		case <-timer.C:
+		}
+		began := time.Now()
+		out := e.core.Tick(e.now(), batch)
+		e.meters.tick(len(batch), time.Since(began))
+		e.carryOut(ctx, out)
+		timer.Reset(max(e.core.Next()-e.now(), 0))
+	}
+}
+
+// gather appends the inputs that wait.
+func (e *Entry) gather(batch []entry.Input) []entry.Input {
+	for len(batch) < batchLen {
+		select {
+		case in := <-e.inbox:
+			batch = append(batch, in)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// input queues an input for the core. It reports false once the entry has
+// stopped.
+func (e *Entry) input(in entry.Input) bool {
+	select {
+	case e.inbox <- in:
+		return true
+	case <-e.stopped:
+		return false
+	}
+}
+
+// query runs f on the core between two ticks.
+func (e *Entry) query(ctx context.Context, f func(*entry.Core)) error {
+	done := make(chan struct{})
+	q := func(c *entry.Core) {
+		f(c)
+		close(done)
+	}
+	select {
+	case e.queries <- q:
+	case <-e.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	<-done
+	return nil
+}
+
+// Dump returns the state of the core.
+func (e *Entry) Dump(ctx context.Context) (entry.Dump, error) {
+	var d entry.Dump
+	err := e.query(ctx, func(c *entry.Core) { d = c.Dump() })
+	return d, err
+}
+
+// Shutdown starts a graceful shutdown; Run returns when it is complete.
+func (e *Entry) Shutdown() { e.input(entry.Input{Shutdown: &entry.Shutdown{}}) }
+
+// Ready reports whether the entry should get requests, and why not.
+func (e *Entry) Ready() (bool, string) {
+	r := e.ready.Load()
+	return r.OK, r.Reason
+}
+
+func (e *Entry) reportViolation(v *invariant.Violation) {
+	e.cfg.Log.Error().Str("event", "invariant").Str("name", v.Name).Str("detail", v.Detail).
+		Str("stack", string(debug.Stack())).Interface("dump", e.core.Dump()).Send()
+}
+
+// carryOut carries out the outputs of one tick in order.
+func (e *Entry) carryOut(ctx context.Context, out []entry.Output) {
+	for i := range out {
+		e.carryOutOne(ctx, &out[i])
+	}
+	e.peers.flush(ctx)
+}
+
+func (e *Entry) carryOutOne(ctx context.Context, o *entry.Output) {
+	switch {
+	case o.ToAgent != nil:
+		e.agents.send(o.ToAgent)
+	case o.ToPeer != nil:
+		e.peers.add(o.ToPeer)
+	case o.Store != nil:
+		e.storeCall(ctx, *o.Store)
+	case o.Attempt != nil:
+		e.exchanges.setAttempt(o.Attempt)
+	case o.Answer != nil:
+		e.exchanges.end(o.Answer)
+	case o.Snapshot != nil:
+		e.snapshot.Store(o.Snapshot)
+	case o.Ready != nil:
+		e.ready.Store(o.Ready)
+	case o.Drained:
+		close(e.drained)
+	case o.Log != nil:
+		e.meters.count(o.Log)
+		e.logEvent(o.Log)
+	}
+}
+
+// storeCall executes one operation of the platform's store in the background.
+func (e *Entry) storeCall(ctx context.Context, op store.Op) {
+	if e.store == nil {
+		e.asyncInput(store.Result{ID: op.ID, Status: store.StatusUnavailable})
+		return
+	}
+	select {
+	case e.storeSlots <- struct{}{}:
+	default:
+		e.asyncInput(store.Result{ID: op.ID, Status: store.StatusUnavailable})
+		return
+	}
+	e.background.Add(1)
+	go func() {
+		defer e.background.Done()
+		r := e.store.Do(ctx, op)
+		<-e.storeSlots
+		e.input(entry.Input{StoreResult: &r})
+	}()
+}
+
+// asyncInput queues a result from the loop itself, which must not wait for its
+// own inbox.
+func (e *Entry) asyncInput(r store.Result) {
+	e.background.Add(1)
+	go func() {
+		defer e.background.Done()
+		e.input(entry.Input{StoreResult: &r})
+	}()
+}
+
+// nextRequest returns a new request ID.
+func (e *Entry) nextRequest() entry.RequestID { return entry.RequestID(e.lastRequest.Add(1)) }
+
+// self returns the name of this entry.
+func (e *Entry) self() wire.NodeID { return e.cfg.Core.Self }
--- /dev/null
+++ b/internal/entry/shell/logs.go
@@ -0,0 +1,51 @@
+package shell
+
+import (
+	"github.com/rs/zerolog"
+
+	"trefoilpath.org/trefoilpath/internal/entry"
+)
+
+// logEvent writes one line for an event of the core.
+func (e *Entry) logEvent(ev *entry.Event) {
+	line := e.cfg.Log.WithLevel(levelOf(ev.Kind)).Str("event", string(ev.Kind))
+	addString(line, "request", ev.Request)
+	addString(line, "client_account", string(ev.Account))
+	addString(line, "endpoint", string(ev.Endpoint))
+	if !ev.Attempt.IsZero() {
+		line.Str("attempt", ev.Attempt.String())
+	}
+	if ev.Outcome != 0 {
+		line.Str("outcome", ev.Outcome.String())
+	}
+	if ev.Code != entry.CodeOK {
+		line.Str("code", ev.Code.String())
+	}
+	addString(line, "detail", ev.Detail)
+	if ev.Revision != 0 {
+		line.Uint64("revision", ev.Revision)
+	}
+	if ev.Elapsed != 0 {
+		line.Dur("elapsed_ms", ev.Elapsed)
+	}
+	if ev.FirstWait != 0 {
+		line.Dur("first_token_ms", ev.FirstWait)
+	}
+	line.Send()
+}
+
+func addString(line *zerolog.Event, key, value string) {
+	if value != "" {
+		line.Str(key, value)
+	}
+}
+
+// levelOf keeps the lines of each request below the default level, but for its
+// end.
+func levelOf(kind entry.EventKind) zerolog.Level {
+	switch kind {
+	case entry.EventAdmitted, entry.EventDispatched:
+		return zerolog.DebugLevel
+	}
+	return zerolog.InfoLevel
+}
--- /dev/null
+++ b/internal/entry/shell/run.go
@@ -0,0 +1,124 @@
+package shell
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"trefoilpath.org/trefoilpath/internal/settings"
+	"trefoilpath.org/trefoilpath/internal/transport"
+)
+
+// stopTimeout bounds the end of the HTTP servers once nothing is in flight.
+const stopTimeout = 2 * time.Second
+
+// Listeners are the sockets of one entry. Operators may be nil.
+type Listeners struct {
+	Callers   net.Listener
+	Peers     net.Listener
+	Operators net.Listener
+}
+
+// Listen opens the sockets that the settings name.
+func Listen(s settings.Entry) (l Listeners, err error) {
+	if l.Callers, err = net.Listen("tcp", s.ListenCallers); err != nil {
+		return l, errors.Wrap(err, "listen_callers")
+	}
+	if l.Peers, err = net.Listen("tcp", s.ListenPeers); err != nil {
+		return l, errors.Wrap(err, "listen_peers")
+	}
+	if s.ListenOperators == "" {
+		return l, nil
+	}
+	l.Operators, err = net.Listen("tcp", s.ListenOperators)
+	return l, errors.Wrap(err, "listen_operators")
+}
+
+// Run runs an entry process with the given settings. When ctx ends, it shuts
+// down gracefully; Run returns when nothing is in flight any more, or after the
+// longest wait that the settings allow.
+func Run(ctx context.Context, s settings.Entry, log zerolog.Logger) error {
+	cfg, err := FromSettings(s, fromClock(), log)
+	if err != nil {
+		return err
+	}
+	l, err := Listen(s)
+	if err != nil {
+		return err
+	}
+	if s.CallersTLS.Enabled() {
+		cert, err := tls.LoadX509KeyPair(s.CallersTLS.CertFile, s.CallersTLS.KeyFile)
+		if err != nil {
+			return errors.Wrap(err, "callers_tls")
+		}
+		l.Callers = tls.NewListener(l.Callers, &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{cert}, NextProtos: []string{"http/1.1"}})
+	}
+	e, err := New(cfg)
+	if err != nil {
+		return err
+	}
+	return e.Serve(ctx, l)
+}
+
+// Serve runs the entry on the listeners. When ctx ends it shuts down gracefully.
+func (e *Entry) Serve(ctx context.Context, l Listeners) error {
+	handler, err := e.PeerHandler()
+	if err != nil {
+		return err
+	}
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	peers := transport.Serve(l.Peers, e.cfg.TLS, handler)
+	callers := e.serve(l.Callers, e.CallerHandler())
+	operators := e.serve(l.Operators, e.OperatorHandler())
+	unhook := context.AfterFunc(ctx, func() {
+		e.Shutdown()
+		time.AfterFunc(e.cfg.DrainWait, stop)
+	})
+	defer unhook()
+	e.cfg.Log.Info().Str("event", "start").Str("callers", l.Callers.Addr().String()).Str("peers", l.Peers.Addr().String()).Send()
+	err = e.Run(run)
+	var g errgroup.Group
+	g.Go(func() error { return stopServer(callers) })
+	g.Go(func() error { return stopServer(operators) })
+	_ = g.Wait() // a caller that still reads after stopTimeout is cut off
+	peers.Close()
+	e.cfg.Log.Info().Str("event", "stop").Send()
+	return err
+}
+
+// serve starts an HTTP server; a nil listener gives none.
+func (e *Entry) serve(l net.Listener, h http.Handler) *http.Server {
+	if l == nil {
+		return nil
+	}
+	srv := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: time.Duration(e.cfg.Limits.ReadHeaderTimeoutMS) * time.Millisecond,
+		MaxHeaderBytes:    int(e.cfg.Limits.MaxHeaderBytes),
+	}
+	e.background.Add(1)
+	go func() {
+		defer e.background.Done()
+		_ = srv.Serve(l) // returns only after Shutdown, or with the listener's error
+	}()
+	return srv
+}
+
+func stopServer(srv *http.Server) error {
+	if srv == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil {
+		return srv.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// Status is the short answer to an operator.
+type Status struct {
+	Node        wire.NodeID       `json:"node"`
+	Incarnation wire.Incarnation  `json:"incarnation"`
+	Revision    uint64            `json:"revision"`
+	Ready       bool              `json:"ready"`
+	NotReady    string            `json:"not_ready,omitempty"`
+	Draining    bool              `json:"draining"`
+	Drained     bool              `json:"drained"`
+	InFlight    int               `json:"in_flight"`
+	EndpointsUp int               `json:"endpoints_up"`
+	StoreDown   bool              `json:"store_down"`
+	Placing     bool              `json:"placing"` // holds the placement lease of its failure domain
+	Peers       []PeerStatus      `json:"peers"`
+	Lagging     []wire.EndpointID `json:"lagging,omitempty"` // agents with an older revision
+}
+
+// PeerStatus is what an entry last heard of another.
+type PeerStatus struct {
+	Node     wire.NodeID `json:"node"`
+	Revision uint64      `json:"revision"`
+	Ready    bool        `json:"ready"`
+	Leaving  bool        `json:"leaving"`
+	SilentMS int64       `json:"silent_ms"`
+}
+
+// Status returns a summary of the entry and of what it knows of its peers.
+func (c *Core) Status() Status {
+	s := Status{
+		Node: c.cfg.Self, Incarnation: c.cfg.Incarnation, Revision: c.revision(), Ready: c.ready.ok, NotReady: c.ready.reason,
+		Draining: c.drain.on, Drained: c.drain.done, InFlight: c.requests.Len(), StoreDown: c.fleet.storeDown(),
+		Placing: c.fleet.placing(), Peers: c.fleet.peerStatus(),
+	}
+	c.endpoints.Each(func(id wire.EndpointID, e *endpoint) bool {
+		if e.up {
+			s.EndpointsUp++
+			if e.report.Revision < s.Revision {
+				s.Lagging = append(s.Lagging, id)
+			}
+		}
+		return true
+	})
+	return s
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,29 @@
+// Package logging makes the loggers of all roles: one line of key=value pairs
+// for each event.
+package logging
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// New returns a logger that writes events of the level and above to w. An
+// unknown level stands for "info".
+func New(w io.Writer, level string) zerolog.Logger {
+	lv, err := zerolog.ParseLevel(level)
+	if err != nil || level == "" {
+		lv = zerolog.InfoLevel
+	}
+	out := zerolog.ConsoleWriter{
+		Out:             w,
+		NoColor:         true,
+		PartsOrder:      []string{zerolog.TimestampFieldName, zerolog.LevelFieldName},
+		FormatTimestamp: func(v any) string { return fmt.Sprintf("time=%v", v) },
+		FormatLevel:     func(v any) string { return fmt.Sprintf("level=%v", v) },
+		TimeFormat:      time.RFC3339Nano,
+	}
+	return zerolog.New(out).Level(lv).With().Timestamp().Logger()
+}
