Start group members that hold their memory before what waits for it

Cause: a member of a group waited in the queue behind a long prompt that could not start for lack of the very memory that the group had reserved. Change: members that wait start before the queue, as their memory is theirs.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -32,7 +32,8 @@
 	orphaned []wire.NodeID                         // entries whose attempts are to be given up
 	state    *engine.State                         // of this tick
 
-	graves []wire.AttemptID // tombstones in order of their expiry
+	members []wire.AttemptID // group members that wait to start
+	graves  []wire.AttemptID // tombstones in order of their expiry
 
 	share   shareState
 	memory  memoryState
--- a/internal/agent/share.go
+++ b/internal/agent/share.go
@@ -37,6 +37,9 @@
 func (c *Core) enqueue(a *attempt) {
 	acc := c.accountOf(a)
 	a.state = attemptQueued
+	if a.d.Slice != nil {
+		c.members = append(c.members, a.id)
+	}
 	a.key = a.arrived
 	if c.cfg.Queue == QueueFair {
 		a.key -= time.Duration(a.d.Priority) * priorityStep
--- a/internal/agent/start.go
+++ b/internal/agent/start.go
@@ -32,6 +32,7 @@
 		return
 	}
 	c.measureFreeRate()
+	c.startReserved()
 	var blocked [classCount]bool
 	for c.share.queued > 0 {
 		a := c.nextWaiting(blocked)
@@ -46,6 +47,18 @@
 	}
 }
 
+// startReserved starts the group members that wait. They have their memory
+// already, and what waits before them may be waiting for just that memory.
+func (c *Core) startReserved() {
+	for _, id := range c.members {
+		a := c.attempts.Get(id)
+		if a != nil && a.state == attemptQueued && c.hasRoom(a) {
+			c.startOne(a)
+		}
+	}
+	c.members = c.members[:0]
+}
+
 func (c *Core) canStart() bool {
 	if c.share.queued == 0 || !c.engine.up {
 		return false
