--- a/internal/report/plot.go
+++ b/internal/report/plot.go
@@ -29,7 +29,7 @@
 var (
 	firstToken = measure{"time to first token, p95, s", func(s *summary) float64 { return s.TTFTP95 }}
 	slowdown   = measure{"slowdown of short requests beside long ones, p95", func(s *summary) float64 { return s.ShortSlowdownP95 }}
-	goodput    = measure{"goodput, fraction of requests", func(s *summary) float64 { return s.Goodput }}
+	goodput    = measure{"goodput, requests in time a second", func(s *summary) float64 { return s.Goodput }}
 )
 
 // plots draws the figures of a section: first tokens by band, short-request
--- a/internal/report/row.go
+++ b/internal/report/row.go
@@ -25,7 +25,7 @@
 	TTFTP99          float64 `json:"ttft_p99_s"`
 	ITLP95           float64 `json:"itl_p95_s"`
 	ShortSlowdownP95 float64 `json:"short_slowdown_p95"` // 0: not measured in this row
-	Goodput          float64 `json:"goodput"`            // fraction of the requests that completed within their time
+	Goodput          float64 `json:"goodput"`            // requests completed within their time, a second
 	NotRun           int64   `json:"not_run"`
 	Unknown          int64   `json:"unknown"`
 	Late             int64   `json:"late"`
--- /dev/null
+++ b/internal/soak/sort.go
@@ -0,0 +1,19 @@
+package soak
+
+import (
+	"slices"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// sortAttempts puts attempts into a fixed order.
+func sortAttempts(ids []wire.AttemptID) {
+	slices.SortFunc(ids, wire.AttemptID.Compare)
+}
+
+func boolValue(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
