Join membership, spread, limits and placement in the entry core

Cause: the machines of the fleet stood alone, and the entry had a local count in place of limits shared between entries. Change: the fleet carries inputs and outputs of the four machines; requests wait for a first grant; readiness waits until the entry has a share of the limits and is in touch with the store or a peer.

--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -31,20 +31,33 @@
 		c.refuse(in, f)
 		return
 	}
-	if f := c.withinLimits(r); f.code != CodeOK {
-		c.refuse(in, f)
+	row := c.requests.Put(in.ID, *r)
+	c.setDeadline(row)
+	c.admitLimited(row)
+}
+
+// admitLimited takes a request into its account's limits and has it routed. It
+// waits for the account's home if that has not answered yet.
+func (c *Core) admitLimited(r *request) {
+	wait, f := c.fleet.takeLimit(r)
+	switch {
+	case wait:
+		c.fleet.awaitGrant(r)
+		return
+	case f.code != CodeOK:
+		c.stopTimers(r)
+		c.requests.Delete(r.id)
+		c.refuse(&r.in, f)
 		return
 	}
 	c.counts.Admitted++
 	c.retry.earn()
-	row := c.requests.Put(in.ID, *r)
-	c.log(Event{Kind: EventAdmitted, Request: in.ExternalID, Account: in.Account})
-	c.setDeadline(row)
-	if c.needsRecord(row) {
-		c.begin(row)
+	c.log(Event{Kind: EventAdmitted, Request: r.in.ExternalID, Account: r.in.Account})
+	if c.needsRecord(r) {
+		c.begin(r)
 		return
 	}
-	c.enqueue(row)
+	c.enqueue(r)
 }
 
 // refuse answers a request that has not been taken.
@@ -191,8 +204,3 @@
 	}
 	return failure{code: CodeOverloaded, detail: "predicted not to finish in time", retryAfter: max(need-left, minRefusalRetry)}
 }
-
-// withinLimits takes the request into its account's limits.
-func (c *Core) withinLimits(r *request) failure {
-	return c.fleet.takeLimit(r)
-}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -68,6 +68,15 @@
 	FailureDomain wire.FailureDomain
 	Rand          *rand.Rand
 
+	// Domains lists the failure domains of the deployment.
+	Domains []wire.FailureDomain
+	// Regions is the number of regions among which limits are divided; 0 stands
+	// for 1.
+	Regions int
+	// ListLag bounds how long the platform's VM list may lack a new entry; 0
+	// stands for the default of package limits.
+	ListLag time.Duration
+
 	// NoStore runs on lists given by Input.DeclareLocal, without a store.
 	NoStore bool
 
--- a/internal/entry/core_test.go
+++ b/internal/entry/core_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/limits"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -31,12 +32,14 @@
 	}
 	b := &bench{t: t, core: core}
 	b.tick(Input{DeclareLocal: lists()})
+	b.after(limits.DefaultListLag + time.Second)
 	return b
 }
 
 func lists() *declaration.Snapshot {
 	acc := declaration.Account{
-		ID: "shop", Weight: 1, MaxOutput: 1000, ServiceTime: 5 * time.Second,
+		ID: "shop", Weight: 1, Limits: declaration.Limits{RequestsPerSecond: 1e6, TokensPerSecond: 1e9, BurstSeconds: 10, Concurrency: 1000},
+		MaxOutput: 1000, ServiceTime: 5 * time.Second,
 		Deadlines: [wire.BandCount]time.Duration{10 * time.Second, 20 * time.Second, 60 * time.Second, 120 * time.Second},
 		Models:    map[string]*declaration.ModelGrant{"m": {Model: "m"}},
 		Services:  map[string]*declaration.ServiceGrant{"orders": {Service: "orders"}},
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -28,6 +28,7 @@
 		return
 	}
 	c.timers.Set(timerKey{kind: timerDrain}, c.now+c.cfg.BalancerLag)
+	c.fleet.wantDuty()
 }
 
 // finishDrain reports when nothing is in flight any more.
@@ -47,6 +48,8 @@
 		next = readiness{known: true, reason: "shutting down"}
 	case c.snapshot == nil:
 		next = readiness{known: true, reason: "no declarations yet"}
+	case !c.fleet.joined():
+		next = readiness{known: true, reason: "not yet sure to be on the VM list"}
 	case !c.fleet.reachable():
 		next = readiness{known: true, reason: "neither the store nor any peer can be reached"}
 	}
--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -45,6 +45,7 @@
 	}})
 	c.log(Event{Kind: EventEndpointUp, Endpoint: e.id})
 	c.matchLive(e, restarted)
+	c.fleet.changed = true
 	c.wakeFor(e)
 }
 
@@ -86,6 +87,7 @@
 		return
 	}
 	e.up = false
+	c.fleet.changed = true
 	c.unlist(e)
 	c.timers.Stop(timerKey{kind: timerSilent, endpoint: e.id})
 	c.log(Event{Kind: EventEndpointGone, Endpoint: e.id})
@@ -113,6 +115,9 @@
 		return
 	}
 	moved := rep.Have.Model != e.report.Have.Model
+	if moved || rep.Loading != e.report.Loading || rep.Failing != e.report.Failing || rep.Leaving != e.report.Leaving {
+		c.fleet.changed = true
+	}
 	if moved {
 		c.unlist(e)
 	}
--- a/internal/entry/expire.go
+++ b/internal/entry/expire.go
@@ -115,6 +115,8 @@
 		return true
 	})
 	c.updateDemand()
+	c.fleet.updateDemand()
+	c.fleet.updateLagging()
 }
 
 // updateDemand folds the tokens since the last heartbeat into each model's
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -3,74 +3,193 @@
 import (
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/controller"
 	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/limits"
+	"trefoilpath.org/trefoilpath/internal/membership"
+	"trefoilpath.org/trefoilpath/internal/spread"
 	"trefoilpath.org/trefoilpath/internal/store"
-	"trefoilpath.org/trefoilpath/internal/timer"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
-// fleet connects the core to what it shares with other entries: declarations,
-// limits and placement.
+// fleet connects the core to what it shares with other entries: membership,
+// declarations, limits and placement. Each is a machine of its own package; the
+// fleet carries their inputs and outputs.
 type fleet struct {
-	c     *Core
-	inUse map[wire.AccountID]int64 // looked up only
+	c       *Core
+	members *membership.Machine
+	spread  *spread.Machine
+	limits  *limits.Machine
+	placer  *controller.Machine
+
+	regionOf map[wire.FailureDomain]wire.Region // looked up only
+	peers    int                                // entries on the list, this one included
+	pending  []RequestID                        // wait for a first grant
+	changed  bool                               // what the placement duty sees
+	lagging  uint64                             // as last announced
+	once     bool                               // the entry has had a share of the limits
 }
 
 func newFleet(c *Core) *fleet {
-	return &fleet{c: c, inUse: make(map[wire.AccountID]int64)}
+	cfg := &c.cfg
+	f := &fleet{c: c, regionOf: make(map[wire.FailureDomain]wire.Region), peers: 1}
+	f.members = membership.New(membership.Config{})
+	f.spread = spread.New(spread.Config{
+		Self: cfg.Self, Incarnation: cfg.Incarnation, Region: cfg.Region, FailureDomain: cfg.FailureDomain,
+		NextOp: c.nextOp, Rand: cfg.Rand,
+	})
+	f.limits = limits.New(limits.Config{
+		Self: cfg.Self, Incarnation: cfg.Incarnation, Region: cfg.Region, Regions: cfg.Regions, ListLag: cfg.ListLag,
+	})
+	f.placer = controller.New(controller.Config{
+		Self: cfg.Self, Incarnation: cfg.Incarnation, FailureDomain: cfg.FailureDomain, NextOp: c.nextOp, Rand: cfg.Rand,
+		Domains: cfg.Domains,
+	})
+	f.placer.SetWanted(0, !cfg.NoStore)
+	f.limits.SetPeers(0, []limits.Peer{f.selfPeer()})
+	f.regionOf[cfg.FailureDomain] = cfg.Region
+	return f
 }
 
-func (f *fleet) tick() {}
+func (f *fleet) selfPeer() limits.Peer {
+	cfg := &f.c.cfg
+	return limits.Peer{Node: cfg.Self, Address: cfg.Address, Region: cfg.Region}
+}
 
-func (f *fleet) next() time.Duration { return timer.Never }
+// tick runs what is due in the machines and takes their outputs.
+func (f *fleet) tick() {
+	now := f.c.now
+	f.members.Tick(now)
+	f.memberChanges()
+	f.announceStatus()
+	f.spread.Tick(now)
+	if s := f.spread.TakeSnapshot(); s != nil {
+		f.inForce(s)
+	}
+	f.limits.Tick(now)
+	f.retryPending()
+	f.place()
+	f.sendPeers()
+}
 
-func (f *fleet) takeStore() []store.Op { return nil }
+// next returns the time at which a machine is due.
+func (f *fleet) next() time.Duration {
+	return min(f.members.Next(), f.spread.Next(), f.limits.Next(), f.placer.Next())
+}
 
-func (f *fleet) storeResult(store.Result) {}
+// sendPeers hands on the machines' messages to other entries.
+func (f *fleet) sendPeers() {
+	for _, m := range f.spread.TakePeer() {
+		f.sendPeer(m.Peer, m.Address, m.Msg)
+	}
+	for _, m := range f.limits.TakePeer() {
+		f.sendPeer(m.Peer, m.Address, m.Msg)
+	}
+}
 
-func (f *fleet) fromPeer(wire.NodeID, wire.ToPeer) {}
+func (f *fleet) sendPeer(peer wire.NodeID, address string, msg wire.ToPeer) {
+	if member, ok := f.members.Get(peer); ok && address == "" {
+		address = member.VM.Address
+	}
+	if address == "" {
+		return // nobody knows yet where the peer is; its machines ask again
+	}
+	f.c.emit(Output{ToPeer: &ToPeer{Peer: peer, Address: address, Msg: msg}})
+}
 
-func (f *fleet) peerDown(wire.NodeID) {}
+func (f *fleet) takeStore() []store.Op {
+	if f.c.cfg.NoStore {
+		return nil
+	}
+	return append(f.spread.TakeStore(), f.placer.TakeStore()...)
+}
 
-func (f *fleet) vmList([]VM) {}
+func (f *fleet) storeResult(r store.Result) {
+	if f.spread.StoreResult(f.c.now, r) {
+		return
+	}
+	f.placer.StoreResult(f.c.now, r)
+}
 
-func (f *fleet) orderResult(wire.EndpointID, wire.OrderResult) {}
+// fromPeer hands a message of another entry to the machine that it is for.
+func (f *fleet) fromPeer(peer wire.NodeID, msg wire.ToPeer) {
+	if a := msg.Announce; a != nil {
+		heard := membership.Heartbeat{Node: peer, Incarnation: a.Incarnation, Leaving: a.Leaving}
+		if !f.members.Heard(f.c.now, heard) {
+			return // an earlier life of the peer
+		}
+		f.regionOf[a.FailureDomain] = a.Region
+	}
+	if f.spread.FromPeer(f.c.now, peer, msg) {
+		return
+	}
+	f.limits.FromPeer(f.c.now, peer, msg)
+}
 
-func (f *fleet) storeDown() bool { return false }
+func (f *fleet) peerDown(peer wire.NodeID) {
+	f.members.Down(f.c.now, peer)
+	f.spread.PeerDown(f.c.now, peer)
+	f.limits.PeerDown(f.c.now, peer)
+}
+
+// storeDown reports whether calls to the store are held back.
+func (f *fleet) storeDown() bool { return f.c.cfg.NoStore || f.c.gate.Open(f.c.now) }
 
-func (f *fleet) reachable() bool { return true }
+func (f *fleet) reachable() bool { return f.c.cfg.NoStore || f.spread.Reachable(f.c.now) }
 
-func (f *fleet) sameRegion(wire.FailureDomain) bool { return true }
+// sameRegion reports whether a failure domain is in the entry's own region.
+func (f *fleet) sameRegion(d wire.FailureDomain) bool {
+	region, ok := f.regionOf[d]
+	return !ok || region == f.c.cfg.Region
+}
 
-func (f *fleet) entries() int { return 1 }
+// entries returns the number of entries of the region, this one included.
+func (f *fleet) entries() int { return f.peers }
 
 // declareLocal puts lists in force that did not come through the store.
-func (f *fleet) declareLocal(s *declaration.Snapshot) { f.inForce(s) }
+func (f *fleet) declareLocal(s *declaration.Snapshot) { f.spread.SetLocal(f.c.now, s) }
 
 // inForce puts a newer revision in force.
 func (f *fleet) inForce(s *declaration.Snapshot) {
 	c := f.c
-	if c.snapshot != nil && s.Revision <= c.snapshot.Revision {
-		return
-	}
 	c.snapshot = s
+	f.limits.SetSnapshot(c.now, s)
+	f.placer.SetSnapshot(c.now, s)
+	f.changed = true
 	c.emit(Output{Snapshot: s})
 	c.log(Event{Kind: EventRevision, Revision: s.Revision})
 }
 
-// takeLimit takes a request into its account's limits.
-func (f *fleet) takeLimit(r *request) failure {
-	limit := r.account.Limits.Concurrency
-	if limit > 0 && f.inUse[r.in.Account] >= limit {
-		return failure{code: CodeConcurrency, retryAfter: minRefusalRetry}
-	}
-	f.inUse[r.in.Account]++
-	return failure{}
+// announceStatus keeps the announcements of this entry true.
+func (f *fleet) announceStatus() {
+	f.spread.SetStatus(f.c.ready.ok, f.c.drain.on, f.lagging)
 }
 
-// settleLimit gives back what takeLimit took.
-func (f *fleet) settleLimit(r *request) { f.inUse[r.in.Account]-- }
+// updateLagging finds the lowest revision in force at an agent.
+func (f *fleet) updateLagging() {
+	lowest := f.c.revision()
+	f.c.endpoints.Each(func(_ wire.EndpointID, e *endpoint) bool {
+		if e.up && e.report.Sequence > 0 {
+			lowest = min(lowest, e.report.Revision)
+		}
+		return true
+	})
+	f.lagging = lowest
+}
 
-func (f *fleet) placing() bool { return false }
+// peerStatus returns what was last heard of each peer.
+func (f *fleet) peerStatus() []PeerStatus {
+	var list []PeerStatus
+	for _, p := range f.spread.Lag(f.c.now) {
+		list = append(list, PeerStatus{
+			Node: p.Node, Revision: p.Revision, Ready: p.Ready, Leaving: p.Leaving, SilentMS: p.HeardAgo.Milliseconds(),
+		})
+	}
+	return list
+}
 
-func (f *fleet) peerStatus() []PeerStatus { return nil }
+// joined reports whether this entry has come to have a share of the limits.
+func (f *fleet) joined() bool {
+	f.once = f.once || f.limits.Joined(f.c.now)
+	return f.once
+}
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"slices"
+
+	"trefoilpath.org/trefoilpath/internal/limits"
+	"trefoilpath.org/trefoilpath/internal/membership"
+	"trefoilpath.org/trefoilpath/internal/spread"
+)
+
+// vmList takes the platform's list of VMs. It tells of other entries, and which
+// endpoints are leaving.
+func (f *fleet) vmList(vms []VM) {
+	var entries []membership.VM
+	for _, vm := range vms {
+		f.regionOf[vm.FailureDomain] = vm.Region
+		if vm.Endpoint != "" {
+			f.endpointListed(vm)
+			continue
+		}
+		if vm.Node == f.c.cfg.Self {
+			continue
+		}
+		entries = append(entries, membership.VM{
+			Node: vm.Node, Address: vm.Address, Region: vm.Region, FailureDomain: vm.FailureDomain, Leaving: vm.Leaving,
+		})
+	}
+	f.members.SetList(f.c.now, entries)
+	f.setPeers()
+}
+
+// endpointListed notes that the platform is about to take an endpoint's VM away.
+func (f *fleet) endpointListed(vm VM) {
+	e := f.c.endpoints.Get(vm.Endpoint)
+	if e == nil || !vm.Leaving || e.leaving {
+		return
+	}
+	e.leaving = true
+	f.changed = true
+	f.c.log(Event{Kind: EventEndpointOut, Endpoint: e.id, Detail: "leaving by the VM list"})
+}
+
+// memberChanges acts on entries that have come, gone or been born again.
+func (f *fleet) memberChanges() {
+	changes := f.members.TakeChanges()
+	if len(changes) == 0 {
+		return
+	}
+	f.setPeers()
+}
+
+// setPeers tells the machines which other entries there are. Suspected and
+// ejected ones stay, since they may merely not be heard.
+func (f *fleet) setPeers() {
+	var peers []spread.Peer
+	shares := []limits.Peer{f.selfPeer()}
+	inRegion := 1
+	for _, m := range f.members.Members() {
+		vm := m.VM
+		peers = append(peers, spread.Peer{Node: vm.Node, Address: vm.Address, Region: vm.Region, FailureDomain: vm.FailureDomain})
+		if !m.OnList {
+			continue
+		}
+		shares = append(shares, limits.Peer{Node: vm.Node, Address: vm.Address, Region: vm.Region})
+		if vm.Region == f.c.cfg.Region {
+			inRegion++
+		}
+	}
+	f.peers = inRegion
+	f.spread.SetPeers(f.c.now, peers)
+	f.limits.SetPeers(f.c.now, shares)
+	f.wantDuty()
+}
+
+// wantDuty seeks the placement duty if this entry is one of the candidates of
+// its failure domain, which all its agents keep streams to.
+func (f *fleet) wantDuty() {
+	cfg := &f.c.cfg
+	entries := []membership.EntryNode{{Node: cfg.Self, FailureDomain: cfg.FailureDomain}}
+	for _, m := range f.members.Members() {
+		if m.State != membership.Ejected && !m.Leaving {
+			entries = append(entries, membership.EntryNode{Node: m.VM.Node, FailureDomain: m.VM.FailureDomain})
+		}
+	}
+	candidate := slices.Contains(membership.Controllers(cfg.FailureDomain, entries), cfg.Self)
+	f.placer.SetWanted(f.c.now, candidate && !cfg.NoStore && !f.c.drain.on)
+}
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -17,9 +17,10 @@
 	phaseRunning  phase = 3 // its current attempt
 	phaseSettling phase = 4 // proof of what became of a withdrawn attempt
 	phaseGroup    phase = 5 // a group of engines
+	phaseLimit    phase = 6 // its client account's first grant
 )
 
-var phaseNames = [...]string{"", "record", "waiting", "running", "settling", "group"}
+var phaseNames = [...]string{"", "record", "waiting", "running", "settling", "group", "limit"}
 
 func (p phase) String() string { return phaseNames[p] }
 
@@ -38,6 +39,7 @@
 	current    uint64 // sequence of the current attempt, or 0
 	attempts   int
 	refusals   int
+	limited    bool          // counted in its client account's limits
 	listed     bool          // among those that wait for room
 	ran        bool          // an attempt may have run
 	unresolved int           // attempts sent whose fate is not known
@@ -147,6 +149,7 @@
 	timerGroup     timerKind = 7 // lease renewal of a request's group
 	timerDrain     timerKind = 8
 	timerSilent    timerKind = 9 // of an endpoint
+	timerGrant     timerKind = 10
 )
 
 // timerKey names one timer. The fields that do not apply are zero.
