Register the soak and experiment commands

Cause: both commands stood in files of their own without being reachable. Change: main registers them. Result: both appear in the help; the linter is clean again.

--- a/cmd/trefoilpath/main.go
+++ b/cmd/trefoilpath/main.go
@@ -33,7 +33,9 @@
 	app.HelpFlag.Short('h')
 	app.Version(version())
 	registerEntry(app)
+	registerExperiment(app)
 	registerLoad(app)
+	registerSoak(app)
 	registerVersion(app)
 	return app
 }
