Keep the views alive while the state of endpoints is measured

Cause: the views were freed between the two readings of the heap. Change: KeepAlive for them as well. Result: the benchmark reports the bytes of the machine's own state.

--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -53,6 +53,7 @@
 				d.holders[0].m.SetEndpoints(0, views)
 				b.ReportMetric(float64(heap()-before)/float64(engines), "B/endpoint")
 				runtime.KeepAlive(d)
+				runtime.KeepAlive(views)
 			}
 		})
 	}
