--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/standin/storemodel"
 	"trefoilpath.org/trefoilpath/internal/store"
 	"trefoilpath.org/trefoilpath/internal/store/storetest"
 	"trefoilpath.org/trefoilpath/internal/wire"
@@ -81,7 +82,7 @@
 type domain struct {
 	t         failer
 	now       time.Duration
-	model     *storetest.Model
+	model     *storemodel.Model
 	agents    []*agent
 	holders   []*holder
 	demand    []ModelDemand
@@ -95,7 +96,7 @@
 }
 
 func newDomain(t failer, engines, entries int, s *declaration.Snapshot) *domain {
-	d := &domain{t: t, model: storetest.NewModel()}
+	d := &domain{t: t, model: storemodel.New()}
 	for i := range engines {
 		d.agents = append(d.agents, &agent{view: EndpointView{
 			Endpoint:      wire.EndpointID(fmt.Sprintf("engine-%02d", i)),
--- a/internal/idempotency/machine_test.go
+++ b/internal/idempotency/machine_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"trefoilpath.org/trefoilpath/internal/standin/storemodel"
 	"trefoilpath.org/trefoilpath/internal/store"
 	"trefoilpath.org/trefoilpath/internal/store/storetest"
 	"trefoilpath.org/trefoilpath/internal/wire"
@@ -30,7 +31,7 @@
 	verdicts map[uint64][]Decision
 }
 
-func newNode(model *storetest.Model, i int, choose func(store.Op) storetest.Fate) *node {
+func newNode(model *storemodel.Model, i int, choose func(store.Op) storetest.Fate) *node {
 	op := uint64(0)
 	return &node{
 		m: New(Config{
@@ -91,7 +92,7 @@
 const budget = 10 * time.Second
 
 func TestRepeatGetsStoredAnswerThenConflict(t *testing.T) {
-	model := storetest.NewModel()
+	model := storemodel.New()
 	a, b := newNode(model, 1, nil), newNode(model, 2, nil)
 	a.m.Begin(0, 1, testKey, 7, 0, budget)
 	now := run(0, 100*time.Millisecond, a, b)
@@ -120,7 +121,7 @@
 }
 
 func TestLargeAnswerIsOmitted(t *testing.T) {
-	model := storetest.NewModel()
+	model := storemodel.New()
 	a := newNode(model, 1, nil)
 	a.m.Begin(0, 1, testKey, 7, 0, budget)
 	now := run(0, 100*time.Millisecond, a)
@@ -134,7 +135,7 @@
 }
 
 func TestRepeatOfCallWhoseOwnerIsGoneIsUnknown(t *testing.T) {
-	model := storetest.NewModel()
+	model := storemodel.New()
 	a, b := newNode(model, 1, nil), newNode(model, 2, nil)
 	a.m.Begin(0, 1, testKey, 7, 0, 2*time.Second)
 	now := run(0, 100*time.Millisecond, a)
@@ -145,7 +146,7 @@
 }
 
 func TestReleasedCallMayRunAgain(t *testing.T) {
-	model := storetest.NewModel()
+	model := storemodel.New()
 	a, b := newNode(model, 1, nil), newNode(model, 2, nil)
 	a.m.Begin(0, 1, testKey, 7, 0, budget)
 	now := run(0, 100*time.Millisecond, a, b)
@@ -163,7 +164,7 @@
 			for _, fate := range []storetest.Fate{storetest.Refuse, storetest.LoseOp, storetest.LoseBack, storetest.Late} {
 				t.Run(fmt.Sprintf("kind=%d/nth=%d/fate=%d", kind, nth, fate), func(t *testing.T) {
 					seen := 0
-					model := storetest.NewModel()
+					model := storemodel.New()
 					a := newNode(model, 1, func(op store.Op) storetest.Fate {
 						if op.Kind == kind {
 							seen++
@@ -194,7 +195,7 @@
 // TestLateWriteAfterStoreDownNeverRuns lets the write of the record take effect
 // after the caller was told that the call was not run.
 func TestLateWriteAfterStoreDownNeverRuns(t *testing.T) {
-	model := storetest.NewModel()
+	model := storemodel.New()
 	down := false
 	a := newNode(model, 1, func(op store.Op) storetest.Fate {
 		switch {
@@ -210,7 +211,7 @@
 	a.m.Begin(0, 1, testKey, 7, 0, time.Minute)
 	now := run(0, 10*time.Second, a, b)
 	a.wantLast(t, 1, StoreDown)
-	if _, _, ok := model.Get(now, testKey.StoreKey()); !ok {
+	if r, _ := model.Do(now, store.Op{Kind: store.OpGet, Key: testKey.StoreKey()}); r.Status != store.StatusOK {
 		t.Fatal("the late write did not take effect")
 	}
 	// The other entry's repeat does not run while the record is in doubt, and
@@ -228,7 +229,7 @@
 }
 
 func TestVerdictAfterPausePastTheDeadlineIsNotRun(t *testing.T) {
-	model := storetest.NewModel()
+	model := storemodel.New()
 	a := newNode(model, 1, nil)
 	a.m.Begin(0, 1, testKey, 7, 0, budget)
 	run(0, 4*time.Millisecond, a) // the write is on its way
@@ -262,7 +263,7 @@
 		}
 		return storetest.Fate(1 + r.IntN(4))
 	}
-	model := storetest.NewModel()
+	model := storemodel.New()
 	const keys = 3
 	var nodes []*node
 	created := 0
@@ -327,7 +328,7 @@
 }
 
 func BenchmarkCall(b *testing.B) {
-	model := storetest.NewModel()
+	model := storemodel.New()
 	n := newNode(model, 1, nil)
 	n.link.Delay = 0
 	now := time.Duration(0)
@@ -346,6 +347,6 @@
 		}
 		delete(n.verdicts, handle)
 	}
-	b.ReportMetric(float64(model.Writes)/float64(b.N), "writes/op")
-	b.ReportMetric(float64(model.Reads)/float64(b.N), "reads/op")
+	b.ReportMetric(float64(model.Counts().Writes)/float64(b.N), "writes/op")
+	b.ReportMetric(float64(model.Counts().Reads)/float64(b.N), "reads/op")
 }
--- a/internal/store/lease_test.go
+++ b/internal/store/lease_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
+	"trefoilpath.org/trefoilpath/internal/standin/storemodel"
 	"trefoilpath.org/trefoilpath/internal/store"
 	"trefoilpath.org/trefoilpath/internal/store/storetest"
 )
@@ -30,7 +31,7 @@
 	paused time.Duration // until
 }
 
-func newCandidate(m *storetest.Model, i int, choose func(store.Op) storetest.Fate) *candidate {
+func newCandidate(m *storemodel.Model, i int, choose func(store.Op) storetest.Fate) *candidate {
 	id := uint64(i) << 32
 	return &candidate{
 		lease: store.NewLease(store.LeaseConfig{
@@ -72,7 +73,7 @@
 		for _, fate := range []storetest.Fate{storetest.Refuse, storetest.LoseOp, storetest.LoseBack, storetest.Late} {
 			t.Run(fmt.Sprintf("kind=%d/fate=%d", kind, fate), func(t *testing.T) {
 				hit := 0
-				c := newCandidate(storetest.NewModel(), 1, func(op store.Op) storetest.Fate {
+				c := newCandidate(storemodel.New(), 1, func(op store.Op) storetest.Fate {
 					if op.Kind == kind && hit == 0 {
 						hit++
 						return fate
@@ -95,7 +96,7 @@
 }
 
 func TestLeaseNotHeldAfterPausePastExpiry(t *testing.T) {
-	m := storetest.NewModel()
+	m := storemodel.New()
 	a, b := newCandidate(m, 1, nil), newCandidate(m, 2, nil)
 	now := runUntilHeld(t, a, 0, 10*time.Second)
 	oldFence := a.lease.Fence()
@@ -116,7 +117,7 @@
 // TestLeaseRenewalReadAfterPause pauses the holder between a renewal and its
 // answer. The answer says nothing about the time after the pause.
 func TestLeaseRenewalReadAfterPause(t *testing.T) {
-	m := storetest.NewModel()
+	m := storemodel.New()
 	renewals := 0
 	a := newCandidate(m, 1, func(op store.Op) storetest.Fate {
 		if op.Kind == store.OpRenew {
@@ -146,7 +147,7 @@
 		}
 		return storetest.Deliver
 	}
-	m := storetest.NewModel()
+	m := storemodel.New()
 	a, b := newCandidate(m, 1, choose), newCandidate(m, 2, choose)
 	now := runUntilHeld(t, a, 0, 10*time.Second)
 	down = true
@@ -162,7 +163,7 @@
 }
 
 func TestLeaseGivenUpGoesToTheNextAtOnce(t *testing.T) {
-	m := storetest.NewModel()
+	m := storemodel.New()
 	a, b := newCandidate(m, 1, nil), newCandidate(m, 2, nil)
 	now := runUntilHeld(t, a, 0, 10*time.Second)
 	a.lease.SetWanted(now, false)
@@ -188,7 +189,7 @@
 			}
 			return storetest.Fate(1 + r.IntN(4))
 		}
-		m := storetest.NewModel()
+		m := storemodel.New()
 		var all []*candidate
 		for i := range 3 {
 			all = append(all, newCandidate(m, i+1, choose))
--- a/internal/store/storetest/link.go
+++ b/internal/store/storetest/link.go
@@ -1,9 +1,13 @@
+// Package storetest connects deterministic machines under test to the model of
+// the platform's key-value service by links that refuse, lose and delay
+// operations and answers on a virtual clock.
 package storetest
 
 import (
 	"slices"
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/standin/storemodel"
 	"trefoilpath.org/trefoilpath/internal/store"
 )
 
@@ -19,9 +23,10 @@
 	Late                 // answered like LoseOp, executed Link.LateBy afterwards
 )
 
-// Link carries operations between a machine and a Model on a virtual clock.
+// Link carries operations between a machine and a model of the store. Watches
+// are answered at once.
 type Link struct {
-	Model  *Model
+	Model  *storemodel.Model
 	Delay  time.Duration             // each way
 	LateBy time.Duration             // for Late
 	Choose func(op store.Op) Fate    // nil: Deliver
@@ -95,7 +100,7 @@
 			results = append(results, e.result)
 			continue
 		}
-		r := l.Model.Apply(e.at, *e.op)
+		r := l.execute(e.at, *e.op)
 		switch e.fate {
 		case LoseBack:
 			l.add(event{at: e.at + l.Delay, result: lost(*e.op)})
@@ -105,3 +110,12 @@
 	}
 	return results
 }
+
+func (l *Link) execute(at time.Duration, op store.Op) store.Result {
+	r, watch := l.Model.Do(at, op)
+	if watch != nil {
+		l.Model.Abandon(watch)
+		return store.Result{ID: op.ID, Status: store.StatusTimeout}
+	}
+	return r
+}
