Shorten the wait of a new holder and the messages of grants

Change: the holder follows the lease on each store answer; wants and grants are arrays of integers; 32 homes share the load of a region.

--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
+	"time"
 
 	"trefoilpath.org/trefoilpath/internal/declaration"
 )
@@ -43,6 +45,39 @@
 	}
 }
 
+// BenchmarkFailover reports the time from the death of the holder to the next
+// holder, and to its first order, in virtual seconds.
+func BenchmarkFailover(b *testing.B) {
+	const runs = 200
+	for b.Loop() {
+		var held, ordered []float64
+		for seed := range runs {
+			d := newDomain(b, 4, 2, snapshotOf(luthier, mostrador))
+			d.run(time.Minute + time.Duration(seed)*20*time.Millisecond)
+			died := d.now
+			d.holder().dead = true
+			next := d.holders[0]
+			if next.dead {
+				next = d.holders[1]
+			}
+			for !next.m.Holding(d.now) {
+				d.step()
+			}
+			held = append(held, (d.now - died).Seconds())
+			for before := next.orders; next.orders == before; {
+				d.step()
+			}
+			ordered = append(ordered, (d.now - died).Seconds())
+		}
+		slices.Sort(held)
+		slices.Sort(ordered)
+		b.ReportMetric(held[runs/2], "held-p50-s")
+		b.ReportMetric(held[runs-1], "held-max-s")
+		b.ReportMetric(ordered[runs/2], "order-p50-s")
+		b.ReportMetric(ordered[runs-1], "order-max-s")
+	}
+}
+
 func BenchmarkEndpointState(b *testing.B) {
 	for _, engines := range []int{36, 363, 1090} {
 		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -187,7 +187,11 @@
 // StoreResult takes the answer to one of the machine's operations. It reports
 // false for any other.
 func (m *Machine) StoreResult(now time.Duration, r store.Result) bool {
-	return m.lease.StoreResult(now, r)
+	if !m.lease.StoreResult(now, r) {
+		return false
+	}
+	m.follow(now)
+	return true
 }
 
 // TakeStore returns the operations to send.
--- a/internal/controller/machine_test.go
+++ b/internal/controller/machine_test.go
@@ -198,8 +198,8 @@
 	for h.orders == 0 {
 		d.step()
 	}
-	if d.now < held+DefaultOrderMaxAge {
-		t.Fatalf("first order %s after the lease", d.now-held)
+	if wait := d.now - held; wait < DefaultOrderMaxAge || wait > DefaultOrderMaxAge+DefaultPlanEvery {
+		t.Fatalf("first order %s after the lease", wait)
 	}
 }
 
--- a/internal/limits/admit.go
+++ b/internal/limits/admit.go
@@ -39,6 +39,12 @@
 	demandDecay    = 0.7  // of the earlier demand in each period
 )
 
+// milli is the number of thousandths in one: rates of requests are sent in them.
+const milli = 1000
+
+// maxDemand bounds the rates that an entry asks for.
+const maxDemand = 1e12
+
 // asksPerPeriod bounds the requests to a home in a period, beside the first for
 // an account.
 const asksPerPeriod = 4
@@ -303,10 +309,10 @@
 
 func (a *account) want() wire.GrantWant {
 	return wire.GrantWant{
-		Account:     a.id,
-		Requests:    a.demand.requests,
-		Tokens:      a.demand.tokens,
-		Concurrency: a.demand.concurrency,
-		InUse:       a.inUse,
+		Account:       a.id,
+		MilliRequests: uint64(min(a.demand.requests, maxDemand) * milli),
+		Tokens:        uint64(min(a.demand.tokens, maxDemand)),
+		Concurrency:   a.demand.concurrency,
+		InUse:         a.inUse,
 	}
 }
--- a/internal/limits/bench_test.go
+++ b/internal/limits/bench_test.go
@@ -90,8 +90,8 @@
 			clear(f.sent)
 			f.count = 0
 		}
-		for i := range accounts / 50 { // each account once a second
-			a := (int(now/(20*time.Millisecond))*(accounts/50) + i) % accounts
+		for i := range max(accounts/50, 1) { // each account once a second, or more often
+			a := (int(now/(20*time.Millisecond))*max(accounts/50, 1) + i) % accounts
 			node := f.order[(a*7+int(now/time.Second)%10)%entries]
 			if f.nodes[node].Admit(now, ids[a], 100).OK {
 				f.nodes[node].Settle(now, ids[a], 100, 100)
@@ -138,6 +138,35 @@
 	}
 }
 
+// BenchmarkHomeLoss reports how long an entry has no part of a limit after the
+// home of the account is lost, in virtual seconds.
+func BenchmarkHomeLoss(b *testing.B) {
+	for b.Loop() {
+		worst := time.Duration(0)
+		for seed := range uint64(20) {
+			f := newFleet(b, seed, 3, oneAccount(large))
+			f.run(maxListLag + time.Second)
+			home := f.node(f.nodes[0].m.Home("antigua"))
+			var away *node
+			for _, n := range f.nodes {
+				if n != home {
+					away = n
+				}
+			}
+			f.offer(away, "antigua", 10, time.Duration(2000+50*seed)*time.Millisecond)
+			home.up = false
+			without := time.Duration(0)
+			for end := f.now + 10*time.Second; f.now < end; f.step() {
+				if f.usable(away, "antigua").concurrency == 0 {
+					without += step
+				}
+			}
+			worst = max(worst, without)
+		}
+		b.ReportMetric(worst.Seconds(), "worst-s-without-share")
+	}
+}
+
 // BenchmarkAccountState reports the heap bytes of one account in use, at its
 // home and at an entry that uses it.
 func BenchmarkAccountState(b *testing.B) {
--- a/internal/limits/exchange.go
+++ b/internal/limits/exchange.go
@@ -201,8 +201,8 @@
 		}
 		a.granted = true
 		a.grant = allowance{
-			requests:    g.Requests,
-			tokens:      g.Tokens,
+			requests:    float64(g.MilliRequests) / milli,
+			tokens:      float64(g.Tokens),
 			concurrency: g.Concurrency,
 			until:       sent + r.Lease,
 		}
--- a/internal/limits/home.go
+++ b/internal/limits/home.go
@@ -212,9 +212,9 @@
 		return s.wants
 	}
 	var share allowance
-	wants := pick(func(w *wire.GrantWant) float64 { return w.Requests })
+	wants := pick(func(w *wire.GrantWant) float64 { return float64(w.MilliRequests) / milli })
 	share.requests = s.divide(h.limits.RequestsPerSecond*part, wants)[index]
-	wants = pick(func(w *wire.GrantWant) float64 { return w.Tokens })
+	wants = pick(func(w *wire.GrantWant) float64 { return float64(w.Tokens) })
 	share.tokens = s.divide(h.limits.TokensPerSecond*part, wants)[index]
 	wants = pick(func(w *wire.GrantWant) float64 { return float64(max(w.Concurrency, w.InUse)) })
 	share.concurrency = int64(s.divideWhole(float64(h.limits.Concurrency)*part, wants)[index])
@@ -246,10 +246,10 @@
 	x.given = append(x.given, given{sequence: sequence, allowance: share})
 	m.checkSums(now, w.Account, h)
 	return wire.Grant{
-		Account:     w.Account,
-		Requests:    share.requests,
-		Tokens:      share.tokens,
-		Concurrency: share.concurrency,
+		Account:       w.Account,
+		MilliRequests: uint64(share.requests * milli),
+		Tokens:        uint64(share.tokens),
+		Concurrency:   share.concurrency,
 	}
 }
 
@@ -262,7 +262,7 @@
 	x.want = a.measure(now, m.period())
 	x.want.InUse = a.inUse
 	x.want.Concurrency = max(x.want.Concurrency, a.peak, a.inUse+1)
-	x.want.Requests = max(x.want.Requests, 1)
+	x.want.MilliRequests = max(x.want.MilliRequests, milli)
 	x.wanted = now
 	share := m.allot(h, m.backingUntil(now, now+m.period()).of(m, a.id), x)
 	m.setSelf(now, a, x, share)
--- a/internal/limits/machine.go
+++ b/internal/limits/machine.go
@@ -35,7 +35,7 @@
 	DefaultLease   = 1500 * time.Millisecond
 	DefaultListLag = 2 * time.Second
 	DefaultSettle  = 10 * time.Second
-	DefaultHomes   = 16
+	DefaultHomes   = 32
 	DefaultIdle    = 30 * time.Second
 )
 
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -72,15 +72,17 @@
 	Moved   uint64        `cbor:"10,keyasint,omitempty"` // digest of the earlier homes, while accounts that have moved are not lent
 }
 
-// GrantWant is what one entry would use of one account's limits.
+// GrantWant is what one entry would use of one account's limits. It is encoded
+// as an array: fields are only ever added at the end.
 type GrantWant struct {
-	Account     AccountID `cbor:"1,keyasint"`
-	Requests    float64   `cbor:"2,keyasint"` // requests a second
-	Tokens      float64   `cbor:"3,keyasint"` // tokens a second
-	Concurrency int64     `cbor:"4,keyasint"`
+	_             struct{} `cbor:",toarray"`
+	Account       AccountID
+	MilliRequests uint64 // requests a second, in thousandths
+	Tokens        uint64 // tokens a second
+	Concurrency   int64
 	// InUse is the concurrency in use under earlier grants; the grant does not
 	// fall below it until the requests end.
-	InUse int64 `cbor:"5,keyasint,omitempty"`
+	InUse int64
 }
 
 // GrantReply hands out slices that expire after Lease on the receiver's clock,
@@ -100,10 +102,12 @@
 	Wait time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
-// Grant is one leased slice of one account's limits.
+// Grant is one leased slice of one account's limits. It is encoded as an array:
+// fields are only ever added at the end.
 type Grant struct {
-	Account     AccountID `cbor:"1,keyasint"`
-	Requests    float64   `cbor:"2,keyasint"` // requests a second
-	Tokens      float64   `cbor:"3,keyasint"` // tokens a second
-	Concurrency int64     `cbor:"4,keyasint"`
+	_             struct{} `cbor:",toarray"`
+	Account       AccountID
+	MilliRequests uint64 // requests a second, in thousandths
+	Tokens        uint64 // tokens a second
+	Concurrency   int64
 }
