Let the holder see a restart before the rollout starts in the test

Cause: the test set the new lists before the holder had seen the restarted engine; planning at once on what it knew, it rightly started the reload. Change: one report interval between the two; the condition is the same. Result: passes, and still fails when reloads do not wait for fills.

--- a/internal/controller/machine_test.go
+++ b/internal/controller/machine_test.go
@@ -173,6 +173,7 @@
 			a.restart()
 		}
 	}
+	d.run(200 * time.Millisecond) // the holder sees the restart
 	for _, h := range d.holders {
 		h.m.SetSnapshot(d.now, snapshotOf(next, same))
 	}
