Add the operator commands

Cause: operators edit the lists by command, race one another, and have to see whether a change is in force everywhere. Change: validate, diff, apply, get, status, drain, dump and keyhash, one file each; internal/operator calls the operators' interface and waits for a revision, naming who lags. Exit codes tell mistakes (2), conflict (3), not known (4), lagging (5) and difference (6) apart.

--- /dev/null
+++ b/cmd/trefoilpath/apply.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/operator"
+)
+
+const (
+	// collectEvery is the number of revisions between collections of old chunks.
+	collectEvery = 16
+	// collectMost bounds the chunks that one command deletes.
+	collectMost = 256
+)
+
+type applyFlags struct {
+	dir     string
+	expect  uint64
+	author  string
+	wait    time.Duration
+	store   storeFlags
+	entries entryFlags
+}
+
+// registerApply adds the command that puts edited lists in force.
+func registerApply(app *kingpin.Application) {
+	f := &applyFlags{}
+	cmd := app.Command("apply", "Put the lists in a directory in force as the next revision. Exit codes: 0 accepted (with --wait: in force everywhere), 1 nothing accepted, 2 mistakes in the lists, 3 another revision is in force than --expect, 4 not known whether accepted, 5 accepted but not in force everywhere within --wait.")
+	cmd.Arg("dir", "Directory with the edited lists.").Required().ExistingDirVar(&f.dir)
+	cmd.Flag("expect", "Revision that was edited, as shown by get; 0 for the first.").Required().Uint64Var(&f.expect)
+	cmd.Flag("author", "Who makes the change; without it, the login name.").Default(os.Getenv("USER")).StringVar(&f.author)
+	cmd.Flag("wait", "Wait this long until the revision is in force everywhere, and name who lags. Needs --entry.").DurationVar(&f.wait)
+	f.store.register(cmd)
+	f.entries.register(cmd, false)
+	cmd.Action(func(*kingpin.ParseContext) error { return f.run() })
+}
+
+func (f *applyFlags) run() error {
+	lists, err := readLists(f.dir)
+	if err != nil {
+		return err
+	}
+	entries, err := f.waitClients()
+	if err != nil {
+		return err
+	}
+	client, err := f.store.client()
+	if err != nil {
+		return err
+	}
+	update := declaration.Update{Lists: lists, Expect: f.expect, Author: f.author, Nonce: rand.Uint64() | 1}
+	receipt, err := declaration.Accept(context.Background(), client, update)
+	if err != nil {
+		return withApplyCode(err)
+	}
+	f.report(receipt)
+	f.collect(client, receipt)
+	return f.waitEverywhere(entries, receipt.Revision)
+}
+
+func (f *applyFlags) waitClients() ([]*operator.Client, error) {
+	if f.wait == 0 {
+		return nil, nil
+	}
+	if len(f.entries.urls) == 0 {
+		return nil, errors.New("--wait needs --entry")
+	}
+	hc, err := f.store.tls.client()
+	if err != nil {
+		return nil, err
+	}
+	return f.entries.clients(hc)
+}
+
+func withApplyCode(err error) error {
+	var conflict *declaration.Conflict
+	var unsettled *declaration.Unsettled
+	switch {
+	case errors.As(err, &conflict):
+		return codedError{err, exitConflict}
+	case errors.As(err, &unsettled):
+		return codedError{err, exitUnsettled}
+	}
+	return err
+}
+
+func (f *applyFlags) report(r *declaration.Receipt) {
+	if r.Unchanged {
+		fmt.Printf("event=unchanged revision=%d\n", r.Revision)
+		return
+	}
+	fmt.Printf("event=accepted revision=%d digest=%016x author=%q changes=%d chunks=%d bytes=%d\n",
+		r.Revision, r.Digest, f.author, len(r.Changes), r.Chunks, r.BytesWritten)
+	fmt.Print(declaration.FormatChanges(r.Changes))
+}
+
+// collect deletes old chunks now and then. The update stands whether or not it
+// succeeds.
+func (f *applyFlags) collect(client declaration.Doer, r *declaration.Receipt) {
+	if r.Unchanged || r.Revision%collectEvery != 0 {
+		return
+	}
+	n, err := declaration.Collect(context.Background(), client, collectMost)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "old chunks were not collected:", err)
+		return
+	}
+	fmt.Printf("event=collected chunks=%d\n", n)
+}
+
+func (f *applyFlags) waitEverywhere(entries []*operator.Client, revision uint64) error {
+	if f.wait == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.wait)
+	defer cancel()
+	lagging := operator.Wait(ctx, entries, revision)
+	if len(lagging) == 0 {
+		fmt.Printf("event=in-force revision=%d\n", revision)
+		return nil
+	}
+	lines := make([]string, len(lagging))
+	for i, l := range lagging {
+		lines[i] = l.String()
+	}
+	err := errors.Errorf("revision %d is accepted, but after %v not known to be in force at:\n%s", revision, f.wait, strings.Join(lines, "\n"))
+	return codedError{err, exitLagging}
+}
--- /dev/null
+++ b/cmd/trefoilpath/keyhash.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"bufio"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"trefoilpath.org/trefoilpath/internal/declaration"
+)
+
+const (
+	// generatedKeyBytes is the number of random bytes in a generated key.
+	generatedKeyBytes = 32
+	// minKeyBytes is the length of the shortest key that keyhash accepts.
+	minKeyBytes = 16
+)
+
+// registerKeyhash adds the command that hashes keys for the lists and settings.
+func registerKeyhash(app *kingpin.Application) {
+	cmd := app.Command("keyhash", "Print the SHA-256 of a bearer key, as plans.json (key_sha256) and the settings (operator_key_sha256) hold it. The key is read from standard input.")
+	generate := cmd.Flag("generate", "Make a new random key and print it before its hash.").Bool()
+	cmd.Action(func(*kingpin.ParseContext) error { return runKeyhash(*generate) })
+}
+
+func runKeyhash(generate bool) error {
+	key, err := readKey(generate)
+	if err != nil {
+		return err
+	}
+	if generate {
+		fmt.Println("key", key)
+	}
+	hash := declaration.HashKey(key)
+	fmt.Println("sha256", hex.EncodeToString(hash[:]))
+	return nil
+}
+
+func readKey(generate bool) (string, error) {
+	if generate {
+		random := make([]byte, generatedKeyBytes)
+		if _, err := rand.Read(random); err != nil {
+			return "", errors.Wrap(err, "random key")
+		}
+		return base64.RawURLEncoding.EncodeToString(random), nil
+	}
+	line, err := bufio.NewReader(os.Stdin).ReadString('\n')
+	if err != nil && line == "" {
+		return "", errors.Wrap(err, "read key from standard input")
+	}
+	key := strings.TrimRight(line, "\r\n")
+	if len(key) < minKeyBytes {
+		return "", errors.Errorf("the key has %d characters, want at least %d", len(key), minKeyBytes)
+	}
+	return key, nil
+}
--- a/cmd/trefoilpath/main.go
+++ b/cmd/trefoilpath/main.go
@@ -35,6 +35,7 @@
 	registerEntry(app)
 	registerExperiment(app)
 	registerLoad(app)
+	registerOperatorCommands(app)
 	registerSoak(app)
 	registerVersion(app)
 	return app
--- /dev/null
+++ b/cmd/trefoilpath/main_test.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"trefoilpath.org/trefoilpath/examples"
+	"trefoilpath.org/trefoilpath/internal/entry"
+	"trefoilpath.org/trefoilpath/internal/standin"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"trefoilpath": main})
+}
+
+// platform is what a script runs against: a store, and an entry that reports a
+// revision.
+type platform struct {
+	store    *standin.Store
+	revision atomic.Uint64
+}
+
+type platformKey struct{}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata/script",
+		Setup: startPlatform,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"lose-answers":   loseAnswers,
+			"entry-revision": setEntryRevision,
+			"edit":           editFile,
+			"exit":           exitWith,
+		},
+	})
+}
+
+func startPlatform(env *testscript.Env) error {
+	s, err := standin.NewStore()
+	if err != nil {
+		return err
+	}
+	p := &platform{store: s}
+	srv := httptest.NewServer(http.HandlerFunc(p.serveEntry))
+	env.Defer(func() {
+		srv.Close()
+		_ = s.Close()
+	})
+	env.Values[platformKey{}] = p
+	env.Setenv("STORE", s.URL())
+	env.Setenv("ENTRY", srv.URL)
+	env.Setenv("USER", "ana")
+	return writeExamples(env)
+}
+
+// writeExamples puts the example lists of Atitlán in the working directory.
+func writeExamples(env *testscript.Env) error {
+	d, _ := examples.Find("atitlan")
+	l, err := d.Lists()
+	if err != nil {
+		return err
+	}
+	return writeLists(env.WorkDir, l)
+}
+
+func (p *platform) serveEntry(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Authorization") != "Bearer operator" {
+		http.Error(w, "operators' key required", http.StatusUnauthorized)
+		return
+	}
+	switch r.Method + " " + r.URL.Path {
+	case "GET /v1/operator/status":
+		_ = json.NewEncoder(w).Encode(entry.Status{Node: "entry-1", Revision: p.revision.Load(), Ready: true})
+	case "GET /v1/operator/dump":
+		_, _ = w.Write([]byte(`{"node":"entry-1"}`))
+	case "POST /v1/operator/drain":
+		w.WriteHeader(http.StatusAccepted)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func platformOf(ts *testscript.TestScript) *platform { return ts.Value(platformKey{}).(*platform) }
+
+// loseAnswers makes the store lose the answers of the next writes, which take effect.
+func loseAnswers(ts *testscript.TestScript, _ bool, args []string) {
+	n, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	platformOf(ts).store.LoseAnswers(n)
+}
+
+// setEntryRevision sets the revision that the entry reports.
+func setEntryRevision(ts *testscript.TestScript, _ bool, args []string) {
+	n, err := strconv.ParseUint(args[0], 10, 64)
+	ts.Check(err)
+	platformOf(ts).revision.Store(n)
+}
+
+// editFile replaces the one occurrence of a text in a file.
+func editFile(ts *testscript.TestScript, _ bool, args []string) {
+	path := ts.MkAbs(args[0])
+	text := ts.ReadFile(args[0])
+	if n := strings.Count(text, args[1]); n != 1 {
+		ts.Fatalf("%s holds %q %d times", args[0], args[1], n)
+	}
+	ts.Check(os.WriteFile(path, []byte(strings.Replace(text, args[1], args[2], 1)), listFileMode))
+}
+
+// exitWith runs a command line of this program and checks its exit code.
+func exitWith(ts *testscript.TestScript, _ bool, args []string) {
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	var exit *exec.ExitError
+	if err := ts.Exec("trefoilpath", args[1:]...); errors.As(err, &exit) {
+		got = exit.ExitCode()
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/cmd/trefoilpath/operator.go
@@ -0,0 +1,16 @@
+package main
+
+import "github.com/alecthomas/kingpin/v2"
+
+// registerOperatorCommands adds the commands by which operators edit the lists
+// and look after running processes.
+func registerOperatorCommands(app *kingpin.Application) {
+	registerValidate(app)
+	registerDiff(app)
+	registerApply(app)
+	registerGet(app)
+	registerStatus(app)
+	registerDrain(app)
+	registerDump(app)
+	registerKeyhash(app)
+}
--- a/internal/declaration/snapshot.go
+++ b/internal/declaration/snapshot.go
@@ -17,6 +17,7 @@
 type Snapshot struct {
 	Revision uint64
 	Digest   uint64
+	Author   string // who applied the revision; for logs
 	Accounts map[wire.AccountID]*Account
 	Models   []Model   // sorted by name
 	Services []Service // sorted by name
--- a/internal/declaration/state.go
+++ b/internal/declaration/state.go
@@ -98,6 +98,7 @@
 func (s *State) Snapshot() *Snapshot {
 	snap := Resolve(s.Lists(), s.root.Revision)
 	snap.Digest = s.digest
+	snap.Author = s.root.Author
 	return snap
 }
 
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,83 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"trefoilpath.org/trefoilpath/internal/entry"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// serve runs an entry whose n-th status answer is that of f.
+func serve(t *testing.T, f func(n int64) entry.Status) *Client {
+	t.Helper()
+	var calls atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer secret" {
+			http.Error(w, "operators' key required", http.StatusUnauthorized)
+			return
+		}
+		if err := json.NewEncoder(w).Encode(f(calls.Add(1))); err != nil {
+			t.Error(err)
+		}
+	}))
+	t.Cleanup(srv.Close)
+	return NewClient(srv.URL, "secret", srv.Client())
+}
+
+func TestWaitEndsWhenAllHaveTheRevision(t *testing.T) {
+	first := serve(t, func(n int64) entry.Status {
+		s := entry.Status{Node: "a", Revision: 7, Peers: []entry.PeerStatus{{Node: "b", Revision: 6}, {Node: "gone", Revision: 5, Leaving: true}}}
+		if n < 3 {
+			s.Lagging = []wire.EndpointID{"luthier-01"}
+		}
+		return s
+	})
+	second := serve(t, func(n int64) entry.Status {
+		return entry.Status{Node: "b", Revision: 5 + uint64(n)}
+	})
+	if lagging := Wait(context.Background(), []*Client{first, second}, 7); lagging != nil {
+		t.Errorf("%v lag", lagging)
+	}
+}
+
+func TestWaitNamesWhoLags(t *testing.T) {
+	c := serve(t, func(int64) entry.Status {
+		return entry.Status{
+			Node: "a", Revision: 7, Lagging: []wire.EndpointID{"luthier-01"},
+			Peers: []entry.PeerStatus{{Node: "b", Revision: 6, SilentMS: 2000}},
+		}
+	})
+	dead := NewClient("http://127.0.0.1:1", "secret", http.DefaultClient)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*pollEvery)
+	defer cancel()
+	want := []Lagging{
+		{Name: "b", Revision: 6, Reason: "last heard 2s ago"},
+		{Name: "http://127.0.0.1:1", Reason: "gives no status"},
+		{Name: "luthier-01", Reason: "agent of a has an older revision"},
+	}
+	if diff := cmp.Diff(want, Wait(ctx, []*Client{c, dead}, 7)); diff != "" {
+		t.Errorf("lagging differ (-want +got):\n%s", diff)
+	}
+}
+
+func TestRefusalIsShown(t *testing.T) {
+	c := serve(t, func(int64) entry.Status { return entry.Status{} })
+	c.key = "wrong"
+	if err := c.Drain(context.Background()); err == nil || !strings.Contains(err.Error(), "401 Unauthorized: operators' key required") {
+		t.Errorf("got %v", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if _, err := c.Dump(ctx); err == nil {
+		t.Error("a dump was given")
+	}
+}
