Describe the lists, settings, edits and their spread

Cause: operators had no reference for the lists and settings, and the reasons for chunks, acceptance and spread were nowhere.

--- /dev/null
+++ b/internal/declaration/docs_test.go
@@ -0,0 +1,19 @@
+package declaration
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"trefoilpath.org/trefoilpath/internal/doccheck"
+)
+
+func TestReferenceNamesEveryField(t *testing.T) {
+	page := string(readFile(t, "../../docs/operators/lists.md").Data)
+	for heading, list := range map[string]any{"## plans.json": PlanList{}, "## entitlements.json": EntitlementList{}} {
+		got := doccheck.Names(doccheck.Rows(page, heading))
+		if diff := cmp.Diff(doccheck.Paths(list), got); diff != "" {
+			t.Errorf("%s: fields of the code (-) and of docs/operators/lists.md (+):\n%s", heading, diff)
+		}
+	}
+}
--- /dev/null
+++ b/internal/doccheck/doccheck.go
@@ -0,0 +1,95 @@
+// Package doccheck lets tests compare the reference pages with the structs that
+// they describe.
+package doccheck
+
+import (
+	"encoding"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// Paths returns the paths of all fields of a struct with json tags, such as
+// "accounts[].limits.concurrency", sorted. Structs themselves have no path,
+// fields that decode from text are not descended into.
+func Paths(v any) []string {
+	var out []string
+	walk(&out, "", reflect.TypeOf(v))
+	slices.Sort(out)
+	return out
+}
+
+var textUnmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+func walk(out *[]string, path string, t reflect.Type) {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if t.Kind() == reflect.Slice && t.Elem().Kind() == reflect.Struct && !isText(t.Elem()) {
+		path += "[]"
+		t = t.Elem()
+	}
+	if t.Kind() != reflect.Struct || isText(t) {
+		*out = append(*out, path)
+		return
+	}
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name == "" || name == "-" {
+			continue
+		}
+		walk(out, strings.TrimPrefix(path+"."+name, "."), t.Field(i).Type)
+	}
+}
+
+func isText(t reflect.Type) bool { return reflect.PointerTo(t).Implements(textUnmarshaler) }
+
+// Rows returns the cells of all table rows of a Markdown section whose first
+// cell is in backquotes, by that cell without them. The section begins with the
+// given heading line and ends with the next heading of the same or a higher
+// level.
+func Rows(markdown, heading string) map[string][]string {
+	rows := make(map[string][]string)
+	for _, line := range section(markdown, heading) {
+		cells := strings.Split(strings.Trim(line, "| "), "|")
+		for i := range cells {
+			cells[i] = strings.TrimSpace(cells[i])
+		}
+		if strings.HasPrefix(line, "| `") {
+			rows[strings.Trim(cells[0], "`")] = cells[1:]
+		}
+	}
+	return rows
+}
+
+// Names returns the sorted first cells of rows.
+func Names(rows map[string][]string) []string {
+	names := make([]string, 0, len(rows))
+	for name := range rows {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func section(markdown, heading string) []string {
+	level := strings.Index(heading, " ")
+	var out []string
+	inside := false
+	for line := range strings.Lines(markdown) {
+		line = strings.TrimRight(line, "\n")
+		switch {
+		case line == heading:
+			inside = true
+		case inside && isHeading(line) && strings.Index(line, " ") <= level:
+			return out
+		case inside:
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+func isHeading(line string) bool {
+	return strings.HasPrefix(strings.TrimLeft(line, "#"), " ") && line[0] == '#'
+}
