--- a/cmd/trefoilpath/apply.go
+++ b/cmd/trefoilpath/apply.go
@@ -25,6 +25,7 @@
 type applyFlags struct {
 	dir     string
 	expect  uint64
+	above   uint64
 	author  string
 	wait    time.Duration
 	store   storeFlags
@@ -37,6 +38,7 @@
 	cmd := app.Command("apply", "Put the lists in a directory in force as the next revision. Exit codes: 0 accepted (with --wait: in force everywhere), 1 nothing accepted, 2 mistakes in the lists, 3 another revision is in force than --expect, 4 not known whether accepted, 5 accepted but not in force everywhere within --wait.")
 	cmd.Arg("dir", "Directory with the edited lists.").Required().ExistingDirVar(&f.dir)
 	cmd.Flag("expect", "Revision that was edited, as shown by get; 0 for the first.").Required().Uint64Var(&f.expect)
+	cmd.Flag("above", "Make the new revision higher than this one too. For a store that was restored from a copy and has lost revisions that entries hold.").Uint64Var(&f.above)
 	cmd.Flag("author", "Who makes the change; without it, the login name.").Default(os.Getenv("USER")).StringVar(&f.author)
 	cmd.Flag("wait", "Wait this long until the revision is in force everywhere, and name who lags. Needs --entry.").DurationVar(&f.wait)
 	f.store.register(cmd)
@@ -57,7 +59,10 @@
 	if err != nil {
 		return err
 	}
-	update := declaration.Update{Lists: lists, Expect: f.expect, Author: f.author, Nonce: rand.Uint64() | 1}
+	if err := f.checkEntries(client, entries); err != nil {
+		return err
+	}
+	update := declaration.Update{Lists: lists, Expect: f.expect, Above: f.above, Author: f.author, Nonce: rand.Uint64() | 1}
 	receipt, err := declaration.Accept(context.Background(), client, update)
 	if err != nil {
 		return withApplyCode(err)
@@ -81,6 +86,25 @@
 	return f.entries.clients(hc)
 }
 
+// checkEntries refuses an update that the entries would take for an old one.
+func (f *applyFlags) checkEntries(client declaration.Doer, entries []*operator.Client) error {
+	held := operator.HighestRevision(context.Background(), entries)
+	if held <= max(f.expect, f.above) {
+		return nil
+	}
+	accepted, err := declaration.Fetch(context.Background(), client)
+	if err != nil {
+		return err
+	}
+	stored := accepted.Revision()
+	if stored >= held {
+		return nil // somebody else's edit, which makes a conflict
+	}
+	err = errors.Errorf("entries hold revision %d, but the store only %d: it has lost revisions; compare the lists and apply with --above %d",
+		held, stored, held)
+	return codedError{err, exitConflict}
+}
+
 func withApplyCode(err error) error {
 	var conflict *declaration.Conflict
 	var unsettled *declaration.Unsettled
--- a/internal/declaration/accept.go
+++ b/internal/declaration/accept.go
@@ -14,6 +14,7 @@
 type Update struct {
 	Lists  *Lists // passed Parse
 	Expect uint64 // revision that was edited; 0 for the first
+	Above  uint64 // the new revision is above this one too, after the store lost revisions
 	Author string
 	Nonce  uint64 // random; never used for another update
 }
@@ -95,13 +96,13 @@
 		return nil, err
 	}
 	changes := Compare(base.lists(), u.Lists)
-	if current := base.revision(); current != u.Expect {
+	if current := base.Revision(); current != u.Expect {
 		return nil, &Conflict{Expected: u.Expect, Current: current, Author: base.author(), Changes: changes}
 	}
-	if base.State != nil && len(changes) == 0 {
+	if base.State != nil && len(changes) == 0 && u.Above <= u.Expect {
 		return &Receipt{Revision: u.Expect, Digest: base.State.digest, Unchanged: true}, nil
 	}
-	next, err := Build(u.Lists, base.State, Header{Revision: u.Expect + 1, Nonce: u.Nonce, Author: u.Author})
+	next, err := Build(u.Lists, base.State, Header{Revision: max(u.Expect, u.Above) + 1, Nonce: u.Nonce, Author: u.Author})
 	if err != nil {
 		return nil, err
 	}
@@ -120,7 +121,8 @@
 	return a.State.Lists()
 }
 
-func (a *Accepted) revision() uint64 {
+// Revision returns the number of the accepted revision, or 0 if there is none.
+func (a *Accepted) Revision() uint64 {
 	if a.Record == nil {
 		return 0
 	}
@@ -245,7 +247,7 @@
 	if err != nil {
 		return errors.Wrap(err, "another revision was accepted first; nothing of this update was")
 	}
-	c.Current, c.Author = now.revision(), now.author()
+	c.Current, c.Author = now.Revision(), now.author()
 	c.Changes = Compare(now.lists(), w.update.Lists)
 	return c
 }
--- a/internal/declaration/accept_test.go
+++ b/internal/declaration/accept_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -62,6 +63,18 @@
 	}
 }
 
+func TestRevisionGoesAboveWhatEntriesHold(t *testing.T) {
+	f := newFakeStore()
+	mustAccept(t, f, withConcurrency(t, 10), 0, 1)
+	r, err := Accept(context.Background(), f, Update{Lists: withConcurrency(t, 10), Expect: 1, Above: 40, Nonce: 2})
+	if err != nil || r.Revision != 41 {
+		t.Errorf("accepted %+v (%v), want revision 41", r, err)
+	}
+	if r := mustAccept(t, f, withConcurrency(t, 20), 41, 3); r.Revision != 42 {
+		t.Errorf("accepted %+v, want revision 42", r)
+	}
+}
+
 // TestLostAnswersAreSettled loses the answer of writes in every way, with and
 // without another operator whose update follows at once, and checks that the
 // result told is the one that holds.
@@ -196,7 +209,7 @@
 				rt.Fatal(err)
 			}
 			limit := rapid.Int64Range(1, 3).Draw(rt, "concurrency")
-			_, err = accept(f, withConcurrency(t, limit), now.revision(), nonce)
+			_, err = accept(f, withConcurrency(t, limit), now.Revision(), nonce)
 			var conflict *Conflict
 			if err != nil && !errors.As(err, &conflict) && !errors.Is(err, errChunkGone) {
 				rt.Fatal(err)
@@ -269,6 +282,52 @@
 	b.ReportMetric(float64(len(f.pairs[RootKey].Value)), "root-bytes")
 }
 
+// BenchmarkHeldBytes reports the heap that a revision takes with its snapshot,
+// and what each further remembered revision adds.
+func BenchmarkHeldBytes(b *testing.B) {
+	for _, accounts := range []int{1_000, 4_000, 8_100} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			l := largeLists(b, accounts)
+			var first, further float64
+			for b.Loop() {
+				before := heapBytes()
+				s := mustBuild(b, l, nil, 1)
+				snap := s.Snapshot()
+				first = heapBytes() - before
+				states := furtherRevisions(b, l, s)
+				further = (heapBytes() - before - first) / float64(len(states))
+				runtime.KeepAlive(snap)
+				runtime.KeepAlive(states)
+			}
+			b.ReportMetric(first, "bytes/revision")
+			b.ReportMetric(further, "bytes/further-revision")
+		})
+	}
+}
+
+// furtherRevisions applies the differences of some edits, as a node does.
+func furtherRevisions(b *testing.B, l *Lists, s *State) []*State {
+	var states []*State
+	for i := range 32 {
+		concurrency := int64(i + 1)
+		l.Plans.Accounts[i].Limits = &LimitOverrides{Concurrency: &concurrency}
+		next, err := s.Apply(s.Difference(mustBuild(b, l, s, uint64(i+2))))
+		if err != nil {
+			b.Fatal(err)
+		}
+		states = append(states, next)
+		s = next
+	}
+	return states
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
 // BenchmarkApplyDifference reports the processor time by which a node takes in
 // one edited client account, without and with resolving the snapshot.
 func BenchmarkApplyDifference(b *testing.B) {
--- a/internal/operator/wait.go
+++ b/internal/operator/wait.go
@@ -69,6 +69,23 @@
 	return v.result()
 }
 
+// HighestRevision returns the highest revision in force at the entries and at
+// the peers that they know, or 0 if none gives a status.
+func HighestRevision(ctx context.Context, entries []*Client) uint64 {
+	highest := uint64(0)
+	for _, c := range entries {
+		s, err := statusWithin(ctx, c)
+		if err != nil {
+			continue
+		}
+		highest = max(highest, s.Revision)
+		for _, p := range s.Peers {
+			highest = max(highest, p.Revision)
+		}
+	}
+	return highest
+}
+
 func statusWithin(ctx context.Context, c *Client) (entry.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
