Leave short prompts their reserve while memory is kept for a long one

Cause: memory kept free for a long prompt that had waited two seconds stopped every short prompt at the engine, although the long one can never use the share that is reserved for short ones. Ruled out: routing (least-outstanding shows the same tail) and the proactive check (reactive is no worse). Change: what is kept free can be taken from short prompts only beyond their reserve.

--- a/internal/agent/memory.go
+++ b/internal/agent/memory.go
@@ -49,6 +49,9 @@
 	if c.cfg.lacks(withoutMemoryCheck) {
 		return true
 	}
+	if cl == classShort && tokens <= c.freeForShort(keepFree) {
+		return true
+	}
 	if tokens > c.freeTokens()-keepFree {
 		return false
 	}
@@ -60,6 +63,16 @@
 	return used == 0 || used+tokens <= shared
 }
 
+// freeForShort returns the memory that a short prompt may take now. What is kept
+// free for a longer one can be taken from short ones only beyond their reserve:
+// the longer one can never have that.
+func (c *Core) freeForShort(keepFree int64) int64 {
+	free := c.freeTokens()
+	reserve := c.memory.capacity - c.sharedCapacity()
+	own := reserve - c.memory.byClass[classShort]
+	return max(free-keepFree, min(free, own))
+}
+
 // sharedCapacity is the memory that prompts other than short ones may use.
 func (c *Core) sharedCapacity() int64 {
 	return int64(float64(c.memory.capacity) * (1 - c.cfg.ShortReserve))
