Let agents refuse early and commit to the shortest wait they name

Cause: reports are a second or more old at the control budget, so requests waited at agents with a queue while others had room: waits of short prompts at agents had no correlation with the load that routing saw. Change: an attempt may wait at an agent only for a patience of 100 ms plus half its prefill; after four refusals the request goes to the agent that named the shortest wait.

--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -59,13 +59,41 @@
 	if m.Reason == wire.RefuseTooLarge {
 		r.avoidUntil(a.endpoint, r.deadline)
 	}
+	r.noteWait(a.endpoint, m)
 	if r.refusals%maxRefusals != 0 {
 		c.enqueue(r)
 		return
 	}
+	if c.commit(r) {
+		return
+	}
 	c.pauseThenRoute(r, c.jitter(min(pause, waitMax)))
 }
 
+// noteWait remembers the shortest wait that a refusal has named.
+func (r *request) noteWait(id wire.EndpointID, m *wire.Refused) {
+	if m.Reason != wire.RefuseNoRoom && m.Reason != wire.RefuseLate {
+		return
+	}
+	if r.shortest.endpoint == "" || m.RetryAfter < r.shortest.wait {
+		r.shortest = refusedAt{id, m.RetryAfter}
+	}
+}
+
+// commit sends a request that several agents refused to the one that named the
+// shortest wait, to wait there. It reports false if there is none.
+func (c *Core) commit(r *request) bool {
+	best := r.shortest
+	r.shortest = refusedAt{}
+	e := c.endpoints.Get(best.endpoint)
+	if e == nil || !c.usable(e) || c.now+best.wait >= r.deadline {
+		return false
+	}
+	p := c.predict(e, r)
+	c.dispatchWithin(r, e, p, c.startBy(r.deadline-c.now, p))
+	return true
+}
+
 // pauseThenRoute routes a request again after a pause, or ends it if that is
 // past its deadline.
 func (c *Core) pauseThenRoute(r *request, pause time.Duration) {
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -18,6 +18,9 @@
 	wakeMost = 4
 	// minStartBy is the shortest allowance for an attempt to start.
 	minStartBy = 50 * time.Millisecond
+	// minPatience is how long even the shortest prompt may wait at one agent
+	// before another is tried.
+	minPatience = 100 * time.Millisecond
 )
 
 // enqueue has a request routed in this tick.
@@ -275,8 +278,28 @@
 	*waiting = kept
 }
 
-// dispatch sends r to e as a new attempt.
+// dispatch sends r to e as a new attempt that is to start soon: an agent that has
+// no room refuses at once, which is a fresher word on its load than any report.
 func (c *Core) dispatch(r *request, e *endpoint, p prediction) {
+	within := c.startBy(r.deadline-c.now, p)
+	if r.in.Kind == wire.KindEngine && c.cfg.Routing == RoutingPredicted {
+		within = min(within, c.patience(e, p))
+	}
+	c.dispatchWithin(r, e, p, within)
+}
+
+// patience returns how long an attempt may wait at an agent before another one
+// is tried.
+func (c *Core) patience(e *endpoint, p prediction) time.Duration {
+	rate := e.report.PrefillRate
+	if rate <= 0 {
+		rate = defaultPrefillRate
+	}
+	return minPatience + seconds(float64(p.uncached)/rate/2)
+}
+
+// dispatchWithin sends r to e as a new attempt that must start within a time.
+func (c *Core) dispatchWithin(r *request, e *endpoint, p prediction, within time.Duration) {
 	a := c.newAttempt(r, e, p)
 	r.phase = phaseRunning
 	r.current = a.id.Sequence
@@ -286,6 +309,7 @@
 	}
 	d := c.dispatchMessage(r, a.id, p)
 	d.ResumeFrom = resume
+	d.StartBy = within
 	c.emit(Output{Attempt: &Attempt{ID: r.id, Attempt: a.id, ResumeFrom: resume}})
 	c.emit(Output{ToAgent: &ToAgent{Endpoint: e.id, Request: r.id, Msg: wire.ToAgent{Dispatch: d}}})
 	c.log(Event{Kind: EventDispatched, Request: r.in.ExternalID, Account: r.in.Account, Endpoint: e.id, Attempt: a.id, FirstWait: p.first})
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -49,7 +49,8 @@
 	done       bool // all data has gone to the caller
 
 	avoid      []avoided
-	recorded   bool // an at-most-once record is ours
+	shortest   refusedAt // the shortest wait that an agent named in its refusal
+	recorded   bool      // an at-most-once record is ours
 	repeatable bool
 	group      *group
 
@@ -70,6 +71,12 @@
 	until    time.Duration
 }
 
+// refusedAt is an endpoint that would have had room after a wait.
+type refusedAt struct {
+	endpoint wire.EndpointID
+	wait     time.Duration
+}
+
 // attempt is one try to run a request at one endpoint.
 type attempt struct {
 	id        wire.AttemptID
