Let an attempt wait 200 ms at an agent and ask eight agents

Cause: with 100 ms many short prompts left a queue that was about to move. Change: patience 200 ms, eight refusals before a request commits.

--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxRefusals is how many agents may refuse a request before it waits.
-	maxRefusals = 4
+	maxRefusals = 8
 	// waitMin and waitMax bound the pause before a request without room is
 	// routed again.
 	waitMin = 20 * time.Millisecond
@@ -20,7 +20,7 @@
 	minStartBy = 50 * time.Millisecond
 	// minPatience is how long even the shortest prompt may wait at one agent
 	// before another is tried.
-	minPatience = 100 * time.Millisecond
+	minPatience = 200 * time.Millisecond
 )
 
 // enqueue has a request routed in this tick.
