Shorten the time without a share when a home is lost

Cause: an entry went on promising its share after a missed exchange, and units of concurrency that regions do not divide evenly belonged to nobody. Change: a promise only if the last exchange was answered; RegionNames spreads the rest over regions by rendezvous hashing.

--- a/internal/limits/machine.go
+++ b/internal/limits/machine.go
@@ -1,9 +1,11 @@
 package limits
 
 import (
+	"slices"
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/membership"
 	"trefoilpath.org/trefoilpath/internal/table"
 	"trefoilpath.org/trefoilpath/internal/timer"
 	"trefoilpath.org/trefoilpath/internal/wire"
@@ -16,6 +18,10 @@
 	Region      wire.Region
 	// Regions is the number of regions among which each limit is divided.
 	Regions int
+	// RegionNames names those regions. If it is set, the units of concurrency
+	// that do not divide evenly go to regions by rendezvous hashing over the
+	// account; otherwise nobody has them. It takes the place of Regions.
+	RegionNames []wire.Region
 	// Lease is the shortest term of a grant. Larger regions have longer terms.
 	Lease time.Duration
 	// ListLag bounds how long after its start an entry may be missing from the
@@ -45,7 +51,7 @@
 // Terms in periods of the exchange with a home.
 const (
 	leasePeriods = 3 // of a grant
-	lendPeriods  = 6 // of a promise: a grant, two missed exchanges, and one to spare
+	lendPeriods  = 6 // of a promise: a grant, two periods until it is used, and one to spare
 	wantPeriods  = 3 // after which a want that is not repeated is forgotten
 )
 
@@ -104,6 +110,9 @@
 	setDefault(&cfg.Homes, DefaultHomes)
 	setDefault(&cfg.Idle, DefaultIdle)
 	setDefault(&cfg.Regions, 1)
+	if len(cfg.RegionNames) > 0 {
+		cfg.Regions = len(cfg.RegionNames)
+	}
 	return &Machine{
 		cfg:      cfg,
 		peers:    table.New[wire.NodeID, peer](),
@@ -150,7 +159,11 @@
 	regions := m.cfg.Regions
 	l.RequestsPerSecond /= float64(regions)
 	l.TokensPerSecond /= float64(regions)
+	rest := int(l.Concurrency % int64(regions))
 	l.Concurrency /= int64(regions)
+	if slices.Contains(membership.Pick(string(id), m.cfg.RegionNames, rest), m.cfg.Region) {
+		l.Concurrency++
+	}
 	return l
 }
 
--- a/internal/limits/machine_test.go
+++ b/internal/limits/machine_test.go
@@ -202,6 +202,25 @@
 	f.offer(f.nodes[1], "antigua", 100, 3*time.Second)
 }
 
+func TestRegionsDivideEveryUnit(t *testing.T) {
+	regions := []wire.Region{"guate-central", "tell-nord", "r3", "r4"}
+	snapshot := &declaration.Snapshot{Accounts: map[wire.AccountID]*declaration.Account{
+		"antigua": {ID: "antigua", Limits: declaration.Limits{RequestsPerSecond: 8, TokensPerSecond: 80, BurstSeconds: 1, Concurrency: 6}},
+	}}
+	var total declaration.Limits
+	for _, region := range regions {
+		m := New(Config{Self: "a", Incarnation: 1, Region: region, RegionNames: regions})
+		m.SetSnapshot(0, snapshot)
+		l := m.limitsOf("antigua")
+		total.RequestsPerSecond += l.RequestsPerSecond
+		total.TokensPerSecond += l.TokensPerSecond
+		total.Concurrency += l.Concurrency
+	}
+	if want := (declaration.Limits{RequestsPerSecond: 8, TokensPerSecond: 80, Concurrency: 6}); total != want {
+		t.Fatalf("the regions have %+v together, want %+v", total, want)
+	}
+}
+
 // TestLimitsHoldUnderFaults kills, restarts, pauses and partitions entries and
 // loses, doubles and delays messages while the load moves about.
 func TestLimitsHoldUnderFaults(t *testing.T) {
--- a/internal/limits/peers.go
+++ b/internal/limits/peers.go
@@ -282,10 +282,9 @@
 	}
 }
 
-// reachable reports whether the peer has answered lately: at most one exchange
-// was missed.
+// reachable reports whether the peer has answered in the last exchange.
 func (m *Machine) reachable(now time.Duration, p *peer) bool {
-	return p.hasReplied && now-p.answered < 2*m.period()+m.period()/2
+	return p.hasReplied && now-p.answered < m.period()+m.period()/2
 }
 
 // Home returns the entry at which an account is at home.
