Bring about moves of homes and restarts of homes in the limits' tests

Cause: the freeze of moved accounts and the wait told to a restarted home could be switched off without a failing test; homes moved only to entries that had just started, which wait anyway. Change: fewer homes than entries, a new entry that displaces a home while the holder of grants is paused, and a home that restarts while a grant is in use.

--- a/internal/limits/harness_test.go
+++ b/internal/limits/harness_test.go
@@ -56,6 +56,7 @@
 	jitter   int                     // ms
 	cut      map[[2]wire.NodeID]bool // directed
 	listLag  time.Duration
+	homes    int
 	listed   []listing
 	messages int
 	excess   int64 // highest concurrency in use over the limit
@@ -78,6 +79,9 @@
 	if f.r.IntN(2) == 0 { // a list that lags, or one that is current
 		f.listLag = time.Duration(f.r.IntN(int(maxListLag - listPeriod)))
 	}
+	if f.r.IntN(2) == 0 { // fewer homes than entries, so that accounts move between old ones
+		f.homes = 1 + f.r.IntN(3)
+	}
 	f.snapshot = &declaration.Snapshot{Revision: 1, Accounts: make(map[wire.AccountID]*declaration.Account)}
 	for id, l := range accounts {
 		f.snapshot.Accounts[id] = &declaration.Account{ID: id, Limits: l}
@@ -96,7 +100,7 @@
 	n.paused = 0
 	n.inbox = nil
 	n.held = make(map[wire.AccountID]int64)
-	n.m = New(Config{Self: n.id, Incarnation: n.incarnation, Region: testRegion, ListLag: f.listLag + listPeriod})
+	n.m = New(Config{Self: n.id, Incarnation: n.incarnation, Region: testRegion, ListLag: f.listLag + listPeriod, Homes: f.homes})
 	n.m.SetSnapshot(f.now, f.snapshot)
 }
 
--- a/internal/limits/machine_test.go
+++ b/internal/limits/machine_test.go
@@ -1,13 +1,16 @@
 package limits
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/membership"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -202,6 +205,94 @@
 	f.offer(f.nodes[1], "antigua", 100, 3*time.Second)
 }
 
+// TestNewLifeOfHomeWaitsForGrants checks that an entry tells a home that has
+// restarted for how long a grant of its earlier life is in use.
+func TestNewLifeOfHomeWaitsForGrants(t *testing.T) {
+	m := New(Config{Self: "a", Incarnation: 1, Region: testRegion, ListLag: time.Hour, Homes: 2})
+	m.SetSnapshot(0, newFleet(t, 1, 1, manyAccounts).snapshot)
+	m.SetPeers(0, []Peer{{Node: "b", Address: "b", Region: testRegion}})
+	id := accountIDs(manyAccounts)[0]
+	for _, other := range accountIDs(manyAccounts) {
+		if m.Home(other) == "b" {
+			id = other
+		}
+	}
+	m.Admit(0, id, 1)
+	m.Tick(0)
+	request := m.TakePeer()[0].Msg.GrantRequest
+	const lease = time.Minute
+	m.FromPeer(1, "b", wire.ToPeer{GrantReply: &wire.GrantReply{
+		Incarnation: 1, Sequence: 1, Echo: request.Sequence, EchoIncarnation: 1, Lease: lease,
+		Grants: []wire.Grant{{Account: id, MilliRequests: 1000, Tokens: 10, Concurrency: 1}},
+	}})
+	m.TakePeer()
+	m.FromPeer(2, "b", wire.ToPeer{GrantRequest: &wire.GrantRequest{Incarnation: 2, Sequence: 1, Count: 2}})
+	reply := m.TakePeer()[0].Msg.GrantReply
+	if reply.Wait < lease-2 {
+		t.Fatalf("told to wait %s for a grant of %s", reply.Wait, lease)
+	}
+}
+
+// TestHomesMoveBetweenOldEntries adds an entry that takes the place of a home,
+// so that accounts move to a home that already grants others.
+func TestHomesMoveBetweenOldEntries(t *testing.T) {
+	for seed := range uint64(40) {
+		accounts := make(map[wire.AccountID]declaration.Limits)
+		for id, l := range benchAccounts(12) {
+			l.Concurrency = 6
+			accounts[id] = l
+		}
+		f := newFleet(t, seed, 3, accounts)
+		f.listLag, f.homes = 0, 2
+		for _, n := range f.nodes {
+			f.start(n)
+		}
+		before := f.nodes
+		if seed%2 == 0 { // only the entry that will be paused is busy
+			before = f.nodes[seed%3 : seed%3+1]
+		}
+		f.load(6*time.Second, before)
+		f.nodes = append(f.nodes, &node{id: displacing(f.nodes, f.homes)})
+		f.start(f.nodes[3])
+		f.list()
+		f.nodes[seed%3].paused = f.now + 1200*time.Millisecond // it goes on with what it was granted
+		f.load(8*time.Second, f.nodes)
+	}
+}
+
+// displacing names an entry that would become a home in the place of another.
+func displacing(nodes []*node, homes int) wire.NodeID {
+	var ids []wire.NodeID
+	for _, n := range nodes {
+		ids = append(ids, n.id)
+	}
+	for i := 0; ; i++ {
+		id := wire.NodeID(fmt.Sprintf("late-%d", i))
+		if slices.Contains(membership.Pick(homesKey, append(slices.Clone(ids), id), homes), id) {
+			return id
+		}
+	}
+}
+
+// load admits requests of random accounts at the given entries for d.
+func (f *fleet) load(d time.Duration, nodes []*node) {
+	var ids []wire.AccountID
+	for id := range f.snapshot.Accounts {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	var ends []ending
+	for end := f.now + d; f.now < end; f.step() {
+		ends = f.finish(ends)
+		for range 4 {
+			n, id := nodes[f.r.IntN(len(nodes))], ids[f.r.IntN(len(ids))]
+			if f.now >= n.paused && f.admit(n, id, 100).OK {
+				ends = append(ends, ending{f.now + 300*time.Millisecond, n, n.incarnation, id})
+			}
+		}
+	}
+}
+
 func TestRegionsDivideEveryUnit(t *testing.T) {
 	regions := []wire.Region{"guate-central", "tell-nord", "r3", "r4"}
 	snapshot := &declaration.Snapshot{Accounts: map[wire.AccountID]*declaration.Account{
