Let entries announce their address to their peers

Cause: a restarted entry is missing from the lagging VM list for some seconds; its peers then had no address to send it the declarations that it asked for. Change: Announce carries the sender's address; the entry core uses it for peers that the list does not show.

--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -23,6 +23,7 @@
 	placer  *controller.Machine
 
 	regionOf map[wire.FailureDomain]wire.Region // looked up only
+	heardAt  map[wire.NodeID]string             // addresses that peers announced; looked up only
 	peers    int                                // entries on the list, this one included
 	pending  []RequestID                        // wait for a first grant
 	changed  bool                               // what the placement duty sees
@@ -32,7 +33,7 @@
 
 func newFleet(c *Core) *fleet {
 	cfg := &c.cfg
-	f := &fleet{c: c, regionOf: make(map[wire.FailureDomain]wire.Region), peers: 1}
+	f := &fleet{c: c, regionOf: make(map[wire.FailureDomain]wire.Region), heardAt: make(map[wire.NodeID]string), peers: 1}
 	f.members = membership.New(membership.Config{})
 	f.spread = spread.New(spread.Config{
 		Self: cfg.Self, Incarnation: cfg.Incarnation, Region: cfg.Region, FailureDomain: cfg.FailureDomain,
@@ -91,9 +92,17 @@
 	if member, ok := f.members.Get(peer); ok && address == "" {
 		address = member.VM.Address
 	}
+	if address == "" {
+		address = f.heardAt[peer]
+	}
 	if address == "" {
 		return // nobody knows yet where the peer is; its machines ask again
 	}
+	if msg.Announce != nil {
+		a := *msg.Announce
+		a.Address = f.c.cfg.Address
+		msg.Announce = &a
+	}
 	f.c.emit(Output{ToPeer: &ToPeer{Peer: peer, Address: address, Msg: msg}})
 }
 
@@ -119,6 +128,9 @@
 			return // an earlier life of the peer
 		}
 		f.regionOf[a.FailureDomain] = a.Region
+		if a.Address != "" {
+			f.heardAt[peer] = a.Address
+		}
 	}
 	if f.spread.FromPeer(f.c.now, peer, msg) {
 		return
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -25,6 +25,9 @@
 	// Lagging is the lowest revision in force at an agent of the sender, or
 	// Revision if none lags.
 	Lagging uint64 `cbor:"8,keyasint,omitempty"`
+	// Address is where peers reach the sender. The VM list may not show a
+	// restarted entry yet.
+	Address string `cbor:"9,keyasint,omitempty"`
 }
 
 // ChunkRequest asks for the declarations. Have lists the digests of the chunks
