Count requests that outlive their grant against the limits

Cause: the home of an account grants itself slices for one period and forgets them when they lapse, while the requests admitted under them go on; the other entries were granted what these occupied. Change: a grant leaves room for what the other entries, the home included, have in flight beyond their grants.

--- a/internal/limits/home.go
+++ b/internal/limits/home.go
@@ -196,6 +196,35 @@
 	return s
 }
 
+// inFlightBeyond returns how many requests entries other than x have in flight
+// beyond what the grants that they may have allow. Grants lapse and shrink
+// while requests go on.
+func (m *Machine) inFlightBeyond(h *homeAccount, x *holder) int64 {
+	var beyond, own int64
+	for i := range h.holders {
+		other := &h.holders[i]
+		switch other.node {
+		case m.cfg.Self:
+			own = other.held().concurrency
+		case x.node:
+		default:
+			beyond += max(other.want.InUse-other.held().concurrency, 0)
+		}
+	}
+	if x.node != m.cfg.Self {
+		beyond += max(m.inUse(x.want.Account)-own, 0)
+	}
+	return beyond
+}
+
+// inUse returns the requests of an account that this entry has in flight.
+func (m *Machine) inUse(id wire.AccountID) int64 {
+	if a := m.accounts.Get(id); a != nil {
+		return a.inUse
+	}
+	return 0
+}
+
 // fairShare divides the backed part of the limits by demand and returns the
 // share of one holder.
 func (m *Machine) fairShare(h *homeAccount, part float64, node wire.NodeID) allowance {
@@ -226,6 +255,7 @@
 func (m *Machine) allot(h *homeAccount, part float64, x *holder) allowance {
 	share := m.fairShare(h, part, x.node)
 	others := h.heldByOthers(x.node)
+	others.concurrency += m.inFlightBeyond(h, x)
 	whole := int64(math.Floor(float64(h.limits.Concurrency)*part + roundingSlack))
 	share.concurrency = max(share.concurrency, x.want.InUse)
 	share.concurrency = max(min(share.concurrency, whole-others.concurrency), 0)
