Start no group member after the request's time is over

Cause: an entry that was paused beyond a request's deadline read the end of one slice of its prompt and sent the next slice before the deadline's timer ran. Change: runSlice sends nothing once the deadline has passed.

--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -189,8 +189,12 @@
 	c.runSlice(r)
 }
 
-// runSlice sends the next slice of the prompt to its member.
+// runSlice sends the next slice of the prompt to its member. A request whose
+// time is over, as after a pause of the process, ends later in the same tick.
 func (c *Core) runSlice(r *request) {
+	if c.now >= r.deadline && !c.cfg.lacks(withoutDeadline) {
+		return
+	}
 	g := r.group
 	mb := &g.members[g.running]
 	e := c.endpoints.Get(mb.endpoint)
