--- a/internal/controller/machine.go
+++ b/internal/controller/machine.go
@@ -26,10 +26,9 @@
 	// OrderMaxAge is the age limit of orders. A new holder waits as long before
 	// its first order.
 	OrderMaxAge time.Duration
-	// AnswerWithin is when an order that changes nothing is given up.
+	// AnswerWithin is when an order without any answer is given up.
 	AnswerWithin time.Duration
-	// LoadWithin is when an order to load is given up. The engine's running work
-	// ends before the load begins.
+	// LoadWithin is when a load that has begun is given up.
 	LoadWithin time.Duration
 	// Grace is how long an endpoint without a stream keeps its place.
 	Grace time.Duration
@@ -44,7 +43,7 @@
 	DefaultLoadSlots    = 4
 	DefaultOrderMaxAge  = 2 * time.Second
 	DefaultAnswerWithin = 5 * time.Second
-	DefaultLoadWithin   = 20 * time.Minute
+	DefaultLoadWithin   = 15 * time.Minute
 	DefaultGrace        = 20 * time.Second
 	DefaultPlanEvery    = 500 * time.Millisecond
 )
@@ -180,7 +179,7 @@
 		e.seen = now
 	}
 	e.view = v
-	if p := e.pending; p != nil && p.sent < now && !v.Loading && sameAssignment(v.Have, p.order.Want) {
+	if p := e.pending; p != nil && p.sent < now && !v.Loading && sameAssignment(v.Have, p.want) {
 		e.done()
 	}
 }
@@ -229,7 +228,7 @@
 	if m.snapshot == nil {
 		return
 	}
-	m.tendOrders(now)
+	m.expireOrders(now)
 	m.confirm(now)
 	m.place(now)
 }
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -15,9 +15,9 @@
 
 // pending is an order without a final answer.
 type pending struct {
-	order    wire.Order
-	sent     time.Duration // first
-	repeated time.Duration // last
+	id       uint64
+	want     wire.Assignment
+	sent     time.Duration
 	accepted bool
 	purpose  purpose
 }
@@ -35,7 +35,7 @@
 // OrderResult takes an agent's answer to an order.
 func (m *Machine) OrderResult(now time.Duration, id wire.EndpointID, r wire.OrderResult) {
 	e := m.endpoints.Get(id)
-	if e == nil || e.pending == nil || e.pending.order.ID != r.ID || r.Fence != m.lease.Fence() {
+	if e == nil || e.pending == nil || e.pending.id != r.ID || r.Fence != m.lease.Fence() {
 		return
 	}
 	e.confirmed = r.Fence
@@ -48,9 +48,8 @@
 		e.view.Loading = false
 		e.done()
 	case wire.OrderStale:
-		e.pending = nil
 		e.confirmed = 0
-		e.retryAt = now + minRetry
+		e.failed(now)
 	default:
 		e.failed(now)
 	}
@@ -67,33 +66,21 @@
 	e.failures++
 }
 
-// tendOrders repeats the orders that have not begun, and gives up those that
-// take too long. An agent lets running work end before it loads; the order must
-// not grow old meanwhile, and repeating it shows that the duty is still held.
-func (m *Machine) tendOrders(now time.Duration) {
+// expireOrders gives up orders that were not answered in time.
+func (m *Machine) expireOrders(now time.Duration) {
 	m.endpoints.Each(func(_ wire.EndpointID, e *endpoint) bool {
 		p := e.pending
 		switch {
 		case p == nil:
-		case p.purpose == purposeConfirm:
-			if now-p.sent >= m.cfg.AnswerWithin {
-				e.pending = nil
-			}
-		case now-p.sent >= m.cfg.LoadWithin:
+		case !p.accepted && now-p.sent >= m.cfg.AnswerWithin:
+			e.pending = nil
+		case p.accepted && now-p.sent >= m.cfg.LoadWithin:
 			e.failed(now)
-		case !p.accepted && e.view.Connected && now-p.repeated >= m.repeatEvery():
-			m.send(now, e)
-		}
-		if p != nil && p == e.pending && !p.accepted {
-			m.planAt = min(m.planAt, p.repeated+m.repeatEvery())
 		}
 		return true
 	})
 }
 
-// repeatEvery is the time between two sendings of an order.
-func (m *Machine) repeatEvery() time.Duration { return m.cfg.OrderMaxAge / 4 }
-
 // confirm tells every endpoint of the failure domain the present fence by an
 // order to keep what it has, so that it refuses a former holder's late orders.
 func (m *Machine) confirm(now time.Duration) {
@@ -116,37 +103,28 @@
 	return e.view.FailureDomain == m.cfg.FailureDomain && !e.view.Leaving
 }
 
-// give makes an order.
+// give makes an order. The lease is checked here, for each order.
 func (m *Machine) give(now time.Duration, e *endpoint, want wire.Assignment, why purpose) bool {
+	if !m.lease.Held(now) {
+		return false
+	}
 	m.order++
+	e.pending = &pending{id: m.order, want: want, sent: now, purpose: why}
 	slot := uint64(0)
 	if why != purposeConfirm {
-		slot = uint64(m.loads()) + 1
-	}
-	e.pending = &pending{sent: now, purpose: why, order: wire.Order{
-		ID:                m.order,
-		Fence:             m.lease.Fence(),
-		TargetIncarnation: e.view.Incarnation,
-		MaxAge:            m.cfg.OrderMaxAge,
-		Want:              want,
-		LoadSlot:          slot,
-	}}
-	if !m.send(now, e) {
-		e.pending = nil
-		return false
+		slot = uint64(m.loads())
 	}
-	return true
-}
-
-// send hands out the pending order of an endpoint. The lease is checked here,
-// for each order and each repeat.
-func (m *Machine) send(now time.Duration, e *endpoint) bool {
-	if !m.lease.Held(now) {
-		return false
-	}
-	e.pending.repeated = now
-	m.planAt = min(m.planAt, now+m.repeatEvery())
-	m.orders = append(m.orders, Order{Endpoint: e.view.Endpoint, Order: e.pending.order})
+	m.orders = append(m.orders, Order{
+		Endpoint: e.view.Endpoint,
+		Order: wire.Order{
+			ID:                m.order,
+			Fence:             m.lease.Fence(),
+			TargetIncarnation: e.view.Incarnation,
+			MaxAge:            m.cfg.OrderMaxAge,
+			Want:              want,
+			LoadSlot:          slot,
+		},
+	})
 	return true
 }
 
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -158,7 +158,7 @@
 // model returns the model that the endpoint runs or is loading, as far as known.
 func (e *endpoint) model() string {
 	if e.pending != nil {
-		return e.pending.order.Want.Model
+		return e.pending.want.Model
 	}
 	return e.view.Have.Model
 }
--- a/internal/soak/agentnode.go
+++ b/internal/soak/agentnode.go
@@ -54,6 +54,7 @@
 	a.bySequence = make(map[engine.SequenceID]*agentWork)
 	a.leavingAt = notLeaving
 	a.revision = 0
+	w.disturb(a.name)
 	w.record(a.name, "agent-start", "", "", int64(a.incarnation))
 	c, err := w.newAgentCore(a)
 	if err != nil {
@@ -225,6 +226,9 @@
 		a.world.audit.agentRevision(a, r.Revision)
 		a.world.audit.free[a] = r.FreeTokens
 	}
+	if r := m.Msg.Reserved; r != nil {
+		a.world.audit.reservedFor(a, r)
+	}
 	msg := m.Msg
 	s.send(a.name, s.entry.name, 0, func() { s.entry.receive(a, s, msg) })
 }
--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -47,6 +47,7 @@
 	world    *World
 	runs     map[serviceKey]int // of calls that must not be repeated
 	late     map[wire.AttemptID]bool
+	reserved map[wire.AttemptID]bool // for groups, before the endpoint began to leave
 	pauses   map[*entryNode][]interval
 	accepted []acceptedRevision
 	free     map[*agentNode]int64
@@ -71,11 +72,12 @@
 
 func newAudit(w *World) *audit {
 	return &audit{
-		world:  w,
-		runs:   make(map[serviceKey]int),
-		late:   make(map[wire.AttemptID]bool),
-		pauses: make(map[*entryNode][]interval),
-		free:   make(map[*agentNode]int64),
+		world:    w,
+		runs:     make(map[serviceKey]int),
+		late:     make(map[wire.AttemptID]bool),
+		reserved: make(map[wire.AttemptID]bool),
+		pauses:   make(map[*entryNode][]interval),
+		free:     make(map[*agentNode]int64),
 	}
 }
 
@@ -188,9 +190,20 @@
 	return a.runs[key]
 }
 
+// reservedFor notes memory that an agent has reserved for a group. What comes
+// for it later is part of the work that the endpoint has accepted then.
+func (a *audit) reservedFor(n *agentNode, r *wire.Reserved) {
+	if r.Granted && n.leavingAt == notLeaving {
+		a.reserved[r.Attempt] = true
+	}
+}
+
 // dispatchArrived notes work that reaches an agent after it should have stopped
 // coming.
 func (a *audit) dispatchArrived(n *agentNode, d *wire.Dispatch) {
+	if d.Slice != nil && a.reserved[d.Slice.Reservation] {
+		return
+	}
 	if n.leavingAt != notLeaving && a.world.clock.Now() > n.leavingAt+leavingBound {
 		a.late[d.Attempt] = true
 	}
@@ -201,6 +214,9 @@
 func (a *audit) dispatchSent(e *entryNode, s *stream, d *wire.Dispatch) {
 	n := s.agent
 	now := a.world.clock.Now()
+	if d.Slice != nil && a.reserved[d.Slice.Reservation] {
+		return
+	}
 	if n.leavingAt == notLeaving || now <= n.leavingAt+leavingBound {
 		return
 	}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -127,7 +127,9 @@
 	if c.ended {
 		return
 	}
-	k.world.audit.unanswered(c)
+	if c.entry.alive() && c.entry.incarnation == c.life {
+		k.world.audit.unanswered(c)
+	}
 	c.gone = true
 	k.end(c)
 	c.entry.callerGone(c)
--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -63,3 +63,16 @@
 	}
 	return calm
 }
+
+// entriesCalmFor returns for how long all entries and the links between them
+// have been undisturbed.
+func (w *World) entriesCalmFor() time.Duration {
+	calm := w.clock.Now()
+	for _, e := range w.entries {
+		if !e.running() {
+			return 0
+		}
+		calm = min(calm, w.quietFor(e.name))
+	}
+	return calm
+}
--- a/internal/soak/entrynode.go
+++ b/internal/soak/entrynode.go
@@ -42,6 +42,7 @@
 	e.ready = false
 	e.leavingAt = notLeaving
 	e.revision = 0
+	w.disturb(e.name)
 	w.record(e.name, "entry-start", "", "", int64(e.incarnation))
 	c, err := w.newEntryCore(e)
 	if err != nil {
@@ -50,7 +51,6 @@
 	}
 	e.proc = newProcess(w.clock, w.clockOffset(), c, e.output)
 	e.refreshVMs()
-	e.proc.input(entry.Input{DeclareLocal: w.snapshot})
 }
 
 func (e *entryNode) running() bool {
--- a/internal/soak/operators.go
+++ b/internal/soak/operators.go
@@ -45,7 +45,12 @@
 }
 
 // publish accepts the first revision of the lists.
-func (w *World) publish() { w.edit(w.lists, 0, nil) }
+func (w *World) publish() {
+	w.edit(w.lists, 0, nil)
+	if len(w.audit.accepted) == 0 {
+		w.fail(violation{Promise: promiseConfig, Subject: "operator", Detail: "the first lists were not accepted"})
+	}
+}
 
 // edit submits lists as an operator who has edited the given revision.
 func (w *World) edit(l *declaration.Lists, expect uint64, race func()) {
--- /dev/null
+++ b/internal/soak/scenario_test.go
@@ -0,0 +1,479 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"trefoilpath.org/trefoilpath/internal/simnet"
+	"trefoilpath.org/trefoilpath/internal/wire"
+	"trefoilpath.org/trefoilpath/internal/workload"
+)
+
+var traceScenarios = flag.Bool("trace", false, "print the events of every scenario")
+
+// TestScenarios runs the scripts under scenarios, each on its own virtual world.
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "../../scenarios",
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"start":  scenarioCommand((*scenario).start),
+			"offer":  scenarioCommand((*scenario).offer),
+			"crash":  scenarioCommand((*scenario).kill),
+			"pause":  scenarioCommand((*scenario).pause),
+			"leave":  scenarioCommand((*scenario).leave),
+			"hang":   scenarioCommand((*scenario).hang),
+			"break":  scenarioCommand((*scenario).breakNode),
+			"cut":    scenarioCommand((*scenario).cut),
+			"heal":   scenarioCommand((*scenario).heal),
+			"hangup": scenarioCommand((*scenario).hangUp),
+			"edit":   scenarioCommand((*scenario).edit),
+			"await":  scenarioCommand((*scenario).wait),
+			"expect": scenarioCommand((*scenario).expect),
+			"audit":  scenarioCommand((*scenario).audit),
+		},
+		Setup: func(env *testscript.Env) error {
+			env.Values[scenarioKey{}] = &scenario{calls: make(map[string]*call)}
+			return nil
+		},
+	})
+}
+
+type scenarioKey struct{}
+
+// scenario is the state of one script.
+type scenario struct {
+	world *World
+	calls map[string]*call
+	next  uint64
+}
+
+// scenarioCommand turns a method into a command that fails the script on error,
+// or that has to fail if the script negates it.
+func scenarioCommand(f func(s *scenario, args []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		s := ts.Value(scenarioKey{}).(*scenario)
+		err := f(s, args)
+		if s.world != nil && *traceScenarios {
+			for _, l := range s.world.journal.trace(traceLines, func(line) bool { return true }) {
+				fmt.Fprintln(os.Stderr, l)
+			}
+		}
+		if neg == (err == nil) {
+			ts.Fatalf("%v", err)
+		}
+	}
+}
+
+// start begins a run: start DEPLOYMENT [seed=N] [without=MECHANISM].
+func (s *scenario) start(args []string) error {
+	opts := Options{Seed: 1, Load: DefaultLoad, Mix: workload.DefaultMix(), Policy: PolicyTrefoilpath}
+	d, err := workload.ByName(args[0])
+	if err != nil {
+		return err
+	}
+	opts.Deployment = d
+	for key, value := range settings(args[1:]) {
+		switch key {
+		case "seed":
+			opts.Seed, err = strconv.ParseUint(value, 10, 64)
+		case "without":
+			opts.Without = strings.Split(value, ",")
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if s.world, err = New(opts); err != nil {
+		return err
+	}
+	s.world.guard(s.world.start)
+	s.world.until(warmUp)
+	return s.broken()
+}
+
+// settings parses arguments of the form key=value.
+func settings(args []string) map[string]string {
+	out := make(map[string]string)
+	for _, a := range args {
+		key, value, _ := strings.Cut(a, "=")
+		out[key] = value
+	}
+	return out
+}
+
+func (s *scenario) broken() error {
+	v := s.world.violation
+	if v == nil {
+		return nil
+	}
+	return fmt.Errorf("%s broken at %v for %s: %s\n%s", v.Promise, v.At, v.Subject, v.Detail, strings.Join(v.Trace, "\n"))
+}
+
+// offer sends a request: offer NAME prompt=N output=N, or
+// offer NAME write|read [key=K] [body=N]; with [account=A] [deadline=D] [entry=E].
+func (s *scenario) offer(args []string) error {
+	w := s.world
+	set := settings(args[1:])
+	s.next++
+	r := &workload.Request{Number: s.next, Account: w.lists.Plans.Accounts[0].ID, BodyDigest: s.next * 7919}
+	if a, ok := set["account"]; ok {
+		r.Account = wire.AccountID(a)
+	}
+	r.Deadline, _ = time.ParseDuration(set["deadline"])
+	d := w.opts.Deployment
+	_, write := set["write"]
+	_, read := set["read"]
+	switch {
+	case write || read:
+		kind := d.Write
+		if read {
+			kind = d.Read
+		}
+		r.Kind = wire.KindService
+		r.Repeatable = read
+		r.BodyBytes = 100
+		r.Call = &wire.ServiceCall{Service: d.Service, Method: kind.Method, Path: kind.Path, IdempotencyKey: set["key"]}
+		if body, ok := set["body"]; ok {
+			r.BodyDigest, _ = strconv.ParseUint(body, 10, 64)
+		}
+	default:
+		r.Kind = wire.KindEngine
+		r.Model = d.Model
+		r.Repeatable = true
+		r.PromptTokens, _ = strconv.ParseInt(set["prompt"], 10, 64)
+		r.OutputTokens, _ = strconv.ParseInt(set["output"], 10, 64)
+		r.MaxOutput = r.OutputTokens
+		r.BodyBytes = r.PromptTokens * workload.BytesPerToken
+	}
+	e := w.callers.choose()
+	if id, ok := set["entry"]; ok {
+		e = w.entryByID(wire.NodeID(id))
+	}
+	if e == nil {
+		return fmt.Errorf("no entry takes requests")
+	}
+	c := w.callers.newCall(r, maxTries)
+	s.calls[args[0]] = c
+	w.callers.send(c, e)
+	return nil
+}
+
+// agentOf finds the agent that runs a call at present.
+func (s *scenario) agentOf(name string) (*agentNode, error) {
+	c := s.calls[name]
+	if c == nil || len(c.attempts) == 0 {
+		return nil, fmt.Errorf("request %s has no attempt", name)
+	}
+	for _, a := range s.world.agents {
+		if a.work[c.attempts[len(c.attempts)-1]] != nil {
+			return a, nil
+		}
+	}
+	return nil, fmt.Errorf("no agent holds request %s", name)
+}
+
+// findAgent resolves an endpoint, or the one that runs a request: @NAME.
+func (s *scenario) findAgent(target string) (*agentNode, error) {
+	if name, ok := strings.CutPrefix(target, "@"); ok {
+		return s.agentOf(name)
+	}
+	for _, a := range s.world.agents {
+		if string(a.endpoint) == target {
+			return a, nil
+		}
+	}
+	return nil, fmt.Errorf("endpoint %s does not exist", target)
+}
+
+// findEntry resolves an entry, or the one that holds a request: @NAME.
+func (s *scenario) findEntry(target string) (*entryNode, error) {
+	if name, ok := strings.CutPrefix(target, "@"); ok && s.calls[name] != nil {
+		return s.calls[name].entry, nil
+	}
+	if e := s.world.entryByID(wire.NodeID(target)); e != nil {
+		return e, nil
+	}
+	return nil, fmt.Errorf("entry %s does not exist", target)
+}
+
+// kill ends a process: crash entry|agent|engine TARGET [for=D]. It starts again.
+func (s *scenario) kill(args []string) error {
+	w := s.world
+	d := 5 * time.Second
+	if v, ok := settings(args[2:])["for"]; ok {
+		d, _ = time.ParseDuration(v)
+	}
+	if args[0] == "entry" {
+		e, err := s.findEntry(args[1])
+		if err != nil {
+			return err
+		}
+		w.disturb(e.name)
+		e.kill(false)
+		w.startEntryAfter(e, d)
+		return nil
+	}
+	a, err := s.findAgent(args[1])
+	if err != nil {
+		return err
+	}
+	w.disturb(a.name)
+	if args[0] == "engine" {
+		a.engine.kill(d)
+		return nil
+	}
+	a.kill(false)
+	w.startAgentAfter(a, d)
+	return nil
+}
+
+// pause stops a process for a time: pause entry|agent TARGET DURATION [late].
+func (s *scenario) pause(args []string) error {
+	d, err := time.ParseDuration(args[2])
+	if err != nil {
+		return err
+	}
+	_, late := settings(args[3:])["late"]
+	if args[0] == "entry" {
+		e, err := s.findEntry(args[1])
+		if err != nil {
+			return err
+		}
+		s.world.disturbFor(d, e.name)
+		e.pause(d, late)
+		return nil
+	}
+	a, err := s.findAgent(args[1])
+	if err != nil {
+		return err
+	}
+	s.world.disturbFor(d, a.name)
+	a.pause(d, late)
+	return nil
+}
+
+// leave shuts a process down gracefully: leave entry|agent TARGET.
+func (s *scenario) leave(args []string) error {
+	if args[0] == "entry" {
+		e, err := s.findEntry(args[1])
+		if err != nil {
+			return err
+		}
+		s.world.disturb(e.name)
+		e.leave()
+		return nil
+	}
+	a, err := s.findAgent(args[1])
+	if err != nil {
+		return err
+	}
+	s.world.disturb(a.name)
+	a.leave()
+	return nil
+}
+
+// hang stops an engine for a time, with its memory: hang TARGET DURATION.
+func (s *scenario) hang(args []string) error {
+	a, err := s.findAgent(args[0])
+	if err != nil {
+		return err
+	}
+	d, err := time.ParseDuration(args[1])
+	if err != nil {
+		return err
+	}
+	w := s.world
+	w.disturb(a.name)
+	a.engine.model.Hang(w.clock.Now(), w.clock.Now()+d)
+	a.engine.pump()
+	return nil
+}
+
+// breakNode sets a fault of the store or of all replicas of the service:
+// break store|service MODE.
+func (s *scenario) breakNode(args []string) error {
+	stores := map[string]storeMode{"healthy": storeHealthy, "down": storeDown, "slow": storeSlow, "mute": storeMute}
+	services := map[string]serviceMode{"healthy": serviceHealthy, "down": serviceDown, "slow": serviceSlow, "mute": serviceMute}
+	if args[0] == "store" {
+		s.world.disturb(storeName)
+		s.world.store.mode = stores[args[1]]
+		return nil
+	}
+	for _, a := range s.world.services() {
+		a.service.mode = services[args[1]]
+	}
+	return nil
+}
+
+// link resolves the two ends of a link: an agent or @NAME, and an entry or store.
+func (s *scenario) link(args []string) (pair, error) {
+	if args[1] == string(storeName) {
+		e, err := s.findEntry(args[0])
+		if err != nil {
+			return pair{}, err
+		}
+		return pair{e.name, storeName}, nil
+	}
+	e, err := s.findEntry(args[1])
+	if err != nil {
+		return pair{}, err
+	}
+	if other, err := s.findEntry(args[0]); err == nil && !strings.HasPrefix(args[0], "@") {
+		return pair{other.name, e.name}, nil
+	}
+	a, err := s.findAgent(args[0])
+	if err != nil {
+		return pair{}, err
+	}
+	return pair{a.name, e.name}, nil
+}
+
+// cut stops all messages between two nodes: cut NODE NODE.
+func (s *scenario) cut(args []string) error {
+	p, err := s.link(args)
+	if err != nil {
+		return err
+	}
+	s.world.changeLink(p, "link-cut", time.Hour, func(l *simnet.Link) { l.Cut = true })
+	return nil
+}
+
+// heal restores all links.
+func (s *scenario) heal([]string) error {
+	s.world.healAllLinks()
+	return nil
+}
+
+// hangUp makes callers go away: hangup NAME.
+func (s *scenario) hangUp(args []string) error {
+	s.world.callers.leave(s.calls[args[0]])
+	return nil
+}
+
+// edit changes the lists: edit [race].
+func (s *scenario) edit(args []string) error {
+	var race func()
+	if len(args) > 0 {
+		race = func() { s.world.editNow(nil) }
+	}
+	s.world.editNow(race)
+	return s.broken()
+}
+
+// maxScenarioWait bounds a wait for an event.
+const maxScenarioWait = 31 * time.Minute
+
+// wait lets time pass: await DURATION, await NAME running|streaming|ended.
+func (s *scenario) wait(args []string) error {
+	w := s.world
+	if len(args) == 1 {
+		d, err := time.ParseDuration(args[0])
+		if err != nil {
+			return err
+		}
+		w.until(w.clock.Now() + d)
+		return s.broken()
+	}
+	c := s.calls[args[0]]
+	states := map[string]func() bool{
+		"running":   func() bool { return c.ran || c.ended },
+		"streaming": func() bool { return c.delivered > 1 || c.ended },
+		"ended":     func() bool { return c.ended },
+	}
+	end := w.clock.Now() + maxScenarioWait
+	for !states[args[1]]() && w.clock.Now() < end && !w.stopped() {
+		w.until(w.clock.Now() + time.Millisecond)
+	}
+	return s.broken()
+}
+
+// expect checks a request: expect NAME OUTCOME [CODE], expect NAME runs=N,
+// expect NAME within=D; or an entry or agent: expect NODE revision=N.
+func (s *scenario) expect(args []string) error {
+	c := s.calls[args[0]]
+	if c == nil {
+		return s.expectNode(args)
+	}
+	for _, want := range args[1:] {
+		if err := s.expectCall(c, want); err != nil {
+			return fmt.Errorf("request %s: %w", args[0], err)
+		}
+	}
+	return nil
+}
+
+func (s *scenario) expectCall(c *call, want string) error {
+	key, value, _ := strings.Cut(want, "=")
+	var got string
+	switch key {
+	case "runs":
+		got = strconv.Itoa(s.world.audit.runs[keyOf(c)])
+	case "attempts":
+		got = strconv.Itoa(len(c.attempts))
+	case "code":
+		got = c.code.String()
+	case "within":
+		d, err := time.ParseDuration(value)
+		if err != nil || !c.ended || c.endedAt-c.sent > d {
+			return fmt.Errorf("ended %t after %v, want within %s", c.ended, c.endedAt-c.sent, value)
+		}
+		return nil
+	default:
+		value = want
+		got = c.state()
+	}
+	if got != value {
+		return fmt.Errorf("%s is %s (code %s), want %s", key, got, c.code, value)
+	}
+	return nil
+}
+
+func (s *scenario) expectNode(args []string) error {
+	value, ok := settings(args[1:])["revision"]
+	if !ok {
+		return fmt.Errorf("request %s does not exist", args[0])
+	}
+	var got uint64
+	if e, err := s.findEntry(args[0]); err == nil {
+		got = e.revision
+	} else if a, err := s.findAgent(args[0]); err == nil {
+		got = a.revision
+	} else {
+		return err
+	}
+	if strconv.FormatUint(got, 10) != value {
+		return fmt.Errorf("%s is at revision %d, want %s", args[0], got, value)
+	}
+	return nil
+}
+
+// audit ends a run: everything heals and ends, and all promises are checked.
+func (s *scenario) audit([]string) error {
+	w := s.world
+	w.guard(w.faults.end)
+	w.settle()
+	if !w.stopped() {
+		w.guard(w.audit.quiescent)
+	}
+	return s.broken()
+}
+
+// state says what the caller knows of the end of its call.
+func (c *call) state() string {
+	switch {
+	case c.gone:
+		return "gone"
+	case c.lost:
+		return "lost"
+	case !c.ended:
+		return "open"
+	}
+	return c.outcome.String()
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,81 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"trefoilpath.org/trefoilpath/internal/workload"
+)
+
+// shortRun is a run that is dense with faults.
+func shortRun(d workload.Deployment, seed uint64) Options {
+	return Options{
+		Deployment: d,
+		Seed:       seed,
+		Virtual:    4 * time.Minute,
+		Load:       DefaultLoad,
+		Mix:        workload.DefaultMix(),
+		Burst:      workload.DefaultBurst(),
+		Faults:     []string{FaultsMixed},
+		FaultEvery: 5 * time.Second,
+		Policy:     PolicyTrefoilpath,
+	}
+}
+
+func mustRun(t *testing.T, opts Options) *Result {
+	t.Helper()
+	w, err := New(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w.Run()
+}
+
+// TestFixedSeeds runs ten short soaks that every change has to pass.
+func TestFixedSeeds(t *testing.T) {
+	for _, d := range []workload.Deployment{workload.Atitlan(), workload.Sanabil()} {
+		for seed := uint64(1); seed <= 5; seed++ {
+			t.Run(d.Name, func(t *testing.T) {
+				t.Parallel()
+				r := mustRun(t, shortRun(d, seed))
+				if v := r.Violation; v != nil {
+					for _, l := range v.Trace {
+						t.Log(l)
+					}
+					t.Fatalf("seed %d breaks %s at %v for %s: %s", seed, v.Promise, v.At, v.Subject, v.Detail)
+				}
+				s := r.Summary()
+				if s.Completed < s.Calls/2 {
+					t.Errorf("seed %d: %d of %d calls completed", seed, s.Completed, s.Calls)
+				}
+			})
+		}
+	}
+}
+
+func TestSameSeedSameRun(t *testing.T) {
+	first := mustRun(t, shortRun(workload.Sanabil(), 11))
+	second := mustRun(t, shortRun(workload.Sanabil(), 11))
+	if diff := cmp.Diff(first.Summary(), second.Summary()); diff != "" {
+		t.Errorf("two runs of one seed differ (-first +second):\n%s", diff)
+	}
+	other := mustRun(t, shortRun(workload.Sanabil(), 12))
+	if other.Digest == first.Digest {
+		t.Error("two seeds give the same run")
+	}
+}
+
+func TestUnknownNamesAreRefused(t *testing.T) {
+	opts := shortRun(workload.Atitlan(), 1)
+	opts.Faults = []string{"earthquake"}
+	if _, err := New(opts); err == nil {
+		t.Error("an unknown fault was accepted")
+	}
+	opts = shortRun(workload.Atitlan(), 1)
+	opts.Without = []string{"luck"}
+	if _, err := New(opts); err == nil {
+		t.Error("an unknown mechanism was accepted")
+	}
+}
