Divide the store's rates among the entries that there are

Change: 50 writes and 300 reads a second for each of up to four processes, less in proportion for more (Gate.SetProcesses).

--- a/internal/idempotency/machine_test.go
+++ b/internal/idempotency/machine_test.go
@@ -228,6 +228,26 @@
 	}
 }
 
+func TestStoreDownFromTheStartIsNotRun(t *testing.T) {
+	down := true
+	a := newNode(storemodel.New(), 1, func(store.Op) storetest.Fate {
+		if down {
+			return storetest.Refuse
+		}
+		return storetest.Deliver
+	})
+	a.m.Begin(0, 1, testKey, 7, 0, time.Minute)
+	now := run(0, DefaultStoreWait+10*time.Millisecond, a)
+	a.wantLast(t, 1, StoreDown)
+	if a.m.Pending() != 0 {
+		t.Fatal("a call that never reached the store is still pending")
+	}
+	down = false
+	a.m.Begin(now, 2, testKey, 7, 0, time.Minute)
+	run(now, now+time.Second, a)
+	a.wantLast(t, 2, Run)
+}
+
 func TestVerdictAfterPausePastTheDeadlineIsNotRun(t *testing.T) {
 	model := storemodel.New()
 	a := newNode(model, 1, nil)
--- a/internal/membership/machine_test.go
+++ b/internal/membership/machine_test.go
@@ -117,3 +117,23 @@
 		})
 	}
 }
+
+// FuzzParseList checks that a list is refused or has only complete, distinct rows.
+func FuzzParseList(f *testing.F) {
+	f.Add([]byte(`{"vms":[{"node":"a","address":"10.0.0.1:1","leaving":true}]}`))
+	f.Add([]byte(`{"vms":[{"node":"a","address":"x"},{"node":"a","address":"y"}]}`))
+	f.Add([]byte(`{"vms":null}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		vms, err := parseList(raw)
+		if err != nil {
+			return
+		}
+		seen := make(map[string]bool)
+		for _, vm := range vms {
+			if vm.Node == "" || vm.Address == "" || seen[string(vm.Node)] {
+				t.Fatalf("accepted %+v", vm)
+			}
+			seen[string(vm.Node)] = true
+		}
+	})
+}
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -6,10 +6,11 @@
 )
 
 // GateConfig sets the share of the platform's store that one process may use.
-// Zero fields take the defaults.
+// Zero fields take the defaults, which leave a fleet of up to fullShareProcesses
+// processes within 1,200 reads and 200 writes a second.
 type GateConfig struct {
-	ReadsPerSecond  float64
-	WritesPerSecond float64
+	ReadsPerSecond  float64       // of a process among up to fullShareProcesses
+	WritesPerSecond float64       // likewise
 	Burst           float64       // calls of each kind that may follow each other at once
 	MaxWaiting      int           // operations that wait for the budget
 	MaxWait         time.Duration // an operation that waits longer is refused
@@ -25,9 +26,9 @@
 
 // The defaults of GateConfig.
 const (
-	defaultReadsPerSecond  = 20
-	defaultWritesPerSecond = 5
-	defaultBurst           = 10
+	defaultReadsPerSecond  = 300
+	defaultWritesPerSecond = 50
+	defaultBurst           = 20
 	defaultMaxWaiting      = 1024
 	defaultMaxWait         = 2 * time.Second
 	defaultMaxWatches      = 8
@@ -37,6 +38,10 @@
 	defaultRamp            = 10 * time.Second
 )
 
+// fullShareProcesses is the number of processes up to which each has the whole
+// configured share. The shares of more processes shrink in proportion.
+const fullShareProcesses = 4
+
 // never is the time of a timer that is not set.
 const never = time.Duration(1<<63 - 1)
 
@@ -73,6 +78,7 @@
 // TakeReady returns and passes every answer to Result.
 type Gate struct {
 	cfg     GateConfig
+	scale   float64 // of the configured rates
 	breaker breaker
 	reads   lane
 	writes  lane
@@ -92,6 +98,7 @@
 	cfg = cfg.withDefaults()
 	return &Gate{
 		cfg:     cfg,
+		scale:   1,
 		breaker: newBreaker(cfg),
 		reads:   newLane(cfg.Burst),
 		writes:  newLane(cfg.Burst),
@@ -99,6 +106,11 @@
 	}
 }
 
+// SetProcesses says how many processes share the store, this one included.
+func (g *Gate) SetProcesses(n int) {
+	g.scale = min(1, float64(fullShareProcesses)/float64(max(n, 1)))
+}
+
 // Submit queues op. It is refused at once while the breaker is open or the
 // queue is full.
 func (g *Gate) Submit(now time.Duration, op Op) {
@@ -231,12 +243,12 @@
 }
 
 func (g *Gate) readRate(now time.Duration) float64 {
-	rate := g.cfg.ReadsPerSecond*g.breaker.fraction(now) - float64(g.watches)
-	return max(rate, g.cfg.ReadsPerSecond*minBudgetFraction)
+	share := g.cfg.ReadsPerSecond * g.scale
+	return max(share*g.breaker.fraction(now)-float64(g.watches), share*minBudgetFraction)
 }
 
 func (g *Gate) writeRate(now time.Duration) float64 {
-	return g.cfg.WritesPerSecond * g.breaker.fraction(now)
+	return g.cfg.WritesPerSecond * g.scale * g.breaker.fraction(now)
 }
 
 func (g *Gate) pump(now time.Duration) {
--- a/internal/store/gate_test.go
+++ b/internal/store/gate_test.go
@@ -41,6 +41,25 @@
 	}
 }
 
+// TestGatesOfAFleetStayWithinTheStore adds up the writes of fleets of several sizes.
+func TestGatesOfAFleetStayWithinTheStore(t *testing.T) {
+	for _, processes := range []int{1, 4, 40, 400} {
+		total := 0
+		for i := range processes {
+			g := newGate(store.GateConfig{MaxWait: time.Hour, Rand: rand.New(rand.NewPCG(uint64(i), 1))})
+			g.SetProcesses(processes)
+			for i := range 1000 {
+				g.Submit(0, put(uint64(i+1)))
+			}
+			drive(g, 0, 10*time.Second, store.StatusOK)
+			total += drive(g, 10*time.Second, 20*time.Second, store.StatusOK)
+		}
+		if total > 2000+processes {
+			t.Fatalf("%d processes: %d writes in 10 s", processes, total)
+		}
+	}
+}
+
 func TestGateCountsWaitingWatches(t *testing.T) {
 	g := newGate(store.GateConfig{ReadsPerSecond: 10, Burst: 1, MaxWatches: 4, MaxWait: time.Hour})
 	now := time.Duration(0)
--- a/internal/store/lease_test.go
+++ b/internal/store/lease_test.go
@@ -222,3 +222,20 @@
 		}
 	})
 }
+
+// BenchmarkLeaseOperations reports the operations a second of one holder and one
+// candidate that waits.
+func BenchmarkLeaseOperations(b *testing.B) {
+	for b.Loop() {
+		m := storemodel.New()
+		all := []*candidate{newCandidate(m, 1, nil), newCandidate(m, 2, nil)}
+		const measured = 10 * time.Minute
+		for now := time.Duration(0); now < measured; now += 10 * time.Millisecond {
+			for _, c := range all {
+				c.step(now)
+			}
+		}
+		b.ReportMetric(float64(m.Counts().Writes)/measured.Seconds(), "writes/s")
+		b.ReportMetric(float64(m.Counts().Reads)/measured.Seconds(), "reads/s")
+	}
+}
