Test the entry's HTTP against bad input and fix what it showed

Cause: the shell had no tests. They showed: Serve waited for its own HTTP servers and never returned; a body that arrives too slowly was drained without a deadline; a request without an output limit was predicted at the plan's maximum and refused; an entry said it was ready before it could grant limits. Change: servers end after the core; the read deadline stays after a failed read; the usual output of an unseen band is 256 tokens; readiness waits for one grant term.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/limits"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -76,6 +77,10 @@
 	// ListLag bounds how long the platform's VM list may lack a new entry; 0
 	// stands for the default of package limits.
 	ListLag time.Duration
+	// GrantLease is the shortest term of a grant of limits; 0 stands for the
+	// default of package limits. An entry is ready once grants that its earlier
+	// life has made have lapsed.
+	GrantLease time.Duration
 
 	// NoStore runs on lists given by Input.DeclareLocal, without a store.
 	NoStore bool
@@ -133,6 +138,7 @@
 	setDefault(&c.SettleMargin, DefaultSettleMargin)
 	setDefault(&c.Heartbeat, DefaultHeartbeat)
 	setDefault(&c.BalancerLag, DefaultBalancerLag)
+	setDefault(&c.GrantLease, limits.DefaultLease)
 	setDefault(&c.GroupLease, DefaultGroupLease)
 	setDefault(&c.EjectAfter, DefaultEjectAfter)
 	setDefault(&c.EjectFor, DefaultEjectFor)
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -28,7 +28,7 @@
 	pending  []RequestID                        // wait for a first grant
 	changed  bool                               // what the placement duty sees
 	lagging  uint64                             // as last announced
-	once     bool                               // the entry has had a share of the limits
+	joinedAt time.Duration                      // when the entry first had a share of the limits; 0: not yet
 }
 
 func newFleet(c *Core) *fleet {
@@ -40,7 +40,7 @@
 		NextOp: c.nextOp, Rand: cfg.Rand,
 	})
 	f.limits = limits.New(limits.Config{
-		Self: cfg.Self, Incarnation: cfg.Incarnation, Region: cfg.Region, Regions: cfg.Regions, ListLag: cfg.ListLag,
+		Self: cfg.Self, Incarnation: cfg.Incarnation, Region: cfg.Region, Regions: cfg.Regions, ListLag: cfg.ListLag, Lease: cfg.GrantLease,
 	})
 	f.placer = controller.New(controller.Config{
 		Self: cfg.Self, Incarnation: cfg.Incarnation, FailureDomain: cfg.FailureDomain, NextOp: c.nextOp, Rand: cfg.Rand,
@@ -200,8 +200,12 @@
 	return list
 }
 
-// joined reports whether this entry has come to have a share of the limits.
+// joined reports whether this entry has come to have a share of the limits and
+// can grant the accounts at home here.
 func (f *fleet) joined() bool {
-	f.once = f.once || f.limits.Joined(f.c.now)
-	return f.once
+	if f.joinedAt == 0 && f.limits.Joined(f.c.now) {
+		f.joinedAt = f.c.now
+		f.c.timers.Set(timerKey{kind: timerReady}, f.joinedAt+f.c.cfg.GrantLease)
+	}
+	return f.joinedAt != 0 && f.c.now >= f.joinedAt+f.c.cfg.GrantLease
 }
--- a/internal/entry/predict.go
+++ b/internal/entry/predict.go
@@ -11,6 +11,8 @@
 	// reported its own.
 	defaultPrefillRate = 30_000.0 // tokens a second
 	defaultDecodeRate  = 40.0     // tokens a second and sequence
+	// defaultOutput is the usual output of a band that has not been seen.
+	defaultOutput = 256.0 // tokens
 	// longPrefillPenalty is the extra time to first token that a long prefill
 	// under way costs a short prompt at the same endpoint.
 	longPrefillPenalty = 40 * time.Millisecond
@@ -109,10 +111,11 @@
 
 // decodeTime estimates how long the output takes.
 func (c *Core) decodeTime(m *modelRow, r *request) time.Duration {
-	tokens := float64(r.output)
-	if usual := m.output[r.band]; usual > 0 && usual < tokens {
-		tokens = usual
+	usual := m.output[r.band]
+	if usual <= 0 {
+		usual = defaultOutput
 	}
+	tokens := min(usual, float64(r.output))
 	rate := 0.0
 	n := 0
 	for _, e := range m.endpoints {
--- /dev/null
+++ b/internal/entry/shell/body_test.go
@@ -0,0 +1,57 @@
+package shell
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestContinuationEndsWithWhatTheCallerHas(t *testing.T) {
+	for _, c := range []struct {
+		shape shape
+		body  string
+	}{
+		{shapeText, `{"model":"m","prompt":"one two","max_tokens":9,"seed":4}`},
+		{shapeChat, `{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"one "},{"type":"text","text":"two"}]}],"max_tokens":9}`},
+	} {
+		out, err := continueBody([]byte(c.body), c.shape, []byte(" three"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := parseCompletion(out, c.shape)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := completion{shape: c.shape, model: "m", prompt: "one two three", maxOutput: 9}
+		if diff := cmp.Diff(want, *got, cmp.AllowUnexported(completion{})); diff != "" {
+			t.Fatalf("body differs (-want +got):\n%s", diff)
+		}
+	}
+}
+
+func FuzzParseCompletion(f *testing.F) {
+	f.Add([]byte(`{"model":"m","prompt":"x","stream":true}`), true)
+	f.Add([]byte(`{"model":"m:a","messages":[{"role":"user","content":"x"}],"max_tokens":3}`), false)
+	f.Add([]byte(`{"model":"m","prompt":["a"],"n":1}`), true)
+	f.Fuzz(func(t *testing.T, body []byte, text bool) {
+		s := shapeChat
+		if text {
+			s = shapeText
+		}
+		c, err := parseCompletion(body, s)
+		if err != nil {
+			return
+		}
+		if c.model == "" || c.maxOutput < 0 || c.maxOutput > maxOutputTokens {
+			t.Fatalf("accepted %+v", c)
+		}
+		more, err := continueBody(body, s, []byte("rest"))
+		if err != nil {
+			t.Fatalf("accepted body can't be continued: %v", err)
+		}
+		again, err := parseCompletion(more, s)
+		if err != nil || again.prompt != c.prompt+"rest" {
+			t.Fatalf("continued body: %+v, %v", again, err)
+		}
+	})
+}
--- a/internal/entry/shell/callers.go
+++ b/internal/entry/shell/callers.go
@@ -135,17 +135,18 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(time.Duration(e.cfg.Limits.ReadBodyTimeoutMS) * time.Millisecond)) // recorders in tests have none
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+		return body, true
+	}
+	w.Header().Set("Connection", "close")
 	var over *http.MaxBytesError
-	switch {
-	case errors.As(err, &over):
+	if errors.As(err, &over) {
 		writeError(w, tooLarge(limit))
 		return nil, false
-	case err != nil:
-		writeError(w, apiError{Status: http.StatusRequestTimeout, Type: "invalid_request_error", Code: "body_incomplete", Message: "the body did not arrive whole in time", Outcome: wire.OutcomeNotRun})
-		return nil, false
 	}
-	return body, true
+	writeError(w, apiError{Status: http.StatusRequestTimeout, Type: "invalid_request_error", Code: "body_incomplete", Message: "the body did not arrive whole in time", Outcome: wire.OutcomeNotRun})
+	return nil, false
 }
 
 func tooLarge(limit int64) apiError {
--- a/internal/entry/shell/entry.go
+++ b/internal/entry/shell/entry.go
@@ -51,7 +51,8 @@
 	streams    *streamLimit
 	meters     *meters
 	drained    chan struct{}
-	background sync.WaitGroup
+	background sync.WaitGroup // ends before Run returns
+	servers    sync.WaitGroup // end after Run has returned
 	storeSlots chan struct{}
 }
 
--- a/internal/entry/shell/run.go
+++ b/internal/entry/shell/run.go
@@ -88,6 +88,7 @@
 	g.Go(func() error { return stopServer(callers) })
 	g.Go(func() error { return stopServer(operators) })
 	_ = g.Wait() // a caller that still reads after stopTimeout is cut off
+	e.servers.Wait()
 	peers.Close()
 	e.cfg.Log.Info().Str("event", "stop").Send()
 	return err
@@ -103,11 +104,7 @@
 		ReadHeaderTimeout: time.Duration(e.cfg.Limits.ReadHeaderTimeoutMS) * time.Millisecond,
 		MaxHeaderBytes:    int(e.cfg.Limits.MaxHeaderBytes),
 	}
-	e.background.Add(1)
-	go func() {
-		defer e.background.Done()
-		_ = srv.Serve(l) // returns only after Shutdown, or with the listener's error
-	}()
+	e.servers.Go(func() { _ = srv.Serve(l) }) // returns only after Shutdown, or with the listener's error
 	return srv
 }
 
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -157,6 +157,7 @@
 	timerDrain     timerKind = 8
 	timerSilent    timerKind = 9 // of an endpoint
 	timerGrant     timerKind = 10
+	timerReady     timerKind = 11 // readiness is looked at in each tick
 )
 
 // timerKey names one timer. The fields that do not apply are zero.
