Put control messages ahead of bulk ones in every batch

Cause: when both queues held messages, the first of a batch was picked at random, so that a body could reach an agent before its Dispatch and be dropped as belonging to no attempt. Change: a bulk message that is picked first goes behind all control messages at hand. Result: TestControlPrecedesBulk fails on the earlier code and passes now.

--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -75,7 +75,7 @@
 	case m := <-q.control:
 		buf = append(buf, m)
 	case m := <-q.bulk:
-		buf = append(buf, m)
+		buf = append(drain(q.control, buf, maxBatchLen), m)
 	case <-q.done:
 		return buf, false
 	}
