Run the agent in a process

Cause: the agent core needs sockets: streams to entries, the engine or plain service, the VM list, the store's incarnation number and operators. Change: internal/agent/shell with one goroutine for the core, bodies and answer frames kept in the shell, frames sent again from the first over a new stream, answer connections to the engine resumed, calls to plain services sent once, operators' HTTP; the command trefoilpath agent. The core exports ParseSequence.

--- a/cmd/trefoilpath/main.go
+++ b/cmd/trefoilpath/main.go
@@ -32,6 +32,7 @@
 	app := kingpin.New("trefoilpath", "A serving layer for prompts of very unlike lengths on one shared fleet.")
 	app.HelpFlag.Short('h')
 	app.Version(version())
+	registerAgent(app)
 	registerEntry(app)
 	registerExperiment(app)
 	registerLoad(app)
--- a/internal/agent/dump.go
+++ b/internal/agent/dump.go
@@ -93,12 +93,23 @@
 type DumpEntry struct {
 	ID          wire.NodeID      `json:"id"`
 	Incarnation wire.Incarnation `json:"incarnation"`
-	Up          bool             `json:"up"`
+	Up          bool             `json:"up"` // the entry has answered on an open stream
 	StoreDown   bool             `json:"store_down"`
 	Outcomes    int              `json:"outcomes"` // kept for a stream that may have lost them
 	Reports     uint64           `json:"reports"`
 }
 
+// EntriesUp returns the number of entries with an open stream.
+func (d *Dump) EntriesUp() int {
+	n := 0
+	for i := range d.Entries {
+		if d.Entries[i].Up {
+			n++
+		}
+	}
+	return n
+}
+
 // Dump returns the state of the core.
 func (c *Core) Dump() Dump {
 	d := Dump{
@@ -182,7 +193,7 @@
 		d.Entries = append(d.Entries, DumpEntry{
 			ID:          id,
 			Incarnation: e.incarnation,
-			Up:          e.up,
+			Up:          e.up && e.confirmed,
 			StoreDown:   e.storeDown,
 			Outcomes:    len(e.recent),
 			Reports:     e.reports,
--- a/internal/agent/sequences.go
+++ b/internal/agent/sequences.go
@@ -39,7 +39,7 @@
 
 // sequence returns the row of a sequence that has been handed to the engine.
 func (c *Core) sequence(id engine.SequenceID) *attempt {
-	attemptID, ok := parseSequence(id)
+	attemptID, ok := ParseSequence(id)
 	if !ok {
 		return nil
 	}
@@ -50,8 +50,8 @@
 	return a
 }
 
-// parseSequence returns the attempt that a sequence belongs to.
-func parseSequence(id engine.SequenceID) (wire.AttemptID, bool) {
+// ParseSequence returns the attempt that a sequence belongs to.
+func ParseSequence(id engine.SequenceID) (wire.AttemptID, bool) {
 	s := string(id)
 	last := strings.LastIndexByte(s, '/')
 	if last < 0 {
--- /dev/null
+++ b/internal/agent/shell/agent.go
@@ -0,0 +1,274 @@
+package shell
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"trefoilpath.org/trefoilpath/internal/agent"
+	"trefoilpath.org/trefoilpath/internal/engine/enginehttp"
+	"trefoilpath.org/trefoilpath/internal/invariant"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+const (
+	inputQueueLen = 8192 // inputs that wait for the core
+	maxBatchLen   = 512  // inputs of one tick
+	// flushWait lets the streams deliver the last messages of a drained agent.
+	flushWait = 300 * time.Millisecond
+)
+
+// Agent is a running agent. Its methods are safe for concurrent use.
+type Agent struct {
+	cfg     Config
+	core    *agent.Core
+	start   time.Time
+	in      chan agent.Input
+	dumps   chan chan agent.Dump
+	drained chan struct{}
+
+	drainedOnce sync.Once
+	leaving     sync.Once
+	metrics     *meters
+
+	mu  sync.Mutex
+	ctx context.Context // of Run
+
+	links   *links
+	bodies  *bodies
+	answers *answers
+	engine  *enginehttp.Client
+	calls   *calls
+}
+
+// New returns an agent that Run starts.
+func New(cfg Config) (*Agent, error) {
+	cfg.setDefaults()
+	core, err := agent.New(cfg.Core)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{
+		cfg:     cfg,
+		core:    core,
+		start:   time.Now(),
+		in:      make(chan agent.Input, inputQueueLen),
+		dumps:   make(chan chan agent.Dump),
+		drained: make(chan struct{}),
+		ctx:     context.Background(),
+		metrics: newMeters(),
+	}
+	a.links = newLinks(a)
+	a.bodies = newBodies(cfg.MaxBodyBytes, cfg.MaxStreams)
+	a.answers = newAnswers(a.links)
+	if cfg.Endpoint == nil {
+		cfg.Endpoint = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+	}
+	if cfg.Core.Kind == wire.KindService {
+		a.calls = newCalls(a, cfg.EndpointURL, cfg.Endpoint)
+		return a, nil
+	}
+	a.engine = enginehttp.New(cfg.EndpointURL, &engineHandler{agent: a}, cfg.Endpoint)
+	return a, nil
+}
+
+// Run runs the agent until ctx ends, or until it has drained after Leave. It
+// returns an error that wraps *invariant.Violation if an invariant is broken.
+func (a *Agent) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	a.setContext(ctx)
+	g.Go(func() error { return a.loop(ctx) })
+	g.Go(func() error { return a.links.run(ctx) })
+	g.Go(func() error { return a.sweep(ctx) })
+	if a.engine != nil {
+		g.Go(func() error { return a.watchEngine(ctx) })
+	}
+	if a.cfg.ListenOperators != "" {
+		g.Go(func() error { return a.serveOperators(ctx) })
+	}
+	g.Go(func() error {
+		defer cancel()
+		return a.awaitDrained(ctx)
+	})
+	err := g.Wait()
+	a.closeIdle()
+	return err
+}
+
+func (a *Agent) closeIdle() {
+	if a.calls != nil {
+		a.calls.wait()
+	}
+	if a.cfg.Endpoint != nil {
+		a.cfg.Endpoint.CloseIdleConnections()
+	}
+}
+
+func (a *Agent) setContext(ctx context.Context) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ctx = ctx
+}
+
+// context returns the context of Run, for calls that the endpoint's answers
+// make.
+func (a *Agent) context() context.Context {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ctx
+}
+
+// awaitDrained returns once a leaving agent has nothing left to do.
+func (a *Agent) awaitDrained(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-a.drained:
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(flushWait):
+	}
+	return nil
+}
+
+// Leave starts the endpoint's graceful departure. Run returns when nothing is in
+// flight any more, or after the drain wait.
+func (a *Agent) Leave() {
+	a.leaving.Do(func() {
+		a.give(a.context(), agent.Input{Leaving: &agent.Leaving{}})
+		time.AfterFunc(a.cfg.DrainWait, a.setDrained)
+	})
+}
+
+func (a *Agent) setDrained() { a.drainedOnce.Do(func() { close(a.drained) }) }
+
+// Dump returns the state of the core, or an error once the agent has stopped.
+func (a *Agent) Dump(ctx context.Context) (agent.Dump, error) {
+	reply := make(chan agent.Dump, 1)
+	select {
+	case a.dumps <- reply:
+		return <-reply, nil
+	case <-ctx.Done():
+		return agent.Dump{}, ctx.Err()
+	}
+}
+
+// give hands an input to the core.
+func (a *Agent) give(ctx context.Context, in agent.Input) {
+	select {
+	case a.in <- in:
+	case <-ctx.Done():
+	}
+}
+
+// loop owns the core: it ticks when an input waits or a timer is due.
+func (a *Agent) loop(ctx context.Context) (err error) {
+	defer func() {
+		if v := invariant.Recover(recover()); v != nil {
+			a.cfg.Log.Error().Str("event", "invariant").Err(v).Interface("dump", a.core.Dump()).Send()
+			err = errors.WithStack(v)
+		}
+	}()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var batch []agent.Input
+	for {
+		batch = batch[:0]
+		select {
+		case <-ctx.Done():
+			return nil
+		case reply := <-a.dumps:
+			reply <- a.core.Dump()
+			continue
+		case in := <-a.in:
+			batch = a.fill(append(batch, in))
+		case <-timer.C:
+		}
+		a.tick(ctx, batch)
+		timer.Reset(a.untilNext())
+	}
+}
+
+func (a *Agent) fill(batch []agent.Input) []agent.Input {
+	for len(batch) < maxBatchLen {
+		select {
+		case in := <-a.in:
+			batch = append(batch, in)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (a *Agent) tick(ctx context.Context, batch []agent.Input) {
+	begin := time.Now()
+	for _, out := range a.core.Tick(begin.Sub(a.start), batch) {
+		a.carryOut(ctx, out)
+	}
+	a.metrics.tick(len(batch), time.Since(begin))
+}
+
+// maxSleep bounds the time between two ticks.
+const maxSleep = time.Minute
+
+func (a *Agent) untilNext() time.Duration {
+	next := a.core.Next() - time.Since(a.start)
+	return min(max(next, 0), maxSleep)
+}
+
+// carryOut carries out one output. It does not wait for anything outside.
+func (a *Agent) carryOut(ctx context.Context, out agent.Output) {
+	switch {
+	case out.ToEntry != nil:
+		a.links.send(out.ToEntry.Entry, out.ToEntry.Msg)
+	case out.Engine != nil:
+		a.commandEngine(ctx, out.Engine)
+	case out.Service != nil:
+		a.startCall(ctx, out.Service)
+	case out.Drop != nil:
+		a.bodies.drop(out.Drop.Attempt)
+		a.answers.retire(out.Drop.Attempt)
+		if a.calls != nil {
+			a.calls.stop(out.Drop.Attempt)
+		}
+	case out.Drained:
+		a.setDrained()
+	case out.Log != nil:
+		a.logEvent(out.Log)
+	}
+}
+
+// sweep frees the answers that no stream can ask for again.
+func (a *Agent) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			a.answers.expire(now)
+		}
+	}
+}
+
+func (a *Agent) receive(ctx context.Context, from wire.NodeID, msg *wire.ToAgent) {
+	switch {
+	case msg.Body != nil:
+		if a.bodies.add(msg.Body) {
+			a.give(ctx, agent.Input{BodyReady: &agent.BodyReady{Attempt: msg.Body.Attempt}})
+		}
+		return
+	case msg.Dispatch != nil && msg.Dispatch.BodyBytes > 0:
+		a.bodies.expect(msg.Dispatch.Attempt, msg.Dispatch.BodyBytes)
+	}
+	a.give(ctx, agent.Input{FromEntry: &agent.FromEntry{Entry: from, Msg: *msg}})
+}
--- /dev/null
+++ b/internal/agent/shell/calls.go
@@ -0,0 +1,159 @@
+package shell
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+
+	"trefoilpath.org/trefoilpath/internal/agent"
+	"trefoilpath.org/trefoilpath/internal/httponce"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// replyChunkBytes is the size of the frames of a plain service's answer.
+const replyChunkBytes = 32 << 10
+
+// calls runs the calls to a plain service. Each is sent at most once.
+type calls struct {
+	agent *Agent
+	base  string
+	http  http.Client
+
+	mu     sync.Mutex
+	cancel map[wire.AttemptID]context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+func newCalls(a *Agent, base string, hc *http.Client) *calls {
+	c := &calls{
+		agent:  a,
+		base:   strings.TrimRight(base, "/"),
+		http:   *hc,
+		cancel: make(map[wire.AttemptID]context.CancelFunc),
+	}
+	c.http.Transport = &httponce.Transport{Base: hc.Transport}
+	c.http.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return c
+}
+
+// startCall starts a call and returns at once.
+func (a *Agent) startCall(ctx context.Context, s *agent.ServiceStart) {
+	a.calls.start(ctx, s, a.bodies.take(s.Attempt))
+}
+
+func (c *calls) start(ctx context.Context, s *agent.ServiceStart, body []byte) {
+	row := c.agent.answers.open(s.Attempt, 0)
+	callCtx, cancel := context.WithTimeout(ctx, s.Timeout)
+	c.mu.Lock()
+	c.cancel[s.Attempt] = cancel
+	c.mu.Unlock()
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		sent, err := c.run(callCtx, s, body, row)
+		c.stop(s.Attempt)
+		if err != nil {
+			c.agent.cfg.Log.Warn().Str("event", "service-call").Stringer("attempt", s.Attempt).Bool("sent", sent).Err(err).Send()
+		}
+		c.agent.give(ctx, agent.Input{ServiceDone: &agent.ServiceDone{Attempt: s.Attempt, Sent: sent, OK: err == nil}})
+	}()
+}
+
+// stop ends a call that still runs.
+func (c *calls) stop(id wire.AttemptID) {
+	c.mu.Lock()
+	cancel := c.cancel[id]
+	delete(c.cancel, id)
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (c *calls) wait() { c.wg.Wait() }
+
+// run makes the call and frames its answer. sent is false only if no connection
+// was made, so that the service can't have received anything.
+func (c *calls) run(ctx context.Context, s *agent.ServiceStart, body []byte, row *answerStream) (sent bool, err error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := c.request(httptrace.WithClientTrace(ctx, trace), s, body)
+	if err != nil {
+		return false, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return connected.Load(), errors.Wrap(err, "service call")
+	}
+	defer resp.Body.Close()
+	row.head(ctx, wire.ReplyHead{Status: resp.StatusCode, Headers: replyHeaders(resp.Header)})
+	return true, copyReply(ctx, row, resp.Body)
+}
+
+func (c *calls) request(ctx context.Context, s *agent.ServiceStart, body []byte) (*http.Request, error) {
+	url := c.base + "/" + strings.TrimPrefix(s.Call.Path, "/")
+	if s.Call.Query != "" {
+		url += "?" + s.Call.Query
+	}
+	req, err := http.NewRequestWithContext(ctx, s.Call.Method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "service call")
+	}
+	for _, h := range s.Call.Headers {
+		req.Header.Add(h.Name, h.Value)
+	}
+	if s.Call.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", s.Call.IdempotencyKey)
+	}
+	return req, nil
+}
+
+// copyReply frames the body of an answer.
+func copyReply(ctx context.Context, row *answerStream, body io.Reader) error {
+	for {
+		chunk := make([]byte, replyChunkBytes)
+		n, err := body.Read(chunk)
+		if n > 0 {
+			row.data(ctx, chunk[:n], 0)
+		}
+		if err == io.EOF {
+			row.close(ctx, wire.FrameTotal{})
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "answer of a service")
+		}
+	}
+}
+
+// connectionHeaders concern one connection and are not passed on.
+var connectionHeaders = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+}
+
+func replyHeaders(h http.Header) []wire.Header {
+	var out []wire.Header
+	for name, values := range h {
+		if connectionHeaders[name] {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, wire.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/agent/shell/config.go
@@ -0,0 +1,85 @@
+package shell
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"trefoilpath.org/trefoilpath/internal/agent"
+	"trefoilpath.org/trefoilpath/internal/membership"
+	"trefoilpath.org/trefoilpath/internal/settings"
+	"trefoilpath.org/trefoilpath/internal/tlsconfig"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// Config is what an Agent runs with.
+type Config struct {
+	Core        agent.Config
+	EndpointURL string
+	// Entries are dialled in addition to those of the VM list.
+	Entries   []membership.EntryNode
+	VMListURL string // empty: Entries only
+	Subset    membership.SubsetSize
+	TLS       *tlsconfig.Source // nil: plain text, on loopback
+	Endpoint  *http.Client      // nil: a client of the shell's own
+	// ListenOperators is the address of the operators' HTTP; empty: none.
+	ListenOperators string
+	OperatorKey     settings.Credential
+	MaxBodyBytes    int64 // of one attempt
+	MaxStreams      int64 // bodies held at once
+	DrainWait       time.Duration
+	Log             zerolog.Logger
+}
+
+// Defaults of Config.
+const (
+	defaultMaxBodyBytes = 16 << 20
+	defaultMaxStreams   = 4096
+	defaultDrainWait    = 10 * time.Minute
+)
+
+func (c *Config) setDefaults() {
+	if c.MaxBodyBytes == 0 {
+		c.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if c.MaxStreams == 0 {
+		c.MaxStreams = defaultMaxStreams
+	}
+	if c.DrainWait == 0 {
+		c.DrainWait = defaultDrainWait
+	}
+	if c.Subset == (membership.SubsetSize{}) {
+		c.Subset = membership.DefaultSubsetSize
+	}
+}
+
+// FromSettings returns the configuration that the settings of a process ask for.
+func FromSettings(s settings.Agent, incarnation wire.Incarnation, log zerolog.Logger) (Config, error) {
+	cfg := Config{
+		Core: agent.Config{
+			Endpoint:      s.Endpoint,
+			FailureDomain: s.FailureDomain,
+			Kind:          s.WireKind(),
+			Service:       s.Service,
+			Incarnation:   incarnation,
+		},
+		EndpointURL:     s.EndpointURL,
+		VMListURL:       s.VMListURL,
+		ListenOperators: s.ListenOperators,
+		OperatorKey:     s.OperatorKey,
+		MaxBodyBytes:    s.Limits.MaxBodyBytes,
+		MaxStreams:      s.Limits.MaxStreams,
+		DrainWait:       time.Duration(s.DrainWaitMS) * time.Millisecond,
+		Log:             log,
+	}
+	if s.Kind == settings.KindEngine && !s.ChecksFence() {
+		cfg.Core.Fence = agent.FenceIgnored
+	}
+	if !s.TLS.Enabled() {
+		return cfg, nil
+	}
+	source, err := tlsconfig.Load(tlsconfig.Files{Cert: s.TLS.CertFile, Key: s.TLS.KeyFile, CA: s.TLS.CAFile})
+	cfg.TLS = source
+	return cfg, err
+}
--- /dev/null
+++ b/internal/agent/shell/meters.go
@@ -0,0 +1,66 @@
+package shell
+
+import (
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"trefoilpath.org/trefoilpath/internal/agent"
+)
+
+const (
+	reservoirSize  = 1028
+	reservoirAlpha = 0.015
+)
+
+// meters are the metrics of an agent.
+type meters struct {
+	registry metrics.Registry
+	inputs   metrics.Counter
+	ticks    metrics.Timer
+}
+
+func newMeters() *meters {
+	m := &meters{
+		registry: metrics.NewRegistry(),
+		inputs:   metrics.NewCounter(),
+		ticks:    metrics.NewCustomTimer(metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)), metrics.NewMeter()),
+	}
+	_ = m.registry.Register("core.inputs", m.inputs) // the names are distinct
+	_ = m.registry.Register("core.tick", m.ticks)
+	return m
+}
+
+func (m *meters) tick(inputs int, took time.Duration) {
+	m.inputs.Inc(int64(inputs))
+	m.ticks.Update(took)
+}
+
+// count counts an event of the core.
+func (m *meters) count(e *agent.Event) {
+	name := "events." + string(e.Kind)
+	if e.Kind == agent.EventRefused || e.Kind == agent.EventFailed {
+		name += "." + e.Reason
+	}
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
+
+// gauges sets the gauges from the state of the core.
+func (m *meters) gauges(d *agent.Dump) {
+	set := func(name string, value int64) {
+		metrics.GetOrRegisterGauge(name, m.registry).Update(value)
+	}
+	set("memory.capacity_tokens", d.Memory.Capacity)
+	set("memory.reserved_tokens", d.Memory.Reserved)
+	set("attempts.queued", int64(d.Engine.Queued))
+	set("attempts.running", int64(d.Engine.Running))
+	set("entries.up", int64(d.EntriesUp()))
+	set("engine.up", boolGauge(d.Engine.Up))
+}
+
+func boolGauge(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/agent/shell/operators.go
@@ -0,0 +1,166 @@
+package shell
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"trefoilpath.org/trefoilpath/internal/agent"
+	"trefoilpath.org/trefoilpath/internal/tlsconfig"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+const (
+	operatorHeaderTimeout = 5 * time.Second
+	operatorStopTimeout   = time.Second
+)
+
+// Status is the short answer to an operator.
+type Status struct {
+	Endpoint    wire.EndpointID  `json:"endpoint"`
+	Incarnation wire.Incarnation `json:"incarnation"`
+	Revision    uint64           `json:"revision"`
+	Have        wire.Assignment  `json:"have"`
+	EndpointUp  bool             `json:"endpoint_up"`
+	Leaving     bool             `json:"leaving"`
+	Drained     bool             `json:"drained"`
+	Queued      int              `json:"queued"`
+	Running     int              `json:"running"`
+	EntriesUp   int              `json:"entries_up"`
+}
+
+// Handler serves /healthz, /readyz and /metrics to all, and /v1/operator/ to
+// holders of the operators' key.
+func (a *Agent) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", a.serveReady)
+	mux.HandleFunc("GET /metrics", a.serveMetrics)
+	mux.Handle("GET /v1/operator/status", a.operatorsOnly(a.serveStatus))
+	mux.Handle("GET /v1/operator/dump", a.operatorsOnly(a.serveDump))
+	mux.Handle("POST /v1/operator/drain", a.operatorsOnly(a.serveDrain))
+	return mux
+}
+
+func (a *Agent) serveOperators(ctx context.Context) error {
+	srv := &http.Server{Addr: a.cfg.ListenOperators, Handler: a.Handler(), ReadHeaderTimeout: operatorHeaderTimeout}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		<-ctx.Done()
+		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), operatorStopTimeout)
+		defer cancel()
+		_ = srv.Shutdown(stopCtx)
+	}()
+	err := a.listenAndServe(srv)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-stopped
+		return nil
+	}
+	return errors.Wrap(err, "operators' HTTP")
+}
+
+func (a *Agent) listenAndServe(srv *http.Server) error {
+	if a.cfg.TLS == nil {
+		return srv.ListenAndServe()
+	}
+	srv.TLSConfig = operatorsTLS(a.cfg.TLS)
+	return srv.ListenAndServeTLS("", "")
+}
+
+// operatorsTLS serves operators with the certificate of the process. They show
+// their key in place of a certificate.
+func operatorsTLS(source *tlsconfig.Source) *tls.Config {
+	between := source.Server()
+	return &tls.Config{
+		MinVersion: between.MinVersion,
+		GetConfigForClient: func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+			cfg, err := between.GetConfigForClient(hello)
+			if err != nil {
+				return nil, err
+			}
+			cfg.ClientAuth = tls.NoClientCert
+			cfg.NextProtos = []string{"h2", "http/1.1"}
+			return cfg, nil
+		},
+	}
+}
+
+func (a *Agent) operatorsOnly(next http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if !ok || !a.cfg.OperatorKey.Matches(key) {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			http.Error(w, "operators' key required", http.StatusUnauthorized)
+			return
+		}
+		next(w, r)
+	})
+}
+
+func (a *Agent) serveReady(w http.ResponseWriter, r *http.Request) {
+	d, err := a.Dump(r.Context())
+	switch {
+	case err != nil || d.Leaving:
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case !d.Engine.Up:
+		http.Error(w, "the endpoint does not answer", http.StatusServiceUnavailable)
+	case d.EntriesUp() == 0:
+		http.Error(w, "no entry", http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+func (a *Agent) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	if d, err := a.Dump(r.Context()); err == nil {
+		a.metrics.gauges(&d)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(a.metrics.registry, w)
+}
+
+func (a *Agent) serveStatus(w http.ResponseWriter, r *http.Request) {
+	a.withDump(w, r, func(d *agent.Dump) any {
+		return Status{
+			Endpoint:    d.Endpoint,
+			Incarnation: d.Incarnation,
+			Revision:    d.Revision,
+			Have:        d.Engine.Have,
+			EndpointUp:  d.Engine.Up,
+			Leaving:     d.Leaving,
+			Drained:     d.Drained,
+			Queued:      d.Engine.Queued,
+			Running:     d.Engine.Running,
+			EntriesUp:   d.EntriesUp(),
+		}
+	})
+}
+
+func (a *Agent) serveDump(w http.ResponseWriter, r *http.Request) {
+	a.withDump(w, r, func(d *agent.Dump) any { return d })
+}
+
+func (a *Agent) withDump(w http.ResponseWriter, r *http.Request, view func(*agent.Dump) any) {
+	d, err := a.Dump(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(view(&d)) // the operator has gone away
+}
+
+func (a *Agent) serveDrain(w http.ResponseWriter, r *http.Request) {
+	a.cfg.Log.Info().Str("event", "operator-drain").Str("from", r.RemoteAddr).Send()
+	a.Leave()
+	w.WriteHeader(http.StatusAccepted)
+}
--- a/internal/agent/world_test.go
+++ b/internal/agent/world_test.go
@@ -346,7 +346,7 @@
 
 func (w *world) engineEvent(ev engine.Event) {
 	if ev.First != nil {
-		if id, ok := parseSequence(ev.First.ID); ok {
+		if id, ok := ParseSequence(ev.First.ID); ok {
 			w.first[id] = w.now
 		}
 	}
