Measure the agent's fairness, cost per tick and control bytes

Cause: the bound on unfair service, the cost of a tick and the control budget were claims of the design without a figure; a report was counted as 96 bytes.

--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -8,7 +8,7 @@
 
 const (
 	// reportBytes is the encoded size of a typical Report.
-	reportBytes = 96
+	reportBytes = 128
 	// cacheDeltaBytes and cacheHashBytes are the encoded size of a CacheDelta.
 	cacheDeltaBytes = 24
 	cacheHashBytes  = 9
--- /dev/null
+++ b/internal/agent/report_test.go
@@ -0,0 +1,94 @@
+package agent
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/engine"
+	"trefoilpath.org/trefoilpath/internal/transport"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+const reportRun = 5 * time.Minute
+
+// controlRate returns the bytes a second of reports and cache deltas that an
+// entry gets from the given number of agents, if all do as this one, which is
+// busy and whose prefix cache changes all the time.
+func controlRate(tb testing.TB, agents int) float64 {
+	w := newWorld(tb, Config{})
+	w.give(Input{EntryUp: &EntryUp{Entry: "entry-1"}})
+	w.from("entry-1", wire.ToAgent{Heartbeat: &wire.Heartbeat{Agents: int32(agents)}})
+	w.run(30 * time.Second) // the first reports come at the pace of a lone agent
+	w.forget()
+	for i := range uint64(reportRun / time.Second) {
+		d := dispatch("entry-1", i+1, "antigua", 5000, 100)
+		w.from("entry-1", wire.ToAgent{Dispatch: &d})
+		w.give(Input{Engine: &engine.Event{Cache: &engine.Cache{Sequence: i + 1, Add: []uint64{i * 1e15, i*1e15 + 1, i*1e15 + 2}}}})
+		w.run(time.Second)
+	}
+	bytes := 0
+	for _, msg := range w.sent["entry-1"] {
+		if msg.Report == nil && msg.CacheDelta == nil {
+			continue
+		}
+		n, err := transport.Encoded(msg)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		bytes += n
+	}
+	return float64(bytes*agents) / reportRun.Seconds()
+}
+
+// TestReportsKeepToBudget holds all agents of an entry together to its budget
+// for control.
+func TestReportsKeepToBudget(t *testing.T) {
+	for _, agents := range []int{1, 19, 170} {
+		if rate := controlRate(t, agents); rate > defaultControlBytes {
+			t.Errorf("%d agents send %.0f bytes a second, want at most %d", agents, rate, defaultControlBytes)
+		}
+	}
+}
+
+// TestReportSizes checks the sizes by which the core paces itself.
+func TestReportSizes(t *testing.T) {
+	report := wire.ToEntry{Report: &wire.Report{
+		Sequence:      100_000,
+		LastAttempt:   1 << 40,
+		Have:          wire.Assignment{Model: fakeModelName, Version: "2026-11", Role: wire.RoleServe},
+		QueueTokens:   [wire.BandCount]int64{20_000, 200_000, 400_000, 0},
+		Running:       40,
+		PrefillTokens: 100_000,
+		FreeTokens:    100_000,
+		PrefillRate:   40_123.5,
+		DecodeRate:    20.5,
+		Revision:      1 << 20,
+		TokensPerByte: 0.2512,
+	}}
+	if n, err := transport.Encoded(report); err != nil || n > reportBytes {
+		t.Errorf("a report takes %d bytes, the core counts %d (%v)", n, reportBytes, err)
+	}
+	delta := &wire.CacheDelta{Sequence: 100_000, Reset: true}
+	for i := range uint64(cacheDeltaHashes) {
+		delta.Add = append(delta.Add, ^i)
+	}
+	limit := cacheDeltaBytes + cacheHashBytes*cacheDeltaHashes
+	if n, err := transport.Encoded(wire.ToEntry{CacheDelta: delta}); err != nil || n > limit {
+		t.Errorf("a cache delta takes %d bytes, the core counts %d (%v)", n, limit, err)
+	}
+}
+
+// BenchmarkControlBytes reports the control bytes a second at an entry.
+func BenchmarkControlBytes(b *testing.B) {
+	for _, agents := range []int{1, 19, 60, 170} {
+		b.Run(fmt.Sprintf("agents-%d", agents), func(b *testing.B) {
+			var rate float64
+			for b.Loop() {
+				rate = controlRate(b, agents)
+			}
+			b.ReportMetric(rate, "bytes/s")
+			b.ReportMetric(rate/float64(agents), "bytes/s/agent")
+		})
+	}
+}
--- /dev/null
+++ b/internal/agent/share_test.go
@@ -0,0 +1,222 @@
+package agent
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/engine"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// shareRun starts what waits of several backlogged client accounts, one prompt
+// in prefill at a time, and follows the service that each has been given.
+type shareRun struct {
+	core    *Core
+	now     time.Duration
+	weights []float64
+	given   []float64 // tokens of service over weight
+	largest []float64 // largest request over weight
+	left    []int
+	gap     float64 // largest difference between two backlogged accounts
+	bound   float64 // largest of the sums of two accounts' largest requests
+}
+
+const (
+	shareRequests = 200
+	shareSeed     = 7
+)
+
+func shareAccount(i int) wire.AccountID { return wire.AccountID(fmt.Sprintf("account-%d", i)) }
+
+func newShareRun(tb testing.TB, cfg Config, weights []float64) *shareRun {
+	cfg.Endpoint, cfg.Kind, cfg.Incarnation = "luthier-01", wire.KindEngine, 1
+	cfg.PrefillWindow = time.Nanosecond
+	core, err := New(cfg)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	r := &shareRun{
+		core:    core,
+		weights: weights,
+		given:   make([]float64, len(weights)),
+		largest: make([]float64, len(weights)),
+		left:    make([]int, len(weights)),
+	}
+	state := engine.State{Capacity: 1 << 40, Have: wire.Assignment{Model: fakeModelName}}
+	in := []Input{{EntryUp: &EntryUp{Entry: "entry-1"}}, {EngineUp: &EngineUp{State: state}}}
+	rng := rand.New(rand.NewPCG(shareSeed, uint64(len(weights))))
+	var seq uint64
+	for i, w := range weights {
+		for range shareRequests {
+			seq++
+			d := dispatch("entry-1", seq, shareAccount(i), 500+rng.Int64N(10_000), 100)
+			d.Weight = w
+			d.StartBy, d.TimeLeft = time.Hour, time.Hour
+			in = append(in, Input{FromEntry: &FromEntry{Entry: "entry-1", Msg: wire.ToAgent{Dispatch: &d}}})
+			r.largest[i] = max(r.largest[i], float64(d.PromptTokens+d.MaxOutput)/w)
+			r.left[i]++
+		}
+	}
+	r.setBound()
+	r.follow(core.Tick(0, in))
+	return r
+}
+
+func (r *shareRun) setBound() {
+	for i := range r.largest {
+		for j := range r.largest[:i] {
+			r.bound = max(r.bound, r.largest[i]+r.largest[j])
+		}
+	}
+}
+
+// follow takes the starts among the outputs, finishes each and goes on until
+// nothing is left.
+func (r *shareRun) follow(out []Output) {
+	for {
+		var in []Input
+		for _, o := range out {
+			if o.Engine == nil || o.Engine.Command.Submit == nil {
+				continue
+			}
+			s := o.Engine.Command.Submit
+			r.note(r.core.attempts.Get(o.Engine.Attempt))
+			in = append(in, Input{Engine: &engine.Event{Finished: &engine.Finished{ID: s.ID, PromptTokens: s.PromptTokens, Output: s.MaxOutput}}})
+		}
+		if len(in) == 0 {
+			return
+		}
+		r.now += time.Millisecond
+		out = r.core.Tick(r.now, in)
+	}
+}
+
+// note adds a start to the service given and updates the largest gap between
+// accounts that are still backlogged.
+func (r *shareRun) note(a *attempt) {
+	var i int
+	for shareAccount(i) != a.d.Account {
+		i++
+	}
+	r.given[i] += float64(a.d.PromptTokens+a.d.MaxOutput) / r.weights[i]
+	r.left[i]--
+	for j := range r.given {
+		if r.left[i] > 0 && r.left[j] > 0 {
+			r.gap = max(r.gap, r.given[i]-r.given[j], r.given[j]-r.given[i])
+		}
+	}
+}
+
+var shareCases = map[string][]float64{
+	"equal":     {1, 1, 1, 1, 1, 1, 1, 1, 1, 1},
+	"weighted":  {1, 1, 2, 4, 8},
+	"one-heavy": {1, 1, 1, 1, 16},
+}
+
+// TestServiceGap keeps the difference in service between two backlogged accounts
+// within the largest request of each.
+func TestServiceGap(t *testing.T) {
+	for name, weights := range shareCases {
+		t.Run(name, func(t *testing.T) {
+			r := newShareRun(t, Config{}, weights)
+			if r.gap > r.bound {
+				t.Errorf("service gap %.0f tokens, want at most %.0f", r.gap, r.bound)
+			}
+			if baseline := newShareRun(t, Config{Queue: QueueFIFO}, weights); baseline.gap <= r.bound {
+				t.Errorf("first come, first served keeps to the bound too: %.0f of %.0f", baseline.gap, r.bound)
+			}
+		})
+	}
+}
+
+// BenchmarkServiceGap reports the largest service gap over its bound.
+func BenchmarkServiceGap(b *testing.B) {
+	for name, weights := range shareCases {
+		for _, policy := range []QueuePolicy{QueueFair, QueueFIFO} {
+			b.Run(fmt.Sprintf("%s/policy-%d", name, policy), func(b *testing.B) {
+				var r *shareRun
+				for b.Loop() {
+					r = newShareRun(b, Config{Queue: policy}, weights)
+				}
+				b.ReportMetric(r.gap/r.bound, "gap/bound")
+			})
+		}
+	}
+}
+
+// heldCore returns a core in which n long prompts of 100 accounts wait for the one
+// that is in prefill.
+func heldCore(b *testing.B, n int) *Core {
+	b.Helper()
+	core, err := New(Config{Endpoint: "luthier-01", Kind: wire.KindEngine, Incarnation: 1, MaxQueued: n + 100})
+	if err != nil {
+		b.Fatal(err)
+	}
+	state := engine.State{Capacity: fakeTotal, Have: wire.Assignment{Model: fakeModelName}}
+	in := []Input{{EntryUp: &EntryUp{Entry: "entry-1"}}, {EngineUp: &EngineUp{State: state}}}
+	for i := range n + 1 {
+		d := dispatch("entry-1", uint64(i+1), shareAccount(i%100), 200_000, 100)
+		d.StartBy, d.TimeLeft = time.Hour, time.Hour
+		in = append(in, Input{FromEntry: &FromEntry{Entry: "entry-1", Msg: wire.ToAgent{Dispatch: &d}}})
+	}
+	core.Tick(0, in)
+	return core
+}
+
+// BenchmarkTickHeld measures a tick in which one sequence makes progress while
+// many attempts wait.
+func BenchmarkTickHeld(b *testing.B) {
+	for _, n := range []int{100, 1_000, 10_000} {
+		b.Run(fmt.Sprintf("waiting-%d", n), func(b *testing.B) {
+			core := heldCore(b, n)
+			id := engine.SequenceID(wire.AttemptID{Entry: "entry-1", Incarnation: 1, Sequence: 1}.String())
+			in := []Input{{Engine: &engine.Event{Progress: &engine.Progress{ID: id, Output: 1}}}}
+			b.ReportAllocs()
+			var now time.Duration
+			for b.Loop() {
+				now += time.Nanosecond
+				core.Tick(now, in)
+			}
+		})
+	}
+}
+
+// BenchmarkAttempt measures the whole life of an attempt: Dispatch, first token
+// and end, while many others wait.
+func BenchmarkAttempt(b *testing.B) {
+	for _, n := range []int{0, 1_000, 10_000} {
+		b.Run(fmt.Sprintf("waiting-%d", n), func(b *testing.B) {
+			core := heldCore(b, n)
+			b.ReportAllocs()
+			seq := uint64(n + 10)
+			var now time.Duration
+			for b.Loop() {
+				seq++
+				now += time.Nanosecond
+				d := dispatch("entry-1", seq, "another", 100, 10)
+				d.StartBy, d.TimeLeft = time.Hour, time.Hour
+				out := core.Tick(now, []Input{{FromEntry: &FromEntry{Entry: "entry-1", Msg: wire.ToAgent{Dispatch: &d}}}})
+				finish(b, core, now, out)
+			}
+		})
+	}
+}
+
+// finish ends every sequence that the outputs start, and those that start then.
+func finish(b *testing.B, core *Core, now time.Duration, out []Output) {
+	var in []Input
+	for _, o := range out {
+		if o.Engine == nil || o.Engine.Command.Submit == nil {
+			continue
+		}
+		s := o.Engine.Command.Submit
+		in = append(in,
+			Input{Engine: &engine.Event{First: &engine.First{ID: s.ID, PromptTokens: s.PromptTokens}}},
+			Input{Engine: &engine.Event{Finished: &engine.Finished{ID: s.ID, PromptTokens: s.PromptTokens, Output: s.MaxOutput}}})
+	}
+	if len(in) > 0 {
+		core.Tick(now, in)
+	}
+}
