Reserve for short prompts what they use, and keep memory free later

Cause: at 85% load short prompts waited for engine memory: they need about 27% of it, and 20% was theirs. Where longer prompts had waited two seconds, memory kept free for them stopped medium ones. Routing hardly counted missing memory. Change: the reserve follows what short prompts hold, times 1.8, between 25% and 50%; memory is kept free for a prompt that has waited 15 s; a missing token of memory counts 200 us in routing.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -49,7 +49,7 @@
 	defaultMaxQueued         = 4096
 	defaultMaxTombstones     = 1 << 15
 	defaultMemoryHeadroom    = 0.03
-	defaultShortReserve      = 0.2
+	defaultShortReserve      = 0.25
 	defaultControlBytes      = 2048 // bytes a second at each entry
 	defaultPrefillWindow     = 250 * time.Millisecond
 	defaultReportInterval    = time.Second
@@ -59,7 +59,7 @@
 	defaultTombstoneTTL      = 2 * time.Minute
 	defaultStallAfter        = 15 * time.Second
 	defaultOrderMaxAge       = 10 * time.Second
-	defaultAgeAfter          = 2 * time.Second
+	defaultAgeAfter          = 15 * time.Second
 	defaultLeavingGrace      = 2 * time.Second
 )
 
--- a/internal/agent/memory.go
+++ b/internal/agent/memory.go
@@ -16,6 +16,7 @@
 	freed    int64   // tokens freed since freedAt
 	freeRate float64 // tokens a second, recent
 	freedAt  time.Duration
+	shortUse float64 // tokens that short prompts hold, moving
 }
 
 // memoryHold keeps memory free for a group that was refused for lack of it, so
@@ -30,6 +31,9 @@
 	holdTime         = 5 * time.Second
 	freeRateInterval = 2 * time.Second
 	freeRateGain     = 0.3
+	shortUseGain     = 0.1
+	shortUseFactor   = 1.8
+	maxShortReserve  = 0.5
 )
 
 // setCapacity takes the engine's size. A smaller one than what is reserved
@@ -75,7 +79,10 @@
 
 // sharedCapacity is the memory that prompts other than short ones may use.
 func (c *Core) sharedCapacity() int64 {
-	return int64(float64(c.memory.capacity) * (1 - c.cfg.ShortReserve))
+	least := float64(c.memory.capacity) * c.cfg.ShortReserve
+	most := float64(c.memory.capacity) * maxShortReserve
+	reserve := min(max(c.memory.shortUse*shortUseFactor, least), most)
+	return c.memory.capacity - int64(reserve)
 }
 
 // reserve adds a reservation. The caller has checked that it fits.
@@ -127,6 +134,7 @@
 	}
 	rate := float64(c.memory.freed) / elapsed.Seconds()
 	c.memory.freeRate += freeRateGain * (rate - c.memory.freeRate)
+	c.memory.shortUse += shortUseGain * (float64(c.memory.byClass[classShort]) - c.memory.shortUse)
 	c.memory.freed = 0
 	c.memory.freedAt = c.now
 }
--- a/internal/entry/predict.go
+++ b/internal/entry/predict.go
@@ -22,7 +22,7 @@
 	// long prompt to the same endpoint.
 	shortCrowdPenalty = 5 * time.Millisecond
 	// memoryPenalty is the wait for each token of memory that is not free.
-	memoryPenalty = 20 * time.Microsecond
+	memoryPenalty = 200 * time.Microsecond
 	// prefixBlockTokens is the number of prompt tokens that one prefix hash
 	// stands for.
 	prefixBlockTokens = 1024
