Let the reserve of short prompts shrink to what a waiting long one leaves

Cause: with a reserve of up to half the memory a single prompt of 77% of an engine never got in while short ones filled their reserve; the scenario long-not-starved showed it. Change: while memory is kept free for a longer prompt, the reserve is at most what that prompt leaves.

--- a/internal/agent/memory.go
+++ b/internal/agent/memory.go
@@ -68,11 +68,11 @@
 }
 
 // freeForShort returns the memory that a short prompt may take now. What is kept
-// free for a longer one can be taken from short ones only beyond their reserve:
-// the longer one can never have that.
+// free for a longer one can be taken from short ones only beyond their reserve,
+// which shrinks to what such a one leaves of the whole memory.
 func (c *Core) freeForShort(keepFree int64) int64 {
 	free := c.freeTokens()
-	reserve := c.memory.capacity - c.sharedCapacity()
+	reserve := min(c.memory.capacity-c.sharedCapacity(), c.memory.capacity-keepFree)
 	own := reserve - c.memory.byClass[classShort]
 	return max(free-keepFree, min(free, own))
 }
