Give the engine half a second of short prompts at once

Cause: with a quarter of a second of prefill in the engine, short prompts waited at the agent one behind another while the engine gave the rest of its steps to a long prompt.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -51,7 +51,7 @@
 	defaultMemoryHeadroom    = 0.03
 	defaultShortReserve      = 0.25
 	defaultControlBytes      = 2048 // bytes a second at each entry
-	defaultPrefillWindow     = 250 * time.Millisecond
+	defaultPrefillWindow     = 500 * time.Millisecond
 	defaultReportInterval    = time.Second
 	defaultQueryInterval     = time.Second
 	defaultEntryGrace        = 5 * time.Second
