--- /dev/null
+++ b/cmd/trefoilpath/fleet_test.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"trefoilpath.org/trefoilpath/internal/operator"
+	"trefoilpath.org/trefoilpath/internal/settings"
+	"trefoilpath.org/trefoilpath/internal/standin"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+const (
+	// fleetEntries is the number of entries that a script can start.
+	fleetEntries = 3
+	// fleetWait bounds a wait for a revision.
+	fleetWait = 20 * time.Second
+)
+
+// prepareFleet writes settings for entries of one failure domain as e1.json and
+// so on, sets the operators' addresses E1 and so on, and lists them as VMs.
+func prepareFleet(env *testscript.Env, p *platform) error {
+	vms, err := standin.NewVMList(0)
+	if err != nil {
+		return err
+	}
+	env.Defer(func() { _ = vms.Close() })
+	var list []standin.VM
+	for i := 1; i <= fleetEntries; i++ {
+		s, err := fleetSettings(fmt.Sprint("entry-", i), p.store.URL(), vms.URL())
+		if err != nil {
+			return err
+		}
+		if err := writeSettings(filepath.Join(env.WorkDir, fmt.Sprintf("e%d.json", i)), s); err != nil {
+			return err
+		}
+		env.Setenv(fmt.Sprint("E", i), "http://"+s.ListenOperators)
+		list = append(list, standin.VM{
+			Node: string(s.Node), Address: s.ListenPeers, Region: string(s.Region), FailureDomain: string(s.FailureDomain),
+		})
+	}
+	vms.Set(list)
+	return nil
+}
+
+func fleetSettings(name, storeURL, vmListURL string) (settings.Entry, error) {
+	s := settings.DefaultEntry()
+	s.Node, s.Region, s.FailureDomain = wire.NodeID(name), "r", "d"
+	s.StoreURL, s.VMListURL = storeURL, vmListURL
+	s.BalancerLagMS, s.DrainWaitMS = 0, 1_000
+	for _, address := range []*string{&s.ListenCallers, &s.ListenOperators, &s.ListenPeers} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return s, err
+		}
+		defer l.Close()
+		*address = l.Addr().String()
+	}
+	return s, nil
+}
+
+// writeSettings writes the settings with the hash of the operators' key, which
+// they don't print themselves.
+func writeSettings(path string, s settings.Entry) error {
+	text, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(text, &fields); err != nil {
+		return err
+	}
+	fields["operator_key_sha256"] = hexHash("operator")
+	if text, err = json.Marshal(fields); err != nil {
+		return err
+	}
+	return os.WriteFile(path, text, listFileMode)
+}
+
+// setStoreDown makes the store refuse all calls, or serve again.
+func setStoreDown(ts *testscript.TestScript, _ bool, args []string) {
+	down, err := strconv.ParseBool(args[0])
+	ts.Check(err)
+	platformOf(ts).store.SetDown(down)
+}
+
+// waitInForce waits until entries have a revision in force.
+func waitInForce(ts *testscript.TestScript, _ bool, args []string) {
+	revision, err := strconv.ParseUint(args[0], 10, 64)
+	ts.Check(err)
+	var clients []*operator.Client
+	for _, url := range args[1:] {
+		clients = append(clients, operator.NewClient(url, "operator", http.DefaultClient))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), fleetWait)
+	defer cancel()
+	if lagging := operator.Wait(ctx, clients, revision); len(lagging) > 0 {
+		ts.Fatalf("revision %d is not in force: %v", revision, lagging)
+	}
+}
--- a/cmd/trefoilpath/keyhash.go
+++ b/cmd/trefoilpath/keyhash.go
@@ -37,11 +37,15 @@
 	if generate {
 		fmt.Println("key", key)
 	}
-	hash := declaration.HashKey(key)
-	fmt.Println("sha256", hex.EncodeToString(hash[:]))
+	fmt.Println("sha256", hexHash(key))
 	return nil
 }
 
+func hexHash(key string) string {
+	hash := declaration.HashKey(key)
+	return hex.EncodeToString(hash[:])
+}
+
 func readKey(generate bool) (string, error) {
 	if generate {
 		random := make([]byte, generatedKeyBytes)
--- a/cmd/trefoilpath/main_test.go
+++ b/cmd/trefoilpath/main_test.go
@@ -41,6 +41,8 @@
 			"entry-revision": setEntryRevision,
 			"edit":           editFile,
 			"exit":           exitWith,
+			"store-down":     setStoreDown,
+			"in-force":       waitInForce,
 		},
 	})
 }
@@ -60,6 +62,9 @@
 	env.Setenv("STORE", s.URL())
 	env.Setenv("ENTRY", srv.URL)
 	env.Setenv("USER", "ana")
+	if err := prepareFleet(env, p); err != nil {
+		return err
+	}
 	return writeExamples(env)
 }
 
