Stop reading from an endpoint that hangs

Cause: the call that reads an answer went on after its attempt had ended, until the engine answered or the process stopped; a client made for the endpoint was not the one closed at the end; Dump could wait for ever after the end of Run. Result: the shell's tests pass with the race detector, among them the new TestHungEngineMeetsDeadline.

--- a/internal/agent/shell/agent.go
+++ b/internal/agent/shell/agent.go
@@ -52,6 +52,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if cfg.Endpoint == nil {
+		cfg.Endpoint = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+	}
 	a := &Agent{
 		cfg:     cfg,
 		core:    core,
@@ -65,9 +68,6 @@
 	a.links = newLinks(a)
 	a.bodies = newBodies(cfg.MaxBodyBytes, cfg.MaxStreams)
 	a.answers = newAnswers(a.links)
-	if cfg.Endpoint == nil {
-		cfg.Endpoint = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
-	}
 	if cfg.Core.Kind == wire.KindService {
 		a.calls = newCalls(a, cfg.EndpointURL, cfg.Endpoint)
 		return a, nil
@@ -105,9 +105,7 @@
 	if a.calls != nil {
 		a.calls.wait()
 	}
-	if a.cfg.Endpoint != nil {
-		a.cfg.Endpoint.CloseIdleConnections()
-	}
+	a.cfg.Endpoint.CloseIdleConnections()
 }
 
 func (a *Agent) setContext(ctx context.Context) {
@@ -157,6 +155,8 @@
 		return <-reply, nil
 	case <-ctx.Done():
 		return agent.Dump{}, ctx.Err()
+	case <-a.context().Done():
+		return agent.Dump{}, errors.New("the agent has stopped")
 	}
 }
 
--- a/internal/agent/shell/answers.go
+++ b/internal/agent/shell/answers.go
@@ -34,6 +34,8 @@
 	links     *links
 	id        wire.AttemptID
 	maxOutput int64
+	ctx       context.Context // of reading the endpoint's answer
+	cancel    context.CancelFunc
 
 	mu      sync.Mutex
 	framer  *answer.Framer
@@ -50,10 +52,11 @@
 	return &answers{links: l, rows: make(map[wire.AttemptID]*answerStream)}
 }
 
-func (s *answers) open(id wire.AttemptID, maxOutput int64) *answerStream {
+func (s *answers) open(ctx context.Context, id wire.AttemptID, maxOutput int64) *answerStream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	row := &answerStream{links: s.links, id: id, maxOutput: maxOutput, framer: answer.NewFramer(id)}
+	row.ctx, row.cancel = context.WithCancel(ctx)
 	s.rows[id] = row
 	return row
 }
@@ -81,6 +84,7 @@
 	for id, row := range s.rows {
 		if row.expired(now) {
 			delete(s.rows, id)
+			row.cancel() // an endpoint that hangs is not read any longer
 		}
 	}
 }
--- a/internal/agent/shell/calls.go
+++ b/internal/agent/shell/calls.go
@@ -49,7 +49,7 @@
 }
 
 func (c *calls) start(ctx context.Context, s *agent.ServiceStart, body []byte) {
-	row := c.agent.answers.open(s.Attempt, 0)
+	row := c.agent.answers.open(ctx, s.Attempt, 0)
 	callCtx, cancel := context.WithTimeout(ctx, s.Timeout)
 	c.mu.Lock()
 	c.cancel[s.Attempt] = cancel
--- a/internal/agent/shell/engine.go
+++ b/internal/agent/shell/engine.go
@@ -78,8 +78,8 @@
 		return false
 	}
 	time.AfterFunc(jittered(resumePause<<tries), func() {
-		if ctx := a.context(); ctx.Err() == nil {
-			a.engine.Resume(ctx, f.ID, from)
+		if row.ctx.Err() == nil {
+			a.engine.Resume(row.ctx, f.ID, from)
 		}
 	})
 	return true
@@ -90,8 +90,8 @@
 	cmd := c.Command
 	switch {
 	case cmd.Submit != nil:
-		a.answers.open(c.Attempt, cmd.Submit.MaxOutput)
-		a.engine.Submit(ctx, *cmd.Submit, a.bodies.take(c.Attempt))
+		row := a.answers.open(ctx, c.Attempt, cmd.Submit.MaxOutput)
+		a.engine.Submit(row.ctx, *cmd.Submit, a.bodies.take(c.Attempt))
 	case cmd.Cancel != nil:
 		go a.call("cancel", func(ctx context.Context) error { return a.engine.Cancel(ctx, *cmd.Cancel) })
 	case cmd.Drop != nil:
--- a/internal/agent/shell/shell_test.go
+++ b/internal/agent/shell/shell_test.go
@@ -307,6 +307,24 @@
 	e.until("answer", func() bool { return e.done(attemptID(2)) })
 }
 
+// TestHungEngineMeetsDeadline lets the engine hang in the middle of an answer,
+// and go on later.
+func TestHungEngineMeetsDeadline(t *testing.T) {
+	e, eng := newTestingEntry(t), startEngine(t)
+	startAgent(t, e, engineConfig(eng))
+	d := dispatch(1, 400)
+	d.TimeLeft = 1500 * time.Millisecond
+	e.offer(d, testPrompt)
+	e.until("first text", func() bool { return e.text[attemptID(1)] != "" })
+	eng.Hang(3 * time.Second)
+	e.until("outcome", func() bool { return e.outcome[attemptID(1)] == "failed deadline" })
+	e.offer(dispatch(2, 50), testPrompt)
+	e.until("answer", func() bool { return e.done(attemptID(2)) && e.outcome[attemptID(2)] == "finished" })
+	if held := eng.Ledger().HeldTokens; held != 0 {
+		t.Errorf("the engine holds %d tokens, want none", held)
+	}
+}
+
 func serviceDispatch(n uint64) wire.Dispatch {
 	d := dispatch(n, 0)
 	d.Kind, d.Model, d.PromptTokens, d.Idempotent = wire.KindService, "", 0, false
