Let only entitled accounts call the plain service in workloads

Cause: the workload drew service calls for accounts whose plan has no right to them; 208 of 26,044 calls of an hour were refused as not entitled. Change: workload.AccountsOf reads from a revision who may call the service.

--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -107,7 +107,7 @@
 		Deployment: w.opts.Deployment,
 		Burst:      w.opts.Burst,
 		Mix:        w.opts.Mix,
-		Accounts:   workload.Shares(ids),
+		Accounts:   workload.AccountsOf(w.snapshot, ids, w.opts.Deployment),
 		Seed:       w.opts.Seed,
 	}
 	capacity, err := workload.CapacityOf(cfg, workload.StandinRates())
--- a/internal/workload/config.go
+++ b/internal/workload/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/declaration"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -33,8 +34,9 @@
 // Account is one client account and its share of the arrivals, relative to the
 // other accounts.
 type Account struct {
-	ID    wire.AccountID
-	Share float64
+	ID          wire.AccountID
+	Share       float64
+	PromptsOnly bool // may not call the plain service
 }
 
 // largeAccounts is the number of accounts that bring most of the load.
@@ -56,6 +58,27 @@
 	return accounts
 }
 
+// AccountsOf returns the client accounts of a revision in order of their names
+// in ids, with their shares and with what they may call of the deployment.
+func AccountsOf(s *declaration.Snapshot, ids []wire.AccountID, d Deployment) []Account {
+	accounts := Shares(ids)
+	for i := range accounts {
+		a, ok := s.Accounts[accounts[i].ID]
+		accounts[i].PromptsOnly = !ok || !mayCall(a, d)
+	}
+	return accounts
+}
+
+// mayCall reports whether an account may make both calls of the service.
+func mayCall(a *declaration.Account, d Deployment) bool {
+	grant, ok := a.Services[d.Service]
+	if !ok {
+		return false
+	}
+	all := len(grant.Methods) == 0
+	return all || grant.Methods[d.Read.Method] && grant.Methods[d.Write.Method]
+}
+
 // Mix gives the kinds and lengths of requests. Fractions are between 0 and 1.
 type Mix struct {
 	Service      float64 // service calls among all requests
--- a/internal/workload/generator.go
+++ b/internal/workload/generator.go
@@ -107,15 +107,13 @@
 
 // draw makes the content of the next request.
 func (g *Generator) draw() Request {
-	r := Request{
-		Number:  g.number,
-		Account: g.account(),
-	}
+	account := g.account()
+	r := Request{Number: g.number, Account: account.ID}
 	g.number++
 	if g.chance(g.cfg.Mix.AskDeadline) {
 		r.Deadline = time.Duration(20+g.content.IntN(100)) * time.Second
 	}
-	if g.chance(g.cfg.Mix.Service) {
+	if g.chance(g.cfg.Mix.Service) && !account.PromptsOnly {
 		return g.service(r)
 	}
 	return g.prompt(r)
@@ -204,15 +202,15 @@
 }
 
 // account draws an account by its share.
-func (g *Generator) account() wire.AccountID {
+func (g *Generator) account() Account {
 	x := g.content.Float64() * g.shares
 	for _, a := range g.cfg.Accounts {
 		if x < a.Share {
-			return a.ID
+			return a
 		}
 		x -= a.Share
 	}
-	return g.cfg.Accounts[len(g.cfg.Accounts)-1].ID
+	return g.cfg.Accounts[len(g.cfg.Accounts)-1]
 }
 
 func (g *Generator) chance(p float64) bool { return g.content.Float64() < p }
--- a/internal/workload/workload_test.go
+++ b/internal/workload/workload_test.go
@@ -97,6 +97,20 @@
 	}
 }
 
+func TestPromptsOnlyAccountsMakeNoCalls(t *testing.T) {
+	cfg := testConfig()
+	cfg.Accounts[0].PromptsOnly = true
+	calls := make(map[wire.AccountID]int)
+	for _, a := range take(t, cfg, 5_000) {
+		if a.Req.Kind == wire.KindService {
+			calls[a.Req.Account]++
+		}
+	}
+	if calls["a"] != 0 || calls["b"] == 0 {
+		t.Errorf("%d calls of an account that may make none, %d of one that may", calls["a"], calls["b"])
+	}
+}
+
 func TestRepeatedKeysCarryTheSameBody(t *testing.T) {
 	bodies := map[string]Request{}
 	repeats := 0
