Check that each promise's scenario needs its mechanism

Cause: a scenario that passes with its mechanism switched off proves nothing; three of the eight did. Change: every scenario names a mechanism in a line 'needs', and a test runs it without.

--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -132,6 +132,9 @@
 			f.heardAt[peer] = a.Address
 		}
 	}
+	if f.c.cfg.lacks(withoutSpread) && msg.GrantRequest == nil && msg.GrantReply == nil {
+		return
+	}
 	if f.spread.FromPeer(f.c.now, peer, msg) {
 		return
 	}
--- a/internal/entry/limit.go
+++ b/internal/entry/limit.go
@@ -17,6 +17,9 @@
 // takeLimit takes a request into its account's limits. It reports wait if the
 // account's home has yet to answer.
 func (f *fleet) takeLimit(r *request) (wait bool, refused failure) {
+	if f.c.cfg.lacks(withoutLimits) {
+		return false, failure{}
+	}
 	d := f.limits.Admit(f.c.now, r.in.Account, r.cost())
 	if d.OK {
 		r.limited = true
--- a/internal/entry/mechanism.go
+++ b/internal/entry/mechanism.go
@@ -14,6 +14,8 @@
 	withoutGrace                           // shutdown does not wait for requests in flight
 	withoutLeaving                         // leaving endpoints get new work
 	withoutResume                          // a retry starts over behind what the caller has
+	withoutSpread                          // revisions come from the store alone, not from peers
+	withoutLimits                          // accounts have no limits
 )
 
 var mechanismNames = map[string]mechanism{
@@ -24,6 +26,8 @@
 	"grace":      withoutGrace,
 	"leaving":    withoutLeaving,
 	"resume":     withoutResume,
+	"spread":     withoutSpread,
+	"limits":     withoutLimits,
 }
 
 // Without returns the configuration with one protection switched off, for runs
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -18,10 +20,96 @@
 
 var traceScenarios = flag.Bool("trace", false, "print the events of every scenario")
 
+const scenarioDir = "../../scenarios"
+
 // TestScenarios runs the scripts under scenarios, each on its own virtual world.
 func TestScenarios(t *testing.T) {
-	testscript.Run(t, testscript.Params{
-		Dir: "../../scenarios",
+	testscript.Run(t, scenarioParams("", scenarioFiles(t)...))
+}
+
+// TestScenariosNeedTheirMechanisms runs each scenario with a mechanism that it
+// names in a line "# needs:" switched off, and expects it to fail.
+func TestScenariosNeedTheirMechanisms(t *testing.T) {
+	for _, file := range scenarioFiles(t) {
+		names := needs(t, file)
+		if len(names) == 0 {
+			t.Errorf("%s names no mechanism", file)
+		}
+		for _, name := range names {
+			t.Run(filepath.Base(file)+" without "+name, func(t *testing.T) {
+				if !fails(scenarioParams(name, file)) {
+					t.Error("the scenario passes without the mechanism")
+				}
+			})
+		}
+	}
+}
+
+func scenarioFiles(t *testing.T) []string {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(scenarioDir, "*.txtar"))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	return files
+}
+
+// needs reads the names of mechanisms from lines "# needs: a b".
+func needs(t *testing.T, file string) []string {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, line := range strings.Split(string(data), "\n") {
+		if rest, ok := strings.CutPrefix(line, "# needs:"); ok {
+			names = append(names, strings.Fields(rest)...)
+		}
+	}
+	return names
+}
+
+// fails runs a script and reports whether it failed.
+func fails(p testscript.Params) bool {
+	rec := &recorder{}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		testscript.RunT(rec, p)
+	}()
+	<-done
+	return rec.failed
+}
+
+// recorder is a testscript.T that notes a failure without failing a test.
+type recorder struct{ failed bool }
+
+func (r *recorder) Skip(...any)   { runtime.Goexit() }
+func (r *recorder) Fatal(...any)  { r.FailNow() }
+func (r *recorder) Parallel()     {}
+func (r *recorder) Log(...any)    {}
+func (r *recorder) Verbose() bool { return false }
+
+func (r *recorder) FailNow() {
+	r.failed = true
+	runtime.Goexit()
+}
+
+func (r *recorder) Run(_ string, f func(testscript.T)) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f(r)
+	}()
+	<-done
+}
+
+// scenarioParams describes how scripts run, with one mechanism switched off or
+// none.
+func scenarioParams(without string, files ...string) testscript.Params {
+	return testscript.Params{
+		Files: files,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"start":  scenarioCommand((*scenario).start),
 			"offer":  scenarioCommand((*scenario).offer),
@@ -39,19 +127,20 @@
 			"audit":  scenarioCommand((*scenario).audit),
 		},
 		Setup: func(env *testscript.Env) error {
-			env.Values[scenarioKey{}] = &scenario{calls: make(map[string]*call)}
+			env.Values[scenarioKey{}] = &scenario{without: without, calls: make(map[string]*call)}
 			return nil
 		},
-	})
+	}
 }
 
 type scenarioKey struct{}
 
 // scenario is the state of one script.
 type scenario struct {
-	world *World
-	calls map[string]*call
-	next  uint64
+	world   *World
+	without string
+	calls   map[string]*call
+	next    uint64
 }
 
 // scenarioCommand turns a method into a command that fails the script on error,
@@ -71,7 +160,7 @@
 	}
 }
 
-// start begins a run: start DEPLOYMENT [seed=N] [without=MECHANISM].
+// start begins a run: start DEPLOYMENT [seed=N].
 func (s *scenario) start(args []string) error {
 	opts := Options{Seed: 1, Load: DefaultLoad, Mix: workload.DefaultMix(), Policy: PolicyTrefoilpath}
 	d, err := workload.ByName(args[0])
@@ -79,14 +168,11 @@
 		return err
 	}
 	opts.Deployment = d
-	for key, value := range settings(args[1:]) {
-		switch key {
-		case "seed":
-			opts.Seed, err = strconv.ParseUint(value, 10, 64)
-		case "without":
-			opts.Without = strings.Split(value, ",")
-		}
-		if err != nil {
+	if s.without != "" {
+		opts.Without = []string{s.without}
+	}
+	if value, ok := settings(args[1:])["seed"]; ok {
+		if opts.Seed, err = strconv.ParseUint(value, 10, 64); err != nil {
 			return err
 		}
 	}
@@ -395,7 +481,8 @@
 }
 
 // expect checks a request: expect NAME OUTCOME [CODE], expect NAME runs=N,
-// expect NAME within=D; or an entry or agent: expect NODE revision=N.
+// expect NAME within=D; or an entry or agent: expect NODE revision=N; or what
+// all engines hold: expect engines held=N.
 func (s *scenario) expect(args []string) error {
 	c := s.calls[args[0]]
 	if c == nil {
@@ -435,7 +522,24 @@
 	return nil
 }
 
+// held sums the memory that all engines hold for sequences and handles.
+func (s *scenario) held() int64 {
+	var sum int64
+	for _, a := range s.world.engines() {
+		for _, h := range a.engine.held() {
+			sum += h.Tokens
+		}
+	}
+	return sum
+}
+
 func (s *scenario) expectNode(args []string) error {
+	if args[0] == "engines" {
+		if want := settings(args[1:])["held"]; strconv.FormatInt(s.held(), 10) != want {
+			return fmt.Errorf("the engines hold %d tokens, want %s", s.held(), want)
+		}
+		return nil
+	}
 	value, ok := settings(args[1:])["revision"]
 	if !ok {
 		return fmt.Errorf("request %s does not exist", args[0])
