Read answer streams of load runs up to their trailers

Cause: a load run stopped reading at [DONE], so that the outcome in the trailer of a streamed answer was never seen. Change: the rest of the body is read before the trailer is. Result: outcomes of failed streams are counted as the entry states them; the tests of internal/load pass.

--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -89,6 +89,9 @@
 	a := answer{due: due, check: c.cfg.CheckAnswer, digest: digest}
 	err = readEvents(resp.Body, a.add)
 	a.finish(s)
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body) // up to the trailers
+	}
 	if trailer := resp.Trailer.Get(headerOutcome); trailer != "" {
 		s.outcome = trailer
 	}
