--- a/cmd/trefoilpath/main.go
+++ b/cmd/trefoilpath/main.go
@@ -33,6 +33,7 @@
 	app.HelpFlag.Short('h')
 	app.Version(version())
 	registerAgent(app)
+	registerDev(app)
 	registerEntry(app)
 	registerExperiment(app)
 	registerLoad(app)
--- /dev/null
+++ b/internal/dev/dev.go
@@ -0,0 +1,178 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"trefoilpath.org/trefoilpath/examples"
+	"trefoilpath.org/trefoilpath/internal/load"
+	"trefoilpath.org/trefoilpath/internal/wire"
+	"trefoilpath.org/trefoilpath/internal/workload"
+)
+
+// Times of a run.
+const (
+	readyTimeout = 30 * time.Second
+	readyPoll    = 100 * time.Millisecond
+	loadDrain    = 30 * time.Second // for the requests in flight when the load ends
+	reclaimWait  = 10 * time.Second // for engines to free the memory of abandoned requests
+	unbounded    = 365 * 24 * time.Hour
+)
+
+// Config describes a run.
+type Config struct {
+	Deployment examples.Deployment
+	Listen     string        // address of the first entry for callers
+	For        time.Duration // how long load is offered; 0: until the context ends
+	Rate       float64       // requests a second
+	Seed       uint64
+	Mix        workload.Mix
+	Out        io.Writer // what a person reads: start, progress, result
+	Log        zerolog.Logger
+}
+
+// Run starts the deployment, offers load to it and stops it again. It returns an
+// error if the deployment does not become ready, if no request completes, or if
+// a promise is seen broken: a wrong answer, a doubled call, memory not freed.
+func Run(ctx context.Context, cfg Config) error {
+	p, err := startPlatform(cfg.Deployment)
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	if _, err := p.acceptLists(ctx, cfg.Deployment); err != nil {
+		return err
+	}
+	f, err := newFleet(cfg, p)
+	if err != nil {
+		return err
+	}
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var g errgroup.Group
+	g.Go(func() error {
+		defer stop()
+		return f.run(running)
+	})
+	result, runErr := cfg.exercise(ctx, running, p, f)
+	stop()
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	if runErr != nil {
+		return runErr
+	}
+	return cfg.conclude(ctx, p, result)
+}
+
+// exercise waits for the deployment, offers load, and lets the engines settle.
+func (cfg Config) exercise(ctx, running context.Context, p *platform, f *fleet) (*load.Result, error) {
+	fmt.Fprintf(cfg.Out, "Starting %s: %d entries, %d engines, %d services.\n",
+		cfg.Deployment.Name, len(f.entries), cfg.Deployment.Model.Count, cfg.Deployment.Service.Count)
+	if err := f.awaitReady(ctx, running, len(p.endpoints)); err != nil {
+		return nil, err
+	}
+	keys, err := cfg.Deployment.Keys()
+	if err != nil {
+		return nil, err
+	}
+	cfg.greet(f, keys[0].Key)
+	loadCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(running, cancel)()
+	loadCfg, err := cfg.load(f, keys)
+	if err != nil {
+		return nil, err
+	}
+	result, err := load.Run(loadCtx, loadCfg)
+	if err != nil {
+		return nil, err
+	}
+	p.awaitFree(running, reclaimWait)
+	return result, nil
+}
+
+// load returns the load that the run offers.
+func (cfg Config) load(f *fleet, keys []examples.Key) (load.Config, error) {
+	shape, err := workload.ByName(cfg.Deployment.Name)
+	if err != nil {
+		return load.Config{}, err
+	}
+	ids := make([]wire.AccountID, 0, len(keys))
+	byAccount := make(map[wire.AccountID]string, len(keys))
+	for _, k := range keys {
+		ids = append(ids, k.Account)
+		byAccount[k.Account] = k.Key
+	}
+	duration := cfg.For
+	if duration == 0 {
+		duration = unbounded
+	}
+	return load.Config{
+		Targets: f.callerURLs(),
+		Keys:    byAccount,
+		Workload: workload.Config{
+			Deployment: shape,
+			Rate:       cfg.Rate,
+			Mix:        cfg.Mix,
+			Accounts:   workload.Shares(ids),
+			Seed:       cfg.Seed,
+		},
+		Duration:         duration,
+		Drain:            loadDrain,
+		CheckAnswer:      true,
+		Progress:         cfg.Out,
+		ProgressInterval: progressInterval(cfg.For),
+	}, nil
+}
+
+// Intervals between lines of progress.
+const (
+	shortProgress = time.Second
+	longProgress  = 10 * time.Second
+)
+
+func progressInterval(run time.Duration) time.Duration {
+	if run == 0 || run > time.Minute {
+		return longProgress
+	}
+	return shortProgress
+}
+
+// greet tells a person how to send a request.
+func (cfg Config) greet(f *fleet, key string) {
+	d := cfg.Deployment
+	url := f.callerURLs()[0]
+	fmt.Fprintf(cfg.Out, "Ready. Callers' addresses: %v\n", f.callerURLs())
+	fmt.Fprintf(cfg.Out, "Operators' addresses: %v, key %s\n", f.operatorURLs(), OperatorKey)
+	fmt.Fprintf(cfg.Out, "Try:\n  curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n"+
+		"    -d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":32,\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}]}'\n",
+		url, key, d.Model.Name)
+	fmt.Fprintf(cfg.Out, "  curl %s/services/%s/stock -H 'Authorization: Bearer %s'\n", url, d.Service.Name, key)
+}
+
+// conclude prints the result and checks what can be seen from outside.
+func (cfg Config) conclude(ctx context.Context, p *platform, result *load.Result) error {
+	if err := result.WriteText(cfg.Out); err != nil {
+		return err
+	}
+	doubled, held := p.doubled(), p.heldTokens()
+	fmt.Fprintf(cfg.Out, "Doubled service calls: %d. KV cache tokens still held by engines: %d.\n", doubled, held)
+	switch {
+	case result.Completed == 0 && ctx.Err() == nil:
+		return errors.New("no request completed")
+	case result.Wrong > 0:
+		return errors.Errorf("%d answers differ from the ones expected", result.Wrong)
+	case doubled > 0:
+		return errors.Errorf("%d service calls ran more than once", doubled)
+	case held > 0:
+		return errors.Errorf("engines still hold %d KV cache tokens with nothing in flight", held)
+	}
+	return nil
+}
--- a/internal/dev/platform.go
+++ b/internal/dev/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,7 @@
 const (
 	vmListLag      = time.Second
 	engineLoadTime = 2 * time.Second
+	freePoll       = 50 * time.Millisecond
 )
 
 // endpoint is one stand-in with the agent that belongs beside it.
@@ -38,6 +40,13 @@
 	return e.engine.URL()
 }
 
+func (e *endpoint) address() string {
+	if e.kind == wire.KindService {
+		return e.service.Address()
+	}
+	return e.engine.Address()
+}
+
 // platform is everything that surrounds the system's own processes.
 type platform struct {
 	store     *standin.Store
@@ -143,7 +152,9 @@
 	if err != nil {
 		return 0, err
 	}
-	receipt, err := declaration.Accept(ctx, store.NewHTTPClient(p.store.URL(), nil), declaration.Update{
+	hc := &http.Client{Transport: &http.Transport{}}
+	defer hc.CloseIdleConnections()
+	receipt, err := declaration.Accept(ctx, store.NewHTTPClient(p.store.URL(), hc), declaration.Update{
 		Lists:  lists,
 		Author: "dev",
 		Nonce:  rand.Uint64() | 1,
@@ -186,6 +197,21 @@
 	return total
 }
 
+// awaitFree waits until no engine holds memory, for a limited time.
+func (p *platform) awaitFree(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ticker := time.NewTicker(freePoll)
+	defer ticker.Stop()
+	for p.heldTokens() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // close stops the stand-ins in the reverse order of their start.
 func (p *platform) close() {
 	for i := len(p.closers) - 1; i >= 0; i-- {
