--- a/cmd/trefoilpath/experiment.go
+++ b/cmd/trefoilpath/experiment.go
@@ -29,6 +29,7 @@
 	policies   string
 	faults     string
 	long       string
+	floor      bool
 	virtual    time.Duration
 	dir        string
 	out        io.Writer
@@ -56,6 +57,7 @@
 	cmd.Flag("policy", "Policies, separated by commas; all without it.").StringVar(&c.policies)
 	cmd.Flag("faults", "Runs without faults, with mixed ones, or both.").Default(string(experiment.FaultsNone)).EnumVar(&c.faults, string(experiment.FaultsNone), string(experiment.FaultsMixed), faultsBoth)
 	cmd.Flag("long", "Include prompts above a hundred thousand tokens.").Default(flagOn).EnumVar(&c.long, flagOn, flagOff)
+	cmd.Flag("floor", "Also measure the slowdown that random choices alone bring.").BoolVar(&c.floor)
 	cmd.Flag("virtual", "Length of the load of a run in virtual time.").Default(experiment.DefaultVirtual.String()).DurationVar(&c.virtual)
 	cmd.Flag("out", "Directory for the results.").Required().StringVar(&c.dir)
 	cmd.Action(func(*kingpin.ParseContext) error { return c.run() })
@@ -126,6 +128,9 @@
 func (c *experimentCommand) command() string {
 	line := fmt.Sprintf("trefoilpath experiment --deployment %s --seed %d --seeds %d --load %s --faults %s --long %s --virtual %s --out DIR",
 		c.deployment, c.seed, c.seeds, c.loads, c.faults, c.long, c.virtual)
+	if c.floor {
+		line += " --floor"
+	}
 	if c.policies != "" {
 		line += " --policy " + c.policies
 	}
@@ -133,7 +138,7 @@
 }
 
 func (c *experimentCommand) matrix() (experiment.Matrix, error) {
-	m := experiment.Matrix{Long: c.long == flagOn, Virtual: c.virtual, Parallel: c.parallel}
+	m := experiment.Matrix{Long: c.long == flagOn, Floor: c.floor, Virtual: c.virtual, Parallel: c.parallel}
 	var err error
 	if m.Deployment, err = workload.ByName(c.deployment); err != nil {
 		return m, err
--- a/cmd/trefoilpath/experiment_test.go
+++ b/cmd/trefoilpath/experiment_test.go
@@ -37,13 +37,13 @@
 }
 
 func TestExperimentComparesPoliciesOnTheSameRequests(t *testing.T) {
-	results, page := runExperiment(t, "--virtual", "40s", "--load", "60", "--policy", "trefoilpath,round-robin", "--deployment", "sanabil")
+	results, page := runExperiment(t, "--virtual", "40s", "--load", "60", "--policy", "trefoilpath,round-robin", "--deployment", "sanabil", "--floor")
 	requests := make(map[string][]int64)
 	for _, r := range results.Rows {
 		if r.Deployment != "sanabil" || r.Load != 60 || r.Faults != "none" || r.Seed != 1 {
 			t.Errorf("row of another run: %+v", r)
 		}
-		if r.Band == "short" && (r.TTFTP95 <= 0 || r.TTFTP95 < r.TTFTP50 || r.ShortSlowdownP95 <= 0 || r.ITLP95 <= 0) {
+		if r.Band == "short" && (r.TTFTP95 <= 0 || r.TTFTP95 < r.TTFTP50 || r.ShortSlowdownP95 <= 0 || r.SlowdownFloorP95 <= 0 || r.ITLP95 <= 0) {
 			t.Errorf("row without its measures: %+v", r)
 		}
 		requests[r.Policy] = append(requests[r.Policy], r.Requests)
--- a/internal/experiment/matrix.go
+++ b/internal/experiment/matrix.go
@@ -22,6 +22,7 @@
 	Faults     []Faults
 	Seeds      []uint64
 	Long       bool // with long prompts, and again without for the slowdown of short ones
+	Floor      bool // measures the slowdown that random choices alone bring
 	Virtual    time.Duration
 	Parallel   int
 }
@@ -91,23 +92,34 @@
 	return rows, nil
 }
 
+// otherChoices is the Shuffle of the run that gives the floor of the slowdown.
+const otherChoices = 1
+
 // runCell runs one cell, with long prompts and without as far as wanted.
 func (m Matrix) runCell(c Cell) ([]report.Row, error) {
-	without, err := m.run(c, true)
+	without, err := m.run(c, true, 0)
 	if err != nil {
 		return nil, err
 	}
 	if !m.Long {
-		return rowsOf(c, without, nil), nil
+		return rowsOf(c, without, slowdowns{}), nil
 	}
-	with, err := m.run(c, false)
+	with, err := m.run(c, false, 0)
 	if err != nil {
 		return nil, err
 	}
-	return rowsOf(c, with, without), nil
+	s := slowdowns{p95: slowdownP95(with, without)}
+	if m.Floor {
+		again, err := m.run(c, true, otherChoices)
+		if err != nil {
+			return nil, err
+		}
+		s.floorP95 = slowdownP95(again, without)
+	}
+	return rowsOf(c, with, s), nil
 }
 
-func (m Matrix) run(c Cell, omitLong bool) (*soak.Result, error) {
+func (m Matrix) run(c Cell, omitLong bool, shuffle uint64) (*soak.Result, error) {
 	mix := workload.DefaultMix()
 	mix.OmitLong = omitLong
 	opts := soak.Options{
@@ -120,6 +132,7 @@
 		FaultEvery: soak.DefaultFaultEvery,
 		Policy:     c.Policy,
 		Measure:    true,
+		Shuffle:    shuffle,
 	}
 	if c.Faults == FaultsMixed {
 		opts.Faults = []string{soak.FaultsMixed}
--- a/internal/experiment/row.go
+++ b/internal/experiment/row.go
@@ -15,10 +15,20 @@
 // bandService is the band of plain service calls.
 const bandService = "service"
 
-// rowsOf measures a run: one row for each band of prompts and one for all
-// requests. without is the same run without long prompts, or nil.
-func rowsOf(c Cell, r, without *soak.Result) []report.Row {
-	slowdown := slowdownP95(r, without)
+// slowdowns are the measures of short requests beside long ones; 0: not measured.
+type slowdowns struct {
+	p95      float64
+	floorP95 float64
+}
+
+func (s slowdowns) apply(row *report.Row) {
+	row.ShortSlowdownP95 = s.p95
+	row.SlowdownFloorP95 = s.floorP95
+}
+
+// rowsOf measures a run: one row for each band of prompts, one for service
+// calls and one for all requests.
+func rowsOf(c Cell, r *soak.Result, s slowdowns) []report.Row {
 	var rows []report.Row
 	for b := range wire.Band(wire.BandCount) {
 		row := measure(c, r, func(k *soak.Call) bool { return k.Kind == wire.KindEngine && k.Band == b })
@@ -27,7 +37,7 @@
 		}
 		row.Band = b.String()
 		if b == wire.BandShort {
-			row.ShortSlowdownP95 = slowdown
+			s.apply(&row)
 		}
 		rows = append(rows, row)
 	}
@@ -36,7 +46,7 @@
 	rows = append(rows, row)
 	all := measure(c, r, func(*soak.Call) bool { return true })
 	all.Band = report.BandAll
-	all.ShortSlowdownP95 = slowdown
+	s.apply(&all)
 	return append(rows, all)
 }
 
@@ -107,9 +117,6 @@
 // slowdownP95 is the 95th percentile over short requests of the time to first
 // token beside long ones over that of the same request without them.
 func slowdownP95(with, without *soak.Result) float64 {
-	if without == nil {
-		return 0
-	}
 	alone := make(map[uint64]time.Duration)
 	for i := range without.Calls {
 		if k := &without.Calls[i]; shortWithToken(k) {
--- a/internal/report/row.go
+++ b/internal/report/row.go
@@ -25,7 +25,10 @@
 	TTFTP99          float64 `json:"ttft_p99_s"`
 	ITLP95           float64 `json:"itl_p95_s"`
 	ShortSlowdownP95 float64 `json:"short_slowdown_p95"` // 0: not measured in this row
-	Goodput          float64 `json:"goodput"`            // requests completed within their time, a second
+	// SlowdownFloorP95 is the same ratio between two runs without long prompts
+	// that differ in their random choices alone; 0: not measured.
+	SlowdownFloorP95 float64 `json:"short_slowdown_floor_p95,omitempty"`
+	Goodput          float64 `json:"goodput"` // requests completed within their time, a second
 	NotRun           int64   `json:"not_run"`
 	Unknown          int64   `json:"unknown"`
 	Late             int64   `json:"late"`
@@ -104,6 +107,7 @@
 	mean(&s.TTFTP99, r.TTFTP99)
 	mean(&s.ITLP95, r.ITLP95)
 	mean(&s.ShortSlowdownP95, r.ShortSlowdownP95)
+	mean(&s.SlowdownFloorP95, r.SlowdownFloorP95)
 	mean(&s.Goodput, r.Goodput)
 	s.Requests += r.Requests
 	s.NotRun += r.NotRun
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -19,6 +19,7 @@
 	Policy     Policy
 	Without    []string // mechanisms that are switched off
 	Measure    bool     // goes on after a broken promise
+	Shuffle    uint64   // changes every random choice but the workload
 }
 
 // Defaults of Options.
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -76,7 +76,7 @@
 	w := &World{
 		opts:     opts,
 		clock:    new(simnet.Clock),
-		rnd:      rand.New(rand.NewPCG(opts.Seed, worldStream)),
+		rnd:      rand.New(rand.NewPCG(opts.Seed, worldStream+opts.Shuffle)),
 		journal:  newJournal(),
 		lists:    lists,
 		snapshot: declaration.Resolve(lists, 1),
