--- a/internal/soak/agentnode.go
+++ b/internal/soak/agentnode.go
@@ -279,10 +279,14 @@
 // frameOutput frames what the engine has generated since the last frame.
 func (a *agentNode) frameOutput(id engine.SequenceID, generated int64) {
 	k := a.bySequence[id]
-	if k == nil || k.resumed+generated <= k.output {
+	if k == nil {
+		return
+	}
+	// An engine that resumes at the end of an answer generates the end alone.
+	output := min(k.resumed+generated, k.call.expectedTokens())
+	if output <= k.output {
 		return
 	}
-	output := k.resumed + generated
 	data := tokenText(k.call.req.BodyDigest, k.output, output)
 	a.keepFrame(k, k.framer.Data(data, int32(output-k.output)))
 	k.output = output
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"trefoilpath.org/trefoilpath/internal/wire"
 	"trefoilpath.org/trefoilpath/internal/workload"
 )
 
@@ -79,3 +80,33 @@
 		t.Error("an unknown mechanism was accepted")
 	}
 }
+
+// TestOmittingLongPromptsKeepsTheOthers compares the calls of a run with those
+// of the same run without long prompts.
+func TestOmittingLongPromptsKeepsTheOthers(t *testing.T) {
+	opts := shortRun(workload.Atitlan(), 3)
+	opts.Faults = nil
+	opts.Measure = true
+	with := mustRun(t, opts)
+	opts.Mix.OmitLong = true
+	without := mustRun(t, opts)
+	sent := make(map[uint64]time.Duration)
+	for _, c := range with.Calls {
+		if c.Kind == wire.KindEngine && c.Band <= wire.BandMedium {
+			sent[c.Number] = c.Sent
+		}
+	}
+	found := 0
+	for _, c := range without.Calls {
+		if c.Kind != wire.KindEngine {
+			continue
+		}
+		if at, ok := sent[c.Number]; !ok || at != c.Sent {
+			t.Fatalf("request %d sent at %v without long prompts, at %v (%t) with them", c.Number, c.Sent, at, ok)
+		}
+		found++
+	}
+	if found != len(sent) {
+		t.Errorf("%d prompts without long ones, %d with them", found, len(sent))
+	}
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -110,7 +110,7 @@
 		Accounts:   workload.AccountsOf(w.snapshot, ids, w.opts.Deployment),
 		Seed:       w.opts.Seed,
 	}
-	capacity, err := workload.CapacityOf(cfg, workload.StandinRates())
+	capacity, err := fullCapacity(cfg)
 	if err != nil {
 		return err
 	}
@@ -123,6 +123,13 @@
 	return nil
 }
 
+// fullCapacity is the capacity for the whole mix, so that leaving out the long
+// prompts changes nothing for the others.
+func fullCapacity(cfg workload.Config) (workload.Capacity, error) {
+	cfg.Mix.OmitLong = false
+	return workload.CapacityOf(cfg, workload.StandinRates())
+}
+
 func (w *World) addNodes() {
 	d := w.opts.Deployment
 	for i := range d.Entries {
--- a/internal/spread/config.go
+++ b/internal/spread/config.go
@@ -48,7 +48,7 @@
 	answerAfter = 5 * time.Second
 	// minBackoff and maxBackoff bound the pause after the store failed.
 	minBackoff = 500 * time.Millisecond
-	maxBackoff = 15 * time.Second
+	maxBackoff = 2 * time.Second
 	// storeReads is the number of chunks read from the store at once.
 	storeReads = 8
 	// historyLen is the number of past revisions from which differences are made.
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -34,7 +34,7 @@
 	defaultMaxWatches      = 8
 	defaultBreakAfter      = 3
 	defaultMinBackoff      = 200 * time.Millisecond
-	defaultMaxBackoff      = 10 * time.Second
+	defaultMaxBackoff      = 5 * time.Second
 	defaultRamp            = 10 * time.Second
 )
 
