Report medium prompts in prefill along with long ones

Cause: an engine's steps take longer beside any prompt beyond the short band, but routing of short prompts heard of those above 100k tokens only. Change: Report.LongRunning counts medium prompts in prefill too.

--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -107,7 +107,7 @@
 		last:         e.last,
 		queue:        c.share.tokens,
 		running:      int32(c.engine.running),
-		longRunning:  int32(c.engine.prefills[classLong]),
+		longRunning:  int32(c.engine.prefills[classLong] + c.engine.prefills[classMedium]),
 		free:         c.freeTokens(),
 		prefillRate:  c.engine.prefillRate,
 		decodeRate:   c.engine.decodeRate,
--- a/internal/wire/toentry.go
+++ b/internal/wire/toentry.go
@@ -40,7 +40,7 @@
 	Leaving       bool             `cbor:"5,keyasint,omitempty"`
 	QueueTokens   [BandCount]int64 `cbor:"6,keyasint"`            // prompt tokens waiting, by band
 	Running       int32            `cbor:"7,keyasint,omitempty"`  // sequences in the engine
-	LongRunning   int32            `cbor:"8,keyasint,omitempty"`  // of these, long prefills
+	LongRunning   int32            `cbor:"8,keyasint,omitempty"`  // of these, prompts beyond the short band in prefill
 	PrefillTokens int64            `cbor:"9,keyasint,omitempty"`  // prompt tokens still to prefill in the engine
 	FreeTokens    int64            `cbor:"10,keyasint,omitempty"` // KV cache tokens neither held nor reserved
 	PrefillRate   float64          `cbor:"11,keyasint,omitempty"` // tokens a second, recent
