--- /dev/null
+++ b/internal/soak/scenario_fault_test.go
@@ -0,0 +1,214 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/simnet"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// agentOf finds the agent that runs a call at present.
+func (s *scenario) agentOf(name string) (*agentNode, error) {
+	c := s.calls[name]
+	if c == nil || len(c.attempts) == 0 {
+		return nil, fmt.Errorf("request %s has no attempt", name)
+	}
+	for _, a := range s.world.agents {
+		if a.work[c.attempts[len(c.attempts)-1]] != nil {
+			return a, nil
+		}
+	}
+	return nil, fmt.Errorf("no agent holds request %s", name)
+}
+
+// findAgent resolves an endpoint, or the one that runs a request: @NAME.
+func (s *scenario) findAgent(target string) (*agentNode, error) {
+	if name, ok := strings.CutPrefix(target, "@"); ok {
+		return s.agentOf(name)
+	}
+	for _, a := range s.world.agents {
+		if string(a.endpoint) == target {
+			return a, nil
+		}
+	}
+	return nil, fmt.Errorf("endpoint %s does not exist", target)
+}
+
+// findEntry resolves an entry, or the one that holds a request: @NAME.
+func (s *scenario) findEntry(target string) (*entryNode, error) {
+	if name, ok := strings.CutPrefix(target, "@"); ok && s.calls[name] != nil {
+		return s.calls[name].entry, nil
+	}
+	if e := s.world.entryByID(wire.NodeID(target)); e != nil {
+		return e, nil
+	}
+	return nil, fmt.Errorf("entry %s does not exist", target)
+}
+
+// kill ends a process: crash entry|agent|engine TARGET [for=D]. It starts again.
+func (s *scenario) kill(args []string) error {
+	w := s.world
+	d := 5 * time.Second
+	if v, ok := settings(args[2:])["for"]; ok {
+		d, _ = time.ParseDuration(v)
+	}
+	if args[0] == "entry" {
+		e, err := s.findEntry(args[1])
+		if err != nil {
+			return err
+		}
+		w.disturb(e.name)
+		e.kill(false)
+		w.startEntryAfter(e, d)
+		return nil
+	}
+	a, err := s.findAgent(args[1])
+	if err != nil {
+		return err
+	}
+	w.disturb(a.name)
+	if args[0] == "engine" {
+		a.engine.kill(d)
+		return nil
+	}
+	a.kill(false)
+	w.startAgentAfter(a, d)
+	return nil
+}
+
+// pause stops a process for a time: pause entry|agent TARGET DURATION [late].
+func (s *scenario) pause(args []string) error {
+	d, err := time.ParseDuration(args[2])
+	if err != nil {
+		return err
+	}
+	_, late := settings(args[3:])["late"]
+	if args[0] == "entry" {
+		e, err := s.findEntry(args[1])
+		if err != nil {
+			return err
+		}
+		s.world.disturbFor(d, e.name)
+		e.pause(d, late)
+		return nil
+	}
+	a, err := s.findAgent(args[1])
+	if err != nil {
+		return err
+	}
+	s.world.disturbFor(d, a.name)
+	a.pause(d, late)
+	return nil
+}
+
+// leave shuts a process down gracefully: leave entry|agent TARGET.
+func (s *scenario) leave(args []string) error {
+	if args[0] == "entry" {
+		e, err := s.findEntry(args[1])
+		if err != nil {
+			return err
+		}
+		s.world.disturb(e.name)
+		e.leave()
+		return nil
+	}
+	a, err := s.findAgent(args[1])
+	if err != nil {
+		return err
+	}
+	s.world.disturb(a.name)
+	a.leave()
+	return nil
+}
+
+// hang stops an engine for a time, with its memory: hang TARGET DURATION.
+func (s *scenario) hang(args []string) error {
+	a, err := s.findAgent(args[0])
+	if err != nil {
+		return err
+	}
+	d, err := time.ParseDuration(args[1])
+	if err != nil {
+		return err
+	}
+	w := s.world
+	w.disturb(a.name)
+	a.engine.model.Hang(w.clock.Now(), w.clock.Now()+d)
+	a.engine.pump()
+	return nil
+}
+
+// break store|service MODE.
+func (s *scenario) breakNode(args []string) error {
+	stores := map[string]storeMode{"healthy": storeHealthy, "down": storeDown, "slow": storeSlow, "mute": storeMute}
+	services := map[string]serviceMode{"healthy": serviceHealthy, "down": serviceDown, "slow": serviceSlow, "mute": serviceMute}
+	if args[0] == "store" {
+		s.world.disturb(storeName)
+		s.world.store.mode = stores[args[1]]
+		return nil
+	}
+	for _, a := range s.world.services() {
+		a.service.mode = services[args[1]]
+	}
+	return nil
+}
+
+// link resolves the two ends of a link: an agent or @NAME, and an entry or store.
+func (s *scenario) link(args []string) (pair, error) {
+	if args[1] == string(storeName) {
+		e, err := s.findEntry(args[0])
+		if err != nil {
+			return pair{}, err
+		}
+		return pair{e.name, storeName}, nil
+	}
+	e, err := s.findEntry(args[1])
+	if err != nil {
+		return pair{}, err
+	}
+	if other, err := s.findEntry(args[0]); err == nil && !strings.HasPrefix(args[0], "@") {
+		return pair{other.name, e.name}, nil
+	}
+	a, err := s.findAgent(args[0])
+	if err != nil {
+		return pair{}, err
+	}
+	return pair{a.name, e.name}, nil
+}
+
+// cut stops all messages between two nodes: cut NODE NODE.
+func (s *scenario) cut(args []string) error {
+	p, err := s.link(args)
+	if err != nil {
+		return err
+	}
+	s.world.changeLink(p, "link-cut", time.Hour, func(l *simnet.Link) { l.Cut = true })
+	return nil
+}
+
+// heal restores all links.
+func (s *scenario) heal([]string) error {
+	s.world.healAllLinks()
+	return nil
+}
+
+// hangUp makes callers go away: hangup NAME.
+func (s *scenario) hangUp(args []string) error {
+	s.world.callers.leave(s.calls[args[0]])
+	return nil
+}
+
+// edit changes the lists: edit [race].
+func (s *scenario) edit(args []string) error {
+	var race func()
+	if len(args) > 0 {
+		race = func() { s.world.editNow(nil) }
+	}
+	s.world.editNow(race)
+	return s.broken()
+}
+
+// maxScenarioWait bounds a wait for an event.
+const maxScenarioWait = 31 * time.Minute
