Leave the name of a link alone when its entry moves

Cause: go test -race ./internal/dev found that redirect wrote the whole entry of a link while serve read its name without the lock. Change: redirect sets the address only; the name never changes.

--- a/internal/agent/shell/links.go
+++ b/internal/agent/shell/links.go
@@ -169,7 +169,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.wanted = true
-	r.entry = entry
+	r.entry.Address = entry.Address // Node is read without the lock
 }
 
 func (r *link) address() string {
