Continue an answer behind what the caller has

Usage counted the last attempt only. Change: the shell, which holds the text, decides where an attempt of a completion goes on, in the assembler and in the dispatch alike, and adds up the totals of a continued answer.

--- a/internal/entry/shell/agents.go
+++ b/internal/entry/shell/agents.go
@@ -117,8 +117,8 @@
 		a.sendOn(s, msg)
 		return
 	}
-	body := a.e.exchanges.body(m.Request, msg.Dispatch)
 	d := *msg.Dispatch
+	body := a.e.exchanges.body(m.Request, &d)
 	d.BodyBytes = int64(len(body))
 	a.sendOn(s, wire.ToAgent{Dispatch: &d})
 	a.sendBody(s, d.Attempt, body)
--- a/internal/entry/shell/exchange.go
+++ b/internal/entry/shell/exchange.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	asm     answer.Assembler
 	attempt wire.AttemptID
+	resume  int64 // output tokens that the attempt does not repeat
 	pieces  []piece
 	backlog int
 	text    []byte // all data passed on, for continuation and for records
@@ -79,7 +80,7 @@
 		s.Event = entry.StreamBroken
 	case answer.EventDone:
 		s.Event = entry.StreamDone
-		s.Total = *f.Last
+		s.Total = x.wholeTotal(*f.Last, delivered)
 		s.Reply = x.reply()
 	default:
 		return nil
@@ -87,6 +88,28 @@
 	return s
 }
 
+// wholeTotal returns the totals of the whole answer from those of its last
+// attempt, whose prompt held the part of the answer that it did not repeat.
+func (x *exchange) wholeTotal(last wire.FrameTotal, delivered int64) wire.FrameTotal {
+	if x.resume > 0 {
+		last.OutputTokens = delivered
+		last.PromptTokens = max(last.PromptTokens-x.resume, 0)
+	}
+	return last
+}
+
+// setAttempt makes a the attempt whose frames are passed on. The core hears of
+// delivered tokens only now and then; what the caller has decides where an
+// attempt goes on, so that neither a gap nor a repetition can arise.
+func (x *exchange) setAttempt(a *entry.Attempt) {
+	x.attempt = a.Attempt
+	x.resume = a.ResumeFrom
+	if x.continued != nil {
+		x.resume, _ = x.asm.Delivered()
+	}
+	x.asm.SetAttempt(a.Attempt, x.resume)
+}
+
 // pass queues data for the caller.
 func (x *exchange) pass(f *wire.Frame, data []byte, tokens int) {
 	if f.Head != nil {
@@ -131,10 +154,14 @@
 	x.notify()
 }
 
-// bodyFor returns the request body for an attempt.
+// bodyFor returns the request body for an attempt and sets in d where the
+// attempt goes on.
 func (x *exchange) bodyFor(d *wire.Dispatch) []byte {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if d.Attempt == x.attempt {
+		d.ResumeFrom = x.resume
+	}
 	if d.ResumeFrom == 0 || x.continued == nil {
 		return x.request
 	}
@@ -180,9 +207,8 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	delete(xs.byAttempt, x.attempt)
-	x.attempt = a.Attempt
+	x.setAttempt(a)
 	xs.byAttempt[a.Attempt] = x
-	x.asm.SetAttempt(a.Attempt, a.ResumeFrom)
 }
 
 // end hands the final answer to the caller's handler and forgets the exchange.
