Check a development run while engines, store and services fail

Cause: the promises were checked over real sockets only while nothing failed, and a wrong usage count looked like a wrong answer. Change: a test kills busy engines, hangs one, takes the store down and breaks service connections under load; load runs count answers whose usage differs from the tokens received apart from wrong answers.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -35,6 +35,8 @@
 	Mix        workload.Mix
 	Out        io.Writer // what a person reads: start, progress, result
 	Log        zerolog.Logger
+
+	disturb func(ctx context.Context, p *platform) // runs beside the load; for tests
 }
 
 // Run starts the deployment, offers load to it and stops it again. It returns an
@@ -90,7 +92,9 @@
 	if err != nil {
 		return nil, err
 	}
+	disturbed := cfg.startDisturbance(loadCtx, p)
 	result, err := load.Run(loadCtx, loadCfg)
+	<-disturbed
 	if err != nil {
 		return nil, err
 	}
@@ -98,6 +102,19 @@
 	return result, nil
 }
 
+// startDisturbance runs the disturbance, if there is one, and returns a channel
+// that is closed when it has ended.
+func (cfg Config) startDisturbance(ctx context.Context, p *platform) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if cfg.disturb != nil {
+			cfg.disturb(ctx, p)
+		}
+	}()
+	return ended
+}
+
 // load returns the load that the run offers.
 func (cfg Config) load(f *fleet, keys []examples.Key) (load.Config, error) {
 	shape, err := workload.ByName(cfg.Deployment.Name)
@@ -169,6 +186,8 @@
 		return errors.New("no request completed")
 	case result.Wrong > 0:
 		return errors.Errorf("%d answers differ from the ones expected", result.Wrong)
+	case result.Miscounted > 0:
+		return errors.Errorf("%d answers have a usage count that differs from their tokens", result.Miscounted)
 	case doubled > 0:
 		return errors.Errorf("%d service calls ran more than once", doubled)
 	case held > 0:
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"trefoilpath.org/trefoilpath/examples"
+	"trefoilpath.org/trefoilpath/internal/wire"
 	"trefoilpath.org/trefoilpath/internal/workload"
 )
 
@@ -70,3 +71,66 @@
 		t.Errorf("stopped by itself:\n%s", out.String())
 	}
 }
+
+// Engines die while they answer, a hung one goes on, the store goes down, and
+// service connections break after the call was executed. No answer may differ
+// from the whole one, no keyed call may run twice, no memory may stay held.
+func TestPromisesHoldWhileThingsFail(t *testing.T) {
+	t.Parallel()
+	var out bytes.Buffer
+	cfg := testConfig(examples.Deployments()[0], &out)
+	cfg.For = 3 * time.Second
+	cfg.Rate = 20
+	cfg.disturb = func(ctx context.Context, p *platform) {
+		killed := killBusyEngines(ctx, p, 3)
+		if killed == 0 {
+			t.Error("no engine was busy")
+		}
+		p.endpoints[0].engine.Hang(time.Second)
+		p.store.SetDown(true)
+		for _, ep := range p.endpoints {
+			if ep.kind == wire.KindService {
+				ep.service.BreakNext(2)
+			}
+		}
+		pause(ctx, time.Second)
+		p.store.SetDown(false)
+		for _, ep := range p.endpoints {
+			if ep.kind == wire.KindEngine {
+				ep.engine.Restart()
+			}
+		}
+	}
+	if err := Run(context.Background(), cfg); err != nil {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	if !strings.Contains(out.String(), " 0 abandoned") {
+		t.Errorf("requests did not end:\n%s", out.String())
+	}
+}
+
+// killBusyEngines kills up to n engines that are generating.
+func killBusyEngines(ctx context.Context, p *platform, n int) int {
+	killed := 0
+	for killed < n && pause(ctx, 50*time.Millisecond) {
+		for _, ep := range p.endpoints {
+			if ep.kind != wire.KindEngine || killed == n {
+				continue
+			}
+			if l := ep.engine.Ledger(); l.Running > 0 && l.OutputTokens > 0 {
+				ep.engine.Kill()
+				killed++
+			}
+		}
+	}
+	return killed
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -33,10 +33,12 @@
 	code    string // of an error answer
 	late    bool   // ended after its deadline
 	wrong   bool   // the answer differs from the one expected
-	first   time.Duration
-	total   time.Duration
-	tokens  int64         // output tokens received
-	between time.Duration // mean time between tokens; 0 with fewer than two
+	// miscounted is set if the usage count differs from the tokens received.
+	miscounted bool
+	first      time.Duration
+	total      time.Duration
+	tokens     int64         // output tokens received
+	between    time.Duration // mean time between tokens; 0 with fewer than two
 }
 
 // Codes of requests that got no answer.
@@ -161,20 +163,16 @@
 	if s.tokens > 1 {
 		s.between = a.last.Sub(a.first) / time.Duration(s.tokens-1)
 	}
-	s.wrong = a.check && !a.matches()
+	if a.check {
+		s.wrong = !a.matches()
+		s.miscounted = a.tokens > 0 && a.tokens != int64(a.text.Len())/enginemodel.TokenBytes
+	}
 }
 
 // matches compares the answer with the one that the engine stand-in gives.
 func (a *answer) matches() bool {
-	n := int64(a.text.Len())
-	if n%enginemodel.TokenBytes != 0 {
-		return false
-	}
-	want := enginemodel.AppendTokens(nil, a.digest, 0, n/enginemodel.TokenBytes)
-	if a.tokens > 0 && a.tokens != n/enginemodel.TokenBytes {
-		return false
-	}
-	return a.text.String() == string(want)
+	n := int64(a.text.Len()) / enginemodel.TokenBytes
+	return a.text.String() == string(enginemodel.AppendTokens(nil, a.digest, 0, n))
 }
 
 func (c *caller) callService(ctx context.Context, target string, s *sample, due time.Time) {
--- a/internal/load/print.go
+++ b/internal/load/print.go
@@ -35,8 +35,8 @@
 
 // WriteText writes the result as a table.
 func (r *Result) WriteText(w io.Writer) error {
-	fmt.Fprintf(w, "%d requests in %.1f s: %d completed, %d not run, %d unknown, %d without answer, %d abandoned, %d late, %d wrong; %d output tokens\n",
-		r.Sent, r.Seconds, r.Completed, r.NotRun, r.Unknown, r.NoAnswer, r.Abandoned, r.Late, r.Wrong, r.Tokens)
+	fmt.Fprintf(w, "%d requests in %.1f s: %d completed, %d not run, %d unknown, %d without answer, %d abandoned, %d late, %d wrong, %d miscounted; %d output tokens\n",
+		r.Sent, r.Seconds, r.Completed, r.NotRun, r.Unknown, r.NoAnswer, r.Abandoned, r.Late, r.Wrong, r.Miscounted, r.Tokens)
 	for _, c := range r.Codes {
 		fmt.Fprintf(w, "  %s: %d\n", c.Code, c.Count)
 	}
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -19,18 +19,20 @@
 
 // Result is what a load run measured.
 type Result struct {
-	Seconds   float64     `json:"seconds"`
-	Sent      int         `json:"sent"`
-	Completed int         `json:"completed"`
-	NotRun    int         `json:"not_run"`
-	Unknown   int         `json:"unknown"`
-	NoAnswer  int         `json:"no_answer"`
-	Abandoned int         `json:"abandoned"` // in flight when the run ended
-	Late      int         `json:"late"`      // ended after the deadline that they asked for
-	Wrong     int         `json:"wrong"`     // answers that differ from the ones expected
-	Tokens    int64       `json:"output_tokens"`
-	Codes     []CodeCount `json:"codes"`
-	Rows      []Row       `json:"rows"` // one for each length band, and one for service calls
+	Seconds   float64 `json:"seconds"`
+	Sent      int     `json:"sent"`
+	Completed int     `json:"completed"`
+	NotRun    int     `json:"not_run"`
+	Unknown   int     `json:"unknown"`
+	NoAnswer  int     `json:"no_answer"`
+	Abandoned int     `json:"abandoned"` // in flight when the run ended
+	Late      int     `json:"late"`      // ended after the deadline that they asked for
+	Wrong     int     `json:"wrong"`     // answers that differ from the ones expected
+	// Miscounted counts answers whose usage differs from the tokens received.
+	Miscounted int         `json:"miscounted"`
+	Tokens     int64       `json:"output_tokens"`
+	Codes      []CodeCount `json:"codes"`
+	Rows       []Row       `json:"rows"` // one for each length band, and one for service calls
 }
 
 // CodeCount is how often an error code was answered.
@@ -109,6 +111,9 @@
 	if s.wrong {
 		r.res.Wrong++
 	}
+	if s.miscounted {
+		r.res.Miscounted++
+	}
 	if s.code != "" {
 		r.codes[s.code]++
 	}
