Number the lives of entries as those of agents

Cause: an entry took its incarnation from its clock alone, so that one restarted with a clock set back was taken for its earlier life; the agent had the better way inside its shell.

--- a/internal/entry/shell/run.go
+++ b/internal/entry/shell/run.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"trefoilpath.org/trefoilpath/internal/incarnation"
 	"trefoilpath.org/trefoilpath/internal/settings"
 	"trefoilpath.org/trefoilpath/internal/transport"
 )
@@ -44,7 +45,7 @@
 // down gracefully; Run returns when nothing is in flight any more, or after the
 // longest wait that the settings allow.
 func Run(ctx context.Context, s settings.Entry, log zerolog.Logger) error {
-	cfg, err := FromSettings(s, fromClock(), log)
+	cfg, err := FromSettings(s, incarnation.For(ctx, s.StoreURL, incarnation.RoleEntry, string(s.Node), log), log)
 	if err != nil {
 		return err
 	}
