Check what is in flight against the limits over many seeds

Cause: one directed case covered requests that outlive their grants. Change: 30 seeds of requests longer than grants at two to four entries.

--- a/internal/limits/inflight_test.go
+++ b/internal/limits/inflight_test.go
@@ -26,3 +26,24 @@
 		t.Fatalf("%d requests more than the limit are in flight", f.excess)
 	}
 }
+
+// TestInFlightStaysWithinTheLimit offers more than the limits allow, by requests
+// that last longer than grants, at all entries, and kills nobody.
+func TestInFlightStaysWithinTheLimit(t *testing.T) {
+	for seed := range uint64(30) {
+		f := newFleet(t, seed, 2+int(seed%3), manyAccounts)
+		ids := accountIDs(manyAccounts)
+		var ends []ending
+		for f.now < 40*time.Second {
+			ends = f.finish(ends)
+			n, id := f.nodes[f.r.IntN(len(f.nodes))], ids[f.r.IntN(len(ids))]
+			if f.now%(2*time.Second) < time.Second && f.admit(n, id, 100).OK {
+				ends = append(ends, ending{f.now + time.Duration(f.r.IntN(6000))*time.Millisecond, n, n.incarnation, id})
+			}
+			f.step()
+		}
+		if f.excess > 0 {
+			t.Fatalf("seed %d: %d requests more than the limit are in flight", seed, f.excess)
+		}
+	}
+}
