Renew grants by session instead of listing them

Cause: every exchange listed every want and grant, so the busiest of 107 home entries sent 3,942 B/s for limits alone. Change: an answer renews all grants that the peer holds; only changed or unheard wants and grants are listed, and the home counts a grant until the holder says that it has applied a later reply with grants.

--- a/internal/limits/admit.go
+++ b/internal/limits/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/declaration"
@@ -66,12 +67,16 @@
 
 // account is one client account that this entry serves.
 type account struct {
-	id       wire.AccountID
-	limits   declaration.Limits
-	home     wire.NodeID
-	homePeer *peer // nil: this entry
-	grant    allowance
-	granted  bool // a grant has been received
+	id        wire.AccountID
+	limits    declaration.Limits
+	home      wire.NodeID
+	homePeer  *peer // nil: this entry
+	grant     allowance
+	granted   bool           // a grant has been received
+	grantedBy *peer          // whose session says when the grant lapses; nil: grant.until
+	sent      wire.GrantWant // last want sent to the home
+	sentIn    uint64         // Sequence of that request; 0: none
+	withdrawn bool           // unused; the row goes once the home has heard
 
 	inUse     int64
 	peak      int64 // of inUse and what was refused, in this period
@@ -125,6 +130,7 @@
 		}
 	}
 	a.used = now
+	a.withdrawn = false
 	a.offered++
 	a.tokens += float64(tokens)
 	allowed := m.allowed(now, a)
@@ -199,6 +205,9 @@
 
 func (m *Machine) assignHome(a *account) {
 	home := m.view.homes.of(a.id)
+	if home != a.home {
+		a.detach()
+	}
 	if a.home == m.cfg.Self && home != m.cfg.Self {
 		a.grant = allowance{} // it rests on shares that were lent to this entry
 	}
@@ -211,7 +220,8 @@
 	a.homePeer.accounts = append(a.homePeer.accounts, a)
 }
 
-// expireAccount drops an account that has not been used for a while.
+// expireAccount drops an account that has not been used for a while, once its
+// home has heard that the grant is not needed.
 func (m *Machine) expireAccount(now time.Duration, id wire.AccountID) {
 	a := m.accounts.Get(id)
 	if a == nil {
@@ -222,25 +232,34 @@
 		m.idle.Set(id, max(now, a.used)+keep)
 		return
 	}
-	m.accounts.Delete(id)
-	if a.homePeer == nil {
+	if p := a.homePeer; p != nil && a.sentIn != 0 && !(a.withdrawn && a.sentIn <= p.taken) {
+		if !a.withdrawn {
+			a.withdrawn = true
+			a.sentIn = p.requests.last + 1 // list it in the next request
+		}
+		m.requestSoon(now, p, m.period()/asksPerPeriod)
+		m.idle.Set(id, now+2*m.period())
 		return
 	}
-	for i, other := range a.homePeer.accounts {
-		if other == a {
-			last := len(a.homePeer.accounts) - 1
-			a.homePeer.accounts[i] = a.homePeer.accounts[last]
-			a.homePeer.accounts = a.homePeer.accounts[:last]
-			break
-		}
+	m.removeAccount(a)
+}
+
+func (m *Machine) removeAccount(a *account) {
+	m.accounts.Delete(a.id)
+	if a.homePeer == nil {
+		return
 	}
+	at := slices.Index(a.homePeer.accounts, a)
+	last := len(a.homePeer.accounts) - 1
+	a.homePeer.accounts[at] = a.homePeer.accounts[last]
+	a.homePeer.accounts = a.homePeer.accounts[:last]
 }
 
 // allowed returns what this entry may use now: its grant while that is valid,
 // or its equal share while that is promised to nobody.
 func (m *Machine) allowed(now time.Duration, a *account) allowance {
 	var al allowance
-	if now < a.grant.until {
+	if now < a.validUntil() {
 		al = a.grant
 	}
 	if a.homePeer == nil || now < a.homePeer.promised || !m.ownFree(now, a.id) {
@@ -308,6 +327,9 @@
 }
 
 func (a *account) want() wire.GrantWant {
+	if a.withdrawn {
+		return wire.GrantWant{Account: a.id}
+	}
 	return wire.GrantWant{
 		Account:       a.id,
 		MilliRequests: uint64(min(a.demand.requests, maxDemand) * milli),
--- a/internal/limits/exchange.go
+++ b/internal/limits/exchange.go
@@ -57,6 +57,7 @@
 		Sequence:        p.requests.next(now),
 		Echo:            p.reply,
 		EchoIncarnation: p.life,
+		Applied:         p.applied,
 		Count:           uint32(len(m.view.members)),
 		Members:         m.view.digest,
 		Homes:           m.view.homes.digest,
@@ -65,7 +66,10 @@
 		m.lend(now, p, r)
 	}
 	for _, a := range p.accounts {
-		r.Wants = append(r.Wants, a.measure(now, m.period()))
+		if w := a.measure(now, m.period()); a.mustList(p, w) {
+			a.sent, a.sentIn = w, r.Sequence
+			r.Wants = append(r.Wants, w)
+		}
 	}
 	m.out = append(m.out, PeerMsg{Peer: p.node, Address: p.address, Msg: wire.ToPeer{GrantRequest: r}})
 }
@@ -106,7 +110,7 @@
 		Members:         m.view.digest,
 		Wait:            max(p.bound-now, 0),
 	}
-	if r.Homes == m.view.homes.digest && len(r.Wants) > 0 {
+	if r.Homes == m.view.homes.digest {
 		m.grantWants(now, p, r.Wants, reply)
 	}
 	m.out = append(m.out, PeerMsg{Peer: from, Address: p.address, Msg: wire.ToPeer{GrantReply: reply}})
@@ -122,15 +126,20 @@
 	if p.life != 0 {
 		p.bound = max(p.bound, m.selfPromise, p.promised, now+m.period())
 		for _, a := range p.accounts {
-			p.bound = max(p.bound, a.grant.until)
+			p.bound = max(p.bound, a.validUntil())
+			a.detach()
 		}
 	}
 	p.life = life
 	p.reply = 0
+	p.applied = 0
+	p.taken = 0
+	p.session = 0
 	p.hasReplied = false
 	p.acked = 0
 	p.request = 0
 	p.echo = 0
+	p.holds = nil // they lapse
 	p.lend = lending{}
 	return true
 }
@@ -145,27 +154,34 @@
 	if !ok {
 		return
 	}
-	p.echo = r.Echo
+	p.echo = r.Applied
 	if r.Lend <= 0 || r.Count == 0 {
 		return
 	}
 	p.lend = lending{until: sent + r.Lend, count: r.Count, homes: r.Homes, moved: r.Moved}
 }
 
+// grantWants takes the wants and renews all grants that the peer holds here.
 func (m *Machine) grantWants(now time.Duration, p *peer, wants []wire.GrantWant, reply *wire.GrantReply) {
 	if !m.joined || now < m.joinWait {
 		return // grants of an earlier life may still be in use
 	}
-	reply.Lease = leasePeriods * m.period()
-	m.selfPromise = now + reply.Lease
-	b := m.backingUntil(now, m.selfPromise)
-	reply.Grants = make([]wire.Grant, 0, len(wants))
+	if now >= p.ends {
+		m.endSession(p)
+	}
 	for _, w := range wants {
-		if m.view.homes.of(w.Account) != m.cfg.Self {
-			continue
+		if m.view.homes.of(w.Account) == m.cfg.Self {
+			m.takeWant(now, p, w)
 		}
-		reply.Grants = append(reply.Grants, m.grantPeer(now, p, w, b, reply.Sequence))
 	}
+	reply.Lease = leasePeriods * m.period()
+	reply.Session = p.given
+	if len(p.holds) == 0 {
+		return
+	}
+	p.ends = now + reply.Lease
+	m.selfPromise = max(m.selfPromise, p.ends)
+	m.renew(now, p, wants, reply)
 }
 
 // handleReply takes grants. Their term counts from when we sent the request.
@@ -187,24 +203,34 @@
 		m.joinWait = max(m.joinWait, now+r.Wait)
 		m.join(now)
 	}
-	m.takeGrants(p, r, sent)
+	m.takeGrants(now, p, r, sent)
 	if first && m.joined {
 		m.scheduleRequest(p, now) // the first one could not lend
 	}
 }
 
-func (m *Machine) takeGrants(p *peer, r *wire.GrantReply, sent time.Duration) {
+func (m *Machine) takeGrants(now time.Duration, p *peer, r *wire.GrantReply, sent time.Duration) {
+	if r.Lease <= 0 {
+		return // the wants were not taken either
+	}
+	if r.Session != p.session {
+		m.dropSession(now, p)
+		p.session = r.Session
+	}
+	p.applied = r.Sequence
+	p.taken = r.Echo
+	p.until = sent + r.Lease
 	for _, g := range r.Grants {
 		a := m.accounts.Get(g.Account)
 		if a == nil || a.homePeer != p {
 			continue
 		}
 		a.granted = true
+		a.grantedBy = p
 		a.grant = allowance{
 			requests:    float64(g.MilliRequests) / milli,
 			tokens:      float64(g.Tokens),
 			concurrency: g.Concurrency,
-			until:       sent + r.Lease,
 		}
 	}
 }
--- a/internal/limits/home.go
+++ b/internal/limits/home.go
@@ -137,6 +137,11 @@
 	return &h.holders[len(h.holders)-1]
 }
 
+// remove forgets a holder.
+func (h *homeAccount) remove(node wire.NodeID) {
+	h.holders = slices.DeleteFunc(h.holders, func(x holder) bool { return x.node == node })
+}
+
 // expire drops grants that have lapsed, wants that were not repeated, and
 // holders that have neither.
 func (h *homeAccount) expire(now, memory time.Duration) {
@@ -251,36 +256,19 @@
 }
 
 // allot returns what one holder gets: its fair share, but not less than it has
-// in use, and not more than the others leave of the backed part.
-func (m *Machine) allot(h *homeAccount, part float64, x *holder) allowance {
-	share := m.fairShare(h, part, x.node)
+// in use, and not more than room, which the others leave of the backed part.
+func (m *Machine) allot(h *homeAccount, part float64, x *holder) (share, room allowance) {
 	others := h.heldByOthers(x.node)
 	others.concurrency += m.inFlightBeyond(h, x)
 	whole := int64(math.Floor(float64(h.limits.Concurrency)*part + roundingSlack))
-	share.concurrency = max(share.concurrency, x.want.InUse)
-	share.concurrency = max(min(share.concurrency, whole-others.concurrency), 0)
-	share.requests = max(min(share.requests, h.limits.RequestsPerSecond*part-others.requests), 0)
-	share.tokens = max(min(share.tokens, h.limits.TokensPerSecond*part-others.tokens), 0)
-	return share
-}
-
-// grantPeer decides on the want of another entry.
-func (m *Machine) grantPeer(now time.Duration, p *peer, w wire.GrantWant, b backing, sequence uint64) wire.Grant {
-	h := m.homeAccount(now, w.Account)
-	h.expire(now, wantPeriods*m.period())
-	x := h.holder(p.node)
-	x.want, x.wanted = w, now
-	x.confirm(p.echo)
-	share := m.allot(h, b.of(m, w.Account), x)
-	share.until = now + leasePeriods*m.period()
-	x.given = append(x.given, given{sequence: sequence, allowance: share})
-	m.checkSums(now, w.Account, h)
-	return wire.Grant{
-		Account:       w.Account,
-		MilliRequests: uint64(share.requests * milli),
-		Tokens:        uint64(share.tokens),
-		Concurrency:   share.concurrency,
-	}
+	room.requests = max(h.limits.RequestsPerSecond*part-others.requests, 0)
+	room.tokens = max(h.limits.TokensPerSecond*part-others.tokens, 0)
+	room.concurrency = max(whole-others.concurrency, 0)
+	share = m.fairShare(h, part, x.node)
+	share.requests = min(share.requests, room.requests)
+	share.tokens = min(share.tokens, room.tokens)
+	share.concurrency = min(max(share.concurrency, x.want.InUse), room.concurrency)
+	return share, room
 }
 
 // grantSelf decides on the use of an account by this entry, its home. The grant
@@ -294,7 +282,7 @@
 	x.want.Concurrency = max(x.want.Concurrency, a.peak, a.inUse+1)
 	x.want.MilliRequests = max(x.want.MilliRequests, milli)
 	x.wanted = now
-	share := m.allot(h, m.backingUntil(now, now+m.period()).of(m, a.id), x)
+	share, _ := m.allot(h, m.backingUntil(now, now+m.period()).of(m, a.id), x)
 	m.setSelf(now, a, x, share)
 	m.checkSums(now, a.id, h)
 }
@@ -303,6 +291,7 @@
 	share.until = now + m.period()
 	x.given = append(x.given[:0], given{allowance: share})
 	a.grant = share
+	a.grantedBy = nil
 	a.granted = true
 }
 
--- a/internal/limits/machine_test.go
+++ b/internal/limits/machine_test.go
@@ -205,6 +205,88 @@
 	f.offer(f.nodes[1], "antigua", 100, 3*time.Second)
 }
 
+// TestGrantsOfAnEarlierLifeLapse restarts the entry that holds nearly all of a
+// limit and expects the others to get it.
+func TestGrantsOfAnEarlierLifeLapse(t *testing.T) {
+	f := newFleet(t, 1, 3, oneAccount(large))
+	f.run(maxListLag + time.Second)
+	home := f.node(f.nodes[0].m.Home("antigua"))
+	var away []*node
+	for _, n := range f.nodes {
+		if n != home {
+			away = append(away, n)
+		}
+	}
+	f.offer(away[0], "antigua", 100, 5*time.Second)
+	f.start(away[0])
+	f.run(maxListLag + time.Second)
+	f.offer(away[1], "antigua", 100, 5*time.Second)
+	if u := f.usable(away[1], "antigua"); u.concurrency < large.Concurrency*8/10 {
+		t.Fatalf("the only busy entry may use %+v", u)
+	}
+}
+
+// TestGrantIsNotRenewedBeyondItsBacking cuts off one idle lender of five while
+// another entry holds nearly all of a limit.
+func TestGrantIsNotRenewedBeyondItsBacking(t *testing.T) {
+	f := newFleet(t, 1, 5, oneAccount(large))
+	f.run(maxListLag + time.Second)
+	home := f.node(f.nodes[0].m.Home("antigua"))
+	var away []*node
+	for _, n := range f.nodes {
+		if n != home {
+			away = append(away, n)
+		}
+	}
+	f.offer(away[0], "antigua", 100, 5*time.Second)
+	for _, n := range f.nodes {
+		f.partition(away[1], n, true)
+	}
+	f.offer(away[0], "antigua", 100, 10*time.Second)
+	if u := f.usable(away[1], "antigua"); u.concurrency != large.Concurrency/5 {
+		t.Fatalf("cut off, it may use %+v", u)
+	}
+}
+
+// TestReplyWithoutGrantsConfirmsNothing loses a reply that lowers a grant and
+// then delivers one that carries no grants, as the homes differ meanwhile.
+func TestReplyWithoutGrantsConfirmsNothing(t *testing.T) {
+	m := New(Config{Self: "a", Incarnation: 1, Region: testRegion, ListLag: 1, Homes: 2})
+	snapshot := newFleet(t, 1, 1, manyAccounts).snapshot
+	m.SetSnapshot(0, snapshot)
+	m.SetPeers(0, []Peer{{Node: "b", Address: "b", Region: testRegion}})
+	var id wire.AccountID
+	for _, other := range accountIDs(manyAccounts) {
+		if m.Home(other) == "a" {
+			id = other
+		}
+	}
+	now, sequence := m.settle(), uint64(0)
+	m.Tick(now)
+	send := func(r wire.GrantRequest) *wire.GrantReply {
+		m.TakePeer()
+		now += time.Millisecond
+		sequence++
+		r.Incarnation, r.EchoIncarnation, r.Sequence, r.Count = 1, 1, sequence, 2
+		r.Lend = lendPeriods * m.period()
+		m.FromPeer(now, "b", wire.ToPeer{GrantRequest: &r})
+		return m.TakePeer()[0].Msg.GrantReply
+	}
+	homes := m.view.homes.digest
+	first := send(wire.GrantRequest{Homes: homes})
+	want := []wire.GrantWant{{Account: id, MilliRequests: 1e6, Tokens: 1e6, Concurrency: 100}}
+	high := send(wire.GrantRequest{Homes: homes, Echo: first.Sequence, Wants: want})
+	if len(high.Grants) != 1 || high.Grants[0].Concurrency == 0 {
+		t.Fatalf("granted %+v", high.Grants)
+	}
+	send(wire.GrantRequest{Homes: homes, Echo: high.Sequence, Applied: high.Sequence, Wants: []wire.GrantWant{{Account: id}}}) // lost
+	other := send(wire.GrantRequest{Homes: homes + 1, Echo: high.Sequence, Applied: high.Sequence})
+	send(wire.GrantRequest{Homes: homes, Echo: other.Sequence, Applied: high.Sequence})
+	if held := m.homes.Get(id).holder("b").held(); held.concurrency != high.Grants[0].Concurrency {
+		t.Fatalf("counted %+v while the holder may use %+v", held, high.Grants[0])
+	}
+}
+
 // TestNewLifeOfHomeWaitsForGrants checks that an entry tells a home that has
 // restarted for how long a grant of its earlier life is in use.
 func TestNewLifeOfHomeWaitsForGrants(t *testing.T) {
--- a/internal/limits/peers.go
+++ b/internal/limits/peers.go
@@ -47,11 +47,18 @@
 	reply       uint64        // Sequence of that reply
 	promised    time.Duration // our share is lent until then
 	accounts    []*account    // at home there
+	session     uint64        // of the grants that we hold
+	until       time.Duration // when the grants of the session lapse
+	applied     uint64        // Sequence of the last reply with a lease
+	taken       uint64        // Sequence of the last request whose wants it has taken
 	acked       uint64        // digest of the members that it has confirmed
 
 	// The peer as a borrower and lender.
 	request uint64 // Sequence of its last request
-	echo    uint64 // Sequence of the last reply of ours that it took
+	echo    uint64 // Sequence of the last reply with a lease that it took
+	given   uint64 // session of the grants that it holds
+	holds   []wire.AccountID
+	ends    time.Duration // when those grants lapse
 	replies sentTimes
 	lend    lending
 	bound   time.Duration // until then the peer waits before it uses its share
@@ -220,6 +227,7 @@
 func (m *Machine) rehome() {
 	m.peers.Each(func(_ wire.NodeID, p *peer) bool {
 		p.accounts = p.accounts[:0]
+		p.holds = slices.DeleteFunc(p.holds, func(id wire.AccountID) bool { return m.view.homes.of(id) != m.cfg.Self })
 		return true
 	})
 	m.accounts.Each(func(_ wire.AccountID, a *account) bool {
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -57,7 +57,8 @@
 
 // GrantRequest asks the home entry of client accounts for slices of their
 // limits, and lends the home the sender's equal share of the limits of all
-// accounts that are at home there.
+// accounts that are at home there. Wants lists those that have changed or may
+// not have been heard.
 type GrantRequest struct {
 	Incarnation Incarnation `cbor:"1,keyasint"`
 	Wants       []GrantWant `cbor:"2,keyasint,omitempty"`
@@ -73,6 +74,9 @@
 	Members uint64        `cbor:"8,keyasint"`            // digest of their names
 	Homes   uint64        `cbor:"9,keyasint"`            // digest of the names of the home entries
 	Moved   uint64        `cbor:"10,keyasint,omitempty"` // digest of the earlier homes, while accounts that have moved are not lent
+	// Applied is the Sequence of the last GrantReply with a Lease that the sender
+	// has taken.
+	Applied uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // GrantWant is what one entry would use of one account's limits. It is encoded
@@ -89,7 +93,8 @@
 }
 
 // GrantReply hands out slices that expire after Lease on the receiver's clock,
-// counted from when it sent the request.
+// counted from when it sent the request. Grants lists those that the receiver
+// has asked for or may not have heard of; the others of the session go on.
 type GrantReply struct {
 	Incarnation Incarnation   `cbor:"1,keyasint"` // of the home entry
 	Lease       time.Duration `cbor:"2,keyasint,omitempty"`
@@ -103,6 +108,9 @@
 	// still be in use. A receiver that has just started waits that long before
 	// it uses or lends its equal share.
 	Wait time.Duration `cbor:"8,keyasint,omitempty"`
+	// Session numbers the grants that the receiver holds in one go. A reply with a
+	// Lease renews all of them; those of an earlier session are void.
+	Session uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Grant is one leased slice of one account's limits. It is encoded as an array:
