Wait for a fresh list after a pause, and for a home's own grants

Accounts with no recent use withdrew their want and were refused at the next request. Change: an entry that did not run for ListLag reads the list before it uses its share; the wait told to new entries covers own grants; only accounts that are dropped withdraw, and Pending covers the time until the home has answered anew.

--- a/internal/limits/admit.go
+++ b/internal/limits/admit.go
@@ -122,6 +122,7 @@
 // Admit decides on one request of the account and, if it is admitted, counts it
 // until Settle.
 func (m *Machine) Admit(now time.Duration, id wire.AccountID, tokens int64) Decision {
+	m.wake(now)
 	a := m.accounts.Get(id)
 	if a == nil {
 		a = m.addAccount(now, id)
@@ -130,7 +131,10 @@
 		}
 	}
 	a.used = now
-	a.withdrawn = false
+	if a.withdrawn {
+		a.withdrawn = false
+		a.granted = false
+	}
 	a.offered++
 	a.tokens += float64(tokens)
 	allowed := m.allowed(now, a)
@@ -334,7 +338,7 @@
 		Account:       a.id,
 		MilliRequests: uint64(min(a.demand.requests, maxDemand) * milli),
 		Tokens:        uint64(min(a.demand.tokens, maxDemand)),
-		Concurrency:   a.demand.concurrency,
+		Concurrency:   max(a.demand.concurrency, 1), // zero would withdraw the want
 		InUse:         a.inUse,
 	}
 }
--- a/internal/limits/exchange.go
+++ b/internal/limits/exchange.go
@@ -10,6 +10,7 @@
 // FromPeer takes a message from another entry. It reports false for messages
 // that do not concern limits.
 func (m *Machine) FromPeer(now time.Duration, from wire.NodeID, msg wire.ToPeer) bool {
+	m.wake(now)
 	switch {
 	case msg.GrantRequest != nil:
 		m.handleRequest(now, from, msg.GrantRequest)
@@ -77,7 +78,7 @@
 // lend promises our share of the accounts at home at p. Accounts that have
 // changed their home are left out while an earlier promise may be in force.
 func (m *Machine) lend(now time.Duration, p *peer, r *wire.GrantRequest) {
-	if !m.joined {
+	if !m.sharing(now) {
 		return
 	}
 	if now < m.frozenUntil {
@@ -163,7 +164,7 @@
 
 // grantWants takes the wants and renews all grants that the peer holds here.
 func (m *Machine) grantWants(now time.Duration, p *peer, wants []wire.GrantWant, reply *wire.GrantReply) {
-	if !m.joined || now < m.joinWait {
+	if !m.sharing(now) || now < m.joinWait {
 		return // grants of an earlier life may still be in use
 	}
 	if now >= p.ends {
--- a/internal/limits/harness_test.go
+++ b/internal/limits/harness_test.go
@@ -190,6 +190,9 @@
 // usable is what the entry may use of the account now, also if it has not
 // served the account yet.
 func (f *fleet) usable(n *node, id wire.AccountID) allowance {
+	active, stale := n.m.active, n.m.stale
+	n.m.wake(f.now) // as any use would
+	defer func() { n.m.active, n.m.stale = active, stale }()
 	if a := n.m.accounts.Get(id); a != nil {
 		return n.m.allowed(f.now, a)
 	}
--- a/internal/limits/home.go
+++ b/internal/limits/home.go
@@ -45,7 +45,7 @@
 // time at least.
 func (m *Machine) backingUntil(now, until time.Duration) backing {
 	var b backing
-	if !m.joined || now < m.joinWait {
+	if !m.sharing(now) || now < m.joinWait {
 		return b
 	}
 	own := 1 / float64(len(m.view.members))
--- a/internal/limits/machine.go
+++ b/internal/limits/machine.go
@@ -90,6 +90,9 @@
 	selfPromise time.Duration // end of the last grant given to another entry
 	gonePromise time.Duration // end of the last promise to entries that are gone
 
+	active time.Duration // when the machine last ran
+	stale  time.Duration // until then the list is too old to go by
+
 	accounts *table.Table[wire.AccountID, account]
 	homes    *table.Table[wire.AccountID, homeAccount]
 
@@ -169,6 +172,7 @@
 
 // Tick sends what is due and drops what has expired.
 func (m *Machine) Tick(now time.Duration) {
+	m.wake(now)
 	m.expireMembers(now)
 	m.join(now)
 	for {
@@ -202,14 +206,31 @@
 // Next returns the time at which Tick is due.
 func (m *Machine) Next() time.Duration {
 	next := min(m.sends.Next(), m.idle.Next(), m.unheld.Next(), m.gone.Next())
-	if !m.joined && m.joinBy > 0 {
+	if m.joinBy == 0 {
+		return next
+	}
+	if !m.joined {
 		next = min(next, m.joinDue())
 	}
-	return next
+	return min(next, m.active+m.cfg.ListLag/2)
+}
+
+// wake notes that the machine runs. If it has not run for ListLag, the process
+// was paused: entries may have started that it has not heard of, so it leaves
+// its own share alone until it has read the list again, or for as long as it
+// would count an entry that it can't hear.
+func (m *Machine) wake(now time.Duration) {
+	if m.joinBy > 0 && now-m.active > m.cfg.ListLag {
+		m.stale = now + m.settle()
+	}
+	m.active = now
 }
 
+// sharing reports whether this entry may use, lend or grant its own share.
+func (m *Machine) sharing(now time.Duration) bool { return m.joined && now >= m.stale }
+
 // Joined reports whether this entry may use its equal share of the limits.
-func (m *Machine) Joined(now time.Duration) bool { return m.joined && now >= m.joinWait }
+func (m *Machine) Joined(now time.Duration) bool { return m.sharing(now) && now >= m.joinWait }
 
 // TakePeer returns the messages to send to other entries.
 func (m *Machine) TakePeer() []PeerMsg {
--- a/internal/limits/machine_test.go
+++ b/internal/limits/machine_test.go
@@ -130,6 +130,35 @@
 	}
 }
 
+// TestIdleAccountKeepsAGrant checks that an account that was idle for a while is
+// admitted at once at an entry that has served it before.
+func TestIdleAccountKeepsAGrant(t *testing.T) {
+	f := newFleet(t, 1, 3, oneAccount(large))
+	f.run(maxListLag + time.Second)
+	for _, n := range f.nodes {
+		f.offer(n, "antigua", 1, time.Second)
+	}
+	f.run(DefaultIdle / 2)
+	for _, n := range f.nodes {
+		if d := f.admit(n, "antigua", 100); !d.OK {
+			t.Fatalf("%s: %+v", n.id, d)
+		}
+		f.settle(n, "antigua")
+	}
+	f.run(DefaultIdle + f.nodes[0].m.period()) // the want is being withdrawn
+	for _, n := range f.nodes {
+		if d := f.admit(n, "antigua", 100); !d.OK && !d.Pending {
+			t.Fatalf("%s: refused at once: %+v", n.id, d)
+		}
+	}
+	f.run(100 * time.Millisecond)
+	for _, n := range f.nodes {
+		if d := f.admit(n, "antigua", 100); !d.OK {
+			t.Fatalf("%s: %+v", n.id, d)
+		}
+	}
+}
+
 // TestCutOffEntryUsesItsEqualShare cuts one entry off and checks that it and
 // the rest go on within their parts.
 func TestCutOffEntryUsesItsEqualShare(t *testing.T) {
@@ -166,6 +195,36 @@
 	}
 }
 
+// TestEntryThatWakesReadsTheListFirst pauses a cut-off entry while another one
+// starts. When it wakes it does not use the share that it had before.
+func TestEntryThatWakesReadsTheListFirst(t *testing.T) {
+	f := newFleet(t, 1, 2, scarceAccounts())
+	f.nodes = append(f.nodes, &node{id: "late"})
+	for _, a := range f.nodes {
+		for _, b := range f.nodes {
+			f.partition(a, b, true)
+		}
+	}
+	f.load(DefaultSettle+5*time.Second, f.nodes[:2])
+	f.nodes[0].paused = f.now + DefaultSettle + 8*time.Second + step
+	f.start(f.nodes[2])
+	f.list()
+	f.load(DefaultSettle+12*time.Second, f.nodes)
+	if !f.nodes[2].m.Joined(f.now) || f.now < f.nodes[0].paused {
+		t.Fatal("the late entry has no share yet, or the paused one has not woken")
+	}
+}
+
+// scarceAccounts are accounts that load uses up.
+func scarceAccounts() map[wire.AccountID]declaration.Limits {
+	accounts := make(map[wire.AccountID]declaration.Limits)
+	for id, l := range benchAccounts(12) {
+		l.Concurrency = 6
+		accounts[id] = l
+	}
+	return accounts
+}
+
 func TestHomeLostForGood(t *testing.T) {
 	f := newFleet(t, 1, 3, oneAccount(large))
 	f.run(maxListLag + time.Second)
@@ -251,7 +310,7 @@
 // TestReplyWithoutGrantsConfirmsNothing loses a reply that lowers a grant and
 // then delivers one that carries no grants, as the homes differ meanwhile.
 func TestReplyWithoutGrantsConfirmsNothing(t *testing.T) {
-	m := New(Config{Self: "a", Incarnation: 1, Region: testRegion, ListLag: 1, Homes: 2})
+	m := New(Config{Self: "a", Incarnation: 1, Region: testRegion, ListLag: time.Second, Homes: 2})
 	snapshot := newFleet(t, 1, 1, manyAccounts).snapshot
 	m.SetSnapshot(0, snapshot)
 	m.SetPeers(0, []Peer{{Node: "b", Address: "b", Region: testRegion}})
@@ -262,6 +321,7 @@
 		}
 	}
 	now, sequence := m.settle(), uint64(0)
+	m.SetPeers(now, []Peer{{Node: "b", Address: "b", Region: testRegion}})
 	m.Tick(now)
 	send := func(r wire.GrantRequest) *wire.GrantReply {
 		m.TakePeer()
@@ -319,12 +379,7 @@
 // so that accounts move to a home that already grants others.
 func TestHomesMoveBetweenOldEntries(t *testing.T) {
 	for seed := range uint64(40) {
-		accounts := make(map[wire.AccountID]declaration.Limits)
-		for id, l := range benchAccounts(12) {
-			l.Concurrency = 6
-			accounts[id] = l
-		}
-		f := newFleet(t, seed, 3, accounts)
+		f := newFleet(t, seed, 3, scarceAccounts())
 		f.listLag, f.homes = 0, 2
 		for _, n := range f.nodes {
 			f.start(n)
--- a/internal/limits/peers.go
+++ b/internal/limits/peers.go
@@ -91,8 +91,8 @@
 	return s.at[sequence%sentHistory], true
 }
 
-// SetPeers takes the list of entries. Entries that merely do not answer must
-// stay on it: they may still use their share.
+// SetPeers takes the list of entries each time that it has been read. Entries
+// that merely do not answer must stay on it: they may still use their share.
 func (m *Machine) SetPeers(now time.Duration, peers []Peer) {
 	listed := make(map[wire.NodeID]bool, len(peers))
 	for _, p := range peers {
@@ -110,6 +110,8 @@
 		return true
 	})
 	m.updateView(now)
+	m.active = now
+	m.stale = 0
 	if m.joinBy == 0 {
 		m.joinFrom = now + m.cfg.ListLag
 		m.joinBy = now + max(m.cfg.ListLag, m.settle())
@@ -144,7 +146,8 @@
 // newPeer counts an entry from now on. Until bound, shares may be in use that
 // were divided without it.
 func (m *Machine) newPeer(now time.Duration, node wire.NodeID) *peer {
-	p := m.peers.Put(node, peer{node: node, bound: m.lastPromise()})
+	bound := max(m.lastPromise(), now+m.period()) // grants to this entry itself included
+	p := m.peers.Put(node, peer{node: node, bound: bound})
 	m.scheduleRequest(p, now)
 	return p
 }
@@ -250,7 +253,7 @@
 // ownFree reports whether the own share of the account may be lent or granted:
 // the other entries count this one, and no earlier home may still hold it.
 func (m *Machine) ownFree(now time.Duration, id wire.AccountID) bool {
-	return m.joined && (now >= m.frozenUntil || m.stayed(id))
+	return m.sharing(now) && (now >= m.frozenUntil || m.stayed(id))
 }
 
 // join lets this entry use its share once every entry that runs has had time to
--- a/internal/limits/session.go
+++ b/internal/limits/session.go
@@ -27,6 +27,7 @@
 func (a *account) detach() {
 	a.grant.until = a.validUntil()
 	a.grantedBy = nil
+	a.granted = false
 	a.sentIn = 0
 }
 
@@ -37,6 +38,7 @@
 		if a.grantedBy == p {
 			a.grant = allowance{}
 			a.grantedBy = nil
+			a.granted = false
 		}
 		a.sentIn = 0
 	}
