Count only long silences as pauses of an entry

Cause: with a short list lag, the pause of a moment made an entry leave its own share alone for ten seconds; the entry's own tests saw it. Change: a third of the settling time without running counts as a pause, well before others go on without the entry's answer.

--- a/internal/limits/machine.go
+++ b/internal/limits/machine.go
@@ -45,6 +45,10 @@
 	DefaultIdle    = 30 * time.Second
 )
 
+// pauseParts is the part of the settling time without running that counts as a
+// pause: one in pauseParts.
+const pauseParts = 3
+
 // never is the time of a timer that is not set.
 const never = timer.Never
 
@@ -212,15 +216,15 @@
 	if !m.joined {
 		next = min(next, m.joinDue())
 	}
-	return min(next, m.active+m.cfg.ListLag/2)
+	return min(next, m.active+m.settle()/pauseParts/2)
 }
 
-// wake notes that the machine runs. If it has not run for ListLag, the process
-// was paused: entries may have started that it has not heard of, so it leaves
+// wake notes that the machine runs. If it has not run for a good part of the time
+// after which entries that start do without its answer, the process was paused: entries may have started that it has not heard of, so it leaves
 // its own share alone until it has read the list again, or for as long as it
 // would count an entry that it can't hear.
 func (m *Machine) wake(now time.Duration) {
-	if m.joinBy > 0 && now-m.active > m.cfg.ListLag {
+	if m.joinBy > 0 && now-m.active > m.settle()/pauseParts {
 		m.stale = now + m.settle()
 	}
 	m.active = now
