Let the agents of a development run leave gracefully

Change: when the entries have drained, each agent leaves as it would on SIGTERM, and the run ends when all have.

--- a/internal/dev/fleet.go
+++ b/internal/dev/fleet.go
@@ -177,8 +177,7 @@
 // run runs all processes. When ctx ends, the entries finish what is in flight,
 // then the agents leave.
 func (f *fleet) run(ctx context.Context) error {
-	agents, stopAgents := context.WithCancel(context.WithoutCancel(ctx))
-	defer stopAgents()
+	agents := context.WithoutCancel(ctx)
 	failed, fail := context.WithCancel(ctx)
 	defer fail()
 	var all errgroup.Group
@@ -202,7 +201,9 @@
 		})
 	}
 	err := entries.Wait()
-	stopAgents()
+	for _, a := range f.agents {
+		a.Leave()
+	}
 	if agentErr := all.Wait(); err == nil {
 		err = agentErr
 	}
