--- a/internal/limits/bench_test.go
+++ b/internal/limits/bench_test.go
@@ -88,12 +88,14 @@
 	for now := time.Duration(0); now < warm+measured; now += 20 * time.Millisecond {
 		if now == warm {
 			clear(f.sent)
-			f.count = 0
+			f.count, f.offered, f.admitted = 0, 0, 0
 		}
 		for i := range max(accounts/50, 1) { // each account once a second, or more often
 			a := (int(now/(20*time.Millisecond))*max(accounts/50, 1) + i) % accounts
 			node := f.order[(a*7+int(now/time.Second)%10)%entries]
+			f.offered++
 			if f.nodes[node].Admit(now, ids[a], 100).OK {
+				f.admitted++
 				f.nodes[node].Settle(now, ids[a], 100, 100)
 			}
 		}
@@ -104,6 +106,7 @@
 		total += sent
 		most = max(most, float64(sent)/measured.Seconds())
 	}
+	b.ReportMetric(float64(f.admitted)/float64(f.offered), "admitted")
 	nodes := measured.Seconds() * float64(entries)
 	return float64(total) / nodes, most, float64(f.count) / nodes
 }
@@ -114,6 +117,8 @@
 	nodes map[wire.NodeID]*Machine
 	sent  map[wire.NodeID]int
 	count int
+
+	offered, admitted int
 }
 
 func (f *benchFleet) exchange(b *testing.B, now time.Duration) {
