Notice an agent that vanishes without closing its stream

Cause: the VM of an agent can disappear without a reset. An attempt sent to it then waited until shortly before its deadline, since only a broken stream or the agent's own word ended it. Heartbeats and the bound on silence did not follow the number of agents, although reports do: with 170 agents heartbeats alone would send 2.7 KB a second. Change: an attempt that has neither started nor been refused two seconds after its start-by allowance is withdrawn and replaced; an endpoint that stops reporting loses its attempts; a row stays so that a late word still counts as proof. Heartbeats keep to 512 B/s and the bound on silence grows with the agents.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -30,16 +30,17 @@
 	gate     *store.Gate
 	fleet    *fleet
 
-	sequence  uint64 // of the last attempt
-	firstUsed uint64 // lowest sequence of this incarnation
-	lastOp    uint64
-	toRoute   []RequestID
-	retry     retryBudget
-	drain     drainState
-	ready     readiness
-	counts    Counts
-	scratch   []*endpoint // candidates of one routing decision
-	starved   []string
+	sequence uint64 // of the last attempt
+	lastOp   uint64
+	toRoute  []RequestID
+	retry    retryBudget
+	drain    drainState
+	ready    readiness
+	counts   Counts
+	scratch  []*endpoint // candidates of one routing decision
+	starved  []string
+	silent   time.Duration // without a report, after which an endpoint gets no work
+	demandAt time.Duration // of the last update of demand
 }
 
 // modelRow is what an entry knows of one model.
@@ -79,7 +80,7 @@
 		services:  table.New[string, serviceRow](),
 		timers:    timer.New[timerKey](),
 		gate:      store.NewGate(store.GateConfig{Rand: cfg.Rand}),
-		firstUsed: 1,
+		silent:    silentAfter,
 		retry:     retryBudget{ratio: cfg.RetryRatio, burst: cfg.RetryBurst, saved: cfg.RetryBurst},
 	}
 	c.records = idempotency.New(idempotency.Config{
--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// silentAfter is how long an endpoint may go without a report before it gets
-	// no new work.
+	// silentAfter is the shortest time without a report after which an endpoint
+	// gets no new work.
 	silentAfter = 15 * time.Second
 	// maxReturning is the number of attempts at once with which a returning
 	// endpoint counts as good again.
@@ -73,7 +73,7 @@
 
 func (c *Core) eachAttemptAt(id wire.EndpointID, f func(*attempt)) {
 	c.attempts.Each(func(_ uint64, a *attempt) bool {
-		if a.endpoint == id {
+		if a.endpoint == id && !a.abandoned {
 			f(a)
 		}
 		return true
@@ -100,13 +100,20 @@
 // heardFrom restarts the timer for silence.
 func (c *Core) heardFrom(e *endpoint) {
 	e.reported = c.now
-	c.timers.Set(timerKey{kind: timerSilent, endpoint: e.id}, c.now+silentAfter)
+	c.timers.Set(timerKey{kind: timerSilent, endpoint: e.id}, c.now+c.silent)
 }
 
+// endpointSilent gives up the attempts at an endpoint whose agent has stopped
+// reporting although its stream has not failed, as when its VM has vanished.
 func (c *Core) endpointSilent(e *endpoint) {
-	if e != nil && e.up {
-		c.log(Event{Kind: EventEndpointOut, Endpoint: e.id, Detail: "no report"})
+	if e == nil || !e.up {
+		return
 	}
+	c.log(Event{Kind: EventEndpointOut, Endpoint: e.id, Detail: "no report"})
+	c.eachAttemptAt(e.id, func(a *attempt) {
+		a.orphan = true
+		c.timers.Set(timerKey{kind: timerOrphan, id: a.id.Sequence}, c.now)
+	})
 }
 
 // reportArrived replaces what is known of an endpoint's load.
@@ -139,7 +146,7 @@
 	if e.leaving && !c.cfg.lacks(withoutLeaving) {
 		return false
 	}
-	if c.now-e.reported > silentAfter {
+	if c.now-e.reported > c.silent {
 		return false
 	}
 	switch e.health {
--- a/internal/entry/expire.go
+++ b/internal/entry/expire.go
@@ -27,6 +27,8 @@
 		c.retryDue(c.requests.Get(RequestID(key.id)))
 	case timerOrphan:
 		c.orphanDue(c.attempts.Get(key.id))
+	case timerStart:
+		c.startOverdue(c.attempts.Get(key.id))
 	case timerEject:
 		c.returnEndpoint(c.endpoints.Get(key.endpoint))
 	case timerSilent:
@@ -104,10 +106,22 @@
 	c.attemptLost(a, failure{code: CodeEndpointLost, detail: "connection to the endpoint was lost"})
 }
 
+// startOverdue gives up an attempt of which nothing was heard although it should
+// have started or been refused by now.
+func (c *Core) startOverdue(a *attempt) {
+	if a == nil || a.started || a.withdrawn || a.orphan {
+		return
+	}
+	a.orphan = true
+	c.orphanDue(a)
+}
+
 // heartbeat shows all agents that the entry is alive.
 func (c *Core) heartbeat() {
-	c.timers.Set(timerKey{kind: timerHeartbeat}, c.now+c.cfg.Heartbeat)
-	hb := wire.Heartbeat{Revision: c.revision(), Starved: c.starved, StoreDown: c.fleet.storeDown()}
+	up := c.agentsUp()
+	c.timers.Set(timerKey{kind: timerHeartbeat}, c.now+c.heartbeatEvery(up))
+	c.silent = silenceBound(up)
+	hb := wire.Heartbeat{Agents: int32(up), Revision: c.revision(), Starved: c.starved, StoreDown: c.fleet.storeDown()}
 	c.endpoints.Each(func(id wire.EndpointID, e *endpoint) bool {
 		if e.up {
 			c.send(id, wire.ToAgent{Heartbeat: &hb})
@@ -119,10 +133,51 @@
 	c.fleet.updateLagging()
 }
 
+// agentsUp returns the number of agents with a stream.
+func (c *Core) agentsUp() int {
+	up := 0
+	c.endpoints.Each(func(_ wire.EndpointID, e *endpoint) bool {
+		if e.up {
+			up++
+		}
+		return true
+	})
+	return up
+}
+
+const (
+	// heartbeatBytes is the size of a heartbeat on the wire, with its framing.
+	heartbeatBytes = 32
+	// heartbeatBudget is the part of an entry's control budget, in bytes a second,
+	// that heartbeats may use.
+	heartbeatBudget = 512
+	// reportBytes and reportBudget are the same for the reports of agents.
+	reportBytes  = 96
+	reportBudget = 1536
+	// idleReports is the number of report intervals between reports without news.
+	idleReports = 4
+)
+
+// heartbeatEvery returns the time between heartbeats to a number of agents.
+func (c *Core) heartbeatEvery(agents int) time.Duration {
+	return max(c.cfg.Heartbeat, seconds(float64(agents)*heartbeatBytes/heartbeatBudget))
+}
+
+// silenceBound returns how long one of a number of agents may go without a
+// report: they divide the budget, so that more agents report more rarely.
+func silenceBound(agents int) time.Duration {
+	idle := seconds(float64(agents) * reportBytes / reportBudget * idleReports)
+	return max(silentAfter, 2*idle)
+}
+
 // updateDemand folds the tokens since the last heartbeat into each model's
 // moving demand.
 func (c *Core) updateDemand() {
-	per := float64(c.cfg.Heartbeat) / float64(time.Second)
+	per := (c.now - c.demandAt).Seconds()
+	c.demandAt = c.now
+	if per <= 0 {
+		return
+	}
 	c.models.Each(func(_ string, m *modelRow) bool {
 		m.demand += (m.arrived/per - m.demand) * 0.2
 		m.arrived = 0
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -23,6 +23,7 @@
 		return
 	}
 	a.started = true
+	c.timers.Stop(timerKey{kind: timerStart, id: a.id.Sequence})
 	if r := c.requests.Get(a.request); r != nil {
 		r.ran = true
 	}
@@ -35,6 +36,9 @@
 		return
 	}
 	c.counts.Refusals++
+	if c.settled(a, false) {
+		return
+	}
 	r := c.endAttempt(a)
 	if r == nil {
 		return
@@ -118,6 +122,9 @@
 	}
 	r.ran = true
 	a.started = true
+	if c.settled(a, true) {
+		return
+	}
 	if a.slice >= 0 && r.group != nil && a.slice < len(r.group.members)-1 {
 		c.sliceFinished(r, a, m)
 	}
@@ -151,6 +158,9 @@
 	if e := c.endpoints.Get(a.endpoint); e != nil && blamesEndpoint(m.Reason) {
 		c.endpointFailed(e)
 	}
+	if c.settled(a, !m.Rejected) {
+		return
+	}
 	r := c.endAttempt(a)
 	if r == nil {
 		return
@@ -234,7 +244,7 @@
 // cancelled takes the agent's word on an attempt that was withdrawn.
 func (c *Core) cancelled(m *wire.Cancelled) {
 	a := c.attemptOf(m.Attempt)
-	if a == nil || !a.withdrawn {
+	if a == nil || !a.withdrawn || c.settled(a, !m.NotRun) {
 		return
 	}
 	r := c.endAttempt(a)
@@ -251,24 +261,64 @@
 	}
 }
 
-// attemptLost ends an attempt whose fate nobody can tell.
+// attemptLost goes on without an attempt whose fate nobody can tell now. Its row
+// stays, since its agent may still say what became of it.
 func (c *Core) attemptLost(a *attempt, f failure) {
-	r := c.endAttempt(a)
+	r := c.requests.Get(a.request)
+	if r == nil || a.slice >= 0 {
+		c.endAttempt(a)
+	} else {
+		c.abandon(r, a)
+	}
 	if r == nil {
 		return
 	}
 	r.avoidUntil(a.endpoint, c.now+failedAvoid)
+	if r.phase == phaseSettling {
+		c.fail(r, r.failure)
+		return
+	}
 	c.afterFailure(r, a, f, false)
 }
 
-// endAttempt forgets an attempt and returns its request, or nil if that is over.
-func (c *Core) endAttempt(a *attempt) *request {
+// abandon takes an attempt off its request, which may start another.
+func (c *Core) abandon(r *request, a *attempt) {
+	c.leaveEndpoint(a)
+	a.abandoned = true
+	r.abandoned = append(r.abandoned, a.id.Sequence)
+	if r.current == a.id.Sequence {
+		r.current = 0
+	}
+}
+
+// settled takes the late word on an abandoned attempt. It reports false for any
+// other.
+func (c *Core) settled(a *attempt, ran bool) bool {
+	if !a.abandoned {
+		return false
+	}
 	c.attempts.Delete(a.id.Sequence)
+	if r := c.requests.Get(a.request); r != nil {
+		r.unresolved--
+		r.ran = r.ran || ran
+	}
+	return true
+}
+
+// leaveEndpoint takes an attempt out of its endpoint's load and stops its timers.
+func (c *Core) leaveEndpoint(a *attempt) {
 	c.timers.Stop(timerKey{kind: timerOrphan, id: a.id.Sequence})
+	c.timers.Stop(timerKey{kind: timerStart, id: a.id.Sequence})
 	if e := c.endpoints.Get(a.endpoint); e != nil && !a.isReservation() {
 		e.inFlight--
 		e.dropRecent(a.id.Sequence)
 	}
+}
+
+// endAttempt forgets an attempt and returns its request, or nil if that is over.
+func (c *Core) endAttempt(a *attempt) *request {
+	c.attempts.Delete(a.id.Sequence)
+	c.leaveEndpoint(a)
 	r := c.requests.Get(a.request)
 	if r != nil && r.current == a.id.Sequence {
 		r.current = 0
@@ -324,8 +374,12 @@
 	return r.first - r.admitted
 }
 
-// dropAttempts withdraws the attempt that still runs for a request.
+// dropAttempts withdraws the attempt that still runs for a request, and forgets
+// those that it has gone on without.
 func (c *Core) dropAttempts(r *request) {
+	for _, sequence := range r.abandoned {
+		c.attempts.Delete(sequence)
+	}
 	a := c.attempts.Get(r.current)
 	if a == nil {
 		return
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -18,6 +18,9 @@
 	wakeMost = 4
 	// minStartBy is the shortest allowance for an attempt to start.
 	minStartBy = 50 * time.Millisecond
+	// startGrace is how long after its start-by allowance an attempt may go
+	// without word from its agent.
+	startGrace = 2 * time.Second
 	// minPatience is how long even the shortest prompt may wait at one agent
 	// before another is tried.
 	minPatience = 200 * time.Millisecond
@@ -310,6 +313,7 @@
 	d := c.dispatchMessage(r, a.id, p)
 	d.ResumeFrom = resume
 	d.StartBy = within
+	c.timers.Set(timerKey{kind: timerStart, id: a.id.Sequence}, c.now+within+startGrace)
 	c.emit(Output{Attempt: &Attempt{ID: r.id, Attempt: a.id, ResumeFrom: resume}})
 	c.emit(Output{ToAgent: &ToAgent{Endpoint: e.id, Request: r.id, Msg: wire.ToAgent{Dispatch: d}}})
 	c.log(Event{Kind: EventDispatched, Request: r.in.ExternalID, Account: r.in.Account, Endpoint: e.id, Attempt: a.id, FirstWait: p.first})
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -48,6 +48,7 @@
 	finished   *wire.Finished
 	done       bool // all data has gone to the caller
 
+	abandoned  []uint64 // attempts that the request has gone on without
 	avoid      []avoided
 	shortest   refusedAt // the shortest wait that an agent named in its refusal
 	recorded   bool      // an at-most-once record is ours
@@ -87,6 +88,7 @@
 	started   bool
 	withdrawn bool // Cancel has been sent
 	orphan    bool // its stream is lost
+	abandoned bool // its request goes on without it
 	slice     int  // index in a group, or -1
 	band      wire.Band
 	tokens    int64 // uncached prompt tokens, estimated
@@ -157,6 +159,7 @@
 	timerDrain     timerKind = 8
 	timerSilent    timerKind = 9 // of an endpoint
 	timerGrant     timerKind = 10
+	timerStart     timerKind = 12 // of an attempt
 	timerReady     timerKind = 11 // readiness is looked at in each tick
 )
 
--- a/internal/transport/dial.go
+++ b/internal/transport/dial.go
@@ -16,7 +16,7 @@
 // Timeouts of connections between processes.
 const (
 	idleTimeout = 90 * time.Second
-	pingAfter   = 5 * time.Second
+	pingAfter   = 15 * time.Second
 	pingTimeout = 5 * time.Second
 )
 
