--- a/cmd/trefoilpath/status.go
+++ b/cmd/trefoilpath/status.go
@@ -64,7 +64,7 @@
 	fmt.Fprintln(out)
 	tab := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	for _, p := range s.Peers {
-		silent := time.Duration(p.SilentMS) * time.Millisecond
+		silent := silence(p.SilentMS)
 		fmt.Fprintf(tab, "  peer %s\trevision=%d\tready=%t\tleaving=%t\tsilent=%v\n", p.Node, p.Revision, p.Ready, p.Leaving, silent)
 	}
 	for _, id := range s.Lagging {
@@ -72,3 +72,11 @@
 	}
 	return errors.Wrap(tab.Flush(), "print status")
 }
+
+// silence says how long ago a peer was heard. A negative time stands for never.
+func silence(ms int64) string {
+	if ms < 0 {
+		return "never-heard"
+	}
+	return (time.Duration(ms) * time.Millisecond).String()
+}
--- a/internal/agent/shell/operators.go
+++ b/internal/agent/shell/operators.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -12,7 +11,6 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"trefoilpath.org/trefoilpath/internal/agent"
-	"trefoilpath.org/trefoilpath/internal/tlsconfig"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -70,28 +68,10 @@
 	if a.cfg.TLS == nil {
 		return srv.ListenAndServe()
 	}
-	srv.TLSConfig = operatorsTLS(a.cfg.TLS)
+	srv.TLSConfig = a.cfg.TLS.Operators()
 	return srv.ListenAndServeTLS("", "")
 }
 
-// operatorsTLS serves operators with the certificate of the process. They show
-// their key in place of a certificate.
-func operatorsTLS(source *tlsconfig.Source) *tls.Config {
-	between := source.Server()
-	return &tls.Config{
-		MinVersion: between.MinVersion,
-		GetConfigForClient: func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
-			cfg, err := between.GetConfigForClient(hello)
-			if err != nil {
-				return nil, err
-			}
-			cfg.ClientAuth = tls.NoClientCert
-			cfg.NextProtos = []string{"h2", "http/1.1"}
-			return cfg, nil
-		},
-	}
-}
-
 func (a *Agent) operatorsOnly(next http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -37,6 +37,7 @@
 	Code      Code
 	Detail    string
 	Revision  uint64
+	Author    string // of the revision
 	Elapsed   time.Duration
 	FirstWait time.Duration // time to first token
 }
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -172,7 +172,7 @@
 	f.placer.SetSnapshot(c.now, s)
 	f.changed = true
 	c.emit(Output{Snapshot: s})
-	c.log(Event{Kind: EventRevision, Revision: s.Revision})
+	c.log(Event{Kind: EventRevision, Revision: s.Revision, Author: s.Author})
 }
 
 // announceStatus keeps the announcements of this entry true.
@@ -196,9 +196,11 @@
 func (f *fleet) peerStatus() []PeerStatus {
 	var list []PeerStatus
 	for _, p := range f.spread.Lag(f.c.now) {
-		list = append(list, PeerStatus{
-			Node: p.Node, Revision: p.Revision, Ready: p.Ready, Leaving: p.Leaving, SilentMS: p.HeardAgo.Milliseconds(),
-		})
+		row := PeerStatus{Node: p.Node, Revision: p.Revision, Ready: p.Ready, Leaving: p.Leaving, SilentMS: neverHeard}
+		if p.HeardAgo >= 0 {
+			row.SilentMS = p.HeardAgo.Milliseconds()
+		}
+		list = append(list, row)
 	}
 	return list
 }
--- a/internal/entry/shell/config.go
+++ b/internal/entry/shell/config.go
@@ -23,8 +23,11 @@
 	// Lists are put in force at the start, for runs without a store.
 	Lists       *declaration.Snapshot
 	OperatorKey settings.Credential
-	DrainWait   time.Duration
-	Log         zerolog.Logger
+	// OperatorsTLS serves operators with TLS too, so that their key never travels
+	// in clear.
+	OperatorsTLS bool
+	DrainWait    time.Duration
+	Log          zerolog.Logger
 }
 
 // FromSettings returns the configuration that the settings of a process ask for.
@@ -53,5 +56,6 @@
 	}
 	source, err := tlsconfig.Load(tlsconfig.Files{Cert: s.TLS.CertFile, Key: s.TLS.KeyFile, CA: s.TLS.CAFile})
 	cfg.TLS = source
+	cfg.OperatorsTLS = true
 	return cfg, err
 }
--- a/internal/entry/shell/entry.go
+++ b/internal/entry/shell/entry.go
@@ -23,6 +23,8 @@
 	inboxLen   = 8192 // inputs
 	batchLen   = 1024 // inputs
 	storeCalls = 64   // operations in progress, waiting watches included
+
+	storeTimeout = 5 * time.Second
 )
 
 // ErrStopped reports that the entry has stopped.
@@ -263,12 +265,24 @@
 	e.background.Add(1)
 	go func() {
 		defer e.background.Done()
-		r := e.store.Do(ctx, op)
+		r := e.doStore(ctx, op)
 		<-e.storeSlots
 		e.input(entry.Input{StoreResult: &r})
 	}()
 }
 
+// doStore bounds an operation, so that a store that hangs does not keep slots. A
+// watch may take as long as it was asked to wait.
+func (e *Entry) doStore(ctx context.Context, op store.Op) store.Result {
+	limit := storeTimeout
+	if op.Kind == store.OpWatch {
+		limit += op.TTL
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return e.store.Do(ctx, op)
+}
+
 // asyncInput queues a result from the loop itself, which must not wait for its
 // own inbox.
 func (e *Entry) asyncInput(r store.Result) {
--- a/internal/entry/shell/logs.go
+++ b/internal/entry/shell/logs.go
@@ -25,6 +25,7 @@
 	if ev.Revision != 0 {
 		line.Uint64("revision", ev.Revision)
 	}
+	addString(line, "author", ev.Author)
 	if ev.Elapsed != 0 {
 		line.Dur("elapsed_ms", ev.Elapsed)
 	}
--- a/internal/entry/shell/run.go
+++ b/internal/entry/shell/run.go
@@ -77,6 +77,9 @@
 	defer stop()
 	peers := transport.Serve(l.Peers, e.cfg.TLS, handler)
 	callers := e.serve(l.Callers, e.CallerHandler())
+	if e.cfg.OperatorsTLS && l.Operators != nil {
+		l.Operators = tls.NewListener(l.Operators, e.cfg.TLS.Operators())
+	}
 	operators := e.serve(l.Operators, e.OperatorHandler())
 	unhook := context.AfterFunc(ctx, func() {
 		e.Shutdown()
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -27,9 +27,12 @@
 	Revision uint64      `json:"revision"`
 	Ready    bool        `json:"ready"`
 	Leaving  bool        `json:"leaving"`
-	SilentMS int64       `json:"silent_ms"`
+	SilentMS int64       `json:"silent_ms"` // neverHeard: nothing was heard yet
 }
 
+// neverHeard is PeerStatus.SilentMS of a peer that has not been heard.
+const neverHeard = -1
+
 // Status returns a summary of the entry and of what it knows of its peers.
 func (c *Core) Status() Status {
 	s := Status{
--- a/internal/tlsconfig/tlsconfig.go
+++ b/internal/tlsconfig/tlsconfig.go
@@ -129,6 +129,22 @@
 	}
 }
 
+// Operators returns the configuration for a listener that operators reach with
+// the certificate of the process. They show their key in place of a certificate.
+func (s *Source) Operators() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			cert, _ := s.current()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				NextProtos:   []string{"h2", "http/1.1"},
+				Certificates: []tls.Certificate{*cert},
+			}, nil
+		},
+	}
+}
+
 // DialEntry connects to an entry and verifies that its certificate carries
 // RoleEntry.
 func (s *Source) DialEntry(ctx context.Context, network, address string) (net.Conn, error) {
