--- a/internal/soak/scenario_fault_test.go
+++ b/internal/soak/scenario_fault_test.go
@@ -202,6 +202,9 @@
 
 // edit changes the lists: edit [race].
 func (s *scenario) edit(args []string) error {
+	if len(args) > 0 && args[0] == "until-accepted" {
+		return s.editUntilAccepted()
+	}
 	var race func()
 	if len(args) > 0 {
 		race = func() { s.world.editNow(nil) }
@@ -210,5 +213,20 @@
 	return s.broken()
 }
 
+// maxEdits bounds the tries of an operator at a store that loses answers.
+const maxEdits = 200
+
+// editUntilAccepted repeats an edit that the store did not take.
+func (s *scenario) editUntilAccepted() error {
+	before := len(s.world.audit.accepted)
+	for range maxEdits {
+		s.world.editNow(nil)
+		if len(s.world.audit.accepted) > before {
+			return s.broken()
+		}
+	}
+	return fmt.Errorf("no edit was accepted in %d tries", maxEdits)
+}
+
 // maxScenarioWait bounds a wait for an event.
 const maxScenarioWait = 31 * time.Minute
