Count slices in usage, size the store's budget, let bursts drain

Cause: the usage of a prompt on a group named the last slice only; the gate's share of the store's rates was never told the number of entries; a burst beyond a new grant was refused at once although its rate would have come within half a second. Change: the engines' counts of all slices are added; the gate learns the entries of the list; a request waits up to 500 ms for its account's rate.

--- a/internal/entry/core_test.go
+++ b/internal/entry/core_test.go
@@ -242,9 +242,12 @@
 		if d.Slice.Index != i || len(d.Slice.Imports) != i {
 			t.Fatalf("slice %+v", d.Slice)
 		}
-		b.from(at, wire.ToEntry{Finished: &wire.Finished{Attempt: d.Attempt, KVHandle: string(at)}})
+		b.from(at, wire.ToEntry{Finished: &wire.Finished{Attempt: d.Attempt, KVHandle: string(at), PromptTokens: 300_000}})
 	}
 	at, d := b.dispatched()
+	if counted := b.core.requests.Get(1).group.counted; counted != 600_000 {
+		t.Fatalf("counted %d prompt tokens of two slices", counted)
+	}
 	if at != "e3" || d.Slice.Count != 3 {
 		t.Fatalf("last slice %+v at %s", d.Slice, at)
 	}
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -23,6 +23,7 @@
 type group struct {
 	members []member // ascending by endpoint
 	granted int      // members with a reservation
+	counted int64    // prompt tokens of the finished slices, by the engines' counts
 	running int      // slice under way
 }
 
@@ -236,6 +237,7 @@
 	r.unresolved--
 	r.group.members[a.slice].handle = m.KVHandle
 	r.group.running++
+	r.group.counted += m.PromptTokens
 	c.runSlice(r)
 }
 
--- a/internal/entry/limit.go
+++ b/internal/entry/limit.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	// grantWait bounds how long a request waits for its account's first grant.
+	// grantWait bounds how long a request waits for its account's first grant, or
+	// for a burst of the account to drain.
 	grantWait = 500 * time.Millisecond
 	// grantPoll is the pause between two looks.
 	grantPoll = 20 * time.Millisecond
@@ -25,7 +26,7 @@
 		r.limited = true
 		return false, failure{}
 	}
-	if d.Pending && f.c.now-r.admitted < grantWait {
+	if f.mayWait(r, d) {
 		return true, failure{}
 	}
 	code := CodeRateLimited
@@ -35,6 +36,16 @@
 	return false, failure{code: code, detail: limitNames[d.Code], retryAfter: d.RetryAfter}
 }
 
+// mayWait reports whether a refused request is worth keeping for a moment: until
+// the first grant, or until a burst has drained.
+func (f *fleet) mayWait(r *request, d limits.Decision) bool {
+	waited := f.c.now - r.admitted
+	if d.Pending {
+		return waited < grantWait
+	}
+	return d.Code != limits.Concurrency && waited+d.RetryAfter <= grantWait
+}
+
 var limitNames = map[limits.Code]string{
 	limits.Rate:        "requests a second",
 	limits.Tokens:      "tokens a second",
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -49,27 +49,35 @@
 	f.setPeers()
 }
 
-// setPeers tells the machines which other entries there are. Suspected and
-// ejected ones stay, since they may merely not be heard.
+// setPeers tells the spread which other entries there are. Suspected and ejected
+// ones stay, since they may merely not be heard.
 func (f *fleet) setPeers() {
 	var peers []spread.Peer
-	shares := []limits.Peer{f.selfPeer()}
-	inRegion := 1
 	for _, m := range f.members.Members() {
 		vm := m.VM
 		peers = append(peers, spread.Peer{Node: vm.Node, Address: vm.Address, Region: vm.Region, FailureDomain: vm.FailureDomain})
+	}
+	f.spread.SetPeers(f.c.now, peers)
+	f.setShares()
+	f.wantDuty()
+}
+
+// setShares tells the limits and the store's budget which entries the list names.
+func (f *fleet) setShares() {
+	shares := []limits.Peer{f.selfPeer()}
+	inRegion := 1
+	for _, m := range f.members.Members() {
 		if !m.OnList {
 			continue
 		}
-		shares = append(shares, limits.Peer{Node: vm.Node, Address: vm.Address, Region: vm.Region})
-		if vm.Region == f.c.cfg.Region {
+		shares = append(shares, limits.Peer{Node: m.VM.Node, Address: m.VM.Address, Region: m.VM.Region})
+		if m.VM.Region == f.c.cfg.Region {
 			inRegion++
 		}
 	}
 	f.peers = inRegion
-	f.spread.SetPeers(f.c.now, peers)
 	f.limits.SetPeers(f.c.now, shares)
-	f.wantDuty()
+	f.c.gate.SetProcesses(len(shares))
 }
 
 // wantDuty seeks the placement duty if this entry is one of the candidates of
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -140,6 +140,9 @@
 		r.unresolved--
 	}
 	r.ran = true
+	if r.group != nil {
+		s.Total.PromptTokens += r.group.counted
+	}
 	total := wire.Finished{PromptTokens: s.Total.PromptTokens, CachedTokens: s.Total.CachedTokens, OutputTokens: s.Total.OutputTokens}
 	r.finished = &total
 	if m := c.models.Get(r.in.Model); m != nil && r.in.Kind == wire.KindEngine {
--- a/internal/entry/shell/config.go
+++ b/internal/entry/shell/config.go
@@ -41,6 +41,7 @@
 			FailureDomain: s.FailureDomain,
 			Rand:          rand.New(rand.NewPCG(uint64(incarnation), rand.Uint64())),
 			NoStore:       s.StoreURL == "",
+			ListLag:       vmListLag + vmListEvery,
 			Weights:       entry.Weights{FirstToken: s.Routing.FirstTokenWeight, ShortSlowdown: s.Routing.ShortSlowdownWeight},
 			BalancerLag:   time.Duration(s.BalancerLagMS) * time.Millisecond,
 		},
--- a/internal/entry/shell/vms.go
+++ b/internal/entry/shell/vms.go
@@ -8,7 +8,9 @@
 )
 
 const (
-	vmListEvery   = 5 * time.Second
+	vmListEvery = 2 * time.Second
+	// vmListLag is how long the platform's list may lack a VM that has started.
+	vmListLag     = 3 * time.Second
 	vmListTimeout = 3 * time.Second
 )
 
