--- /dev/null
+++ b/internal/capacity/sums.go
@@ -0,0 +1,193 @@
+package capacity
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+//go:embed slopes.json
+var slopesJSON []byte
+
+// Slope is one measured figure with the command that gave it.
+type Slope struct {
+	Name    string  `json:"name"`
+	Value   float64 `json:"value"`
+	Unit    string  `json:"unit"`
+	What    string  `json:"what"`
+	Sizes   string  `json:"sizes"`
+	Command string  `json:"command"`
+}
+
+// Slopes returns the measured figures in the order of the page.
+func Slopes() ([]Slope, error) {
+	var list []Slope
+	if err := json.Unmarshal(slopesJSON, &list); err != nil {
+		return nil, errors.Wrap(err, "slopes.json")
+	}
+	return list, nil
+}
+
+// Verdict says whether a sum stays within its bound.
+type Verdict string
+
+// The verdicts.
+const (
+	Fits    Verdict = "fits"
+	TooMuch Verdict = "**does not fit**"
+	NoBound Verdict = ""
+)
+
+// Line is one sum of the page.
+type Line struct {
+	Role      string
+	Item      string
+	Sum       string // the arithmetic as text
+	Value     float64
+	Unit      string
+	Bound     float64 // 0: none
+	Mechanism string
+	State     string // "runs" or "designed"
+}
+
+// Verdict compares the value with the bound.
+func (l Line) Verdict() Verdict {
+	switch {
+	case l.Bound == 0:
+		return NoBound
+	case l.Value <= l.Bound:
+		return Fits
+	}
+	return TooMuch
+}
+
+// sums collects lines.
+type sums struct {
+	t     Target
+	a     Assumptions
+	s     map[string]float64
+	lines []Line
+	err   error
+}
+
+// slope returns a measured value and notes an unknown name.
+func (m *sums) slope(name string) float64 {
+	v, ok := m.s[name]
+	if !ok && m.err == nil {
+		m.err = errors.Errorf("no slope %q", name)
+	}
+	return v
+}
+
+func (m *sums) add(l Line, format string, args ...any) {
+	l.Sum = fmt.Sprintf(format, args...)
+	m.lines = append(m.lines, l)
+}
+
+// Compute returns all sums for a target.
+func Compute(t Target, a Assumptions, slopes []Slope) ([]Line, error) {
+	m := &sums{t: t, a: a, s: make(map[string]float64, len(slopes))}
+	for _, s := range slopes {
+		m.s[s.Name] = s.Value
+	}
+	m.entry()
+	m.agent()
+	m.placement()
+	m.store()
+	m.failures()
+	return m.lines, m.err
+}
+
+// agentsSeen is the number of agents with a stream to one entry.
+func (m *sums) agentsSeen() float64 { return m.t.Replicas * m.a.StreamsPerAgent / m.t.Entries }
+
+func (m *sums) changes() float64 { return m.t.ChangesPerDay / 86_400 }
+
+func (m *sums) entry() {
+	t, a := m.t, m.a
+	seen := m.agentsSeen()
+	m.add(Line{Role: "entry", Item: "agents seen", Value: seen, Unit: "agents", Mechanism: "rendezvous subset of entries for each agent, 4 of its failure domain and 2 others", State: "runs (8 and 8 by default; a setting)"},
+		"%.0f replicas × %.0f streams / %.0f entries", t.Replicas, a.StreamsPerAgent, t.Entries)
+	perEntry := t.Requests / t.Entries
+	m.add(Line{Role: "entry", Item: "requests", Value: perEntry, Unit: "requests/s", Mechanism: "the platform's balancer", State: "runs"},
+		"%.0f / %.0f", t.Requests, t.Entries)
+	m.add(Line{Role: "entry", Item: "tokens passed on", Value: t.Tokens / t.Entries, Unit: "tokens/s", Mechanism: "frames gathered into batches", State: "runs"},
+		"%.0f / %.0f", t.Tokens, t.Entries)
+	reports := m.slope("control_b")
+	sent := m.slope("limits_b") + m.slope("spread_b") + a.HeartbeatBytes
+	m.add(Line{Role: "entry", Item: "control received", Value: reports + m.slope("limits_b") + m.slope("spread_b"), Unit: "B/s", Bound: t.ControlBytes, Mechanism: "agents divide the entry's budget (Heartbeat.Agents)", State: "runs"},
+		"%.0f reports and hints + %.0f limits + %.0f declarations", reports, m.slope("limits_b"), m.slope("spread_b"))
+	m.add(Line{Role: "entry", Item: "control sent", Value: sent, Unit: "B/s", Bound: t.ControlBytes, Mechanism: "heartbeats rarer with more agents; limits by session; differences", State: "runs"},
+		"%.0f limits + %.0f declarations + %.0f heartbeats", m.slope("limits_b"), m.slope("spread_b"), a.HeartbeatBytes)
+	cpu := (m.slope("resolve_ns")*m.changes() + m.slope("report_ns")*reports/96 + m.slope("admit_ns")*perEntry) / 1e9
+	m.add(Line{Role: "entry", Item: "processor time for control", Value: cpu, Unit: "cores", Bound: t.ControlCPU, Mechanism: "ticks cost what is due", State: "runs"},
+		"(%.2f ms × %.3f changes/s + %.0f ns × %.0f reports/s + %.0f ns × %.0f admissions/s) in seconds", m.slope("resolve_ns")/1e6, m.changes(), m.slope("report_ns"), reports/96, m.slope("admit_ns"), perEntry)
+	m.add(Line{Role: "entry", Item: "processor time of decisions on requests", Value: m.slope("request_ns") * perEntry / 1e9, Unit: "cores", Mechanism: "one core loop", State: "runs"},
+		"%.1f us × %.0f requests/s", m.slope("request_ns")/1e3, perEntry)
+	inFlight := perEntry * a.RequestSeconds
+	memory := a.RuntimeBytes + seen*(m.slope("endpoint_b")+a.HintBytes*a.HintsPerAgent) + 2*m.slope("lists_b") + m.slope("account_b")*t.Accounts/t.Regions + inFlight*m.slope("request_b")
+	m.add(Line{Role: "entry", Item: "memory for control", Value: memory / 1e6, Unit: "MB", Bound: t.ControlMemory / 1e6, Mechanism: "bounded prefix hints; only accounts in use cost", State: "runs"},
+		"%.0f MB process + %.0f × (%.0f B + %.0f × %.0f B hints) + 2 × %.1f MB lists + %.0f × %.0f B accounts + %.0f × %.0f B requests", a.RuntimeBytes/1e6, seen, m.slope("endpoint_b"), a.HintsPerAgent, a.HintBytes, m.slope("lists_b")/1e6, t.Accounts/t.Regions, m.slope("account_b"), inFlight, m.slope("request_b"))
+}
+
+func (m *sums) agent() {
+	t, a := m.t, m.a
+	perAgent := t.Requests / t.Replicas
+	m.add(Line{Role: "agent", Item: "attempts", Value: perAgent, Unit: "attempts/s", Mechanism: "late binding adds refused ones", State: "runs"},
+		"%.0f / %.0f, before refusals", t.Requests, t.Replicas)
+	m.add(Line{Role: "agent", Item: "processor time", Value: perAgent * m.slope("attempt_ns") / 1e9, Unit: "cores", Bound: t.ControlCPU, Mechanism: "ticks cost what is due", State: "runs"},
+		"%.1f us × %.1f attempts/s", m.slope("attempt_ns")/1e3, perAgent)
+	sent := m.slope("control_b") / m.agentsSeen() * a.StreamsPerAgent
+	m.add(Line{Role: "agent", Item: "control sent", Value: sent, Unit: "B/s", Bound: t.ControlBytes, Mechanism: "one budget an entry, divided", State: "runs"},
+		"%.0f B/s an entry / %.0f agents × %.0f streams", m.slope("control_b"), m.agentsSeen(), a.StreamsPerAgent)
+}
+
+func (m *sums) placement() {
+	t, a := m.t, m.a
+	engines := t.Replicas / t.Domains
+	m.add(Line{Role: "placement duty", Item: "endpoints of a failure domain", Value: engines, Unit: "endpoints", Mechanism: "one holder a failure domain, all its agents keep a stream to the two candidates", State: "runs"},
+		"%.0f / %.0f", t.Replicas, t.Domains)
+	m.add(Line{Role: "placement duty", Item: "state", Value: engines * m.slope("placed_b") / 1e6, Unit: "MB", Bound: t.ControlMemory / 1e6, Mechanism: "the endpoints' reports are its only memory", State: "runs"},
+		"%.0f × %.0f B", engines, m.slope("placed_b"))
+	m.add(Line{Role: "placement duty", Item: "processor time", Value: m.slope("plan_ns") * a.DecisionsASec / 1e9, Unit: "cores", Bound: t.ControlCPU, Mechanism: "at most one plan in half a second", State: "runs"},
+		"%.2f ms × %.0f plans/s", m.slope("plan_ns")/1e6, a.DecisionsASec)
+	m.add(Line{Role: "placement duty", Item: "age of an unchanged report at a candidate", Value: engines * 96 * 4 / 1536, Unit: "s", Mechanism: "changes are reported at once; a slower rate for placement alone", State: "designed (docs/design/043)"},
+		"%.0f agents × 96 B × 4 / 1,536 B/s", engines)
+}
+
+func (m *sums) store() {
+	t, a := m.t, m.a
+	reads := m.slope("change_reads")*m.changes() + m.slope("spread_reads") + m.slope("lease_reads")*t.Domains
+	m.add(Line{Role: "store", Item: "reads", Value: reads, Unit: "reads/s", Bound: a.StoreReads, Mechanism: "two watchers a failure domain; peers carry the rest", State: "runs"},
+		"%.0f reads × %.3f changes/s + %.1f watchers + %.3f × %.0f duties", m.slope("change_reads"), m.changes(), m.slope("spread_reads"), m.slope("lease_reads"), t.Domains)
+	writes := m.slope("change_writes")*m.changes() + m.slope("lease_writes")*t.Domains + t.Restarts/86_400
+	m.add(Line{Role: "store", Item: "writes without at-most-once records", Value: writes, Unit: "writes/s", Bound: a.StoreWrites, Mechanism: "one root by compare-and-swap; one lease a failure domain", State: "runs"},
+		"%.0f × %.3f changes/s + %.3f × %.0f duties + %.0f restarts a day", m.slope("change_writes"), m.changes(), m.slope("lease_writes"), t.Domains, t.Restarts)
+	keyed := t.Requests * a.KeyedShare
+	m.add(Line{Role: "store", Item: "writes of at-most-once records, one a record", Value: keyed * m.slope("record_writes"), Unit: "writes/s", Bound: a.StoreWrites, Mechanism: "one record a call", State: "runs"},
+		"%.0f requests/s / 12 × %.0f writes", t.Requests, m.slope("record_writes"))
+	m.add(Line{Role: "store", Item: "the same, batched by entry", Value: t.Entries / 2 * m.slope("record_writes"), Unit: "writes/s", Bound: a.StoreWrites, Mechanism: "each entry gathers the records of a second or two in one value by compare-and-swap; adds up to two seconds to such a call", State: "designed (docs/design/042)"},
+		"%.0f entries × one batch in 2 s × %.0f writes", t.Entries, m.slope("record_writes"))
+	m.add(Line{Role: "store", Item: "a change in force everywhere", Value: m.slope("converge_s"), Unit: "s", Bound: t.InForceS, Mechanism: "announcements and differences between peers", State: "runs"},
+		"measured at %.0f entries", t.Entries)
+}
+
+func (m *sums) failures() {
+	t, a := m.t, m.a
+	m.add(Line{Role: "weight store", Item: "loads on an ordinary day", Value: t.Restarts / 86_400 * a.LoadSeconds, Unit: "loads at a time", Bound: a.LoadSlots * t.Domains, Mechanism: "slots of each failure domain", State: "runs"},
+		"%.0f restarts a day × %.0f s a load", t.Restarts, a.LoadSeconds)
+	m.add(Line{Role: "weight store", Item: "a rack returns", Value: a.RackReplicas * a.LoadSeconds / a.LoadSlots, Unit: "s", Mechanism: "models below their minimum first", State: "runs"},
+		"%.0f replicas × %.0f s / %.0f slots", a.RackReplicas, a.LoadSeconds, a.LoadSlots)
+	m.add(Line{Role: "weight store", Item: "a failure domain returns", Value: t.Replicas / t.Domains * a.LoadSeconds / a.LoadSlots / 3600, Unit: "hours", Mechanism: "needs more slots than the default: a setting of the weight store's rate", State: "runs, too slow by default"},
+		"%.0f replicas × %.0f s / %.0f slots", t.Replicas/t.Domains, a.LoadSeconds, a.LoadSlots)
+	m.add(Line{Role: "fleet", Item: "capacity without one failure domain", Value: 100 * (t.Domains - 1) / t.Domains, Unit: "% of the fleet", Mechanism: "spill-over by cost between failure domains", State: "runs"},
+		"(%.0f − 1) / %.0f", t.Domains, t.Domains)
+	m.add(Line{Role: "fleet", Item: "reconnects after one entry is lost", Value: m.agentsSeen(), Unit: "streams", Mechanism: "jittered; each agent opens at most two new streams", State: "runs"},
+		"the agents seen by one entry")
+	m.add(Line{Role: "fleet", Item: "reconnects after a failure domain is lost", Value: t.Entries / t.Domains * m.agentsSeen(), Unit: "streams", Mechanism: "jittered over seconds; spread over the remaining entries", State: "runs"},
+		"%.0f entries × %.0f streams", t.Entries/t.Domains, m.agentsSeen())
+	m.add(Line{Role: "fleet", Item: "regions apart: part of each limit in a region", Value: 100 / t.Regions, Unit: "% of the limit", Mechanism: "limits are divided among regions, so that nothing has to be agreed across them", State: "runs; an hour apart was not run"},
+		"1 / %.0f", t.Regions)
+}
