--- a/cmd/trefoilpath/main_test.go
+++ b/cmd/trefoilpath/main_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"os/exec"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -126,7 +125,7 @@
 	want, err := strconv.Atoi(args[0])
 	ts.Check(err)
 	got := 0
-	var exit *exec.ExitError
+	var exit interface{ ExitCode() int }
 	if err := ts.Exec("trefoilpath", args[1:]...); errors.As(err, &exit) {
 		got = exit.ExitCode()
 	}
--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -22,7 +22,7 @@
 }
 
 // steady returns a domain whose engines all run what the plan asks for.
-func steady(b *testing.B, engines int) (*domain, *Machine) {
+func steady(b *testing.B, engines int) (*domain, *Core) {
 	d := newDomain(b, engines, 1, elevenModels(engines))
 	h := d.holders[0]
 	h.m.cfg.LoadSlots = engines
--- a/internal/controller/machine.go
+++ b/internal/controller/core.go
@@ -77,9 +77,9 @@
 	Order    wire.Order
 }
 
-// Machine is the duty as carried out or sought by one entry. It is deterministic
+// Core is the duty as carried out or sought by one entry. It is deterministic
 // and not safe for concurrent use.
-type Machine struct {
+type Core struct {
 	cfg       Config
 	lease     *store.Lease
 	snapshot  *declaration.Snapshot
@@ -103,15 +103,15 @@
 	confirmed uint64 // fence of the last order that the agent answered
 }
 
-// New returns a Machine that seeks the duty.
-func New(cfg Config) *Machine {
+// New returns a Core that seeks the duty.
+func New(cfg Config) *Core {
 	setDefault(&cfg.LoadSlots, DefaultLoadSlots)
 	setDefault(&cfg.OrderMaxAge, DefaultOrderMaxAge)
 	setDefault(&cfg.AnswerWithin, DefaultAnswerWithin)
 	setDefault(&cfg.LoadWithin, DefaultLoadWithin)
 	setDefault(&cfg.Grace, DefaultGrace)
 	setDefault(&cfg.PlanEvery, DefaultPlanEvery)
-	return &Machine{
+	return &Core{
 		cfg: cfg,
 		lease: store.NewLease(store.LeaseConfig{
 			Key:    LeaseKeyPrefix + string(cfg.FailureDomain),
@@ -134,17 +134,17 @@
 
 // SetWanted says whether this entry seeks the duty. An entry that leaves, or is
 // not among the candidates of its failure domain, does not.
-func (m *Machine) SetWanted(now time.Duration, wanted bool) { m.lease.SetWanted(now, wanted) }
+func (m *Core) SetWanted(now time.Duration, wanted bool) { m.lease.SetWanted(now, wanted) }
 
 // SetSnapshot puts a revision of the declarations in force.
-func (m *Machine) SetSnapshot(now time.Duration, s *declaration.Snapshot) {
+func (m *Core) SetSnapshot(now time.Duration, s *declaration.Snapshot) {
 	m.snapshot = s
 	m.planSoon(now)
 }
 
 // SetEndpoints takes all endpoints that the entry sees. One that is missing
 // counts as without a stream.
-func (m *Machine) SetEndpoints(now time.Duration, views []EndpointView) {
+func (m *Core) SetEndpoints(now time.Duration, views []EndpointView) {
 	present := make(map[wire.EndpointID]bool, len(views))
 	for _, v := range views {
 		if v.Kind != wire.KindEngine {
@@ -166,7 +166,7 @@
 	m.planSoon(now)
 }
 
-func (m *Machine) update(now time.Duration, v EndpointView) {
+func (m *Core) update(now time.Duration, v EndpointView) {
 	e := m.endpoints.Get(v.Endpoint)
 	if e == nil {
 		e = m.endpoints.Put(v.Endpoint, endpoint{seen: now})
@@ -186,7 +186,7 @@
 
 // StoreResult takes the answer to one of the machine's operations. It reports
 // false for any other.
-func (m *Machine) StoreResult(now time.Duration, r store.Result) bool {
+func (m *Core) StoreResult(now time.Duration, r store.Result) bool {
 	if !m.lease.StoreResult(now, r) {
 		return false
 	}
@@ -195,21 +195,21 @@
 }
 
 // TakeStore returns the operations to send.
-func (m *Machine) TakeStore() []store.Op { return m.lease.TakeStore() }
+func (m *Core) TakeStore() []store.Op { return m.lease.TakeStore() }
 
 // TakeOrders returns the orders to send. They were made under the lease in the
 // last Tick, so the caller sends them before anything that may take time.
-func (m *Machine) TakeOrders() []Order {
+func (m *Core) TakeOrders() []Order {
 	orders := m.orders
 	m.orders = nil
 	return orders
 }
 
 // Holding reports whether this entry carries out the duty at now.
-func (m *Machine) Holding(now time.Duration) bool { return m.lease.Held(now) }
+func (m *Core) Holding(now time.Duration) bool { return m.lease.Held(now) }
 
 // Next returns the time at which Tick is due.
-func (m *Machine) Next() time.Duration {
+func (m *Core) Next() time.Duration {
 	next := m.lease.Next()
 	if m.holding {
 		next = min(next, max(m.planAt, m.actFrom))
@@ -218,7 +218,7 @@
 }
 
 // Tick keeps the lease and, while it is held, orders what the plan asks for.
-func (m *Machine) Tick(now time.Duration) {
+func (m *Core) Tick(now time.Duration) {
 	m.lease.Tick(now)
 	m.follow(now)
 	if !m.holding || now < m.actFrom || now < m.planAt {
@@ -235,7 +235,7 @@
 
 // follow notes the gain and the loss of the duty. A successor knows nothing of
 // orders that are under way, so it lets their age limit pass.
-func (m *Machine) follow(now time.Duration) {
+func (m *Core) follow(now time.Duration) {
 	held := m.lease.Held(now)
 	if held == m.holding {
 		return
@@ -252,6 +252,6 @@
 	}
 }
 
-func (m *Machine) planSoon(now time.Duration) {
+func (m *Core) planSoon(now time.Duration) {
 	m.planAt = min(m.planAt, now+m.cfg.PlanEvery)
 }
--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -26,7 +26,7 @@
 }
 
 // SetDemand takes the recent demand. A model that is missing has none.
-func (m *Machine) SetDemand(now time.Duration, demands []ModelDemand) {
+func (m *Core) SetDemand(now time.Duration, demands []ModelDemand) {
 	latest := make(map[string]float64, len(demands))
 	for _, d := range demands {
 		latest[d.Model] += d.TokensPerSecond + waitingTokens*float64(d.Waiting)
@@ -44,14 +44,14 @@
 	}
 }
 
-func (m *Machine) models() []declaration.Model {
+func (m *Core) models() []declaration.Model {
 	if m.snapshot == nil {
 		return nil
 	}
 	return m.snapshot.Models
 }
 
-func (m *Machine) demandOf(model string) float64 {
+func (m *Core) demandOf(model string) float64 {
 	if d := m.demand[model]; d != nil {
 		return d.tokens
 	}
@@ -62,7 +62,7 @@
 // this failure domain, most starved first: those without a serving engine, those
 // below their minimum, then by demand for each engine. Every entry can tell,
 // whether it holds the duty or not.
-func (m *Machine) Starved() []string {
+func (m *Core) Starved() []string {
 	serving := m.serving()
 	models := slices.Clone(m.models())
 	slices.SortStableFunc(models, func(a, b declaration.Model) int {
@@ -76,7 +76,7 @@
 }
 
 // compareNeed orders models by need, given the engines that each one has.
-func (m *Machine) compareNeed(a, b *declaration.Model, engines map[string]int) int {
+func (m *Core) compareNeed(a, b *declaration.Model, engines map[string]int) int {
 	ratioA, ratioB := minimumRatio(a, engines), minimumRatio(b, engines)
 	if ratioA < 1 || ratioB < 1 {
 		if inUse := compareBool(m.demandOf(b.Name) > 0, m.demandOf(a.Name) > 0); inUse != 0 && ratioA < 1 && ratioB < 1 {
@@ -113,7 +113,7 @@
 }
 
 // serving counts the engines of the failure domain that serve each model now.
-func (m *Machine) serving() map[string]int {
+func (m *Core) serving() map[string]int {
 	counts := make(map[string]int)
 	m.endpoints.Each(func(_ wire.EndpointID, e *endpoint) bool {
 		if m.own(e) && e.serves() {
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -71,7 +71,7 @@
 
 // holder is one entry that seeks the duty.
 type holder struct {
-	m      *Machine
+	m      *Core
 	link   *storetest.Link
 	paused time.Duration
 	dead   bool
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -33,7 +33,7 @@
 )
 
 // OrderResult takes an agent's answer to an order.
-func (m *Machine) OrderResult(now time.Duration, id wire.EndpointID, r wire.OrderResult) {
+func (m *Core) OrderResult(now time.Duration, id wire.EndpointID, r wire.OrderResult) {
 	e := m.endpoints.Get(id)
 	if e == nil || e.pending == nil || e.pending.id != r.ID || r.Fence != m.lease.Fence() {
 		return
@@ -67,7 +67,7 @@
 }
 
 // expireOrders gives up orders that were not answered in time.
-func (m *Machine) expireOrders(now time.Duration) {
+func (m *Core) expireOrders(now time.Duration) {
 	m.endpoints.Each(func(_ wire.EndpointID, e *endpoint) bool {
 		p := e.pending
 		switch {
@@ -83,7 +83,7 @@
 
 // confirm tells every endpoint of the failure domain the present fence by an
 // order to keep what it has, so that it refuses a former holder's late orders.
-func (m *Machine) confirm(now time.Duration) {
+func (m *Core) confirm(now time.Duration) {
 	fence := m.lease.Fence()
 	m.endpoints.Each(func(_ wire.EndpointID, e *endpoint) bool {
 		if e.confirmed != fence && e.pending == nil && m.mayOrder(now, e) && e.view.Have.Model != "" {
@@ -94,17 +94,17 @@
 }
 
 // mayOrder reports whether the endpoint can take an order.
-func (m *Machine) mayOrder(now time.Duration, e *endpoint) bool {
+func (m *Core) mayOrder(now time.Duration, e *endpoint) bool {
 	return m.own(e) && e.view.Connected && !e.view.Loading && now >= e.retryAt
 }
 
 // own reports whether the endpoint belongs to the duty.
-func (m *Machine) own(e *endpoint) bool {
+func (m *Core) own(e *endpoint) bool {
 	return e.view.FailureDomain == m.cfg.FailureDomain && !e.view.Leaving
 }
 
 // give makes an order. The lease is checked here, for each order.
-func (m *Machine) give(now time.Duration, e *endpoint, want wire.Assignment, why purpose) bool {
+func (m *Core) give(now time.Duration, e *endpoint, want wire.Assignment, why purpose) bool {
 	if !m.lease.Held(now) {
 		return false
 	}
@@ -129,7 +129,7 @@
 }
 
 // loads counts the loads that are under way or ordered in the failure domain.
-func (m *Machine) loads() int {
+func (m *Core) loads() int {
 	loads := 0
 	m.endpoints.Each(func(_ wire.EndpointID, e *endpoint) bool {
 		if m.own(e) && e.loading() {
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -22,7 +22,7 @@
 
 // place compares the plan with what runs and orders the most urgent changes
 // that fit the weight store's slots.
-func (m *Machine) place(now time.Duration) {
+func (m *Core) place(now time.Duration) {
 	engines := m.engines(now)
 	current := make(map[string]int)
 	for _, e := range engines {
@@ -38,7 +38,7 @@
 
 // engines returns the engines of the failure domain that count as capacity,
 // sorted by name.
-func (m *Machine) engines(now time.Duration) []*endpoint {
+func (m *Core) engines(now time.Duration) []*endpoint {
 	var engines []*endpoint
 	m.endpoints.Each(func(_ wire.EndpointID, e *endpoint) bool {
 		if m.own(e) && now-e.seen < m.cfg.Grace {
@@ -52,7 +52,7 @@
 
 // changes finds engines for the models that are below their targets, among
 // those without a use first and then among those that others can spare.
-func (m *Machine) changes(now time.Duration, targets []target, engines []*endpoint) []wish {
+func (m *Core) changes(now time.Duration, targets []target, engines []*endpoint) []wish {
 	byModel := make(map[string][]*endpoint)
 	for _, e := range engines {
 		byModel[e.model()] = append(byModel[e.model()], e)
@@ -105,7 +105,7 @@
 
 // match gives spare engines to the models below their targets, most starved
 // first. The first unused ones serve no declared model.
-func (m *Machine) match(targets []target, byModel map[string][]*endpoint, spare []*endpoint, unused int) []wish {
+func (m *Core) match(targets []target, byModel map[string][]*endpoint, spare []*endpoint, unused int) []wish {
 	counts := make(map[string]int, len(targets))
 	for i := range targets {
 		name := targets[i].model.Name
@@ -127,7 +127,7 @@
 	return wishes
 }
 
-func (m *Machine) neediest(targets []target, counts map[string]int) *target {
+func (m *Core) neediest(targets []target, counts map[string]int) *target {
 	var best *target
 	for i := range targets {
 		t := &targets[i]
@@ -142,13 +142,13 @@
 }
 
 // ready reports whether the endpoint can take an order and has none.
-func (m *Machine) ready(now time.Duration, e *endpoint) bool {
+func (m *Core) ready(now time.Duration, e *endpoint) bool {
 	return m.mayOrder(now, e) && e.pending == nil
 }
 
 // filling reports whether an engine is being filled or can be. Reloads and moves
 // wait meanwhile, so that they take no slot from models that lack engines.
-func (m *Machine) filling(now time.Duration, wishes []wish) bool {
+func (m *Core) filling(now time.Duration, wishes []wish) bool {
 	for _, w := range wishes {
 		if w.purpose == purposeFill && m.ready(now, w.endpoint) {
 			return true
@@ -164,7 +164,7 @@
 
 // rollouts returns the engines that should reload their model now: a wave for
 // each model, as long as its minimum keeps serving.
-func (m *Machine) rollouts(targets []target, engines []*endpoint) []wish {
+func (m *Core) rollouts(targets []target, engines []*endpoint) []wish {
 	serving := m.serving()
 	var wishes []wish
 	for i := range targets {
@@ -200,7 +200,7 @@
 // mayReload reports whether an engine may stop serving a model to reload it.
 // Where the failure domain has no engine to spare, the other domains must serve
 // the model, and the domains take turns by name.
-func (m *Machine) mayReload(t *target, serving int, e *endpoint, want wire.Assignment) bool {
+func (m *Core) mayReload(t *target, serving int, e *endpoint, want wire.Assignment) bool {
 	if !e.serves() || serving > t.model.MinReplicas {
 		return true
 	}
@@ -213,20 +213,20 @@
 	return m.servedElsewhere(want) && m.ourTurn(want)
 }
 
-func (m *Machine) servedElsewhere(want wire.Assignment) bool {
+func (m *Core) servedElsewhere(want wire.Assignment) bool {
 	return m.anyElsewhere(func(e *endpoint) bool { return e.serves() && e.view.Have.Model == want.Model })
 }
 
 // ourTurn reports whether no failure domain with a lower name shows an engine
 // that has yet to reload.
-func (m *Machine) ourTurn(want wire.Assignment) bool {
+func (m *Core) ourTurn(want wire.Assignment) bool {
 	return !m.anyElsewhere(func(e *endpoint) bool {
 		return e.view.FailureDomain < m.cfg.FailureDomain && e.view.Have.Model == want.Model &&
 			!sameAssignment(e.view.Have, want)
 	})
 }
 
-func (m *Machine) anyElsewhere(match func(*endpoint) bool) bool {
+func (m *Core) anyElsewhere(match func(*endpoint) bool) bool {
 	found := false
 	m.endpoints.Each(func(_ wire.EndpointID, e *endpoint) bool {
 		found = e.view.FailureDomain != m.cfg.FailureDomain && match(e)
@@ -237,7 +237,7 @@
 
 // giveWishes orders what fits: fills first, then moves and rollouts, which wait
 // while a fill waits for a slot.
-func (m *Machine) giveWishes(now time.Duration, wishes []wish) {
+func (m *Core) giveWishes(now time.Duration, wishes []wish) {
 	slices.SortStableFunc(wishes, func(a, b wish) int {
 		if a.purpose != b.purpose {
 			return cmp.Compare(a.purpose, b.purpose)
@@ -269,7 +269,7 @@
 // maxMoves bounds the engines that change their model at a time.
 const maxMoves = 1
 
-func (m *Machine) countMoves() int {
+func (m *Core) countMoves() int {
 	moves := 0
 	m.endpoints.Each(func(_ wire.EndpointID, e *endpoint) bool {
 		if e.pending != nil && e.pending.purpose == purposeMove {
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -25,7 +25,7 @@
 // targets shares out the engines: the minimum of each model first, the rest by
 // weight and demand. A model in rollout gets one more than its minimum if there
 // is room, so that an engine can reload while the minimum serves.
-func (m *Machine) targets(engines int, current map[string]int) []target {
+func (m *Core) targets(engines int, current map[string]int) []target {
 	targets := make([]target, 0, len(m.models()))
 	for _, model := range m.models() {
 		targets = append(targets, target{model: model, cap: m.capOf(model, engines)})
@@ -37,7 +37,7 @@
 }
 
 // capOf returns the most engines that a model may have in this failure domain.
-func (m *Machine) capOf(model declaration.Model, engines int) int {
+func (m *Core) capOf(model declaration.Model, engines int) int {
 	if model.MaxReplicas <= 0 {
 		return engines
 	}
@@ -55,7 +55,7 @@
 }
 
 // giveMinimums gives one engine at a time to the model that needs it most.
-func (m *Machine) giveMinimums(targets []target, left int) int {
+func (m *Core) giveMinimums(targets []target, left int) int {
 	counts := make(map[string]int, len(targets))
 	for left > 0 {
 		neediest := -1
@@ -78,7 +78,7 @@
 	return left
 }
 
-func (m *Machine) giveSurge(targets []target, left int) int {
+func (m *Core) giveSurge(targets []target, left int) int {
 	for i := range targets {
 		t := &targets[i]
 		if left > 0 && t.engines > 0 && t.engines <= t.model.MinReplicas && m.inRollout(&t.model) {
@@ -90,7 +90,7 @@
 }
 
 // giveRest apportions by highest averages of weight and demand.
-func (m *Machine) giveRest(targets []target, left int, current map[string]int) {
+func (m *Core) giveRest(targets []target, left int, current map[string]int) {
 	scores := m.scores(targets)
 	for ; left > 0; left-- {
 		best, bestAverage := -1, 0.0
@@ -114,7 +114,7 @@
 	}
 }
 
-func (m *Machine) scores(targets []target) []float64 {
+func (m *Core) scores(targets []target) []float64 {
 	total := 0.0
 	for i := range targets {
 		total += m.demandOf(targets[i].model.Name)
@@ -136,7 +136,7 @@
 
 // inRollout reports whether an engine of the failure domain runs the model in
 // another version, or with other adapters, than declared.
-func (m *Machine) inRollout(model *declaration.Model) bool {
+func (m *Core) inRollout(model *declaration.Model) bool {
 	want := assignmentOf(model)
 	found := false
 	m.endpoints.Each(func(_ wire.EndpointID, e *endpoint) bool {
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -26,7 +26,7 @@
 	timers    *timer.Queue[timerKey]
 
 	snapshot *declaration.Snapshot
-	records  *idempotency.Machine
+	records  *idempotency.Core
 	gate     *store.Gate
 	fleet    *fleet
 
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -17,10 +17,10 @@
 // fleet carries their inputs and outputs.
 type fleet struct {
 	c       *Core
-	members *membership.Machine
-	spread  *spread.Machine
-	limits  *limits.Machine
-	placer  *controller.Machine
+	members *membership.Core
+	spread  *spread.Core
+	limits  *limits.Core
+	placer  *controller.Core
 
 	regionOf map[wire.FailureDomain]wire.Region // looked up only
 	heardAt  map[wire.NodeID]string             // addresses that peers announced; looked up only
--- a/internal/idempotency/answers.go
+++ b/internal/idempotency/answers.go
@@ -8,7 +8,7 @@
 )
 
 // putDone acts on the answer to a write of the record.
-func (m *Machine) putDone(now time.Duration, c *call, r store.Result) {
+func (m *Core) putDone(now time.Duration, c *call, r store.Result) {
 	switch r.Status {
 	case store.StatusOK:
 		c.version = r.Version
@@ -30,7 +30,7 @@
 }
 
 // putRefused acts on a write that was not executed.
-func (m *Machine) putRefused(now time.Duration, c *call) {
+func (m *Core) putRefused(now time.Duration, c *call) {
 	if c.goal == goalReleased && c.ownVersion == 0 && !c.inDoubt {
 		m.forget(c) // the store has never held the record
 		return
@@ -39,7 +39,7 @@
 }
 
 // stored acts on a record that is known to be ours and to say c.putting.
-func (m *Machine) stored(now time.Duration, c *call) {
+func (m *Core) stored(now time.Duration, c *call) {
 	switch {
 	case c.goal == goalRun && now >= c.giveUp:
 		m.tell(c, Decision{Verdict: StoreDown})
@@ -55,7 +55,7 @@
 }
 
 // rejected ends a call whose record the store will never take.
-func (m *Machine) rejected(c *call) {
+func (m *Core) rejected(c *call) {
 	if c.undecided() {
 		m.tell(c, Decision{Verdict: StoreDown})
 	}
@@ -63,7 +63,7 @@
 }
 
 // readDone acts on the answer to a read of the record.
-func (m *Machine) readDone(now time.Duration, c *call, r store.Result) {
+func (m *Core) readDone(now time.Duration, c *call, r store.Result) {
 	switch r.Status {
 	case store.StatusOK:
 	case store.StatusNotFound:
@@ -89,14 +89,14 @@
 	}
 }
 
-func (m *Machine) owns(c *call, r *record) bool {
+func (m *Core) owns(c *call, r *record) bool {
 	return r.Nonce == c.nonce && r.Owner == m.cfg.Self && r.Incarnation == m.cfg.Incarnation
 }
 
 // absent acts on a record that is not there. A write in doubt may still take
 // effect, so a call that wants to run or to withdraw writes again: whichever
 // write comes second fails.
-func (m *Machine) absent(now time.Duration, c *call) {
+func (m *Core) absent(now time.Duration, c *call) {
 	c.version = 0
 	c.ownVersion = 0
 	if c.goal == goalDone {
@@ -106,14 +106,14 @@
 	m.write(now, c)
 }
 
-func (m *Machine) unreadable(c *call) {
+func (m *Core) unreadable(c *call) {
 	if c.undecided() {
 		m.tell(c, Decision{Verdict: Unknown})
 	}
 	m.forget(c)
 }
 
-func (m *Machine) foundOwn(now time.Duration, c *call, found *record, version uint64) {
+func (m *Core) foundOwn(now time.Duration, c *call, found *record, version uint64) {
 	c.version = version
 	c.ownVersion = version
 	c.putting = found.State
@@ -121,7 +121,7 @@
 }
 
 // foundOther decides a call by the record of an earlier one.
-func (m *Machine) foundOther(now time.Duration, c *call, found *record, version uint64) {
+func (m *Core) foundOther(now time.Duration, c *call, found *record, version uint64) {
 	switch {
 	case found.State == stateReleased:
 		c.waiting = false
@@ -139,7 +139,7 @@
 }
 
 // await polls a running record until the call behind it must be over.
-func (m *Machine) await(now time.Duration, c *call, found *record) {
+func (m *Core) await(now time.Duration, c *call, found *record) {
 	if c.seen != found.Nonce {
 		c.seen = found.Nonce
 		c.overAt = now + found.RunFor + m.cfg.Grace
--- a/internal/idempotency/call.go
+++ b/internal/idempotency/call.go
@@ -62,25 +62,25 @@
 
 func (c *call) undecided() bool { return c.goal == goalRun && c.verdict != Run }
 
-func (m *Machine) tell(c *call, d Decision) {
+func (m *Core) tell(c *call, d Decision) {
 	d.Handle = c.handle
 	c.verdict = d.Verdict
 	m.decisions = append(m.decisions, d)
 }
 
 // end tells the final verdict of a call that owns no record and forgets it.
-func (m *Machine) end(c *call, d Decision) {
+func (m *Core) end(c *call, d Decision) {
 	m.tell(c, d)
 	m.forget(c)
 }
 
-func (m *Machine) forget(c *call) {
+func (m *Core) forget(c *call) {
 	m.timers.Stop(c.handle)
 	m.calls.Delete(c.handle)
 }
 
 // write sends the record that the goal asks for.
-func (m *Machine) write(now time.Duration, c *call) {
+func (m *Core) write(now time.Duration, c *call) {
 	lease := m.leaseFor(now, c)
 	if lease == 0 {
 		c.step = stepLease
@@ -98,7 +98,7 @@
 	}, opOwner{handle: c.handle})
 }
 
-func (m *Machine) wantedRecord(now time.Duration, c *call) *record {
+func (m *Core) wantedRecord(now time.Duration, c *call) *record {
 	r := &record{
 		Nonce:       c.nonce,
 		BodyDigest:  c.digest,
@@ -119,27 +119,27 @@
 	return r
 }
 
-func (m *Machine) read(c *call) {
+func (m *Core) read(c *call) {
 	c.step = stepRead
 	c.op = m.send(store.Op{Kind: store.OpGet, Key: c.storeKey}, opOwner{handle: c.handle})
 }
 
 // pause does next after a jittered pause that doubles with each try.
-func (m *Machine) pause(now time.Duration, c *call, next step) {
+func (m *Core) pause(now time.Duration, c *call, next step) {
 	c.pause = min(max(2*c.pause, minPause), maxPause)
 	c.step = stepPause
 	c.after = next
 	c.wakeAt = now + c.pause/2 + time.Duration(m.cfg.Rand.Int64N(int64(c.pause)))
 }
 
-func (m *Machine) rescheduleIfPresent(handle uint64) {
+func (m *Core) rescheduleIfPresent(handle uint64) {
 	if c := m.calls.Get(handle); c != nil {
 		m.schedule(c)
 	}
 }
 
 // schedule sets the call's timer to the earliest time at which wake has work.
-func (m *Machine) schedule(c *call) {
+func (m *Core) schedule(c *call) {
 	at := timer.Never
 	if c.step == stepPause {
 		at = c.wakeAt
@@ -165,7 +165,7 @@
 	return c.settleBy
 }
 
-func (m *Machine) wake(now time.Duration, c *call) {
+func (m *Core) wake(now time.Duration, c *call) {
 	switch {
 	case c.undecided() && now >= c.verdictDue():
 		m.giveUp(now, c)
@@ -177,7 +177,7 @@
 	m.rescheduleIfPresent(c.handle)
 }
 
-func (m *Machine) resume(now time.Duration, c *call) {
+func (m *Core) resume(now time.Duration, c *call) {
 	if c.after == stepRead {
 		m.read(c)
 		return
@@ -188,7 +188,7 @@
 // giveUp ends an undecided call. A call that has seen another one running can't
 // say what became of that one. Any other call has not run: nothing turns it into
 // Run any more, even if a write of its record takes effect later.
-func (m *Machine) giveUp(now time.Duration, c *call) {
+func (m *Core) giveUp(now time.Duration, c *call) {
 	if c.waiting {
 		m.end(c, Decision{Verdict: Unknown})
 		return
@@ -199,7 +199,7 @@
 
 // withdraw makes the record say that the call has not run. It does nothing if
 // there is no record of the call and none can appear.
-func (m *Machine) withdraw(now time.Duration, c *call) {
+func (m *Core) withdraw(now time.Duration, c *call) {
 	putInFlight := c.op != 0 && c.step == stepPut
 	if !c.told(Run) && c.ownVersion == 0 && !c.inDoubt && !putInFlight {
 		m.forget(c)
@@ -210,7 +210,7 @@
 
 // settle changes the goal of a call to its last one and pursues it until expire.
 // An operation in flight is awaited first.
-func (m *Machine) settle(now time.Duration, c *call, g goal, expire time.Duration) {
+func (m *Core) settle(now time.Duration, c *call, g goal, expire time.Duration) {
 	c.goal = g
 	c.expire = expire
 	c.pause = 0
@@ -222,7 +222,7 @@
 
 // advance takes the next step towards a final goal: a write if the version of
 // our record is known, a read otherwise.
-func (m *Machine) advance(now time.Duration, c *call) {
+func (m *Core) advance(now time.Duration, c *call) {
 	if c.ownVersion != 0 {
 		c.version = c.ownVersion
 		m.write(now, c)
--- a/internal/idempotency/machine.go
+++ b/internal/idempotency/core.go
@@ -59,9 +59,9 @@
 	Stored  Stored // for Replay
 }
 
-// Machine keeps the records of one process. It is deterministic and not safe for
+// Core keeps the records of one process. It is deterministic and not safe for
 // concurrent use.
-type Machine struct {
+type Core struct {
 	cfg       Config
 	calls     *table.Table[uint64, call]
 	byOp      map[uint64]opOwner
@@ -77,13 +77,13 @@
 	term   time.Duration // TTL of the term whose lease is granted, if not zero
 }
 
-// New returns a Machine without calls.
-func New(cfg Config) *Machine {
+// New returns a Core without calls.
+func New(cfg Config) *Core {
 	setDefault(&cfg.TTL, DefaultTTL)
 	setDefault(&cfg.StoreWait, DefaultStoreWait)
 	setDefault(&cfg.Grace, DefaultGrace)
 	setDefault(&cfg.CleanFor, DefaultCleanFor)
-	return &Machine{
+	return &Core{
 		cfg:    cfg,
 		calls:  table.New[uint64, call](),
 		byOp:   make(map[uint64]opOwner),
@@ -101,7 +101,7 @@
 // Begin asks for a verdict on a call. The handle names it in this process and
 // must not be in use. The record lasts ttl (0: Config.TTL); the verdict comes
 // within giveUpIn, and if it is Run the call must end within giveUpIn too.
-func (m *Machine) Begin(now time.Duration, handle uint64, key Key, bodyDigest uint64, ttl, giveUpIn time.Duration) {
+func (m *Core) Begin(now time.Duration, handle uint64, key Key, bodyDigest uint64, ttl, giveUpIn time.Duration) {
 	setDefault(&ttl, m.cfg.TTL)
 	c := m.calls.Put(handle, call{
 		handle:   handle,
@@ -117,7 +117,7 @@
 	m.schedule(c)
 }
 
-func (m *Machine) newNonce() nonce {
+func (m *Core) newNonce() nonce {
 	var n nonce
 	binary.BigEndian.PutUint64(n[:8], m.cfg.Rand.Uint64())
 	binary.BigEndian.PutUint64(n[8:], m.cfg.Rand.Uint64()|1)
@@ -126,7 +126,7 @@
 
 // Finish records the end of a call that had the verdict Run. A call that ended
 // as not run is released.
-func (m *Machine) Finish(now time.Duration, handle uint64, outcome wire.Outcome, answer Stored) {
+func (m *Core) Finish(now time.Duration, handle uint64, outcome wire.Outcome, answer Stored) {
 	c := m.calls.Get(handle)
 	if c == nil || !c.told(Run) || c.goal != goalRun {
 		return
@@ -146,7 +146,7 @@
 
 // Release withdraws a call that is proven not to have run and not to run, or
 // whose caller has left before the verdict. A later repeat may run.
-func (m *Machine) Release(now time.Duration, handle uint64) {
+func (m *Core) Release(now time.Duration, handle uint64) {
 	c := m.calls.Get(handle)
 	if c == nil || c.goal != goalRun {
 		return
@@ -155,7 +155,7 @@
 }
 
 // Tick retries and gives up what is due.
-func (m *Machine) Tick(now time.Duration) {
+func (m *Core) Tick(now time.Duration) {
 	for {
 		handle, ok := m.timers.Pop(now)
 		if !ok {
@@ -169,21 +169,21 @@
 }
 
 // Next returns the time at which Tick is due.
-func (m *Machine) Next() time.Duration { return m.timers.Next() }
+func (m *Core) Next() time.Duration { return m.timers.Next() }
 
 // Pending returns the number of calls whose record is not settled. A process
 // that shuts down waits for it to reach zero.
-func (m *Machine) Pending() int { return m.calls.Len() }
+func (m *Core) Pending() int { return m.calls.Len() }
 
 // TakeStore returns the operations to send.
-func (m *Machine) TakeStore() []store.Op {
+func (m *Core) TakeStore() []store.Op {
 	out := m.out
 	m.out = nil
 	return out
 }
 
 // TakeDecisions returns the verdicts since the last call.
-func (m *Machine) TakeDecisions() []Decision {
+func (m *Core) TakeDecisions() []Decision {
 	decisions := m.decisions
 	m.decisions = nil
 	return decisions
@@ -191,7 +191,7 @@
 
 // StoreResult takes the answer to one of the machine's operations. It reports
 // false for any other.
-func (m *Machine) StoreResult(now time.Duration, r store.Result) bool {
+func (m *Core) StoreResult(now time.Duration, r store.Result) bool {
 	owner, ok := m.byOp[r.ID]
 	if !ok {
 		return false
@@ -215,7 +215,7 @@
 	return true
 }
 
-func (m *Machine) send(op store.Op, owner opOwner) uint64 {
+func (m *Core) send(op store.Op, owner opOwner) uint64 {
 	op.ID = m.cfg.NextOp()
 	m.byOp[op.ID] = owner
 	m.out = append(m.out, op)
--- a/internal/idempotency/machine_test.go
+++ b/internal/idempotency/core_test.go
@@ -26,7 +26,7 @@
 
 // node is one entry with its link to the shared store.
 type node struct {
-	m        *Machine
+	m        *Core
 	link     *storetest.Link
 	verdicts map[uint64][]Decision
 }
--- a/internal/idempotency/term.go
+++ b/internal/idempotency/term.go
@@ -23,7 +23,7 @@
 }
 
 // leaseFor returns the lease for a record of the call, or 0 after asking for one.
-func (m *Machine) leaseFor(now time.Duration, c *call) uint64 {
+func (m *Core) leaseFor(now time.Duration, c *call) uint64 {
 	t := m.terms[c.ttl]
 	if t == nil {
 		t = &term{ttl: c.ttl}
@@ -44,7 +44,7 @@
 	return 0
 }
 
-func (m *Machine) granted(now time.Duration, t *term, r store.Result) {
+func (m *Core) granted(now time.Duration, t *term, r store.Result) {
 	t.granting = false
 	if r.Status == store.StatusOK {
 		t.lease = r.Lease
@@ -67,7 +67,7 @@
 }
 
 // dropLease forgets a lease that the store no longer knows.
-func (m *Machine) dropLease(c *call) {
+func (m *Core) dropLease(c *call) {
 	if t := m.terms[c.ttl]; t != nil {
 		t.lease = 0
 	}
--- a/internal/limits/admit.go
+++ b/internal/limits/admit.go
@@ -121,7 +121,7 @@
 
 // Admit decides on one request of the account and, if it is admitted, counts it
 // until Settle.
-func (m *Machine) Admit(now time.Duration, id wire.AccountID, tokens int64) Decision {
+func (m *Core) Admit(now time.Duration, id wire.AccountID, tokens int64) Decision {
 	m.wake(now)
 	a := m.accounts.Get(id)
 	if a == nil {
@@ -177,7 +177,7 @@
 
 // Settle ends a request that was admitted and corrects the token rate by what
 // it has really used.
-func (m *Machine) Settle(now time.Duration, id wire.AccountID, estimated, actual int64) {
+func (m *Core) Settle(now time.Duration, id wire.AccountID, estimated, actual int64) {
 	a := m.accounts.Get(id)
 	if a == nil {
 		return
@@ -190,7 +190,7 @@
 	a.budget.level += float64(estimated - actual)
 }
 
-func (m *Machine) addAccount(now time.Duration, id wire.AccountID) *account {
+func (m *Core) addAccount(now time.Duration, id wire.AccountID) *account {
 	if m.view.homes.ring == nil {
 		return nil
 	}
@@ -207,7 +207,7 @@
 	return a
 }
 
-func (m *Machine) assignHome(a *account) {
+func (m *Core) assignHome(a *account) {
 	home := m.view.homes.of(a.id)
 	if home != a.home {
 		a.detach()
@@ -226,7 +226,7 @@
 
 // expireAccount drops an account that has not been used for a while, once its
 // home has heard that the grant is not needed.
-func (m *Machine) expireAccount(now time.Duration, id wire.AccountID) {
+func (m *Core) expireAccount(now time.Duration, id wire.AccountID) {
 	a := m.accounts.Get(id)
 	if a == nil {
 		return
@@ -248,7 +248,7 @@
 	m.removeAccount(a)
 }
 
-func (m *Machine) removeAccount(a *account) {
+func (m *Core) removeAccount(a *account) {
 	m.accounts.Delete(a.id)
 	if a.homePeer == nil {
 		return
@@ -261,7 +261,7 @@
 
 // allowed returns what this entry may use now: its grant while that is valid,
 // or its equal share while that is promised to nobody.
-func (m *Machine) allowed(now time.Duration, a *account) allowance {
+func (m *Core) allowed(now time.Duration, a *account) allowance {
 	var al allowance
 	if now < a.validUntil() {
 		al = a.grant
@@ -287,7 +287,7 @@
 
 // ask seeks more than is allowed now: at once if this entry is the home, by a
 // message otherwise.
-func (m *Machine) ask(now time.Duration, a *account, allowed allowance) allowance {
+func (m *Core) ask(now time.Duration, a *account, allowed allowance) allowance {
 	if a.homePeer != nil {
 		gap := m.period() / asksPerPeriod
 		if !a.granted {
--- a/internal/limits/bench_test.go
+++ b/internal/limits/bench_test.go
@@ -66,7 +66,7 @@
 	const measured = 60 * time.Second
 	limits := benchAccounts(accounts)
 	ids := accountIDs(limits)
-	f := &benchFleet{nodes: make(map[wire.NodeID]*Machine), sent: make(map[wire.NodeID]int)}
+	f := &benchFleet{nodes: make(map[wire.NodeID]*Core), sent: make(map[wire.NodeID]int)}
 	for i := range entries {
 		id := wire.NodeID(fmt.Sprintf("entry-%03d", i))
 		f.order = append(f.order, id)
@@ -114,7 +114,7 @@
 // benchFleet delivers messages at once and counts their bytes.
 type benchFleet struct {
 	order []wire.NodeID
-	nodes map[wire.NodeID]*Machine
+	nodes map[wire.NodeID]*Core
 	sent  map[wire.NodeID]int
 	count int
 
--- a/internal/limits/machine.go
+++ b/internal/limits/core.go
@@ -77,9 +77,9 @@
 	Msg     wire.ToPeer
 }
 
-// Machine is the part of the limits that one entry plays. It is deterministic
+// Core is the part of the limits that one entry plays. It is deterministic
 // and not safe for concurrent use.
-type Machine struct {
+type Core struct {
 	cfg      Config
 	snapshot *declaration.Snapshot
 
@@ -109,8 +109,8 @@
 	shares scratch
 }
 
-// New returns a Machine that admits nothing until SetSnapshot and SetPeers.
-func New(cfg Config) *Machine {
+// New returns a Core that admits nothing until SetSnapshot and SetPeers.
+func New(cfg Config) *Core {
 	setDefault(&cfg.Lease, DefaultLease)
 	setDefault(&cfg.ListLag, DefaultListLag)
 	setDefault(&cfg.Settle, DefaultSettle)
@@ -120,7 +120,7 @@
 	if len(cfg.RegionNames) > 0 {
 		cfg.Regions = len(cfg.RegionNames)
 	}
-	return &Machine{
+	return &Core{
 		cfg:      cfg,
 		peers:    table.New[wire.NodeID, peer](),
 		accounts: table.New[wire.AccountID, account](),
@@ -140,7 +140,7 @@
 }
 
 // SetSnapshot puts a revision of the declarations in force.
-func (m *Machine) SetSnapshot(now time.Duration, s *declaration.Snapshot) {
+func (m *Core) SetSnapshot(now time.Duration, s *declaration.Snapshot) {
 	m.snapshot = s
 	m.accounts.Each(func(id wire.AccountID, a *account) bool {
 		a.limits = m.limitsOf(id)
@@ -154,7 +154,7 @@
 
 // limitsOf returns this region's part of an account's limits. An account that
 // the declarations do not know has none.
-func (m *Machine) limitsOf(id wire.AccountID) declaration.Limits {
+func (m *Core) limitsOf(id wire.AccountID) declaration.Limits {
 	if m.snapshot == nil {
 		return declaration.Limits{}
 	}
@@ -175,7 +175,7 @@
 }
 
 // Tick sends what is due and drops what has expired.
-func (m *Machine) Tick(now time.Duration) {
+func (m *Core) Tick(now time.Duration) {
 	m.wake(now)
 	m.expireMembers(now)
 	m.join(now)
@@ -208,7 +208,7 @@
 }
 
 // Next returns the time at which Tick is due.
-func (m *Machine) Next() time.Duration {
+func (m *Core) Next() time.Duration {
 	next := min(m.sends.Next(), m.idle.Next(), m.unheld.Next(), m.gone.Next())
 	if m.joinBy == 0 {
 		return next
@@ -223,7 +223,7 @@
 // after which entries that start do without its answer, the process was paused: entries may have started that it has not heard of, so it leaves
 // its own share alone until it has read the list again, or for as long as it
 // would count an entry that it can't hear.
-func (m *Machine) wake(now time.Duration) {
+func (m *Core) wake(now time.Duration) {
 	if m.joinBy > 0 && now-m.active > m.settle()/pauseParts {
 		m.stale = now + m.settle()
 	}
@@ -231,13 +231,13 @@
 }
 
 // sharing reports whether this entry may use, lend or grant its own share.
-func (m *Machine) sharing(now time.Duration) bool { return m.joined && now >= m.stale }
+func (m *Core) sharing(now time.Duration) bool { return m.joined && now >= m.stale }
 
 // Joined reports whether this entry may use its equal share of the limits.
-func (m *Machine) Joined(now time.Duration) bool { return m.sharing(now) && now >= m.joinWait }
+func (m *Core) Joined(now time.Duration) bool { return m.sharing(now) && now >= m.joinWait }
 
 // TakePeer returns the messages to send to other entries.
-func (m *Machine) TakePeer() []PeerMsg {
+func (m *Core) TakePeer() []PeerMsg {
 	out := m.out
 	m.out = nil
 	return out
@@ -245,11 +245,11 @@
 
 // settle is how long an entry that was on the list, or has just started, may
 // matter without being heard.
-func (m *Machine) settle() time.Duration {
+func (m *Core) settle() time.Duration {
 	return max(m.cfg.Settle, lendPeriods*m.period())
 }
 
 // period is the time between two exchanges with a home.
-func (m *Machine) period() time.Duration {
+func (m *Core) period() time.Duration {
 	return max(m.cfg.Lease/leasePeriods, periodPerEntry*time.Duration(len(m.view.members)))
 }
--- a/internal/limits/exchange.go
+++ b/internal/limits/exchange.go
@@ -9,7 +9,7 @@
 
 // FromPeer takes a message from another entry. It reports false for messages
 // that do not concern limits.
-func (m *Machine) FromPeer(now time.Duration, from wire.NodeID, msg wire.ToPeer) bool {
+func (m *Core) FromPeer(now time.Duration, from wire.NodeID, msg wire.ToPeer) bool {
 	m.wake(now)
 	switch {
 	case msg.GrantRequest != nil:
@@ -22,13 +22,13 @@
 	return true
 }
 
-func (m *Machine) isHome(node wire.NodeID) bool {
+func (m *Core) isHome(node wire.NodeID) bool {
 	_, found := slices.BinarySearch(m.view.homes.ring.Nodes(), node)
 	return found
 }
 
 // requestSoon moves the next request to a home forward.
-func (m *Machine) requestSoon(now time.Duration, p *peer, gap time.Duration) {
+func (m *Core) requestSoon(now time.Duration, p *peer, gap time.Duration) {
 	last, sent := p.requests.when(p.requests.last)
 	at := now
 	if sent {
@@ -39,14 +39,14 @@
 	}
 }
 
-func (m *Machine) scheduleRequest(p *peer, at time.Duration) {
+func (m *Core) scheduleRequest(p *peer, at time.Duration) {
 	p.nextRequest = at
 	m.sends.Set(p.node, at)
 }
 
 // request sends the wants of the accounts at home at p, with the promise of our
 // share. Other peers hear from us only until we have joined.
-func (m *Machine) request(now time.Duration, p *peer) {
+func (m *Core) request(now time.Duration, p *peer) {
 	home := m.isHome(p.node)
 	if m.joined && !home {
 		p.nextRequest = never
@@ -77,7 +77,7 @@
 
 // lend promises our share of the accounts at home at p. Accounts that have
 // changed their home are left out while an earlier promise may be in force.
-func (m *Machine) lend(now time.Duration, p *peer, r *wire.GrantRequest) {
+func (m *Core) lend(now time.Duration, p *peer, r *wire.GrantRequest) {
 	if !m.sharing(now) {
 		return
 	}
@@ -92,7 +92,7 @@
 }
 
 // handleRequest records what another entry lends and wants, and answers.
-func (m *Machine) handleRequest(now time.Duration, from wire.NodeID, r *wire.GrantRequest) {
+func (m *Core) handleRequest(now time.Duration, from wire.NodeID, r *wire.GrantRequest) {
 	if m.view.homes.ring == nil {
 		return
 	}
@@ -120,7 +120,7 @@
 // meet notes the life of the peer that sent a message. It reports false for a
 // message from an earlier life. What an earlier life lent is forgotten; grants
 // that rest on it, and grants that it gave to us, stay in use until they lapse.
-func (m *Machine) meet(now time.Duration, p *peer, life wire.Incarnation) bool {
+func (m *Core) meet(now time.Duration, p *peer, life wire.Incarnation) bool {
 	if life <= p.life {
 		return life == p.life
 	}
@@ -147,7 +147,7 @@
 
 // takeLending records the promise in a request. Its term counts from when we
 // sent the reply that the request echoes: the request was sent later than that.
-func (m *Machine) takeLending(p *peer, r *wire.GrantRequest) {
+func (m *Core) takeLending(p *peer, r *wire.GrantRequest) {
 	if r.EchoIncarnation != m.cfg.Incarnation {
 		return
 	}
@@ -163,7 +163,7 @@
 }
 
 // grantWants takes the wants and renews all grants that the peer holds here.
-func (m *Machine) grantWants(now time.Duration, p *peer, wants []wire.GrantWant, reply *wire.GrantReply) {
+func (m *Core) grantWants(now time.Duration, p *peer, wants []wire.GrantWant, reply *wire.GrantReply) {
 	if !m.sharing(now) || now < m.joinWait {
 		return // grants of an earlier life may still be in use
 	}
@@ -186,7 +186,7 @@
 }
 
 // handleReply takes grants. Their term counts from when we sent the request.
-func (m *Machine) handleReply(now time.Duration, from wire.NodeID, r *wire.GrantReply) {
+func (m *Core) handleReply(now time.Duration, from wire.NodeID, r *wire.GrantReply) {
 	p := m.peers.Get(from)
 	if p == nil || r.EchoIncarnation != m.cfg.Incarnation {
 		return
@@ -210,7 +210,7 @@
 	}
 }
 
-func (m *Machine) takeGrants(now time.Duration, p *peer, r *wire.GrantReply, sent time.Duration) {
+func (m *Core) takeGrants(now time.Duration, p *peer, r *wire.GrantReply, sent time.Duration) {
 	if r.Lease <= 0 {
 		return // the wants were not taken either
 	}
--- a/internal/limits/harness_test.go
+++ b/internal/limits/harness_test.go
@@ -26,7 +26,7 @@
 type node struct {
 	id          wire.NodeID
 	incarnation wire.Incarnation
-	m           *Machine
+	m           *Core
 	up          bool
 	paused      time.Duration // until
 	inbox       []packet
--- a/internal/limits/home.go
+++ b/internal/limits/home.go
@@ -43,7 +43,7 @@
 
 // backingUntil sums the shares that are promised to this home until the given
 // time at least.
-func (m *Machine) backingUntil(now, until time.Duration) backing {
+func (m *Core) backingUntil(now, until time.Duration) backing {
 	var b backing
 	if !m.sharing(now) || now < m.joinWait {
 		return b
@@ -74,7 +74,7 @@
 }
 
 // of returns the part of an account's limits that may be granted.
-func (b backing) of(m *Machine, id wire.AccountID) float64 {
+func (b backing) of(m *Core, id wire.AccountID) float64 {
 	part := b.all
 	if b.stayed > 0 && m.stayed(id) {
 		part += b.stayed
@@ -85,7 +85,7 @@
 	return part
 }
 
-func (m *Machine) homeAccount(now time.Duration, id wire.AccountID) *homeAccount {
+func (m *Core) homeAccount(now time.Duration, id wire.AccountID) *homeAccount {
 	if h := m.homes.Get(id); h != nil {
 		return h
 	}
@@ -94,7 +94,7 @@
 }
 
 // expireHome drops a home account that nobody holds.
-func (m *Machine) expireHome(now time.Duration, id wire.AccountID) {
+func (m *Core) expireHome(now time.Duration, id wire.AccountID) {
 	h := m.homes.Get(id)
 	if h == nil {
 		return
@@ -204,7 +204,7 @@
 // inFlightBeyond returns how many requests entries other than x have in flight
 // beyond what the grants that they may have allow. Grants lapse and shrink
 // while requests go on.
-func (m *Machine) inFlightBeyond(h *homeAccount, x *holder) int64 {
+func (m *Core) inFlightBeyond(h *homeAccount, x *holder) int64 {
 	var beyond, own int64
 	for i := range h.holders {
 		other := &h.holders[i]
@@ -223,7 +223,7 @@
 }
 
 // inUse returns the requests of an account that this entry has in flight.
-func (m *Machine) inUse(id wire.AccountID) int64 {
+func (m *Core) inUse(id wire.AccountID) int64 {
 	if a := m.accounts.Get(id); a != nil {
 		return a.inUse
 	}
@@ -232,7 +232,7 @@
 
 // fairShare divides the backed part of the limits by demand and returns the
 // share of one holder.
-func (m *Machine) fairShare(h *homeAccount, part float64, node wire.NodeID) allowance {
+func (m *Core) fairShare(h *homeAccount, part float64, node wire.NodeID) allowance {
 	s := &m.shares
 	index := 0
 	pick := func(value func(*wire.GrantWant) float64) []float64 {
@@ -257,7 +257,7 @@
 
 // allot returns what one holder gets: its fair share, but not less than it has
 // in use, and not more than room, which the others leave of the backed part.
-func (m *Machine) allot(h *homeAccount, part float64, x *holder) (share, room allowance) {
+func (m *Core) allot(h *homeAccount, part float64, x *holder) (share, room allowance) {
 	others := h.heldByOthers(x.node)
 	others.concurrency += m.inFlightBeyond(h, x)
 	whole := int64(math.Floor(float64(h.limits.Concurrency)*part + roundingSlack))
@@ -273,7 +273,7 @@
 
 // grantSelf decides on the use of an account by this entry, its home. The grant
 // lasts for a period only, so that a peer soon gets its part.
-func (m *Machine) grantSelf(now time.Duration, a *account) {
+func (m *Core) grantSelf(now time.Duration, a *account) {
 	h := m.homeAccount(now, a.id)
 	h.expire(now, wantPeriods*m.period())
 	x := h.holder(m.cfg.Self)
@@ -287,7 +287,7 @@
 	m.checkSums(now, a.id, h)
 }
 
-func (m *Machine) setSelf(now time.Duration, a *account, x *holder, share allowance) {
+func (m *Core) setSelf(now time.Duration, a *account, x *holder, share allowance) {
 	share.until = now + m.period()
 	x.given = append(x.given[:0], given{allowance: share})
 	a.grant = share
@@ -296,7 +296,7 @@
 }
 
 // checkSums asserts that the grants of an account stay within its limits.
-func (m *Machine) checkSums(now time.Duration, id wire.AccountID, h *homeAccount) {
+func (m *Core) checkSums(now time.Duration, id wire.AccountID, h *homeAccount) {
 	limit := h.limits
 	if now < h.earlierUntil {
 		limit = higherLimits(limit, h.earlier)
--- a/internal/limits/peers.go
+++ b/internal/limits/peers.go
@@ -93,7 +93,7 @@
 
 // SetPeers takes the list of entries each time that it has been read. Entries
 // that merely do not answer must stay on it: they may still use their share.
-func (m *Machine) SetPeers(now time.Duration, peers []Peer) {
+func (m *Core) SetPeers(now time.Duration, peers []Peer) {
 	listed := make(map[wire.NodeID]bool, len(peers))
 	for _, p := range peers {
 		if p.Region != m.cfg.Region || p.Node == m.cfg.Self {
@@ -119,7 +119,7 @@
 	m.join(now)
 }
 
-func (m *Machine) addPeer(now time.Duration, node wire.NodeID, address string) {
+func (m *Core) addPeer(now time.Duration, node wire.NodeID, address string) {
 	p := m.peers.Get(node)
 	if p == nil {
 		p = m.newPeer(now, node)
@@ -131,7 +131,7 @@
 
 // heard counts an entry that is not on the list, or not any more, but sends
 // requests and so may use a share.
-func (m *Machine) heard(now time.Duration, node wire.NodeID) *peer {
+func (m *Core) heard(now time.Duration, node wire.NodeID) *peer {
 	p := m.peers.Get(node)
 	if p == nil {
 		p = m.newPeer(now, node)
@@ -145,7 +145,7 @@
 
 // newPeer counts an entry from now on. Until bound, shares may be in use that
 // were divided without it.
-func (m *Machine) newPeer(now time.Duration, node wire.NodeID) *peer {
+func (m *Core) newPeer(now time.Duration, node wire.NodeID) *peer {
 	bound := max(m.lastPromise(), now+m.period()) // grants to this entry itself included
 	p := m.peers.Put(node, peer{node: node, bound: bound})
 	m.scheduleRequest(p, now)
@@ -153,7 +153,7 @@
 }
 
 // lastPromise returns the end of the last promise or grant to another entry.
-func (m *Machine) lastPromise() time.Duration {
+func (m *Core) lastPromise() time.Duration {
 	last := max(m.selfPromise, m.gonePromise)
 	m.peers.Each(func(_ wire.NodeID, p *peer) bool {
 		last = max(last, p.promised)
@@ -162,7 +162,7 @@
 	return last
 }
 
-func (m *Machine) expireMembers(now time.Duration) {
+func (m *Core) expireMembers(now time.Duration) {
 	expired := false
 	for {
 		node, ok := m.gone.Pop(now)
@@ -182,7 +182,7 @@
 }
 
 // updateView recomputes the view after a change of the members.
-func (m *Machine) updateView(now time.Duration) {
+func (m *Core) updateView(now time.Duration) {
 	members := append(m.peers.Keys(), m.cfg.Self)
 	slices.Sort(members)
 	digest := digestNodes(members)
@@ -210,7 +210,7 @@
 
 // homesChanged freezes the shares of the accounts that have a new home until no
 // promise to an old one is left.
-func (m *Machine) homesChanged(now time.Duration, old homeSet) {
+func (m *Core) homesChanged(now time.Duration, old homeSet) {
 	promised := m.lastPromise()
 	stillFrozen := now < m.frozenUntil
 	m.frozenUntil = max(m.frozenUntil, promised)
@@ -227,7 +227,7 @@
 }
 
 // rehome assigns every account to its present home.
-func (m *Machine) rehome() {
+func (m *Core) rehome() {
 	m.peers.Each(func(_ wire.NodeID, p *peer) bool {
 		p.accounts = p.accounts[:0]
 		p.holds = slices.DeleteFunc(p.holds, func(id wire.AccountID) bool { return m.view.homes.of(id) != m.cfg.Self })
@@ -246,20 +246,20 @@
 }
 
 // stayed reports whether the account kept its home at the last change.
-func (m *Machine) stayed(id wire.AccountID) bool {
+func (m *Core) stayed(id wire.AccountID) bool {
 	return m.prevHomes != nil && m.prevHomes.of(id) == m.view.homes.of(id)
 }
 
 // ownFree reports whether the own share of the account may be lent or granted:
 // the other entries count this one, and no earlier home may still hold it.
-func (m *Machine) ownFree(now time.Duration, id wire.AccountID) bool {
+func (m *Core) ownFree(now time.Duration, id wire.AccountID) bool {
 	return m.sharing(now) && (now >= m.frozenUntil || m.stayed(id))
 }
 
 // join lets this entry use its share once every entry that runs has had time to
 // hear of it and it of them, and every other member has told how long earlier
 // promises bind, or those have ended.
-func (m *Machine) join(now time.Duration) {
+func (m *Core) join(now time.Duration) {
 	if m.joined || m.joinBy == 0 || now < m.joinDue() {
 		return
 	}
@@ -269,14 +269,14 @@
 }
 
 // joinDue returns when this entry joins by what it knows now.
-func (m *Machine) joinDue() time.Duration {
+func (m *Core) joinDue() time.Duration {
 	if m.allAcked() {
 		return m.joinFrom
 	}
 	return m.joinBy
 }
 
-func (m *Machine) allAcked() bool {
+func (m *Core) allAcked() bool {
 	all := true
 	m.peers.Each(func(_ wire.NodeID, p *peer) bool {
 		all = p.acked == m.view.digest
@@ -286,7 +286,7 @@
 }
 
 // PeerDown records that the transport to a peer failed.
-func (m *Machine) PeerDown(now time.Duration, node wire.NodeID) {
+func (m *Core) PeerDown(now time.Duration, node wire.NodeID) {
 	if p := m.peers.Get(node); p != nil {
 		p.hasReplied = false
 		m.scheduleRequest(p, now+m.period())
@@ -294,12 +294,12 @@
 }
 
 // reachable reports whether the peer has answered in the last exchange.
-func (m *Machine) reachable(now time.Duration, p *peer) bool {
+func (m *Core) reachable(now time.Duration, p *peer) bool {
 	return p.hasReplied && now-p.answered < m.period()+m.period()/2
 }
 
 // Home returns the entry at which an account is at home.
-func (m *Machine) Home(id wire.AccountID) wire.NodeID {
+func (m *Core) Home(id wire.AccountID) wire.NodeID {
 	if m.view.homes.ring == nil {
 		return ""
 	}
--- a/internal/limits/session.go
+++ b/internal/limits/session.go
@@ -33,7 +33,7 @@
 
 // dropSession voids the grants of the present session with a home, which does
 // not know of them any more.
-func (m *Machine) dropSession(now time.Duration, p *peer) {
+func (m *Core) dropSession(now time.Duration, p *peer) {
 	for _, a := range p.accounts {
 		if a.grantedBy == p {
 			a.grant = allowance{}
@@ -67,7 +67,7 @@
 }
 
 // endSession forgets that the peer holds grants: they have lapsed.
-func (m *Machine) endSession(p *peer) {
+func (m *Core) endSession(p *peer) {
 	for _, id := range p.holds {
 		if h := m.homes.Get(id); h != nil {
 			h.remove(p.node)
@@ -78,7 +78,7 @@
 }
 
 // takeWant records what a peer wants of one account.
-func (m *Machine) takeWant(now time.Duration, p *peer, w wire.GrantWant) {
+func (m *Core) takeWant(now time.Duration, p *peer, w wire.GrantWant) {
 	h := m.homeAccount(now, w.Account)
 	x := h.holder(p.node)
 	x.want, x.wanted = w, now
@@ -89,7 +89,7 @@
 
 // renew decides on all grants of a peer, and lists those that it has asked for
 // or may not have heard of.
-func (m *Machine) renew(now time.Duration, p *peer, wants []wire.GrantWant, reply *wire.GrantReply) {
+func (m *Core) renew(now time.Duration, p *peer, wants []wire.GrantWant, reply *wire.GrantReply) {
 	b := m.backingUntil(now, p.ends)
 	kept := p.holds[:0]
 	for _, id := range p.holds {
@@ -138,7 +138,7 @@
 
 // renewGrant extends the holder's grant to the end of the session, or replaces it
 // if it is not backed any more or its fair share has changed.
-func (m *Machine) renewGrant(now time.Duration, p *peer, h *homeAccount, x *holder, part float64, sequence uint64) {
+func (m *Core) renewGrant(now time.Duration, p *peer, h *homeAccount, x *holder, part float64, sequence uint64) {
 	x.wanted = now
 	share, room := m.allot(h, part, x)
 	if x.idle() {
--- a/internal/membership/machine.go
+++ b/internal/membership/core.go
@@ -56,11 +56,11 @@
 	Leaving     bool
 }
 
-// Machine merges the platform's lagging list with what nodes say themselves. A
+// Core merges the platform's lagging list with what nodes say themselves. A
 // node that is heard is a member although the list lacks it; a node on the list
 // that is silent is suspected first and ejected later. It is deterministic and
 // not safe for concurrent use.
-type Machine struct {
+type Core struct {
 	cfg     Config
 	members *table.Table[wire.NodeID, row]
 	timers  *timer.Queue[wire.NodeID]
@@ -71,20 +71,20 @@
 	Member
 }
 
-// New returns a Machine without members.
-func New(cfg Config) *Machine {
+// New returns a Core without members.
+func New(cfg Config) *Core {
 	if cfg.SuspectAfter == 0 {
 		cfg.SuspectAfter = DefaultSuspectAfter
 	}
 	if cfg.EjectAfter == 0 {
 		cfg.EjectAfter = DefaultEjectAfter
 	}
-	return &Machine{cfg: cfg, members: table.New[wire.NodeID, row](), timers: timer.New[wire.NodeID]()}
+	return &Core{cfg: cfg, members: table.New[wire.NodeID, row](), timers: timer.New[wire.NodeID]()}
 }
 
 // SetList takes the platform's list. A node that has left it stays while it is
 // heard, as the list may lag.
-func (m *Machine) SetList(now time.Duration, vms []VM) {
+func (m *Core) SetList(now time.Duration, vms []VM) {
 	listed := make(map[wire.NodeID]bool, len(vms))
 	for _, vm := range vms {
 		listed[vm.Node] = true
@@ -109,7 +109,7 @@
 
 // Heard takes a heartbeat. It reports false for one from an earlier life of the
 // node, which must be ignored.
-func (m *Machine) Heard(now time.Duration, h Heartbeat) bool {
+func (m *Core) Heard(now time.Duration, h Heartbeat) bool {
 	r := m.members.Get(h.Node)
 	if r == nil {
 		r = m.members.Put(h.Node, row{Member: Member{VM: VM{Node: h.Node}}})
@@ -133,7 +133,7 @@
 
 // Down records that the transport to a node failed: it is suspected at once, and
 // ejected unless it is heard again in time.
-func (m *Machine) Down(now time.Duration, node wire.NodeID) {
+func (m *Core) Down(now time.Duration, node wire.NodeID) {
 	r := m.members.Get(node)
 	if r == nil || (r.State != Alive && r.State != Listed) {
 		return
@@ -142,7 +142,7 @@
 }
 
 // Tick suspects and ejects silent nodes.
-func (m *Machine) Tick(now time.Duration) {
+func (m *Core) Tick(now time.Duration) {
 	for {
 		node, ok := m.timers.Pop(now)
 		if !ok {
@@ -163,10 +163,10 @@
 }
 
 // Next returns the time at which Tick is due.
-func (m *Machine) Next() time.Duration { return m.timers.Next() }
+func (m *Core) Next() time.Duration { return m.timers.Next() }
 
 // Members returns all members in the order in which they appeared.
-func (m *Machine) Members() []Member {
+func (m *Core) Members() []Member {
 	members := make([]Member, 0, m.members.Len())
 	m.members.Each(func(_ wire.NodeID, r *row) bool {
 		members = append(members, r.Member)
@@ -176,7 +176,7 @@
 }
 
 // Get returns one member.
-func (m *Machine) Get(node wire.NodeID) (Member, bool) {
+func (m *Core) Get(node wire.NodeID) (Member, bool) {
 	r := m.members.Get(node)
 	if r == nil {
 		return Member{}, false
@@ -185,13 +185,13 @@
 }
 
 // TakeChanges returns the changes since the last call.
-func (m *Machine) TakeChanges() []Change {
+func (m *Core) TakeChanges() []Change {
 	changes := m.changes
 	m.changes = nil
 	return changes
 }
 
-func (m *Machine) enter(now time.Duration, node wire.NodeID, r *row, s State, newLife bool) {
+func (m *Core) enter(now time.Duration, node wire.NodeID, r *row, s State, newLife bool) {
 	r.State = s
 	m.changes = append(m.changes, Change{Node: node, State: s, NewLife: newLife})
 	switch s {
@@ -205,7 +205,7 @@
 }
 
 // removeIfGone drops a node that is neither on the list nor heard.
-func (m *Machine) removeIfGone(node wire.NodeID, r *row) {
+func (m *Core) removeIfGone(node wire.NodeID, r *row) {
 	if r.OnList || r.State == Alive || r.State == Suspect {
 		return
 	}
--- a/internal/spread/adopt.go
+++ b/internal/spread/adopt.go
@@ -8,7 +8,7 @@
 )
 
 // adopt puts a newer revision in force and announces it.
-func (m *Machine) adopt(now time.Duration, s *declaration.State) {
+func (m *Core) adopt(now time.Duration, s *declaration.State) {
 	before := m.Revision()
 	if s.Revision() <= before || m.local {
 		return
@@ -27,7 +27,7 @@
 }
 
 // digest returns the digest of the root in force, or 0.
-func (m *Machine) digest() uint64 {
+func (m *Core) digest() uint64 {
 	if m.state == nil {
 		return 0
 	}
@@ -35,7 +35,7 @@
 }
 
 // held returns the state with the given root digest, if it is remembered.
-func (m *Machine) held(digest uint64) *declaration.State {
+func (m *Core) held(digest uint64) *declaration.State {
 	for i := len(m.history) - 1; i >= 0; i-- {
 		if m.history[i].Digest() == digest {
 			return m.history[i]
@@ -46,7 +46,7 @@
 
 // take applies an encoded or inline difference and reports whether it led on
 // from the revision in force.
-func (m *Machine) take(now time.Duration, d *declaration.Difference) bool {
+func (m *Core) take(now time.Duration, d *declaration.Difference) bool {
 	if m.state == nil || d.Revision <= m.state.Revision() {
 		return false
 	}
--- a/internal/spread/announce.go
+++ b/internal/spread/announce.go
@@ -30,7 +30,7 @@
 
 // announceSoon announces a new revision at the next tick, or a little later if
 // another one has just been announced.
-func (m *Machine) announceSoon(now time.Duration) {
+func (m *Core) announceSoon(now time.Duration) {
 	a := &m.announce
 	if a.soon {
 		return
@@ -41,7 +41,7 @@
 	}
 }
 
-func (m *Machine) tickAnnounce(now time.Duration) {
+func (m *Core) tickAnnounce(now time.Duration) {
 	a := &m.announce
 	switch {
 	case a.soon && now >= a.soonAt:
@@ -57,7 +57,7 @@
 
 // announceRevision tells some peers of a new revision, and the watchers of the
 // failure domain, so that they know who lags.
-func (m *Machine) announceRevision(now time.Duration) {
+func (m *Core) announceRevision(now time.Duration) {
 	m.announceRound(now)
 	if m.peers.Len() <= m.cfg.Fanout {
 		return
@@ -71,7 +71,7 @@
 
 // announceRound announces to the next peers in random order, passing over those
 // whose transport failed a moment ago.
-func (m *Machine) announceRound(now time.Duration) {
+func (m *Core) announceRound(now time.Duration) {
 	a := &m.announce
 	sent := 0
 	for tried := 0; tried < m.peers.Len() && sent < m.cfg.Fanout; tried++ {
@@ -88,13 +88,13 @@
 	}
 }
 
-func (m *Machine) shuffledPeers() []wire.NodeID {
+func (m *Core) shuffledPeers() []wire.NodeID {
 	order := m.peers.Keys()
 	m.cfg.Rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
 	return order
 }
 
-func (m *Machine) announcement() wire.ToPeer {
+func (m *Core) announcement() wire.ToPeer {
 	return wire.ToPeer{Announce: &wire.Announce{
 		Incarnation:   m.cfg.Incarnation,
 		Region:        m.cfg.Region,
@@ -107,7 +107,7 @@
 	}}
 }
 
-func (m *Machine) onAnnounce(now time.Duration, node wire.NodeID, a *wire.Announce) {
+func (m *Core) onAnnounce(now time.Duration, node wire.NodeID, a *wire.Announce) {
 	p := m.peer(node)
 	if a.Incarnation < p.incarnation {
 		return // from an earlier life, overtaken by a later message
@@ -130,6 +130,6 @@
 }
 
 // jittered returns a duration between three quarters and five quarters of d.
-func (m *Machine) jittered(d time.Duration) time.Duration {
+func (m *Core) jittered(d time.Duration) time.Duration {
 	return d*3/4 + time.Duration(m.cfg.Rand.Int64N(int64(d)/2+1))
 }
--- a/internal/spread/config.go
+++ b/internal/spread/config.go
@@ -8,7 +8,7 @@
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
-// Config sets up a Machine. Zero fields take the defaults.
+// Config sets up a Core. Zero fields take the defaults.
 type Config struct {
 	Self          wire.NodeID
 	Incarnation   wire.Incarnation
--- a/internal/spread/machine.go
+++ b/internal/spread/core.go
@@ -9,8 +9,8 @@
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
-// Machine keeps one entry at the newest revision.
-type Machine struct {
+// Core keeps one entry at the newest revision.
+type Core struct {
 	cfg   Config
 	peers *table.Table[wire.NodeID, peer]
 
@@ -44,8 +44,8 @@
 }
 
 // New returns a machine without a revision.
-func New(cfg Config) *Machine {
-	return &Machine{
+func New(cfg Config) *Core {
+	return &Core{
 		cfg:   cfg.withDefaults(),
 		peers: table.New[wire.NodeID, peer](),
 		fetch: fetcher{due: never},
@@ -55,37 +55,37 @@
 
 // SetStatus sets what announcements say of this entry: whether it is ready,
 // whether it is leaving, and the lowest revision in force at its agents.
-func (m *Machine) SetStatus(ready, leaving bool, lagging uint64) {
+func (m *Core) SetStatus(ready, leaving bool, lagging uint64) {
 	m.ready, m.leaving, m.lagging = ready, leaving, lagging
 }
 
 // SetLocal puts lists in force that were given directly. The machine then takes
 // no revision from the store or from peers, and always counts as reachable.
-func (m *Machine) SetLocal(_ time.Duration, s *declaration.Snapshot) {
+func (m *Core) SetLocal(_ time.Duration, s *declaration.Snapshot) {
 	m.local, m.current, m.fresh = true, s, true
 }
 
 // Tick runs what is due at now.
-func (m *Machine) Tick(now time.Duration) {
+func (m *Core) Tick(now time.Duration) {
 	m.tickWatch(now)
 	m.tickFetch(now)
 	m.tickAnnounce(now)
 }
 
 // Next returns when Tick is due.
-func (m *Machine) Next() time.Duration {
+func (m *Core) Next() time.Duration {
 	return min(m.watch.due(), m.fetch.due, m.announce.due())
 }
 
 // TakeStore returns the store operations to execute since the last call.
-func (m *Machine) TakeStore() []store.Op {
+func (m *Core) TakeStore() []store.Op {
 	out := m.toStore
 	m.toStore = nil
 	return out
 }
 
 // TakePeer returns the messages to send since the last call.
-func (m *Machine) TakePeer() []PeerMsg {
+func (m *Core) TakePeer() []PeerMsg {
 	out := m.toPeer
 	m.toPeer = nil
 	return out
@@ -93,7 +93,7 @@
 
 // TakeSnapshot returns the newest revision if it came into force since the last
 // call, and otherwise nil.
-func (m *Machine) TakeSnapshot() *declaration.Snapshot {
+func (m *Core) TakeSnapshot() *declaration.Snapshot {
 	if !m.fresh {
 		return nil
 	}
@@ -102,7 +102,7 @@
 }
 
 // Current returns the revision in force, or nil.
-func (m *Machine) Current() *declaration.Snapshot {
+func (m *Core) Current() *declaration.Snapshot {
 	if m.current == nil && m.state != nil {
 		m.current = m.state.Snapshot()
 	}
@@ -110,7 +110,7 @@
 }
 
 // Revision returns the number of the revision in force, or 0.
-func (m *Machine) Revision() uint64 {
+func (m *Core) Revision() uint64 {
 	switch {
 	case m.local:
 		return m.current.Revision
@@ -123,13 +123,13 @@
 // Reachable reports whether the store or any peer was heard within ReachFor, or
 // the lists were given directly. An entry that is not reachable can't know of
 // newer revisions.
-func (m *Machine) Reachable(now time.Duration) bool {
+func (m *Core) Reachable(now time.Duration) bool {
 	return m.local || m.heard && now-m.heardAt < m.cfg.ReachFor
 }
 
-func (m *Machine) hear(now time.Duration) { m.heard, m.heardAt = true, now }
+func (m *Core) hear(now time.Duration) { m.heard, m.heardAt = true, now }
 
-func (m *Machine) send(p wire.NodeID, msg wire.ToPeer) {
+func (m *Core) send(p wire.NodeID, msg wire.ToPeer) {
 	address := ""
 	if row := m.peers.Get(p); row != nil {
 		address = row.address
--- a/internal/spread/fetch.go
+++ b/internal/spread/fetch.go
@@ -28,7 +28,7 @@
 
 // finishFetch ends the fetch if what it fetches is in force, and goes on to a
 // later revision that a peer has announced meanwhile.
-func (m *Machine) finishFetch(now time.Duration) {
+func (m *Core) finishFetch(now time.Duration) {
 	if m.fetch.revision > m.Revision() {
 		return
 	}
@@ -42,7 +42,7 @@
 }
 
 // startFetch asks a peer for the revision that it announced.
-func (m *Machine) startFetch(now time.Duration, node wire.NodeID, revision uint64) {
+func (m *Core) startFetch(now time.Duration, node wire.NodeID, revision uint64) {
 	f := &m.fetch
 	if f.idle() {
 		f.revision = revision
@@ -54,18 +54,18 @@
 	}
 }
 
-func (m *Machine) askForDifference(now time.Duration, node wire.NodeID) {
+func (m *Core) askForDifference(now time.Duration, node wire.NodeID) {
 	m.ask(now, node, &wire.ChunkRequest{Revision: m.fetch.revision, FromDigest: m.digest()})
 }
 
-func (m *Machine) ask(now time.Duration, node wire.NodeID, r *wire.ChunkRequest) {
+func (m *Core) ask(now time.Duration, node wire.NodeID, r *wire.ChunkRequest) {
 	m.fetch.from = node
 	m.fetch.due = now + m.cfg.FetchTimeout
 	m.send(node, wire.ToPeer{ChunkRequest: r})
 }
 
 // tickFetch asks another peer if the present one makes no progress.
-func (m *Machine) tickFetch(now time.Duration) {
+func (m *Core) tickFetch(now time.Duration) {
 	if m.fetch.idle() {
 		m.fetch.due = never
 		return
@@ -82,7 +82,7 @@
 
 // fetchElsewhere goes on with another peer that has announced the revision. If
 // there is none, the fetch ends until the next announcement.
-func (m *Machine) fetchElsewhere(now time.Duration) {
+func (m *Core) fetchElsewhere(now time.Duration) {
 	f := &m.fetch
 	for len(f.others) > 0 {
 		node := f.others[0]
@@ -96,7 +96,7 @@
 }
 
 // resume asks a further peer for what is still missing.
-func (m *Machine) resume(now time.Duration, node wire.NodeID) {
+func (m *Core) resume(now time.Duration, node wire.NodeID) {
 	if m.fetch.assembly == nil {
 		m.askForDifference(now, node)
 		return
@@ -107,7 +107,7 @@
 // onChunkRequest answers with the difference if it can be made and is small,
 // with the root alone if the peer holds any other revision, and with chunks if
 // it asks for them.
-func (m *Machine) onChunkRequest(node wire.NodeID, r *wire.ChunkRequest) {
+func (m *Core) onChunkRequest(node wire.NodeID, r *wire.ChunkRequest) {
 	if m.state == nil || m.state.Revision() < r.Revision {
 		return
 	}
@@ -126,7 +126,7 @@
 }
 
 // sendChunks sends the chunks that the peer lacks in messages of bounded size.
-func (m *Machine) sendChunks(node wire.NodeID, r *wire.ChunkRequest) {
+func (m *Core) sendChunks(node wire.NodeID, r *wire.ChunkRequest) {
 	bodies := m.state.Lacking(r.Have)
 	if len(r.Want) > 0 {
 		bodies = m.wanted(r.Want)
@@ -144,7 +144,7 @@
 	m.send(node, wire.ToPeer{Chunks: msg})
 }
 
-func (m *Machine) wanted(digests []uint64) [][]byte {
+func (m *Core) wanted(digests []uint64) [][]byte {
 	all := m.state.Bodies()
 	var out [][]byte
 	for _, d := range digests {
@@ -157,7 +157,7 @@
 
 // onDifference applies a difference. If it does not lead on from the revision
 // in force, the peer is asked for the root.
-func (m *Machine) onDifference(now time.Duration, node wire.NodeID, msg *wire.Difference) {
+func (m *Core) onDifference(now time.Duration, node wire.NodeID, msg *wire.Difference) {
 	if m.local {
 		return
 	}
@@ -174,7 +174,7 @@
 	}
 }
 
-func (m *Machine) digests() []uint64 {
+func (m *Core) digests() []uint64 {
 	if m.state == nil {
 		return nil
 	}
@@ -182,7 +182,7 @@
 }
 
 // onChunks adds chunks to the revision that is fetched.
-func (m *Machine) onChunks(now time.Duration, node wire.NodeID, msg *wire.Chunks) {
+func (m *Core) onChunks(now time.Duration, node wire.NodeID, msg *wire.Chunks) {
 	if m.local || m.fetch.from != node {
 		return
 	}
@@ -206,7 +206,7 @@
 
 // assembleFrom prepares the assembly of a root, keeping the chunks of an
 // earlier one, and reports whether the root is newer than the one in force.
-func (m *Machine) assembleFrom(encodedRoot []byte) bool {
+func (m *Core) assembleFrom(encodedRoot []byte) bool {
 	a, err := declaration.NewAssembly(encodedRoot, m.state)
 	if err != nil || a.Revision() <= m.Revision() {
 		return false
@@ -224,7 +224,7 @@
 	return true
 }
 
-func (m *Machine) finishAssembly(now time.Duration) {
+func (m *Core) finishAssembly(now time.Duration) {
 	s, err := m.fetch.assembly.State()
 	if err != nil {
 		m.fetch.assembly = nil
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -51,7 +51,7 @@
 
 // SetPeers replaces the list of other entries. A peer that is missing from the
 // lagging list stays while it is heard.
-func (m *Machine) SetPeers(now time.Duration, list []Peer) {
+func (m *Core) SetPeers(now time.Duration, list []Peer) {
 	m.peers.Each(func(_ wire.NodeID, p *peer) bool {
 		p.listed = false
 		return true
@@ -76,7 +76,7 @@
 }
 
 // PeerDown reports that the transport to a peer failed.
-func (m *Machine) PeerDown(now time.Duration, node wire.NodeID) {
+func (m *Core) PeerDown(now time.Duration, node wire.NodeID) {
 	p := m.peers.Get(node)
 	if p == nil {
 		return
@@ -90,7 +90,7 @@
 
 // FromPeer takes a message from another entry and reports whether it was one of
 // this package's.
-func (m *Machine) FromPeer(now time.Duration, node wire.NodeID, msg wire.ToPeer) bool {
+func (m *Core) FromPeer(now time.Duration, node wire.NodeID, msg wire.ToPeer) bool {
 	switch {
 	case msg.Announce != nil:
 		m.hearPeer(now, node)
@@ -111,7 +111,7 @@
 }
 
 // Lag returns what is known of the peers' revisions, in the order of their names.
-func (m *Machine) Lag(now time.Duration) []PeerLag {
+func (m *Core) Lag(now time.Duration) []PeerLag {
 	out := make([]PeerLag, 0, m.peers.Len())
 	m.peers.Each(func(_ wire.NodeID, p *peer) bool {
 		l := PeerLag{
@@ -129,7 +129,7 @@
 	return out
 }
 
-func (m *Machine) peer(node wire.NodeID) *peer {
+func (m *Core) peer(node wire.NodeID) *peer {
 	if p := m.peers.Get(node); p != nil {
 		return p
 	}
@@ -137,7 +137,7 @@
 	return m.peers.Put(node, peer{node: node})
 }
 
-func (m *Machine) hearPeer(now time.Duration, node wire.NodeID) {
+func (m *Core) hearPeer(now time.Duration, node wire.NodeID) {
 	m.hear(now)
 	p := m.peer(node)
 	wasDown := p.down
@@ -148,7 +148,7 @@
 }
 
 // watchers returns the entries of this failure domain that watch the store.
-func (m *Machine) watchers() []wire.NodeID {
+func (m *Core) watchers() []wire.NodeID {
 	live := []wire.NodeID{m.cfg.Self}
 	m.peers.Each(func(node wire.NodeID, p *peer) bool {
 		if p.failureDomain == m.cfg.FailureDomain && !p.down && !p.leaving {
--- a/internal/spread/watch.go
+++ b/internal/spread/watch.go
@@ -49,7 +49,7 @@
 }
 
 // updateWatching decides anew whether this entry watches the store.
-func (m *Machine) updateWatching(now time.Duration) {
+func (m *Core) updateWatching(now time.Duration) {
 	watching := slices.Contains(m.watchers(), m.cfg.Self)
 	if watching == m.watch.watching {
 		return
@@ -58,7 +58,7 @@
 	m.watch.wait = now
 }
 
-func (m *Machine) tickWatch(now time.Duration) {
+func (m *Core) tickWatch(now time.Duration) {
 	w := &m.watch
 	if m.local {
 		w.wait = never
@@ -79,7 +79,7 @@
 }
 
 // rootReadAt returns when the root is to be read next.
-func (m *Machine) rootReadAt() time.Duration {
+func (m *Core) rootReadAt() time.Duration {
 	w := &m.watch
 	switch {
 	case w.watching:
@@ -91,7 +91,7 @@
 	return max(w.startAt, m.heardAt+m.cfg.ReachFor/3)
 }
 
-func (m *Machine) scheduleWatch() {
+func (m *Core) scheduleWatch() {
 	w := &m.watch
 	w.wait = never
 	if !m.rootPending() {
@@ -103,7 +103,7 @@
 	})
 }
 
-func (m *Machine) rootPending() bool {
+func (m *Core) rootPending() bool {
 	pending := false
 	m.watch.ops.Each(func(_ uint64, op *pendingOp) bool {
 		pending = op.purpose != purposeChunk
@@ -114,7 +114,7 @@
 
 // readRoot waits for a change if the version in the store is known, and
 // otherwise reads the root.
-func (m *Machine) readRoot(now time.Duration) {
+func (m *Core) readRoot(now time.Duration) {
 	w := &m.watch
 	w.startAt = now + minWatchGap
 	if w.watching && w.known {
@@ -125,13 +125,13 @@
 	m.start(store.Op{Kind: store.OpGet, Key: declaration.RootKey}, pendingOp{purpose: purposeRoot, lostAt: now + answerAfter})
 }
 
-func (m *Machine) start(op store.Op, pending pendingOp) {
+func (m *Core) start(op store.Op, pending pendingOp) {
 	op.ID = m.cfg.NextOp()
 	m.watch.ops.Put(op.ID, pending)
 	m.toStore = append(m.toStore, op)
 }
 
-func (m *Machine) dropLostOps(now time.Duration) {
+func (m *Core) dropLostOps(now time.Duration) {
 	m.watch.ops.Each(func(id uint64, op *pendingOp) bool {
 		if now >= op.lostAt {
 			m.watch.ops.Delete(id)
@@ -144,7 +144,7 @@
 
 // StoreResult takes the answer to a store operation and reports whether it was
 // one of this machine's.
-func (m *Machine) StoreResult(now time.Duration, r store.Result) bool {
+func (m *Core) StoreResult(now time.Duration, r store.Result) bool {
 	op := m.watch.ops.Get(r.ID)
 	if op == nil {
 		return false
@@ -164,7 +164,7 @@
 	return true
 }
 
-func (m *Machine) onStoreAnswer(now time.Duration, op pendingOp, r store.Result) {
+func (m *Core) onStoreAnswer(now time.Duration, op pendingOp, r store.Result) {
 	switch {
 	case op.purpose == purposeChunk:
 		m.onChunkRead(now, r)
@@ -178,7 +178,7 @@
 	}
 }
 
-func (m *Machine) onWatch(now time.Duration, r store.Result) {
+func (m *Core) onWatch(now time.Duration, r store.Result) {
 	for _, pair := range r.Pairs {
 		if pair.Key != declaration.RootKey {
 			continue
@@ -192,7 +192,7 @@
 }
 
 // storeFailed pauses before the root is read again.
-func (m *Machine) storeFailed(now time.Duration) {
+func (m *Core) storeFailed(now time.Duration) {
 	w := &m.watch
 	w.known = false
 	w.assembly = nil
@@ -201,7 +201,7 @@
 }
 
 // onRoot takes the root record that the store holds.
-func (m *Machine) onRoot(now time.Duration, value []byte, version uint64) {
+func (m *Core) onRoot(now time.Duration, value []byte, version uint64) {
 	m.watch.known, m.watch.version = true, version
 	record, err := declaration.DecodeRecord(value)
 	if err != nil || record.Root.Revision <= m.Revision() {
@@ -222,7 +222,7 @@
 }
 
 // readChunks keeps a bounded number of chunk reads under way.
-func (m *Machine) readChunks(now time.Duration) {
+func (m *Core) readChunks(now time.Duration) {
 	w := &m.watch
 	if w.assembly == nil {
 		return
@@ -245,7 +245,7 @@
 	}
 }
 
-func (m *Machine) chunksBeingRead() []uint64 {
+func (m *Core) chunksBeingRead() []uint64 {
 	var out []uint64
 	m.watch.ops.Each(func(_ uint64, op *pendingOp) bool {
 		if op.purpose == purposeChunk {
@@ -256,7 +256,7 @@
 	return out
 }
 
-func (m *Machine) onChunkRead(now time.Duration, r store.Result) {
+func (m *Core) onChunkRead(now time.Duration, r store.Result) {
 	w := &m.watch
 	if w.assembly == nil {
 		return
@@ -269,7 +269,7 @@
 	m.readChunks(now)
 }
 
-func (m *Machine) finishStoreAssembly(now time.Duration) {
+func (m *Core) finishStoreAssembly(now time.Duration) {
 	s, err := m.watch.assembly.State()
 	m.watch.assembly = nil
 	if err != nil {
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -43,7 +43,7 @@
 	name        wire.NodeID
 	domain      wire.FailureDomain
 	incarnation wire.Incarnation
-	machine     *Machine
+	machine     *Core
 	wake        *simnet.Event
 	down        bool
 	storeCut    bool                     // the store is down for this node
