Hold only what waits in the queues of a stream, and measure an entry's speed

Cause: each stream kept room for 8,192 control messages: with 170 agents an idle process held 330 MB, against 128 MB for control. Change: the control queue grows with what waits; benchmarks of throughput, added time to first token and idle cost, as ratios and differences within one run. The transport's tests pass twenty times under -race.

--- a/internal/entry/shell/fakeagent_test.go
+++ b/internal/entry/shell/fakeagent_test.go
@@ -13,7 +13,7 @@
 // fakeAgent answers every attempt over a real stream: an engine with a fixed
 // text, a service with the body that it got.
 type fakeAgent struct {
-	t      *testing.T
+	t      testing.TB
 	hello  wire.Hello
 	text   []string
 	hold   bool // start attempts and never answer
@@ -25,7 +25,7 @@
 	ended  []wire.AttemptID // by Cancel
 }
 
-func startFakeAgent(t *testing.T, client *http.Client, url string, a *fakeAgent) *fakeAgent {
+func startFakeAgent(t testing.TB, client *http.Client, url string, a *fakeAgent) *fakeAgent {
 	t.Helper()
 	a.t = t
 	a.bodies = make(map[wire.AttemptID][]byte)
--- a/internal/entry/shell/shell_test.go
+++ b/internal/entry/shell/shell_test.go
@@ -33,7 +33,7 @@
 
 // rig is one entry on loopback with a client for callers.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	entry   *Entry
 	base    string
 	peers   string
@@ -55,7 +55,7 @@
 		[]declaration.Service{{Name: "orders"}, {Name: "hidden"}}, keys)
 }
 
-func startRig(t *testing.T, change func(*Config)) *rig {
+func startRig(t testing.TB, change func(*Config)) *rig {
 	t.Helper()
 	cfg := Config{
 		Core: entry.Config{
@@ -94,7 +94,7 @@
 	return r
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- /dev/null
+++ b/internal/entry/shell/speed_test.go
@@ -0,0 +1,189 @@
+package shell
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+const (
+	speedTokens  = 150 // of one answer
+	speedClients = 64
+	speedRate    = 1_000 // requests a second of the latency benchmark
+	speedBody    = `{"model":"m","prompt":"a short question","stream":true}`
+)
+
+// directServer streams the answer that the entry would, without an entry.
+func directServer(tb testing.TB) string {
+	tb.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		out := newRenderer(w, &completion{shape: shapeText, model: "m", stream: true}, "id")
+		for range speedTokens {
+			_ = out.piece(nil, piece{data: []byte("word"), tokens: 1})
+			_ = out.flush()
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	})}
+	go func() { _ = srv.Serve(l) }()
+	tb.Cleanup(func() { _ = srv.Close() })
+	return "http://" + l.Addr().String()
+}
+
+// throughEntry starts an entry with an agent that answers at once.
+func throughEntry(b *testing.B) string {
+	r := startRig(b, func(c *Config) {
+		c.Limits.MaxStreams, c.Limits.MaxStreamsPerAccount = 10_000, 10_000
+	})
+	text := make([]string, speedTokens)
+	for i := range text {
+		text[i] = "word"
+	}
+	r.engine(&fakeAgent{text: text})
+	return r.base
+}
+
+// caller sends one request and returns the time to its first event.
+func speedCall(ctx context.Context, client *http.Client, base string) (time.Duration, error) {
+	began := time.Now()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/completions", strings.NewReader(speedBody))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	in := bufio.NewReader(resp.Body)
+	if _, err := in.ReadString('\n'); err != nil {
+		return 0, err
+	}
+	first := time.Since(began)
+	rest, err := io.ReadAll(in)
+	if err != nil {
+		return 0, err
+	}
+	if resp.StatusCode != http.StatusOK || !strings.HasSuffix(string(rest), "data: [DONE]\n\n") {
+		return 0, fmt.Errorf("status %d, answer ends in %q", resp.StatusCode, tail(string(rest)))
+	}
+	return first, nil
+}
+
+func tail(s string) string { return s[max(0, len(s)-60):] }
+
+func speedClient(b *testing.B) *http.Client {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1_000}}
+	b.Cleanup(client.CloseIdleConnections)
+	return client
+}
+
+// BenchmarkThroughput measures requests and tokens a second through one entry,
+// with callers and agent in the same process, and as a ratio to the same answers
+// without an entry.
+func BenchmarkThroughput(b *testing.B) {
+	direct, through := directServer(b), throughEntry(b)
+	client := speedClient(b)
+	for b.Loop() {
+		base := speedRun(b, client, direct)
+		rate := speedRun(b, client, through)
+		b.ReportMetric(rate, "requests/s")
+		b.ReportMetric(rate*speedTokens, "tokens/s")
+		b.ReportMetric(rate/base, "of-direct")
+	}
+}
+
+// speedRun returns the requests a second of a few thousand requests.
+func speedRun(b *testing.B, client *http.Client, base string) float64 {
+	const each = 60
+	began := time.Now()
+	var wg sync.WaitGroup
+	for range speedClients {
+		wg.Go(func() {
+			for range each {
+				if _, err := speedCall(b.Context(), client, base); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return speedClients * each / time.Since(began).Seconds()
+}
+
+// BenchmarkAddedFirstToken measures what an entry adds to the time to first
+// token at a fixed rate, against the same answers without an entry.
+func BenchmarkAddedFirstToken(b *testing.B) {
+	direct, through := directServer(b), throughEntry(b)
+	client := speedClient(b)
+	for b.Loop() {
+		base := speedPaced(b, client, direct)
+		all := speedPaced(b, client, through)
+		for _, q := range []float64{50, 99} {
+			added := float64(all.ValueAtQuantile(q)-base.ValueAtQuantile(q)) / float64(time.Millisecond)
+			b.ReportMetric(added, fmt.Sprintf("added-ms-p%.0f", q))
+		}
+	}
+}
+
+func speedPaced(b *testing.B, client *http.Client, base string) *hdrhistogram.Histogram {
+	const requests = 3 * speedRate
+	h := hdrhistogram.New(1, int64(time.Minute), 3)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i := range requests {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * time.Second / speedRate)))
+		wg.Go(func() {
+			first, err := speedCall(b.Context(), client, base)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			_ = h.RecordValue(int64(first)) // within the histogram's range
+		})
+	}
+	wg.Wait()
+	return h
+}
+
+// BenchmarkIdle measures what an entry spends with 170 agents that report now
+// and then, as real ones do at the control budget.
+func BenchmarkIdle(b *testing.B) {
+	r := startRig(b, nil)
+	for i := range 170 {
+		a := &fakeAgent{hello: wire.Hello{
+			Endpoint: wire.EndpointID(fmt.Sprintf("e%03d", i)), Incarnation: 1, Kind: wire.KindEngine, Capacity: 400_000, Have: wire.Assignment{Model: "m"},
+		}}
+		startFakeAgent(b, r.cluster, r.peers, a)
+	}
+	r.until(func() bool {
+		d, err := r.entry.Dump(b.Context())
+		return err == nil && len(d.Endpoints) == 170
+	})
+	for b.Loop() {
+		before := processTime()
+		time.Sleep(5 * time.Second)
+		b.ReportMetric((processTime()-before).Seconds()/5, "cores")
+		b.ReportMetric(float64(heapInUse())/1e6, "heap-MB")
+	}
+}
--- a/internal/transport/queue.go
+++ b/internal/transport/queue.go
@@ -10,7 +10,7 @@
 // Bounds of one direction of a stream.
 const (
 	controlQueueLen = 8192 // messages
-	bulkQueueLen    = 256  // messages
+	bulkQueueLen    = 64   // messages
 	maxBatchLen     = 512  // messages
 	maxBulkPerBatch = 4    // messages
 )
@@ -24,7 +24,9 @@
 // queue holds the messages of one direction until they are written. It is safe
 // for concurrent use.
 type queue[T any] struct {
-	control chan T
+	mu      sync.Mutex
+	control []T           // grows with what waits, so that an idle stream holds little
+	ready   chan struct{} // holds one token while control may hold messages
 	bulk    chan T
 	done    chan struct{}
 	once    sync.Once
@@ -32,9 +34,9 @@
 
 func newQueue[T any]() *queue[T] {
 	return &queue[T]{
-		control: make(chan T, controlQueueLen),
-		bulk:    make(chan T, bulkQueueLen),
-		done:    make(chan struct{}),
+		ready: make(chan struct{}, 1),
+		bulk:  make(chan T, bulkQueueLen),
+		done:  make(chan struct{}),
 	}
 }
 
@@ -45,14 +47,42 @@
 		return ErrClosed
 	default:
 	}
+	q.mu.Lock()
+	full := len(q.control) >= controlQueueLen
+	if !full {
+		q.control = append(q.control, m)
+	}
+	q.mu.Unlock()
+	if full {
+		return ErrOverflow
+	}
+	q.signal()
+	return nil
+}
+
+func (q *queue[T]) signal() {
 	select {
-	case q.control <- m:
-		return nil
+	case q.ready <- struct{}{}:
 	default:
-		return ErrOverflow
 	}
 }
 
+// takeControl appends the control messages that wait to buf, up to maxBatchLen.
+func (q *queue[T]) takeControl(buf []T) []T {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := min(len(q.control), maxBatchLen)
+	buf = append(buf, q.control[:n]...)
+	rest := len(q.control) - n
+	if rest == 0 {
+		q.control = nil
+		return buf
+	}
+	q.control = q.control[n:]
+	q.signal()
+	return buf
+}
+
 // sendBulk queues a bulk message, waiting for room.
 func (q *queue[T]) sendBulk(ctx context.Context, m T) error {
 	select {
@@ -71,15 +101,16 @@
 // followed by a few bulk ones.
 func (q *queue[T]) next(buf []T) ([]T, bool) {
 	buf = buf[:0]
-	select {
-	case m := <-q.control:
-		buf = append(buf, m)
-	case m := <-q.bulk:
-		buf = append(drain(q.control, buf, maxBatchLen), m)
-	case <-q.done:
-		return buf, false
+	for len(buf) == 0 {
+		select {
+		case <-q.ready:
+			buf = q.takeControl(buf)
+		case m := <-q.bulk:
+			buf = append(q.takeControl(buf), m)
+		case <-q.done:
+			return buf, false
+		}
 	}
-	buf = drain(q.control, buf, maxBatchLen)
 	return drain(q.bulk, buf, len(buf)+maxBulkPerBatch), true
 }
 
