--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg.greet(f, keys[0].Key)
+	cfg.greet(p, f, keys[0].Key)
 	loadCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(running, cancel)()
@@ -163,11 +163,12 @@
 }
 
 // greet tells a person how to send a request.
-func (cfg Config) greet(f *fleet, key string) {
+func (cfg Config) greet(p *platform, f *fleet, key string) {
 	d := cfg.Deployment
 	url := f.callerURLs()[0]
 	fmt.Fprintf(cfg.Out, "Ready. Callers' addresses: %v\n", f.callerURLs())
 	fmt.Fprintf(cfg.Out, "Operators' addresses: %v, key %s\n", f.operatorURLs(), OperatorKey)
+	fmt.Fprintf(cfg.Out, "Store: %s\n", p.store.URL())
 	fmt.Fprintf(cfg.Out, "Try:\n  curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' \\\n"+
 		"    -d '{\"model\":\"%s\",\"stream\":true,\"max_tokens\":32,\"messages\":[{\"role\":\"user\",\"content\":\"Hello\"}]}'\n",
 		url, key, d.Model.Name)
