--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -1,9 +1,9 @@
 package agent
 
 import (
-	"fmt"
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/option"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -30,16 +30,8 @@
 )
 
 // Weights is how much time to first token counts against the slowdown of short
-// requests. Only their ratio matters.
-type Weights struct {
-	FirstToken    float64
-	ShortSlowdown float64
-}
-
-// shortShare returns the weight of short-request slowdown in [0, 1].
-func (w Weights) shortShare() float64 {
-	return w.ShortSlowdown / (w.FirstToken + w.ShortSlowdown)
-}
+// requests.
+type Weights = option.Weights
 
 // Defaults of Config.
 const (
@@ -146,44 +138,28 @@
 func (c *Config) lacks(m mechanism) bool { return c.without&m != 0 }
 
 // OptionError reports an option of Config that is out of range.
-type OptionError struct {
-	Option string
-	Value  any
-	Want   string
-}
-
-// Error implements error.
-func (e *OptionError) Error() string {
-	return fmt.Sprintf("agent option %s is %v, want %s", e.Option, e.Value, e.Want)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
+type OptionError = option.Error
 
 func (c *Config) setDefaults() {
-	setDefault(&c.Weights, Weights{FirstToken: 1, ShortSlowdown: 1})
-	setDefault(&c.MaxLongPrefills, defaultMaxLongPrefills)
-	setDefault(&c.MaxMediumPrefills, defaultMaxMediumPrefills)
-	setDefault(&c.MaxCalls, defaultMaxCalls)
-	setDefault(&c.MaxQueued, defaultMaxQueued)
-	setDefault(&c.MaxTombstones, defaultMaxTombstones)
-	setDefault(&c.MemoryHeadroom, defaultMemoryHeadroom)
-	setDefault(&c.ShortReserve, defaultShortReserve)
-	setDefault(&c.ControlBytes, defaultControlBytes)
-	setDefault(&c.PrefillWindow, defaultPrefillWindow)
-	setDefault(&c.ReportInterval, defaultReportInterval)
-	setDefault(&c.QueryInterval, defaultQueryInterval)
-	setDefault(&c.EntryGrace, defaultEntryGrace)
-	setDefault(&c.ClaimGrace, defaultClaimGrace)
-	setDefault(&c.TombstoneTTL, defaultTombstoneTTL)
-	setDefault(&c.StallAfter, defaultStallAfter)
-	setDefault(&c.OrderMaxAge, defaultOrderMaxAge)
-	setDefault(&c.AgeAfter, defaultAgeAfter)
-	setDefault(&c.LeavingGrace, defaultLeavingGrace)
+	option.Default(&c.Weights, option.Even)
+	option.Default(&c.MaxLongPrefills, defaultMaxLongPrefills)
+	option.Default(&c.MaxMediumPrefills, defaultMaxMediumPrefills)
+	option.Default(&c.MaxCalls, defaultMaxCalls)
+	option.Default(&c.MaxQueued, defaultMaxQueued)
+	option.Default(&c.MaxTombstones, defaultMaxTombstones)
+	option.Default(&c.MemoryHeadroom, defaultMemoryHeadroom)
+	option.Default(&c.ShortReserve, defaultShortReserve)
+	option.Default(&c.ControlBytes, defaultControlBytes)
+	option.Default(&c.PrefillWindow, defaultPrefillWindow)
+	option.Default(&c.ReportInterval, defaultReportInterval)
+	option.Default(&c.QueryInterval, defaultQueryInterval)
+	option.Default(&c.EntryGrace, defaultEntryGrace)
+	option.Default(&c.ClaimGrace, defaultClaimGrace)
+	option.Default(&c.TombstoneTTL, defaultTombstoneTTL)
+	option.Default(&c.StallAfter, defaultStallAfter)
+	option.Default(&c.OrderMaxAge, defaultOrderMaxAge)
+	option.Default(&c.AgeAfter, defaultAgeAfter)
+	option.Default(&c.LeavingGrace, defaultLeavingGrace)
 }
 
 // Validate returns an *OptionError for the first option that is out of range.
--- a/internal/agent/share.go
+++ b/internal/agent/share.go
@@ -43,7 +43,7 @@
 	a.key = a.arrived
 	if c.cfg.Queue == QueueFair {
 		a.key -= time.Duration(a.d.Priority) * priorityStep
-		a.key += time.Duration(float64(a.class) * c.cfg.Weights.shortShare() * float64(classStep))
+		a.key += time.Duration(float64(a.class) * c.cfg.Weights.ShortShare() * float64(classStep))
 	}
 	if acc.queued == 0 {
 		acc.start = max(c.share.virtual, acc.finish)
--- a/internal/agent/start.go
+++ b/internal/agent/start.go
@@ -231,7 +231,7 @@
 	if c.cfg.Queue == QueueFIFO {
 		return 0
 	}
-	short := c.cfg.Weights.shortShare()
+	short := c.cfg.Weights.ShortShare()
 	length := float64(classCount-1-a.class) * bandPriority * (0.5 + short)
 	wait := min((c.now-a.arrived).Seconds()*waitPriority*(1-short), maxWaitPriority)
 	caller := max(min(a.d.Priority, maxCallerPriority), -maxCallerPriority)
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/option"
 	"trefoilpath.org/trefoilpath/internal/store"
 	"trefoilpath.org/trefoilpath/internal/table"
 	"trefoilpath.org/trefoilpath/internal/wire"
@@ -105,12 +106,12 @@
 
 // New returns a Core that seeks the duty.
 func New(cfg Config) *Core {
-	setDefault(&cfg.LoadSlots, DefaultLoadSlots)
-	setDefault(&cfg.OrderMaxAge, DefaultOrderMaxAge)
-	setDefault(&cfg.AnswerWithin, DefaultAnswerWithin)
-	setDefault(&cfg.LoadWithin, DefaultLoadWithin)
-	setDefault(&cfg.Grace, DefaultGrace)
-	setDefault(&cfg.PlanEvery, DefaultPlanEvery)
+	option.Default(&cfg.LoadSlots, DefaultLoadSlots)
+	option.Default(&cfg.OrderMaxAge, DefaultOrderMaxAge)
+	option.Default(&cfg.AnswerWithin, DefaultAnswerWithin)
+	option.Default(&cfg.LoadWithin, DefaultLoadWithin)
+	option.Default(&cfg.Grace, DefaultGrace)
+	option.Default(&cfg.PlanEvery, DefaultPlanEvery)
 	return &Core{
 		cfg: cfg,
 		lease: store.NewLease(store.LeaseConfig{
@@ -125,13 +126,6 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // SetWanted says whether this entry seeks the duty. An entry that leaves, or is
 // not among the candidates of its failure domain, does not.
 func (m *Core) SetWanted(now time.Duration, wanted bool) { m.lease.SetWanted(now, wanted) }
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -1,11 +1,11 @@
 package entry
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/limits"
+	"trefoilpath.org/trefoilpath/internal/option"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -25,16 +25,8 @@
 )
 
 // Weights is how much time to first token counts against the slowdown of short
-// requests. Only their ratio matters.
-type Weights struct {
-	FirstToken    float64
-	ShortSlowdown float64
-}
-
-// shortShare returns the weight of short-request slowdown in [0, 1].
-func (w Weights) shortShare() float64 {
-	return w.ShortSlowdown / (w.FirstToken + w.ShortSlowdown)
-}
+// requests.
+type Weights = option.Weights
 
 // Defaults of Config.
 const (
@@ -110,59 +102,43 @@
 }
 
 // OptionError reports an option of Config that is out of range.
-type OptionError struct {
-	Option string
-	Value  any
-	Want   string
-}
-
-// Error implements error.
-func (e *OptionError) Error() string {
-	return fmt.Sprintf("option %s is %v, want %s", e.Option, e.Value, e.Want)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
+type OptionError = option.Error
 
 func (c *Config) setDefaults() {
-	setDefault(&c.Weights, Weights{FirstToken: 1, ShortSlowdown: 1})
-	setDefault(&c.Candidates, DefaultCandidates)
-	setDefault(&c.RetryRatio, DefaultRetryRatio)
-	setDefault(&c.RetryBurst, DefaultRetryBurst)
-	setDefault(&c.StreamGrace, DefaultStreamGrace)
-	setDefault(&c.CapacityWait, DefaultCapacityWait)
-	setDefault(&c.SettleMargin, DefaultSettleMargin)
-	setDefault(&c.Heartbeat, DefaultHeartbeat)
-	setDefault(&c.BalancerLag, DefaultBalancerLag)
-	setDefault(&c.GrantLease, limits.DefaultLease)
-	setDefault(&c.GroupLease, DefaultGroupLease)
-	setDefault(&c.EjectAfter, DefaultEjectAfter)
-	setDefault(&c.EjectFor, DefaultEjectFor)
-	setDefault(&c.MaxEjectFor, DefaultMaxEjectFor)
-	setDefault(&c.MaxPrefixHashes, DefaultMaxPrefixHashes)
+	option.Default(&c.Weights, option.Even)
+	option.Default(&c.Candidates, DefaultCandidates)
+	option.Default(&c.RetryRatio, DefaultRetryRatio)
+	option.Default(&c.RetryBurst, DefaultRetryBurst)
+	option.Default(&c.StreamGrace, DefaultStreamGrace)
+	option.Default(&c.CapacityWait, DefaultCapacityWait)
+	option.Default(&c.SettleMargin, DefaultSettleMargin)
+	option.Default(&c.Heartbeat, DefaultHeartbeat)
+	option.Default(&c.BalancerLag, DefaultBalancerLag)
+	option.Default(&c.GrantLease, limits.DefaultLease)
+	option.Default(&c.GroupLease, DefaultGroupLease)
+	option.Default(&c.EjectAfter, DefaultEjectAfter)
+	option.Default(&c.EjectFor, DefaultEjectFor)
+	option.Default(&c.MaxEjectFor, DefaultMaxEjectFor)
+	option.Default(&c.MaxPrefixHashes, DefaultMaxPrefixHashes)
 }
 
 // Validate returns an *OptionError for the first option that is out of range.
 func (c Config) Validate() error {
 	switch {
 	case c.Self == "":
-		return &OptionError{"Self", c.Self, "a name"}
+		return &OptionError{Option: "Self", Value: c.Self, Want: "a name"}
 	case c.Incarnation == 0:
-		return &OptionError{"Incarnation", c.Incarnation, "a positive number"}
+		return &OptionError{Option: "Incarnation", Value: c.Incarnation, Want: "a positive number"}
 	case c.Rand == nil:
-		return &OptionError{"Rand", nil, "a seeded source"}
+		return &OptionError{Option: "Rand", Value: nil, Want: "a seeded source"}
 	case c.Routing > RoutingLeastOutstanding:
-		return &OptionError{"Routing", c.Routing, "a known policy"}
-	case !(c.Weights.FirstToken >= 0) || !(c.Weights.ShortSlowdown >= 0) || c.Weights.FirstToken+c.Weights.ShortSlowdown <= 0:
-		return &OptionError{"Weights", c.Weights, "two shares, not both zero"}
+		return &OptionError{Option: "Routing", Value: c.Routing, Want: "a known policy"}
+	case !c.Weights.Valid():
+		return &OptionError{Option: "Weights", Value: c.Weights, Want: "two shares, not both zero"}
 	case c.Candidates < 1:
-		return &OptionError{"Candidates", c.Candidates, "at least 1"}
+		return &OptionError{Option: "Candidates", Value: c.Candidates, Want: "at least 1"}
 	case c.RetryRatio < 0 || c.RetryBurst < 0:
-		return &OptionError{"RetryRatio", c.RetryRatio, "at least 0"}
+		return &OptionError{Option: "RetryRatio", Value: c.RetryRatio, Want: "at least 0"}
 	}
 	return c.validateDurations()
 }
@@ -177,7 +153,7 @@
 		{"EjectFor", c.EjectFor}, {"MaxEjectFor", c.MaxEjectFor},
 	} {
 		if d.value <= 0 {
-			return &OptionError{d.name, d.value, "a positive duration"}
+			return &OptionError{Option: d.name, Value: d.value, Want: "a positive duration"}
 		}
 	}
 	return nil
--- a/internal/entry/predict.go
+++ b/internal/entry/predict.go
@@ -50,7 +50,7 @@
 	p.first = seconds(float64(ahead+uncached)/rate) + c.transfer(e) + time.Duration(e.report.Running)*sequencePenalty
 	p.first += c.memoryWait(e, r)
 	p.score = p.first
-	share := c.cfg.Weights.shortShare()
+	share := c.cfg.Weights.ShortShare()
 	if r.band == wire.BandShort {
 		p.first += time.Duration(e.report.LongRunning) * longPrefillPenalty
 		p.score += time.Duration(float64(e.report.LongRunning) * float64(longPrefillPenalty) * 2 * share)
--- a/internal/limits/core.go
+++ b/internal/limits/core.go
@@ -6,6 +6,7 @@
 
 	"trefoilpath.org/trefoilpath/internal/declaration"
 	"trefoilpath.org/trefoilpath/internal/membership"
+	"trefoilpath.org/trefoilpath/internal/option"
 	"trefoilpath.org/trefoilpath/internal/table"
 	"trefoilpath.org/trefoilpath/internal/timer"
 	"trefoilpath.org/trefoilpath/internal/wire"
@@ -111,12 +112,12 @@
 
 // New returns a Core that admits nothing until SetSnapshot and SetPeers.
 func New(cfg Config) *Core {
-	setDefault(&cfg.Lease, DefaultLease)
-	setDefault(&cfg.ListLag, DefaultListLag)
-	setDefault(&cfg.Settle, DefaultSettle)
-	setDefault(&cfg.Homes, DefaultHomes)
-	setDefault(&cfg.Idle, DefaultIdle)
-	setDefault(&cfg.Regions, 1)
+	option.Default(&cfg.Lease, DefaultLease)
+	option.Default(&cfg.ListLag, DefaultListLag)
+	option.Default(&cfg.Settle, DefaultSettle)
+	option.Default(&cfg.Homes, DefaultHomes)
+	option.Default(&cfg.Idle, DefaultIdle)
+	option.Default(&cfg.Regions, 1)
 	if len(cfg.RegionNames) > 0 {
 		cfg.Regions = len(cfg.RegionNames)
 	}
@@ -132,13 +133,6 @@
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // SetSnapshot puts a revision of the declarations in force.
 func (m *Core) SetSnapshot(now time.Duration, s *declaration.Snapshot) {
 	m.snapshot = s
--- /dev/null
+++ b/internal/option/option.go
@@ -0,0 +1,45 @@
+// Package option serves configurations that are checked at construction:
+// defaults for fields left at zero, and the error of a field that is out of range.
+package option
+
+import "fmt"
+
+// Error reports an option that is out of range.
+type Error struct {
+	Option string
+	Value  any
+	Want   string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("option %s is %v, want %s", e.Option, e.Value, e.Want)
+}
+
+// Default sets a field that has its zero value.
+func Default[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Weights is how much time to first token counts against the slowdown of short
+// requests. Only their ratio matters.
+type Weights struct {
+	FirstToken    float64
+	ShortSlowdown float64
+}
+
+// Even weighs both alike.
+var Even = Weights{FirstToken: 1, ShortSlowdown: 1}
+
+// ShortShare returns the weight of short-request slowdown in [0, 1].
+func (w Weights) ShortShare() float64 {
+	return w.ShortSlowdown / (w.FirstToken + w.ShortSlowdown)
+}
+
+// Valid reports whether the weights are shares that are not both zero.
+func (w Weights) Valid() bool {
+	return w.FirstToken >= 0 && w.ShortSlowdown >= 0 && w.FirstToken+w.ShortSlowdown > 0
+}
--- a/internal/standin/enginemodel/config.go
+++ b/internal/standin/enginemodel/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/engine"
+	"trefoilpath.org/trefoilpath/internal/option"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -86,34 +87,27 @@
 	if c.CacheTokens < 0 {
 		c.CacheTokens = 0
 	} else {
-		setDefault(&c.CacheTokens, DefaultCacheTokens)
+		option.Default(&c.CacheTokens, DefaultCacheTokens)
 	}
-	setDefault(&c.CapacityTokens, DefaultCapacityTokens)
-	setDefault(&c.BlockTokens, DefaultBlockTokens)
-	setDefault(&c.StepTokens, DefaultStepTokens)
-	setDefault(&c.MinPrefillTokens, DefaultMinPrefillTokens)
-	setDefault(&c.MaxRunning, DefaultMaxRunning)
-	setDefault(&c.MaxWaiting, DefaultMaxWaiting)
-	setDefault(&c.PartialPrefills, DefaultPartialPrefills)
-	setDefault(&c.StepBase, DefaultStepBase)
-	setDefault(&c.StepPerSequence, DefaultStepPerSequence)
-	setDefault(&c.StepPerKVToken, DefaultStepPerKVToken)
-	setDefault(&c.PrefillPerToken, DefaultPrefillPerToken)
-	setDefault(&c.AttentionTokens, DefaultAttentionTokens)
-	setDefault(&c.ImportPerToken, DefaultImportPerToken)
-	setDefault(&c.LoadTime, DefaultLoadTime)
-	setDefault(&c.AdapterLoadTime, DefaultAdapterLoadTime)
-	setDefault(&c.ProgressSteps, DefaultProgressSteps)
-	setDefault(&c.StateLag, DefaultStateLag)
-	setDefault(&c.CacheLag, DefaultCacheLag)
-	setDefault(&c.CacheBatch, DefaultCacheBatch)
-	setDefault(&c.TokensPerEstimate, 1)
+	option.Default(&c.CapacityTokens, DefaultCapacityTokens)
+	option.Default(&c.BlockTokens, DefaultBlockTokens)
+	option.Default(&c.StepTokens, DefaultStepTokens)
+	option.Default(&c.MinPrefillTokens, DefaultMinPrefillTokens)
+	option.Default(&c.MaxRunning, DefaultMaxRunning)
+	option.Default(&c.MaxWaiting, DefaultMaxWaiting)
+	option.Default(&c.PartialPrefills, DefaultPartialPrefills)
+	option.Default(&c.StepBase, DefaultStepBase)
+	option.Default(&c.StepPerSequence, DefaultStepPerSequence)
+	option.Default(&c.StepPerKVToken, DefaultStepPerKVToken)
+	option.Default(&c.PrefillPerToken, DefaultPrefillPerToken)
+	option.Default(&c.AttentionTokens, DefaultAttentionTokens)
+	option.Default(&c.ImportPerToken, DefaultImportPerToken)
+	option.Default(&c.LoadTime, DefaultLoadTime)
+	option.Default(&c.AdapterLoadTime, DefaultAdapterLoadTime)
+	option.Default(&c.ProgressSteps, DefaultProgressSteps)
+	option.Default(&c.StateLag, DefaultStateLag)
+	option.Default(&c.CacheLag, DefaultCacheLag)
+	option.Default(&c.CacheBatch, DefaultCacheBatch)
+	option.Default(&c.TokensPerEstimate, 1)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/store/gate.go
+++ b/internal/store/gate.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"trefoilpath.org/trefoilpath/internal/option"
 )
 
 // GateConfig sets the share of the platform's store that one process may use.
@@ -46,29 +48,22 @@
 const never = time.Duration(1<<63 - 1)
 
 func (c GateConfig) withDefaults() GateConfig {
-	setDefault(&c.ReadsPerSecond, defaultReadsPerSecond)
-	setDefault(&c.WritesPerSecond, defaultWritesPerSecond)
-	setDefault(&c.Burst, defaultBurst)
-	setDefault(&c.MaxWaiting, defaultMaxWaiting)
-	setDefault(&c.MaxWait, defaultMaxWait)
-	setDefault(&c.MaxWatches, defaultMaxWatches)
-	setDefault(&c.BreakAfter, defaultBreakAfter)
-	setDefault(&c.MinBackoff, defaultMinBackoff)
-	setDefault(&c.MaxBackoff, defaultMaxBackoff)
-	setDefault(&c.Ramp, defaultRamp)
+	option.Default(&c.ReadsPerSecond, defaultReadsPerSecond)
+	option.Default(&c.WritesPerSecond, defaultWritesPerSecond)
+	option.Default(&c.Burst, defaultBurst)
+	option.Default(&c.MaxWaiting, defaultMaxWaiting)
+	option.Default(&c.MaxWait, defaultMaxWait)
+	option.Default(&c.MaxWatches, defaultMaxWatches)
+	option.Default(&c.BreakAfter, defaultBreakAfter)
+	option.Default(&c.MinBackoff, defaultMinBackoff)
+	option.Default(&c.MaxBackoff, defaultMaxBackoff)
+	option.Default(&c.Ramp, defaultRamp)
 	if c.Rand == nil {
 		c.Rand = rand.New(rand.NewPCG(1, 1))
 	}
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Gate holds the calls of one process to the store within its budget. Waiting
 // watches count as one read a second each. Identical reads that wait are sent
 // once. A breaker refuses calls during an outage, probes with one call at a
--- a/internal/store/lease.go
+++ b/internal/store/lease.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"time"
+
+	"trefoilpath.org/trefoilpath/internal/option"
 )
 
 // LeaseConfig describes one leased key. Key, Holder, NextOp and Rand must be set.
@@ -65,9 +67,9 @@
 
 // NewLease returns a Lease that does not hold the key and seeks it at the next Tick.
 func NewLease(cfg LeaseConfig) *Lease {
-	setDefault(&cfg.TTL, DefaultLeaseTTL)
-	setDefault(&cfg.Margin, DefaultLeaseMargin)
-	setDefault(&cfg.Retry, DefaultLeaseRetry)
+	option.Default(&cfg.TTL, DefaultLeaseTTL)
+	option.Default(&cfg.Margin, DefaultLeaseMargin)
+	option.Default(&cfg.Retry, DefaultLeaseRetry)
 	return &Lease{cfg: cfg, wanted: true}
 }
 
