--- a/internal/entry/ingest.go
+++ b/internal/entry/ingest.go
@@ -109,5 +109,5 @@
 	if r.in.Kind == wire.KindService && !r.repeatable && r.phase == phaseRunning {
 		return
 	}
-	c.giveUp(r, failure{code: CodeCallerGone})
+	c.fail(r, failure{code: CodeCallerGone})
 }
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -340,11 +340,6 @@
 	c.end(r, Answer{Outcome: outcome, Code: f.code, Detail: f.detail, RetryAfter: f.retryAfter})
 }
 
-// giveUp withdraws what runs for a request and ends it at once.
-func (c *Core) giveUp(r *request, f failure) {
-	c.fail(r, f)
-}
-
 // conclude ends a request that was waiting for the fate of its last attempt.
 func (c *Core) conclude(r *request) {
 	if r.unresolved > 0 && c.now < r.deadline {
