Let agents' settings weigh first token against short slowdown

Cause: the weights reached entries by their settings but agents, where short and long prompts meet, only by code; two zero weights ended a process at its start without naming the field.

--- a/internal/agent/shell/config.go
+++ b/internal/agent/shell/config.go
@@ -63,6 +63,7 @@
 			Kind:          s.WireKind(),
 			Service:       s.Service,
 			Incarnation:   incarnation,
+			Weights:       agent.Weights{FirstToken: s.Routing.FirstTokenWeight, ShortSlowdown: s.Routing.ShortSlowdownWeight},
 		},
 		EndpointURL:     s.EndpointURL,
 		VMListURL:       s.VMListURL,
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -24,6 +24,7 @@
 	TLS             TLSFiles           `json:"tls"`
 	OperatorKey     Credential         `json:"operator_key_sha256"`
 	Limits          AgentLimits        `json:"limits"`
+	Routing         Routing            `json:"routing"`
 	DrainWaitMS     int64              `json:"drain_wait_ms"` // longest wait for attempts in flight at shutdown
 	LogLevel        string             `json:"log_level"`
 }
@@ -50,6 +51,7 @@
 func DefaultAgent() Agent {
 	return Agent{
 		Limits:      AgentLimits{MaxBodyBytes: 16 << 20, MaxStreams: 4_096},
+		Routing:     Routing{FirstTokenWeight: 1, ShortSlowdownWeight: 1},
 		DrainWaitMS: 600_000,
 		LogLevel:    "info",
 	}
@@ -100,6 +102,7 @@
 	c.credential("operator_key_sha256", s.OperatorKey)
 	c.integer("limits.max_body_bytes", s.Limits.MaxBodyBytes, minBodyBytes, maxBodyBytes)
 	c.integer("limits.max_streams", s.Limits.MaxStreams, 1, maxStreams)
+	s.Routing.check(c)
 	c.integer("drain_wait_ms", s.DrainWaitMS, 0, maxWaitMS)
 	c.level("log_level", s.LogLevel)
 }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -110,13 +110,20 @@
 	c.serverTLSFiles("callers_tls", s.CallersTLS)
 	c.credential("operator_key_sha256", s.OperatorKey)
 	s.Limits.check(c)
-	c.weight("routing.first_token_weight", s.Routing.FirstTokenWeight)
-	c.weight("routing.short_slowdown_weight", s.Routing.ShortSlowdownWeight)
+	s.Routing.check(c)
 	c.integer("balancer_lag_ms", s.BalancerLagMS, 0, maxWaitMS)
 	c.integer("drain_wait_ms", s.DrainWaitMS, 0, maxWaitMS)
 	c.level("log_level", s.LogLevel)
 }
 
+func (r *Routing) check(c *checker) {
+	c.weight("routing.first_token_weight", r.FirstTokenWeight)
+	c.weight("routing.short_slowdown_weight", r.ShortSlowdownWeight)
+	if r.FirstTokenWeight == 0 && r.ShortSlowdownWeight == 0 {
+		c.doc.Add("routing", "both weights are zero")
+	}
+}
+
 func (l *EntryLimits) check(c *checker) {
 	c.integer("limits.max_body_bytes", l.MaxBodyBytes, minBodyBytes, maxBodyBytes)
 	c.integer("limits.max_header_bytes", l.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -108,3 +109,12 @@
 		}
 	})
 }
+
+func TestWeightsMustNotBothBeZero(t *testing.T) {
+	raw := read(t, "../../examples/settings/agent.json")
+	zero := regexp.MustCompile(`("first_token_weight"|"short_slowdown_weight"): \d+`).ReplaceAll(raw, []byte("$1: 0"))
+	_, err := ParseAgent("agent.json", zero)
+	if err == nil || !strings.Contains(err.Error(), "routing: both weights are zero") {
+		t.Fatalf("got %v", err)
+	}
+}
