Wait for the lists before a test of the entry's HTTP begins

Cause: a test that needs no endpoint sent its request before the entry had put the lists in force, and got not_ready; seen once in a whole run under -race. Ruled out: the handler, which answers as it should. Change: the rig waits until lists are in force.

--- a/internal/entry/shell/shell_test.go
+++ b/internal/entry/shell/shell_test.go
@@ -91,6 +91,7 @@
 		}
 		r.cluster.CloseIdleConnections()
 	})
+	r.until(func() bool { return e.snapshot.Load() != nil })
 	return r
 }
 
