Resolve every attempt in one place and take one lock a frame

Cause: the count of attempts without proof and the note that one may have run were kept by hand in six places, with a special case for abandoned attempts before three of them; each answer frame took its exchange's lock twice; a constant had no use and a function only called another. Change: resolve counts an attempt whose fate is known, abandoned or not; accept says itself whether the caller is too slow. Result: behaviour and assertions unchanged; tests of the entry, its shell and the scenarios pass.

--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -22,7 +22,6 @@
 	EventEndpointGone EventKind = "endpoint-down"
 	EventRevision     EventKind = "revision"
 	EventReady        EventKind = "ready"
-	EventLease        EventKind = "lease"
 	EventOrder        EventKind = "order"
 )
 
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -233,8 +233,7 @@
 	if a.slice != r.group.running {
 		return
 	}
-	c.endAttempt(a)
-	r.unresolved--
+	c.resolve(a, true)
 	r.group.members[a.slice].handle = m.KVHandle
 	r.group.running++
 	r.group.counted += m.PromptTokens
@@ -308,9 +307,7 @@
 		mb := &r.group.members[i]
 		if a := c.attempts.Get(mb.slice); mb.slice != 0 && a != nil {
 			c.withdraw(a)
-			c.endAttempt(a)
-			r.unresolved--
-			r.ran = true
+			c.resolve(a, true)
 		}
 		if mb.reservation.IsZero() {
 			continue
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -36,14 +36,10 @@
 		return
 	}
 	c.counts.Refusals++
-	if c.settled(a, false) {
-		return
-	}
-	r := c.endAttempt(a)
+	r := c.resolve(a, false)
 	if r == nil {
 		return
 	}
-	r.unresolved--
 	if a.slice >= 0 {
 		c.groupBroken(r, failure{code: CodeOverloaded, detail: "group member refused: " + m.Reason.String(), retryAfter: m.RetryAfter})
 		return
@@ -116,15 +112,16 @@
 	if a == nil {
 		return
 	}
+	if a.abandoned {
+		c.resolve(a, true)
+		return
+	}
 	r := c.requests.Get(a.request)
 	if r == nil {
 		return
 	}
 	r.ran = true
 	a.started = true
-	if c.settled(a, true) {
-		return
-	}
 	if a.slice >= 0 && r.group != nil && a.slice < len(r.group.members)-1 {
 		c.sliceFinished(r, a, m)
 	}
@@ -136,8 +133,7 @@
 		if e := c.endpoints.Get(a.endpoint); e != nil {
 			c.succeeded(e)
 		}
-		c.endAttempt(a)
-		r.unresolved--
+		c.resolve(a, true)
 	}
 	r.ran = true
 	if r.group != nil {
@@ -161,15 +157,10 @@
 	if e := c.endpoints.Get(a.endpoint); e != nil && blamesEndpoint(m.Reason) {
 		c.endpointFailed(e)
 	}
-	if c.settled(a, !m.Rejected) {
-		return
-	}
-	r := c.endAttempt(a)
+	r := c.resolve(a, !m.Rejected)
 	if r == nil {
 		return
 	}
-	r.unresolved--
-	r.ran = r.ran || !m.Rejected
 	f := failure{code: CodeEndpointLost, detail: m.Reason.String()}
 	switch m.Reason {
 	case wire.FailDeadline:
@@ -247,15 +238,13 @@
 // cancelled takes the agent's word on an attempt that was withdrawn.
 func (c *Core) cancelled(m *wire.Cancelled) {
 	a := c.attemptOf(m.Attempt)
-	if a == nil || !a.withdrawn || c.settled(a, !m.NotRun) {
+	if a == nil || !a.withdrawn {
 		return
 	}
-	r := c.endAttempt(a)
+	r := c.resolve(a, !m.NotRun)
 	if r == nil {
 		return
 	}
-	r.unresolved--
-	r.ran = r.ran || !m.NotRun
 	switch {
 	case r.phase == phaseSettling:
 		c.conclude(r)
@@ -294,18 +283,19 @@
 	}
 }
 
-// settled takes the late word on an abandoned attempt. It reports false for any
-// other.
-func (c *Core) settled(a *attempt, ran bool) bool {
-	if !a.abandoned {
-		return false
-	}
-	c.attempts.Delete(a.id.Sequence)
-	if r := c.requests.Get(a.request); r != nil {
+// resolve forgets an attempt whose fate is known and counts it for its request.
+// It returns the request if that still waits for the attempt, or nil.
+func (c *Core) resolve(a *attempt, ran bool) *request {
+	r := c.requests.Get(a.request)
+	if r != nil {
 		r.unresolved--
 		r.ran = r.ran || ran
 	}
-	return true
+	if a.abandoned {
+		c.attempts.Delete(a.id.Sequence)
+		return nil
+	}
+	return c.endAttempt(a)
 }
 
 // leaveEndpoint takes an attempt out of its endpoint's load and stops its timers.
--- a/internal/entry/shell/body.go
+++ b/internal/entry/shell/body.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -69,7 +70,7 @@
 
 // parseCompletion checks a body of the completions API.
 func parseCompletion(body []byte, s shape) (*completion, error) {
-	if !validText(body) {
+	if !utf8.Valid(body) {
 		return nil, errors.New("the body is not valid UTF-8")
 	}
 	var b completionBody
--- a/internal/entry/shell/callers.go
+++ b/internal/entry/shell/callers.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"strings"
 	"time"
-	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -184,5 +183,3 @@
 	w.Header().Set(HeaderOutcome, wire.OutcomeCompleted.String())
 	writeJSON(w, http.StatusOK, list)
 }
-
-func validText(body []byte) bool { return utf8.Valid(body) }
--- a/internal/entry/shell/exchange.go
+++ b/internal/entry/shell/exchange.go
@@ -60,10 +60,17 @@
 	return pieces, x.head, x.final
 }
 
-// accept takes one frame and returns the progress that the core hears of, if any.
-func (x *exchange) accept(f *wire.Frame) *entry.Stream {
+// accept takes one frame. It returns the progress that the core hears of, if any,
+// and whether the caller has let too much pile up.
+func (x *exchange) accept(f *wire.Frame) (progress *entry.Stream, tooSlow bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	progress = x.assemble(f)
+	return progress, x.backlog > maxBacklogBytes
+}
+
+// assemble passes on what a frame adds to the answer. The caller holds the lock.
+func (x *exchange) assemble(f *wire.Frame) *entry.Stream {
 	data, tokens, event := x.asm.Accept(*f)
 	if event == answer.EventDropped {
 		return nil
@@ -123,13 +130,6 @@
 	x.notify()
 }
 
-// tooSlow reports whether the caller has let too much pile up.
-func (x *exchange) tooSlow() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.backlog > maxBacklogBytes
-}
-
 // reply returns the answer of a plain service call for its at-most-once record.
 func (x *exchange) reply() *idempotency.Stored {
 	if !x.service {
@@ -242,10 +242,11 @@
 	if x == nil {
 		return
 	}
-	if s := x.accept(f); s != nil {
-		e.input(entry.Input{Stream: s})
+	progress, tooSlow := x.accept(f)
+	if progress != nil {
+		e.input(entry.Input{Stream: progress})
 	}
-	if x.tooSlow() {
+	if tooSlow {
 		e.input(entry.Input{CallerGone: &entry.CallerGone{ID: x.id}})
 	}
 }
--- a/internal/entry/shell/exchange_test.go
+++ b/internal/entry/shell/exchange_test.go
@@ -34,7 +34,7 @@
 	data := rest.Data([]byte(" d"), 1)
 	last := rest.Close(wire.FrameTotal{PromptTokens: 13, OutputTokens: 1})
 	x.accept(&data)
-	done := x.accept(&last)
+	done, _ := x.accept(&last)
 	if done == nil || done.Event != entry.StreamDone {
 		t.Fatalf("the end of the continuation gave %+v", done)
 	}
