Keep the control budget and the size of a report in one place

Cause: the size of a report stood in the agent, the entry and the capacity page; the agent's had become 128 bytes, the other two still said 96, so that the entry's bound on silence was shorter than meant for large fleets. Change: package wire holds budget, share, size and interval for all three. Result: with up to 22 agents an entry's bound on silence stays 15 s; with 167 it is 111 s instead of 84 s.

--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -42,7 +42,6 @@
 	defaultMaxTombstones     = 1 << 15
 	defaultMemoryHeadroom    = 0.03
 	defaultShortReserve      = 0.25
-	defaultControlBytes      = 2048 // bytes a second at each entry
 	defaultPrefillWindow     = 500 * time.Millisecond
 	defaultReportInterval    = time.Second
 	defaultQueryInterval     = time.Second
@@ -149,7 +148,7 @@
 	option.Default(&c.MaxTombstones, defaultMaxTombstones)
 	option.Default(&c.MemoryHeadroom, defaultMemoryHeadroom)
 	option.Default(&c.ShortReserve, defaultShortReserve)
-	option.Default(&c.ControlBytes, defaultControlBytes)
+	option.Default(&c.ControlBytes, wire.ControlBudget)
 	option.Default(&c.PrefillWindow, defaultPrefillWindow)
 	option.Default(&c.ReportInterval, defaultReportInterval)
 	option.Default(&c.QueryInterval, defaultQueryInterval)
--- a/internal/agent/report.go
+++ b/internal/agent/report.go
@@ -7,17 +7,9 @@
 )
 
 const (
-	// reportBytes is the encoded size of a typical Report.
-	reportBytes = 128
 	// cacheDeltaBytes and cacheHashBytes are the encoded size of a CacheDelta.
 	cacheDeltaBytes = 24
 	cacheHashBytes  = 9
-	// reportShare is the part of the entry's control budget that reports and
-	// cache deltas may use; heartbeats take the rest.
-	reportShare = 0.75
-	// idleReports is the number of intervals after which an unchanged report is
-	// sent again.
-	idleReports = 4
 )
 
 // report tells all entries at once of a change that they must not miss.
@@ -38,8 +30,8 @@
 		return
 	}
 	r := c.reportFor(e)
-	interval := c.reportInterval(e, reportBytes)
-	if r == e.summary && c.now-e.reported < idleReports*interval {
+	interval := c.reportInterval(e, wire.ReportBytes)
+	if r == e.summary && c.now-e.reported < wire.IdleReports*interval {
 		c.setTimer(e.reportTimer(), c.now+c.reportInterval(e, c.sendCacheDelta(e)))
 		return
 	}
@@ -58,7 +50,7 @@
 	e.summary = r
 	e.reported = c.now
 	c.send(e.id, wire.ToEntry{Report: &msg})
-	bytes := int64(reportBytes) + c.sendCacheDelta(e)
+	bytes := int64(wire.ReportBytes) + c.sendCacheDelta(e)
 	c.setTimer(e.reportTimer(), c.now+c.reportInterval(e, bytes))
 }
 
@@ -80,7 +72,7 @@
 // control.
 func (c *Core) reportInterval(e *entryRow, bytes int64) time.Duration {
 	agents := max(int64(e.agents), 1)
-	seconds := float64(bytes*agents) / (float64(c.cfg.ControlBytes) * reportShare)
+	seconds := float64(bytes*agents) / (float64(c.cfg.ControlBytes) * wire.ReportShare)
 	return max(c.cfg.ReportInterval, time.Duration(seconds*float64(time.Second)))
 }
 
--- a/internal/agent/report_test.go
+++ b/internal/agent/report_test.go
@@ -45,8 +45,8 @@
 // for control.
 func TestReportsKeepToBudget(t *testing.T) {
 	for _, agents := range []int{1, 19, 170} {
-		if rate := controlRate(t, agents); rate > defaultControlBytes {
-			t.Errorf("%d agents send %.0f bytes a second, want at most %d", agents, rate, defaultControlBytes)
+		if rate := controlRate(t, agents); rate > wire.ControlBudget {
+			t.Errorf("%d agents send %.0f bytes a second, want at most %d", agents, rate, wire.ControlBudget)
 		}
 	}
 }
@@ -66,8 +66,8 @@
 		Revision:      1 << 20,
 		TokensPerByte: 0.2512,
 	}}
-	if n, err := transport.Encoded(report); err != nil || n > reportBytes {
-		t.Errorf("a report takes %d bytes, the core counts %d (%v)", n, reportBytes, err)
+	if n, err := transport.Encoded(report); err != nil || n > wire.ReportBytes {
+		t.Errorf("a report takes %d bytes, the core counts %d (%v)", n, wire.ReportBytes, err)
 	}
 	delta := &wire.CacheDelta{Sequence: 100_000, Reset: true}
 	for i := range uint64(cacheDeltaHashes) {
--- a/internal/capacity/sums.go
+++ b/internal/capacity/sums.go
@@ -6,6 +6,8 @@
 	"fmt"
 
 	"github.com/pkg/errors"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
 //go:embed slopes.json
@@ -121,9 +123,9 @@
 		"%.0f reports and hints + %.0f limits + %.0f declarations", reports, m.slope("limits_b"), m.slope("spread_b"))
 	m.add(Line{Role: "entry", Item: "control sent", Value: sent, Unit: "B/s", Bound: t.ControlBytes, Mechanism: "heartbeats rarer with more agents; limits by session; differences", State: "runs"},
 		"%.0f limits + %.0f declarations + %.0f heartbeats", m.slope("limits_b"), m.slope("spread_b"), a.HeartbeatBytes)
-	cpu := (m.slope("resolve_ns")*m.changes() + m.slope("report_ns")*reports/96 + m.slope("admit_ns")*perEntry) / 1e9
+	cpu := (m.slope("resolve_ns")*m.changes() + m.slope("report_ns")*reports/wire.ReportBytes + m.slope("admit_ns")*perEntry) / 1e9
 	m.add(Line{Role: "entry", Item: "processor time for control", Value: cpu, Unit: "cores", Bound: t.ControlCPU, Mechanism: "ticks cost what is due", State: "runs"},
-		"(%.2f ms × %.3f changes/s + %.0f ns × %.0f reports/s + %.0f ns × %.0f admissions/s) in seconds", m.slope("resolve_ns")/1e6, m.changes(), m.slope("report_ns"), reports/96, m.slope("admit_ns"), perEntry)
+		"(%.2f ms × %.3f changes/s + %.0f ns × %.0f reports/s + %.0f ns × %.0f admissions/s) in seconds", m.slope("resolve_ns")/1e6, m.changes(), m.slope("report_ns"), reports/wire.ReportBytes, m.slope("admit_ns"), perEntry)
 	m.add(Line{Role: "entry", Item: "processor time of decisions on requests", Value: m.slope("request_ns") * perEntry / 1e9, Unit: "cores", Mechanism: "one core loop", State: "runs"},
 		"%.1f us × %.0f requests/s", m.slope("request_ns")/1e3, perEntry)
 	inFlight := perEntry * a.RequestSeconds
@@ -153,8 +155,8 @@
 		"%.0f × %.0f B", engines, m.slope("placed_b"))
 	m.add(Line{Role: "placement duty", Item: "processor time", Value: m.slope("plan_ns") * a.DecisionsASec / 1e9, Unit: "cores", Bound: t.ControlCPU, Mechanism: "at most one plan in half a second", State: "runs"},
 		"%.2f ms × %.0f plans/s", m.slope("plan_ns")/1e6, a.DecisionsASec)
-	m.add(Line{Role: "placement duty", Item: "age of an unchanged report at a candidate", Value: engines * 96 * 4 / 1536, Unit: "s", Mechanism: "changes are reported at once; a slower rate for placement alone", State: "designed (docs/design/043)"},
-		"%.0f agents × 96 B × 4 / 1,536 B/s", engines)
+	m.add(Line{Role: "placement duty", Item: "age of an unchanged report at a candidate", Value: engines * wire.ReportBytes * wire.IdleReports / (wire.ControlBudget * wire.ReportShare), Unit: "s", Mechanism: "changes are reported at once; a slower rate for placement alone", State: "designed (docs/design/043)"},
+		"%.0f agents × %d B × %d / %.0f B/s", engines, wire.ReportBytes, wire.IdleReports, wire.ControlBudget*wire.ReportShare)
 }
 
 func (m *sums) store() {
--- a/internal/entry/expire.go
+++ b/internal/entry/expire.go
@@ -150,12 +150,7 @@
 	heartbeatBytes = 32
 	// heartbeatBudget is the part of an entry's control budget, in bytes a second,
 	// that heartbeats may use.
-	heartbeatBudget = 512
-	// reportBytes and reportBudget are the same for the reports of agents.
-	reportBytes  = 96
-	reportBudget = 1536
-	// idleReports is the number of report intervals between reports without news.
-	idleReports = 4
+	heartbeatBudget = wire.ControlBudget * (1 - wire.ReportShare)
 )
 
 // heartbeatEvery returns the time between heartbeats to a number of agents.
@@ -166,7 +161,7 @@
 // silenceBound returns how long one of a number of agents may go without a
 // report: they divide the budget, so that more agents report more rarely.
 func silenceBound(agents int) time.Duration {
-	idle := seconds(float64(agents) * reportBytes / reportBudget * idleReports)
+	idle := seconds(float64(agents) * wire.ReportBytes / (wire.ControlBudget * wire.ReportShare) * wire.IdleReports)
 	return max(silentAfter, 2*idle)
 }
 
