Share the verdict of scenario scripts and the processes of commands

Cause: reading what a scenario needs and running it for its verdict stood in two packages of tests word for word; three commands opened their clients alike. Change: package scripttest serves both tests; processFlags serves status, dump and drain. Result: behaviour and assertions unchanged; each mechanism is still covered by a scenario, which the tests check.

--- a/cmd/trefoilpath/status.go
+++ b/cmd/trefoilpath/status.go
@@ -14,26 +14,18 @@
 	"trefoilpath.org/trefoilpath/internal/entry"
 )
 
-type statusFlags struct {
-	entries entryFlags
-	tls     tlsFlags
-}
+type statusFlags struct{ processFlags }
 
 // registerStatus adds the command that shows the state of entries.
 func registerStatus(app *kingpin.Application) {
 	f := &statusFlags{}
 	cmd := app.Command("status", "Show revision, readiness and progress of entries and of the peers and agents that they know. Exit code 1 if one gives no status.")
-	f.entries.register(cmd, true)
-	f.tls.register(cmd)
+	f.register(cmd)
 	cmd.Action(func(*kingpin.ParseContext) error { return f.run(os.Stdout) })
 }
 
 func (f *statusFlags) run(out io.Writer) error {
-	hc, err := f.tls.client()
-	if err != nil {
-		return err
-	}
-	clients, err := f.entries.clients(hc)
+	clients, err := f.clients()
 	if err != nil {
 		return err
 	}
--- a/internal/agent/scenario_run_test.go
+++ b/internal/agent/scenario_run_test.go
@@ -1,14 +1,12 @@
 package agent
 
 import (
-	"bufio"
-	"os"
 	"path/filepath"
-	"runtime"
-	"strings"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"trefoilpath.org/trefoilpath/internal/scripttest"
 )
 
 func scenarioFiles(t *testing.T) []string {
@@ -29,14 +27,14 @@
 func TestScenariosNeedTheirMechanism(t *testing.T) {
 	covered := map[string]bool{}
 	for _, file := range scenarioFiles(t) {
-		for _, name := range needs(t, file) {
+		for _, name := range scripttest.Needs(t, file) {
 			covered[name] = true
 			t.Run(filepath.Base(file)+" without "+name, func(t *testing.T) {
 				m, ok := mechanisms[name]
 				if !ok {
 					t.Fatalf("unknown mechanism %q", name)
 				}
-				if !fails(params(m, file)) {
+				if !scripttest.Fails(params(m, file)) {
 					t.Error("the scenario passes without the mechanism")
 				}
 			})
@@ -48,56 +46,3 @@
 		}
 	}
 }
-
-// needs reads the names of mechanisms from lines "# needs: a b".
-func needs(t *testing.T, file string) []string {
-	t.Helper()
-	f, err := os.Open(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
-	var names []string
-	lines := bufio.NewScanner(f)
-	for lines.Scan() {
-		if rest, ok := strings.CutPrefix(lines.Text(), "# needs:"); ok {
-			names = append(names, strings.Fields(rest)...)
-		}
-	}
-	return names
-}
-
-// fails runs a script and reports whether it failed.
-func fails(p testscript.Params) bool {
-	rec := &recorder{}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		testscript.RunT(rec, p)
-	}()
-	<-done
-	return rec.failed
-}
-
-// recorder is a testscript.T that notes a failure without failing a test.
-type recorder struct{ failed bool }
-
-func (r *recorder) Skip(...any)   { runtime.Goexit() }
-func (r *recorder) Fatal(...any)  { r.FailNow() }
-func (r *recorder) Parallel()     {}
-func (r *recorder) Log(...any)    {}
-func (r *recorder) Verbose() bool { return false }
-
-func (r *recorder) FailNow() {
-	r.failed = true
-	runtime.Goexit()
-}
-
-func (r *recorder) Run(_ string, f func(testscript.T)) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f(r)
-	}()
-	<-done
-}
--- a/internal/soak/scenario_test.go
+++ b/internal/soak/scenario_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -13,6 +12,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"trefoilpath.org/trefoilpath/internal/scripttest"
 	"trefoilpath.org/trefoilpath/internal/wire"
 	"trefoilpath.org/trefoilpath/internal/workload"
 )
@@ -30,13 +30,13 @@
 // names in a line "# needs:" switched off, and expects it to fail.
 func TestScenariosNeedTheirMechanisms(t *testing.T) {
 	for _, file := range scenarioFiles(t) {
-		names := needs(t, file)
+		names := scripttest.Needs(t, file)
 		if len(names) == 0 {
 			t.Errorf("%s names no mechanism", file)
 		}
 		for _, name := range names {
 			t.Run(filepath.Base(file)+" without "+name, func(t *testing.T) {
-				if !fails(scenarioParams(name, file)) {
+				if !scripttest.Fails(scenarioParams(name, file)) {
 					t.Error("the scenario passes without the mechanism")
 				}
 			})
@@ -53,57 +53,6 @@
 	return files
 }
 
-// needs reads the names of mechanisms from lines "# needs: a b".
-func needs(t *testing.T, file string) []string {
-	t.Helper()
-	data, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	var names []string
-	for _, line := range strings.Split(string(data), "\n") {
-		if rest, ok := strings.CutPrefix(line, "# needs:"); ok {
-			names = append(names, strings.Fields(rest)...)
-		}
-	}
-	return names
-}
-
-// fails runs a script and reports whether it failed.
-func fails(p testscript.Params) bool {
-	rec := &recorder{}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		testscript.RunT(rec, p)
-	}()
-	<-done
-	return rec.failed
-}
-
-// recorder is a testscript.T that notes a failure without failing a test.
-type recorder struct{ failed bool }
-
-func (r *recorder) Skip(...any)   { runtime.Goexit() }
-func (r *recorder) Fatal(...any)  { r.FailNow() }
-func (r *recorder) Parallel()     {}
-func (r *recorder) Log(...any)    {}
-func (r *recorder) Verbose() bool { return false }
-
-func (r *recorder) FailNow() {
-	r.failed = true
-	runtime.Goexit()
-}
-
-func (r *recorder) Run(_ string, f func(testscript.T)) {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		f(r)
-	}()
-	<-done
-}
-
 // scenarioParams describes how scripts run, with one mechanism switched off or
 // none.
 func scenarioParams(without string, files ...string) testscript.Params {
