--- a/cmd/trefoilpath/main.go
+++ b/cmd/trefoilpath/main.go
@@ -38,6 +38,7 @@
 	registerExperiment(app)
 	registerLoad(app)
 	registerOperatorCommands(app)
+	registerPlatformGateway(app)
 	registerSoak(app)
 	registerVersion(app)
 	return app
--- /dev/null
+++ b/cmd/trefoilpath/platform.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"trefoilpath.org/trefoilpath/internal/gateway/shell"
+	"trefoilpath.org/trefoilpath/internal/settings"
+	maderas "trefoilpath.org/trefoilpath/platform"
+)
+
+// storeDialTimeout bounds a connection to the platform's store, a millisecond away.
+const storeDialTimeout = 500 * time.Millisecond
+
+// registerPlatformGateway adds the command that runs a gateway on the Maderas platform.
+func registerPlatformGateway(app *kingpin.Application) {
+	cmd := app.Command("platform-gateway", "Run a gateway on the Maderas platform: passes callers' requests on to endpoints that it reaches directly.")
+	file := cmd.Flag("settings", "Settings file in the platform's format; without it, the one that "+maderas.SettingsVariable+" names.").String()
+	show := cmd.Flag("print-settings", "Print the settings in force and exit.").Bool()
+	metricsPort := cmd.Flag("metrics-port", "Port for counters, histograms and the dump; 0: none.").Default("0").Uint16()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		path := *file
+		if path == "" {
+			path = maderas.SettingsPath()
+		}
+		load := func() (shell.Settings, error) {
+			s, err := maderas.LoadSettings(path)
+			if err == nil && *metricsPort != 0 {
+				s.MetricsAddr = netip.AddrPortFrom(s.CallerAddr.Addr(), *metricsPort)
+			}
+			return s, err
+		}
+		s, err := load()
+		if err != nil {
+			return err
+		}
+		if *show {
+			return settings.Print(os.Stdout, s)
+		}
+		return shell.New(shell.Config{
+			Settings: s, Translator: maderas.Exchange{}, Decoder: maderas.Decoder{},
+			Store: maderas.NewStore(s.StoreAddr, storeClient()), Log: os.Stdout, Reload: load,
+		}).Run(context.Background())
+	})
+}
+
+// storeClient returns the HTTP client for the platform's store.
+func storeClient() *http.Client {
+	dialer := &net.Dialer{Timeout: storeDialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true,
+	}}
+}
--- /dev/null
+++ b/internal/enginecost/params.go
@@ -0,0 +1,43 @@
+package enginecost
+
+import "time"
+
+// Params are the published constants of an engine.
+type Params struct {
+	Slots           int           // requests in one batch
+	MemoryTokens    int64         // tokens that the KV cache holds
+	Stride          int           // token steps in a pass that writes
+	Step            time.Duration // of one token for a batch of none
+	StepPerSequence time.Duration // added to a step by each writing request
+	StepPerContext  time.Duration // added to a step by each thousand tokens of context
+	ReadPerSecond   float64       // prompt tokens
+	PairsPerMillion time.Duration // of reading: a million pairs of a token and an earlier one
+	Chunk           int64         // prompt tokens read in one step at most
+	Hop             time.Duration // added to a step by parts that others hold
+	MaxHelpers      int           // other engines that may read parts of a prompt
+}
+
+// Read returns the time that a whole prompt takes to read, without waiting. Both
+// the tokens and the pairs of a token with any earlier one count.
+func (p *Params) Read(prompt int64) time.Duration {
+	if p.ReadPerSecond <= 0 {
+		return 0
+	}
+	tokens := float64(prompt)
+	pairs := tokens * tokens / 2 / 1e6
+	return time.Duration(tokens/p.ReadPerSecond*float64(time.Second)) +
+		time.Duration(pairs*float64(p.PairsPerMillion))
+}
+
+// Part returns the time that one of n even parts of a prompt takes.
+func (p *Params) Part(prompt int64, n int) time.Duration {
+	return p.Read(prompt) / time.Duration(max(n, 1))
+}
+
+// Strides returns the time that the token steps of one pass take while a number
+// of requests with a total context in tokens write.
+func (p *Params) Strides(writers int, context int64) time.Duration {
+	step := p.Step + time.Duration(writers)*p.StepPerSequence +
+		time.Duration(context)*p.StepPerContext/1000
+	return time.Duration(max(p.Stride, 1)) * step
+}
--- /dev/null
+++ b/internal/gateway/check.go
@@ -0,0 +1,18 @@
+package gateway
+
+import (
+	"trefoilpath.org/trefoilpath/internal/invariant"
+	"trefoilpath.org/trefoilpath/internal/route"
+)
+
+// check stops the process if the tables contradict what the gateway promises.
+func (c *Core) check() {
+	for r := range c.requests.Values() {
+		if (r.phase == phaseRunning) != (r.work != nil) {
+			invariant.Fail("work-matches-phase", "request", r.in.RequestID, "phase", r.phase)
+		}
+		if r.in.Route.Kind == route.KindUnsafe && r.unproven > 0 {
+			invariant.Fail("unsafe-not-sent-again", "request", r.in.RequestID, "unproven", r.unproven)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/retrybudget"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// Config describes one gateway.
+type Config struct {
+	Self          string // name of the process, for other gateways
+	Incarnation   uint64 // differs between lives of the process
+	Addr          netip.AddrPort
+	Seeds         []netip.AddrPort
+	FailureDomain wire.FailureDomain
+	Retry         retrybudget.Config
+	// Stall is how long an engine holds work that depends on a lost engine.
+	Stall time.Duration
+	Place PlaceConfig
+}
+
+// PlaceConfig tunes the placing of requests at engines.
+type PlaceConfig struct {
+	// Margin is kept free of the longest pause that a stream may have: time on
+	// the way and errors of the prediction.
+	Margin time.Duration
+	// OpenRead is the read time that an engine without streams may be given at
+	// once, so that it is soon free for urgent prompts.
+	OpenRead time.Duration
+	// SmallRead is the read time up to which a prompt is read by one engine.
+	SmallRead time.Duration
+	// SpareSlots are slots of an engine that short streams leave free.
+	SpareSlots int
+	// TightPause is the pause objective up to which streams are gathered on few engines.
+	TightPause time.Duration
+}
+
+// DefaultPlace returns the values in use.
+func DefaultPlace() PlaceConfig {
+	return PlaceConfig{
+		Margin:     35 * time.Millisecond,
+		OpenRead:   600 * time.Millisecond,
+		SmallRead:  100 * time.Millisecond,
+		SpareSlots: 2,
+		TightPause: 300 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/gateway/core.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/route"
+	"trefoilpath.org/trefoilpath/internal/table"
+	"trefoilpath.org/trefoilpath/internal/timer"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// Core is the state of one gateway. It is deterministic and not safe for
+// concurrent use.
+type Core struct {
+	cfg Config
+	now time.Duration
+	out []Output
+
+	table     *route.Table
+	endpoints *table.Table[wire.EndpointID, endpoint]
+	byHash    map[uint64]*endpoint
+	services  *table.Table[string, service]
+	requests  *table.Table[RequestID, request]
+	peers     *table.Table[netip.AddrPort, peer]
+	timers    *timer.Queue[timerKey]
+
+	registered bool // a list of endpoints has been taken
+	revision   uint64
+	versions   Versions
+	ready      Ready
+	leaving    bool
+	place      bool // something changed that may let a waiting request go
+	share      sharing
+	counts     Counts
+	scratch    []candidate
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	Arrived    uint64
+	Dispatched uint64
+	Retried    uint64
+	Done       uint64
+	Refused    uint64
+	Unknown    uint64
+	TimedOut   uint64
+	Gone       uint64
+	Ejected    uint64
+}
+
+// New returns a gateway that knows no configuration, endpoints or peers.
+func New(cfg Config) *Core {
+	c := &Core{
+		cfg:       cfg,
+		endpoints: table.New[wire.EndpointID, endpoint](),
+		byHash:    make(map[uint64]*endpoint),
+		services:  table.New[string, service](),
+		requests:  table.New[RequestID, request](),
+		peers:     table.New[netip.AddrPort, peer](),
+		timers:    timer.New[timerKey](),
+		ready:     Ready{Reason: "starting"},
+	}
+	c.addSeeds(cfg.Seeds)
+	c.timers.Set(timerKey{kind: timerFull}, 0)
+	return c
+}
+
+// Tick advances the core to now and applies the inputs in order. The returned
+// outputs are to be carried out in order; the slice is valid until the next call.
+func (c *Core) Tick(now time.Duration, in ...Input) []Output {
+	c.now = max(c.now, now)
+	c.out = c.out[:0]
+	for i := range in {
+		c.ingest(&in[i])
+	}
+	c.expire()
+	c.placeWaiting()
+	c.updateReady()
+	c.flushShare()
+	c.requests.Compact()
+	c.peers.Compact()
+	c.check()
+	return c.out
+}
+
+// Next returns the time at which the core is to be ticked even without input.
+func (c *Core) Next() time.Duration { return c.timers.Next() }
+
+func (c *Core) emit(o Output) { c.out = append(c.out, o) }
+
+func (c *Core) log(e Event) { c.emit(Output{Log: &e}) }
+
+// logRequest logs a decision on r.
+func (c *Core) logRequest(name string, r *request, e Event) {
+	e.Name, e.Request, e.Attempt, e.Wait = name, r.in.RequestID, r.attempt, c.now-r.arrived
+	c.log(e)
+}
+
+// Counts returns the totals since the start.
+func (c *Core) Counts() Counts { return c.counts }
+
+// InFlight returns the number of requests without an answer.
+func (c *Core) InFlight() int { return c.requests.Len() }
+
+// expire handles the timers that are due.
+func (c *Core) expire() {
+	for {
+		key, due := c.timers.Pop(c.now)
+		if !due {
+			return
+		}
+		switch key.kind {
+		case timerDeadline:
+			c.deadline(key.request)
+		case timerPlace:
+			c.place = true
+		case timerShare:
+			c.share.due = true
+		case timerFull:
+			c.share.full = true
+		case timerReturn:
+			c.returnEndpoint(key.endpoint)
+		case timerSilence:
+			c.checkSilence(key.request)
+		}
+	}
+}
+
+// updateReady tells the platform's balancer whether to send callers here.
+func (c *Core) updateReady() {
+	r := Ready{OK: true}
+	switch {
+	case c.leaving:
+		r = Ready{Reason: "leaving"}
+	case c.table == nil:
+		r = Ready{Reason: "no configuration"}
+	case !c.registered || c.endpoints.Len() == 0:
+		r = Ready{Reason: "no endpoints"}
+	}
+	if r != c.ready {
+		c.ready = r
+		c.emit(Output{Ready: &r})
+		c.log(Event{Name: "ready-changed", Detail: r.Reason, Count: c.endpoints.Len()})
+	}
+}
--- /dev/null
+++ b/internal/gateway/ingest.go
@@ -0,0 +1,90 @@
+package gateway
+
+import "time"
+
+// ingest applies one input.
+func (c *Core) ingest(in *Input) {
+	switch {
+	case in.Arrive != nil:
+		c.arrive(in.Arrive)
+	case in.Gone != nil:
+		c.callerGone(in.Gone.ID)
+	case in.Sent != nil:
+		c.sent(in.Sent)
+	case in.First != nil:
+		c.firstEvent(in.First)
+	case in.Ended != nil:
+		c.ended(in.Ended)
+	case in.Load != nil:
+		c.loadReported(in.Load)
+	case in.Config != nil:
+		c.configure(in.Config)
+	case in.Endpoints != nil:
+		c.register(in.Endpoints)
+	case in.Peer != nil:
+		c.fromPeer(in.Peer)
+	case in.Versions != nil:
+		c.versions = *in.Versions
+		c.share.changed(c)
+	case in.Seeds != nil:
+		c.addSeeds(in.Seeds)
+	case in.Shutdown != nil:
+		c.leaving = true
+		c.share.full = true
+	}
+}
+
+func (c *Core) arrive(a *Arrive) {
+	c.counts.Arrived++
+	r := c.requests.Put(a.ID, request{in: *a, arrived: c.now, phase: phaseWaiting})
+	s := c.service(a.Service)
+	s.budget.Request(c.now)
+	c.timers.Set(timerKey{kind: timerDeadline, request: a.ID}, a.Deadline)
+	c.enqueue(r)
+}
+
+// sent notes that a byte of the attempt is on its way.
+func (c *Core) sent(in *Sent) {
+	r := c.running(in.ID, in.Attempt)
+	if r == nil || r.sent {
+		return
+	}
+	r.sent = true
+	r.sends++
+}
+
+func (c *Core) firstEvent(in *FirstEvent) {
+	r := c.running(in.ID, in.Attempt)
+	if r == nil || r.work == nil || r.work.phase == workWriting {
+		return
+	}
+	w := r.work
+	w.phase = workWriting
+	w.firstSeen = c.now
+	e := w.answering()
+	e.heard = c.now
+	c.learnPace(r, e)
+	c.share.touched(c, w)
+	c.place = true
+	c.logRequest("first-event", r, Event{Endpoint: string(e.reg.ID), Took: c.now - w.sent, Detail: predictedDetail(r, w)})
+}
+
+// predictedDetail tells how far the prediction was off.
+func predictedDetail(r *request, w *work) string {
+	return "predicted=" + (r.predicted - w.sent).Round(time.Millisecond).String()
+}
+
+func (c *Core) loadReported(in *Load) {
+	if e := c.endpoints.Get(in.Endpoint); e != nil {
+		e.load, e.loadAt, e.heard = *in, c.now, c.now
+	}
+}
+
+// running returns the request if attempt is its current one.
+func (c *Core) running(id RequestID, attempt int) *request {
+	r := c.requests.Get(id)
+	if r == nil || r.phase != phaseRunning || r.attempt != attempt {
+		return nil
+	}
+	return r
+}
--- /dev/null
+++ b/internal/gateway/outcome.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"strconv"
+
+	"trefoilpath.org/trefoilpath/internal/route"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// maxRefusals bounds how many endpoints that prove they did not run a request
+// are tried beyond the route's attempts: such a request has reached none.
+const maxRefusals = 2
+
+// ended handles the end of an attempt: the request is done, is sent again, or
+// fails.
+func (c *Core) ended(in *Ended) {
+	r := c.running(in.ID, in.Attempt)
+	if r == nil {
+		return
+	}
+	c.timers.Stop(timerKey{kind: timerSilence, request: r.in.ID})
+	e := r.work.answering()
+	c.judge(r, e, in)
+	c.logRequest("attempt-ended", r, Event{
+		Endpoint: string(e.reg.ID), Took: c.now - r.work.sent, Count: in.Status,
+		Detail: "result=" + in.Result.String() + detailOf(in),
+	})
+	c.endWork(r)
+	if in.Result == ResultDone {
+		c.finish(r, VerdictDone, ReasonNone)
+		return
+	}
+	r.resume = in.Begun
+	r.held = r.held || in.Result == ResultFailed
+	if again, reason := c.again(r, in); !again {
+		c.fail(r, in, reason)
+		return
+	}
+	r.avoidFor(e.reg.ID)
+	if len(c.usable(c.service(r.in.Service), r)) == 0 {
+		r.avoid = nil
+	}
+	c.enqueueAgain(r, in)
+}
+
+func detailOf(in *Ended) string {
+	if in.Detail == "" {
+		return ""
+	}
+	return " cause=" + strconv.Quote(in.Detail)
+}
+
+// enqueueAgain lets r wait for another endpoint, unless there is none.
+func (c *Core) enqueueAgain(r *request, in *Ended) {
+	r.phase = phaseWaiting
+	if reason := c.unservable(r); reason != ReasonNone {
+		c.fail(r, in, reason)
+		return
+	}
+	s := c.service(r.in.Service)
+	s.waiting = append(s.waiting, r)
+	c.place = true
+}
+
+// again reports whether r may be sent to another endpoint, and else why not.
+func (c *Core) again(r *request, in *Ended) (bool, Reason) {
+	reason := reasonOf(in.Result)
+	switch in.Result {
+	case ResultUnreachable:
+		return true, reason // nothing was sent
+	case ResultFull, ResultMisdirected:
+		if r.sends >= r.in.Route.Attempts+maxRefusals || !r.in.Route.Idempotent() && r.sends >= maxRefusals+1 {
+			return false, reason
+		}
+	default:
+		if !r.in.Route.Idempotent() || r.sends >= r.in.Route.Attempts {
+			return false, reason
+		}
+		if in.Begun && !in.Resumable {
+			return false, reason
+		}
+		if r.in.Route.Kind == route.KindStream && in.Result == ResultFailed && !in.Begun && in.Status < 500 {
+			return false, reason
+		}
+	}
+	if !c.service(r.in.Service).budget.Take(c.now, c.gateways()) {
+		return false, ReasonBudget
+	}
+	return true, ReasonNone
+}
+
+func reasonOf(result Result) Reason {
+	switch result {
+	case ResultFull, ResultMisdirected:
+		return ReasonFull
+	case ResultUnreachable:
+		return ReasonUnreachable
+	case ResultSilent:
+		return ReasonSilent
+	}
+	return ReasonBroken
+}
+
+// fail ends a request whose last attempt did not succeed. It is refused only if
+// no attempt can have run.
+func (c *Core) fail(r *request, in *Ended, reason Reason) {
+	notRun := in.Result == ResultFull || in.Result == ResultMisdirected || in.Result == ResultUnreachable
+	switch {
+	case r.held:
+		c.finish(r, VerdictDone, reason) // the endpoint's own failure
+	case notRun && !r.mayHaveRun():
+		c.refuse(r, reason)
+	default:
+		c.finish(r, VerdictUnknown, reason)
+	}
+}
+
+// mayHaveRun reports whether an earlier attempt ended without proof. The last
+// attempt is judged by its result.
+func (r *request) mayHaveRun() bool { return r.unproven > 0 }
+
+// finish ends a request.
+func (c *Core) finish(r *request, v Verdict, reason Reason) {
+	switch v {
+	case VerdictDone:
+		c.counts.Done++
+	case VerdictUnknown:
+		c.counts.Unknown++
+	case VerdictTimeout:
+		c.counts.TimedOut++
+	}
+	c.emit(Output{Finish: &Finish{ID: r.in.ID, Verdict: v, Reason: reason}})
+	if v != VerdictDone {
+		c.logRequest("failed", r, Event{Detail: string(reason), Count: r.sends})
+	}
+	c.drop(r)
+}
+
+// deadline ends a request whose time is over.
+func (c *Core) deadline(id RequestID) {
+	r := c.requests.Get(id)
+	if r == nil {
+		return
+	}
+	if r.phase == phaseWaiting && r.unproven == 0 && !r.resume {
+		c.refuse(r, ReasonDeadline)
+		return
+	}
+	c.finish(r, VerdictTimeout, ReasonDeadline)
+}
+
+// callerGone forgets a request whose caller has left.
+func (c *Core) callerGone(id RequestID) {
+	r := c.requests.Get(id)
+	if r == nil {
+		return
+	}
+	c.counts.Gone++
+	c.logRequest("caller-gone", r, Event{Count: r.sends})
+	c.drop(r)
+}
+
+// checkSilence cancels an attempt whose endpoint has not begun to answer.
+func (c *Core) checkSilence(id RequestID) {
+	r := c.requests.Get(id)
+	if r == nil || r.phase != phaseRunning || r.work.phase == workWriting || r.cancelled {
+		return
+	}
+	r.cancelled = true
+	c.emit(Output{Cancel: &Cancel{ID: id, Attempt: r.attempt}})
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,322 @@
+package gateway
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// shareDelay collects changes that come together into one message.
+	shareDelay = 1500 * time.Microsecond
+	// fullInterval is the time between two messages with all of a gateway's work.
+	// It grows beyond fullPeers gateways, so that a VM's messages stay bounded.
+	fullInterval = 250 * time.Millisecond
+	fullPeers    = 10
+	// staleFactor is how many intervals another gateway's work is kept without
+	// word of it.
+	staleFactor = 4
+	// forgetPeer is how long a silent gateway still gets messages; a frozen or cut
+	// off VM comes back within it.
+	forgetPeer = 40 * time.Second
+	// tryPeer is how long a gateway that was only named by others gets messages.
+	tryPeer = 3 * time.Second
+	// rowsPerMessage keeps a message within one datagram.
+	rowsPerMessage = 20
+)
+
+// PeerMessage is what gateways tell each other, one datagram each. Any of them
+// may be lost: work is told again with each full message.
+type PeerMessage struct {
+	From        netip.AddrPort   `cbor:"-"` // of the sender, from the datagram
+	Incarnation uint64           `cbor:"1,keyasint"`
+	Rows        []PeerRow        `cbor:"2,keyasint,omitempty"`
+	Ended       []uint64         `cbor:"3,keyasint,omitempty"` // requests of rows
+	Versions    *Versions        `cbor:"4,keyasint,omitempty"` // only in a full message
+	Known       []netip.AddrPort `cbor:"5,keyasint,omitempty"` // gateways heard of late
+	Leaving     bool             `cbor:"6,keyasint,omitempty"`
+}
+
+// PeerRow is one work of the sender.
+type PeerRow struct {
+	Request uint64   `cbor:"1,keyasint"`
+	Writing bool     `cbor:"2,keyasint,omitempty"`
+	At      []uint64 `cbor:"3,keyasint"` // hashes of the endpoints, the answering one first
+	Prompt  int64    `cbor:"4,keyasint,omitempty"`
+	Output  int64    `cbor:"5,keyasint,omitempty"`
+	PartUS  int64    `cbor:"6,keyasint,omitempty"` // read time of each part
+	PauseMS int64    `cbor:"7,keyasint,omitempty"`
+	AgeMS   int64    `cbor:"8,keyasint,omitempty"` // since the dispatch
+}
+
+// sharing is what waits to be told to the other gateways.
+type sharing struct {
+	touchedWorks []*work
+	endedWorks   []uint64 // told at once
+	recentEnded  []uint64 // told once more with the next full message
+	due          bool
+	full         bool
+}
+
+// touched tells others of a new or changed work soon.
+func (s *sharing) touched(c *Core, w *work) {
+	if !slices.Contains(s.touchedWorks, w) {
+		s.touchedWorks = append(s.touchedWorks, w)
+	}
+	s.schedule(c)
+}
+
+// ended tells others that a work is over.
+func (s *sharing) ended(c *Core, w *work) {
+	if i := slices.Index(s.touchedWorks, w); i >= 0 {
+		s.touchedWorks = slices.Delete(s.touchedWorks, i, i+1)
+	}
+	s.endedWorks = append(s.endedWorks, w.key.request)
+	s.schedule(c)
+}
+
+// changed tells others of new versions with a full message.
+func (s *sharing) changed(c *Core) {
+	s.full = true
+	s.schedule(c)
+}
+
+func (s *sharing) schedule(c *Core) {
+	if !s.due {
+		c.timers.Set(timerKey{kind: timerShare}, c.now+shareDelay)
+	}
+}
+
+// flushShare sends what is due.
+func (c *Core) flushShare() {
+	s := &c.share
+	if !s.due && !s.full {
+		return
+	}
+	works := s.touchedWorks
+	if s.full {
+		works = c.ownWorks()
+		c.forgetPeers()
+		c.timers.Set(timerKey{kind: timerFull}, c.now+c.fullEvery())
+	}
+	m := &PeerMessage{Incarnation: c.cfg.Incarnation, Ended: s.endedWorks, Leaving: c.leaving}
+	if s.full {
+		m.Ended = append(slices.Clone(s.recentEnded), s.endedWorks...)
+		s.recentEnded = nil
+		versions := c.versions
+		m.Versions, m.Known = &versions, c.livePeers()
+	} else {
+		s.recentEnded = append(s.recentEnded, s.endedWorks...)
+	}
+	c.sendRows(m, works)
+	s.due, s.full = false, false
+	s.touchedWorks = s.touchedWorks[:0]
+	s.endedWorks = nil
+	c.timers.Stop(timerKey{kind: timerShare})
+}
+
+// sendRows sends m with the rows of works, in as many messages as they need.
+func (c *Core) sendRows(m *PeerMessage, works []*work) {
+	for {
+		n := min(len(works), rowsPerMessage)
+		for _, w := range works[:n] {
+			m.Rows = append(m.Rows, c.row(w))
+		}
+		works = works[n:]
+		for p := range c.peers.Values() {
+			c.emit(Output{ToPeer: &ToPeer{Addr: p.addr, Msg: m}})
+		}
+		if len(works) == 0 {
+			return
+		}
+		m = &PeerMessage{Incarnation: c.cfg.Incarnation, Leaving: c.leaving}
+	}
+}
+
+func (c *Core) row(w *work) PeerRow {
+	row := PeerRow{
+		Request: w.key.request, Writing: w.phase == workWriting, Prompt: w.prompt, Output: w.output,
+		PartUS: w.part.Microseconds(), PauseMS: w.pause.Milliseconds(), AgeMS: (c.now - w.sent).Milliseconds(),
+	}
+	for _, e := range w.at {
+		row.At = append(row.At, e.hash)
+	}
+	return row
+}
+
+func (c *Core) ownWorks() []*work {
+	var out []*work
+	for r := range c.requests.Values() {
+		if r.work != nil {
+			out = append(out, r.work)
+		}
+	}
+	return out
+}
+
+// fullEvery returns the time between full messages.
+func (c *Core) fullEvery() time.Duration {
+	n := max(c.peers.Len(), fullPeers)
+	return fullInterval * time.Duration(n) / fullPeers
+}
+
+func (c *Core) addSeeds(seeds []netip.AddrPort) {
+	for _, addr := range seeds {
+		if addr != c.cfg.Addr && c.peers.Get(addr) == nil {
+			c.peers.Put(addr, peer{addr: addr, seed: true, works: make(map[uint64]*work)})
+		}
+	}
+}
+
+// fromPeer takes a message of another gateway.
+func (c *Core) fromPeer(m *PeerMessage) {
+	if m.From == c.cfg.Addr {
+		return
+	}
+	p := c.peers.Get(m.From)
+	if p == nil {
+		p = c.peers.Put(m.From, peer{addr: m.From, added: c.now, works: make(map[uint64]*work)})
+	}
+	if p.incarnation != m.Incarnation {
+		c.dropWorks(p)
+		p.incarnation = m.Incarnation
+	}
+	if !p.known {
+		p.known = true
+		c.log(Event{Name: "gateway-heard", Detail: "addr=" + p.addr.String(), Count: c.gateways()})
+		c.share.changed(c)
+	}
+	p.heard, p.leaving = c.now, m.Leaving
+	for _, id := range m.Ended {
+		if w := p.works[id]; w != nil {
+			delete(p.works, id)
+			c.removeWork(w)
+		}
+	}
+	for i := range m.Rows {
+		c.peerRow(p, &m.Rows[i])
+	}
+	for _, addr := range m.Known {
+		if addr != c.cfg.Addr && c.peers.Get(addr) == nil {
+			c.peers.Put(addr, peer{addr: addr, added: c.now, works: make(map[uint64]*work)})
+		}
+	}
+	c.peerVersions(p, m)
+}
+
+// peerVersions asks for a peer's copy if it is newer than the own one.
+func (c *Core) peerVersions(p *peer, m *PeerMessage) {
+	if m.Versions == nil {
+		return
+	}
+	p.versions = *m.Versions
+	if c.versions.Config.Behind(p.versions.Config) || c.versions.Registrations.Behind(p.versions.Registrations) {
+		c.emit(Output{Newer: &Newer{Peer: p.addr, Versions: p.versions}})
+	}
+}
+
+// peerRow adds or updates a work of another gateway. Endpoints that this
+// gateway does not know yet are left out; a later full message names them again.
+func (c *Core) peerRow(p *peer, row *PeerRow) {
+	if old := p.works[row.Request]; old != nil {
+		old.refreshed = c.now
+		if row.Writing && old.phase == workReading {
+			old.phase = workWriting
+			c.place = true
+		}
+		return
+	}
+	if len(row.At) == 0 {
+		return
+	}
+	w := &work{
+		key: workKey{p.addr, row.Request}, phase: workReading,
+		prompt: row.Prompt, output: row.Output,
+		part:  time.Duration(row.PartUS) * time.Microsecond,
+		pause: time.Duration(row.PauseMS) * time.Millisecond,
+		sent:  c.now - time.Duration(row.AgeMS)*time.Millisecond, refreshed: c.now,
+	}
+	if row.Writing {
+		w.phase = workWriting
+	}
+	for i, hash := range row.At {
+		e := c.byHash[hash]
+		if e == nil {
+			if i == 0 {
+				return
+			}
+			continue
+		}
+		w.at = append(w.at, e)
+	}
+	p.works[row.Request] = w
+	c.addWork(w)
+}
+
+// forgetPeers drops gateways that are silent, and the work of which no gateway
+// has spoken for a while.
+func (c *Core) forgetPeers() {
+	stale := staleFactor * c.fullEvery()
+	for p := range c.peers.Values() {
+		for id, w := range p.works {
+			if c.now-w.refreshed > stale {
+				delete(p.works, id)
+				c.removeWork(w)
+			}
+		}
+		if p.known && c.now-p.heard > stale {
+			p.known = false
+			c.log(Event{Name: "gateway-silent", Detail: "addr=" + p.addr.String(), Took: c.now - p.heard})
+		}
+		limit := forgetPeer
+		if p.heard == 0 {
+			limit = tryPeer
+		}
+		if !p.seed && c.now-max(p.heard, p.added) > limit {
+			c.peers.Delete(p.addr)
+		}
+	}
+}
+
+func (c *Core) dropWorks(p *peer) {
+	for id, w := range p.works {
+		delete(p.works, id)
+		c.removeWork(w)
+	}
+}
+
+// gateways returns how many gateways share the fleet's budgets: this one and
+// those heard lately.
+func (c *Core) gateways() int {
+	n := 1
+	for p := range c.peers.Values() {
+		if p.heard > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Gateways returns the number of gateways that this one counts.
+func (c *Core) Gateways() int { return c.gateways() }
+
+func (c *Core) livePeers() []netip.AddrPort {
+	var out []netip.AddrPort
+	for p := range c.peers.Values() {
+		if p.known {
+			out = append(out, p.addr)
+		}
+	}
+	return out
+}
+
+// viewAge returns the age of the oldest view of a gateway that is heard.
+func (c *Core) viewAge() time.Duration {
+	age := time.Duration(0)
+	for p := range c.peers.Values() {
+		if p.known {
+			age = max(age, c.now-p.heard)
+		}
+	}
+	return age
+}
--- /dev/null
+++ b/internal/gateway/place.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// candidate is an engine that a request may go to.
+type candidate struct {
+	e    *endpoint
+	occ  occupancy
+	room time.Duration
+	used bool // tight streams run there
+}
+
+// placement is a decision to send a request to engines.
+type placement struct {
+	at    []*endpoint
+	part  time.Duration
+	first time.Duration // predicted, from now
+}
+
+// placeEngine finds engines for r, or none yet. The load that it answers is a
+// mix of short prompts with tight pauses and long ones whose reading would stop
+// every stream beside them:
+//
+//   - short prompts are gathered on the fullest engine that takes them in time,
+//     so that others stay free of tight pauses;
+//   - long prompts are cut into as many parts as it takes for each part to fit
+//     into a pass of its engine without stretching a pause there beyond its
+//     objective, first at engines without tight pauses;
+//   - what fits nowhere waits, since a read that is sent can't be taken back
+//     and would share a pass with all others that wait at the engine.
+//
+// Urgent is false once the objective can't be met any more; force is set if the
+// request has waited so long that it takes the least bad place.
+func (c *Core) placeEngine(s *service, r *request, force bool) (placement, bool) {
+	list := c.candidates(s, r)
+	if len(list) == 0 {
+		return placement{}, false
+	}
+	total := list[0].e.engine.Read(r.in.Prompt)
+	slack := r.arrived + r.in.Route.Objective - c.now - transit
+	if slack < 0 || force {
+		slack = time.Hour
+	}
+	if total <= c.cfg.Place.SmallRead && c.tight(r) {
+		return c.placeSmall(r, list, total, slack, force)
+	}
+	return c.placeLarge(r, list, total, slack, force)
+}
+
+// tight reports whether the request's stream accepts short pauses only.
+func (c *Core) tight(r *request) bool { return r.in.Route.PauseObjective <= c.cfg.Place.TightPause }
+
+// candidates returns the engines that may take r, in the shared order.
+func (c *Core) candidates(s *service, r *request) []candidate {
+	list := c.scratch[:0]
+	for _, e := range c.usable(s, r) {
+		if e.engine == nil {
+			continue
+		}
+		occ := c.occupancy(e)
+		list = append(list, candidate{
+			e: e, occ: occ,
+			room: occ.room(c.cfg.Place.Margin, c.cfg.Place.OpenRead),
+			used: occ.pause > 0 && occ.pause <= c.cfg.Place.TightPause,
+		})
+	}
+	c.scratch = list
+	return list
+}
+
+// holds reports whether the engine has a slot and memory to answer r.
+func (c *Core) holds(k *candidate, r *request, spare int) bool {
+	memory := int64(float64(k.e.engine.MemoryTokens) * (1 - idleMemory))
+	return k.occ.streams < k.e.engine.Slots-spare &&
+		k.occ.memory+r.in.Prompt+r.in.Output <= memory
+}
+
+// placeSmall puts a short prompt whole on one engine.
+func (c *Core) placeSmall(r *request, list []candidate, total, slack time.Duration, force bool) (placement, bool) {
+	var best *candidate
+	for i := range list {
+		k := &list[i]
+		spare := c.cfg.Place.SpareSlots
+		if force {
+			spare = 0
+		}
+		if !c.holds(k, r, spare) {
+			continue
+		}
+		part := k.e.scale(total)
+		if !force && (k.room < part || k.occ.first(k.e, total) > slack) {
+			continue
+		}
+		if best == nil || c.betterSmall(k, best, force) {
+			best = k
+		}
+	}
+	if best == nil {
+		return placement{}, false
+	}
+	return placement{at: []*endpoint{best.e}, part: total, first: best.occ.first(best.e, total)}, true
+}
+
+// betterSmall prefers the fullest of the engines with tight streams, then the
+// one that is soonest free.
+func (c *Core) betterSmall(a, b *candidate, force bool) bool {
+	if force {
+		return a.occ.queue+a.occ.strides < b.occ.queue+b.occ.strides
+	}
+	if a.used != b.used {
+		return a.used
+	}
+	if a.used {
+		return a.occ.streams > b.occ.streams
+	}
+	return a.occ.queue+a.occ.strides < b.occ.queue+b.occ.strides
+}
+
+// placeLarge cuts a long prompt into even parts and spreads them.
+func (c *Core) placeLarge(r *request, list []candidate, total, slack time.Duration, force bool) (placement, bool) {
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		if a.used != b.used {
+			return cmp.Compare(bit(a.used), bit(b.used))
+		}
+		return cmp.Compare(b.room, a.room)
+	})
+	most := min(len(list), 1+list[0].e.engine.MaxHelpers)
+	for n := 1; n <= most; n++ {
+		chosen := list[:n]
+		part := total / time.Duration(n)
+		answering := c.answering(r, chosen)
+		if answering < 0 {
+			continue
+		}
+		first, fits := time.Duration(0), true
+		for i := range chosen {
+			k := &chosen[i]
+			fits = fits && (k.room >= k.e.scale(part) || force && n >= most/2)
+			first = max(first, k.occ.first(k.e, part))
+		}
+		if !fits || first > slack {
+			continue
+		}
+		at := make([]*endpoint, 0, n)
+		at = append(at, chosen[answering].e)
+		for i := range chosen {
+			if i != answering {
+				at = append(at, chosen[i].e)
+			}
+		}
+		return placement{at: at, part: part, first: first}, true
+	}
+	return placement{}, false
+}
+
+// answering returns the index of the engine that is to answer r: the one with
+// the most memory free. It returns -1 if none holds the prompt.
+func (c *Core) answering(r *request, chosen []candidate) int {
+	best := -1
+	for i := range chosen {
+		if !c.holds(&chosen[i], r, 0) {
+			continue
+		}
+		if best < 0 || chosen[i].occ.memory < chosen[best].occ.memory {
+			best = i
+		}
+	}
+	return best
+}
+
+func bit(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/gateway/queue.go
@@ -0,0 +1,278 @@
+package gateway
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/route"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+const (
+	// placeInterval is how often waiting requests are looked at without a change
+	// at an endpoint; predicted reads end without a message.
+	placeInterval = 10 * time.Millisecond
+	// forceAfter is the part of its objective, and forceLeast the least time,
+	// that a late request goes on waiting for a place that harms nobody.
+	forceAfter = 1.5
+	forceLeast = 700 * time.Millisecond
+	// leastTime is what an attempt needs at least; with less time left a request
+	// is refused rather than sent.
+	leastTime = 20 * time.Millisecond
+	// retryAfterLeast and retryAfterMost bound what callers are told to wait.
+	retryAfterLeast = 100 * time.Millisecond
+	retryAfterMost  = 2 * time.Second
+	// sendLimitWait is the part of the time that a request may wait before it is
+	// refused, so that its caller has time to come back.
+	sendLimitWait = 0.4
+)
+
+// enqueue places r, or lets it wait.
+func (c *Core) enqueue(r *request) {
+	r.phase = phaseWaiting
+	if reason := c.unservable(r); reason != ReasonNone {
+		c.refuse(r, reason)
+		return
+	}
+	s := c.service(r.in.Service)
+	s.waiting = append(s.waiting, r)
+	c.place = true
+}
+
+// unservable says why r can't be served however long it waits.
+func (c *Core) unservable(r *request) Reason {
+	s := c.service(r.in.Service)
+	if len(c.usable(s, r)) == 0 {
+		return ReasonNoEndpoint
+	}
+	largest := int64(0)
+	for _, e := range s.endpoints {
+		if e.engine == nil {
+			return ReasonNone
+		}
+		largest = max(largest, e.engine.MemoryTokens)
+	}
+	if r.in.Prompt+r.in.Output > largest {
+		return ReasonTooLarge
+	}
+	return ReasonNone
+}
+
+// placeWaiting places what waits, the soonest due first; requests that are late
+// already come after those that can still be in time.
+func (c *Core) placeWaiting() {
+	if !c.place {
+		return
+	}
+	c.place = false
+	waiting := false
+	for s := range c.services.Values() {
+		if len(s.waiting) == 0 {
+			continue
+		}
+		slices.SortStableFunc(s.waiting, c.byUrgency)
+		s.waiting = slices.DeleteFunc(s.waiting, func(r *request) bool { return c.tryPlace(s, r) })
+		waiting = waiting || len(s.waiting) > 0
+	}
+	if waiting {
+		c.timers.Set(timerKey{kind: timerPlace}, c.now+placeInterval)
+	}
+}
+
+func (c *Core) byUrgency(a, b *request) int {
+	if la, lb := c.late(a), c.late(b); la != lb {
+		return bit(la) - bit(lb)
+	}
+	return int(max(-1, min(1, a.due()-b.due())))
+}
+
+// due is when the first event, or the answer, is expected by the caller.
+func (r *request) due() time.Duration { return r.arrived + r.in.Route.Objective }
+
+func (c *Core) late(r *request) bool { return c.now > r.due() }
+
+// tryPlace reports whether r waits no longer.
+func (c *Core) tryPlace(s *service, r *request) bool {
+	if r.phase != phaseWaiting {
+		return true
+	}
+	left := r.in.Deadline - c.now
+	if left < leastTime {
+		c.refuse(r, ReasonOverload)
+		return true
+	}
+	waited := c.now - r.arrived
+	force := waited > max(forceLeast, time.Duration(forceAfter*float64(r.in.Route.Objective)))
+	p, ok := c.choose(s, r, force)
+	if ok {
+		c.dispatch(s, r, p)
+		return true
+	}
+	if waited > time.Duration(sendLimitWait*float64(r.in.Deadline-r.arrived)) {
+		c.refuse(r, ReasonOverload)
+		return true
+	}
+	return false
+}
+
+// choose picks the policy of the service.
+func (c *Core) choose(s *service, r *request, force bool) (placement, bool) {
+	if len(s.endpoints) > 0 && s.endpoints[0].engine != nil {
+		return c.placeEngine(s, r, force)
+	}
+	return c.placePlain(s, r, force)
+}
+
+// dispatch sends r to the endpoints of p.
+func (c *Core) dispatch(s *service, r *request, p placement) {
+	r.phase = phaseRunning
+	r.attempt++
+	r.sent, r.cancelled = false, false
+	r.predicted = c.now + p.first
+	e := p.at[0]
+	w := &work{
+		key: workKey{c.cfg.Addr, uint64(r.in.ID)<<8 | uint64(r.attempt&0xff)}, phase: workReading, at: p.at,
+		prompt: r.in.Prompt, output: r.in.Output, part: p.part,
+		pause: r.in.Route.PauseObjective, sent: c.now,
+	}
+	r.work = w
+	c.addWork(w)
+	c.share.touched(c, w)
+	c.counts.Dispatched++
+	if r.attempt > 1 {
+		c.counts.Retried++
+	}
+	d := &Dispatch{
+		ID: r.in.ID, Attempt: r.attempt, Endpoint: e.reg.ID, Addr: e.reg.Addr,
+		Resume: r.resume, Silence: c.silence(s, r, p),
+	}
+	for _, h := range p.at[1:] {
+		d.Helpers = append(d.Helpers, h.reg.Addr)
+	}
+	c.emit(Output{Dispatch: d})
+	if d.Silence > 0 {
+		c.timers.Set(timerKey{kind: timerSilence, request: r.in.ID}, c.now+d.Silence)
+	}
+	c.logRequest("dispatch", r, Event{Endpoint: string(e.reg.ID), Took: p.first, Count: len(p.at), Detail: c.dispatchDetail(r, e, p)})
+}
+
+// dispatchDetail names what decided the placing.
+func (c *Core) dispatchDetail(r *request, e *endpoint, p placement) string {
+	if e.engine == nil {
+		return "in-flight=" + itoa(len(e.works))
+	}
+	o := c.occupancy(e)
+	var b strings.Builder
+	b.WriteString("prompt=" + itoa(int(r.in.Prompt)) + " part=" + p.part.Round(time.Millisecond).String())
+	b.WriteString(" queue=" + o.queue.Round(time.Millisecond).String() + " streams=" + itoa(o.streams))
+	b.WriteString(" view=" + c.viewAge().Round(time.Millisecond).String())
+	return b.String()
+}
+
+// silence returns how long the endpoint may take to begin its answer. Only a
+// request that may run again is given up early.
+func (c *Core) silence(s *service, r *request, p placement) time.Duration {
+	if !r.in.Route.Idempotent() || r.sends+1 >= r.in.Route.Attempts {
+		return 0
+	}
+	if r.in.Route.Kind == route.KindStream {
+		return silenceLeast + 2*p.first
+	}
+	return min(2*r.in.Route.Objective, (r.in.Deadline-c.now)/2)
+}
+
+// silenceLeast is the shortest silence of an engine that is taken as a failure.
+const silenceLeast = 1200 * time.Millisecond
+
+// refuse ends a request that has not run.
+func (c *Core) refuse(r *request, reason Reason) {
+	c.counts.Refused++
+	after := c.retryAfter(r, reason)
+	c.emit(Output{Finish: &Finish{ID: r.in.ID, Verdict: VerdictRefused, RetryAfter: after, Reason: reason}})
+	c.logRequest("refuse", r, Event{Detail: string(reason), Took: after, Count: len(c.service(r.in.Service).waiting)})
+	c.drop(r)
+}
+
+// retryAfter returns when a caller may find room: when the reads that wait now
+// are done, spread by the request's ID.
+func (c *Core) retryAfter(r *request, reason Reason) time.Duration {
+	s := c.service(r.in.Service)
+	backlog := time.Duration(0)
+	n := 0
+	for _, e := range s.endpoints {
+		if e.engine == nil {
+			continue
+		}
+		n++
+		backlog += c.occupancy(e).queue
+	}
+	for _, w := range s.waiting {
+		if len(s.endpoints) > 0 && s.endpoints[0].engine != nil {
+			backlog += s.endpoints[0].engine.Read(w.in.Prompt)
+		}
+	}
+	after := retryAfterLeast
+	if n > 0 {
+		after += backlog / time.Duration(n)
+	}
+	if reason == ReasonNoEndpoint {
+		after += retryAfterLeast
+	}
+	spread := time.Duration(uint64(r.in.ID)%8) * retryAfterLeast / 8
+	return min(after+spread, retryAfterMost)
+}
+
+// drop removes a request that has its verdict.
+func (c *Core) drop(r *request) {
+	r.phase = 0
+	if r.work != nil {
+		c.endWork(r)
+	}
+	c.timers.Stop(timerKey{kind: timerDeadline, request: r.in.ID})
+	c.timers.Stop(timerKey{kind: timerSilence, request: r.in.ID})
+	c.requests.Delete(r.in.ID)
+}
+
+// endWork ends the work of the current attempt.
+func (c *Core) endWork(r *request) {
+	w := r.work
+	r.work = nil
+	c.removeWork(w)
+	c.share.ended(c, w)
+	if e := w.answering(); e.gone && !c.ownWork(e) {
+		c.forget(e)
+	}
+}
+
+func (c *Core) ownWork(e *endpoint) bool {
+	return slices.ContainsFunc(e.works, func(w *work) bool { return w.key.gateway == c.cfg.Addr })
+}
+
+// usable returns the endpoints of s that may be given r: registered, not
+// leaving, not ejected, and not one that r has tried. If all that is left has
+// been ejected, those are better than none.
+func (c *Core) usable(s *service, r *request) []*endpoint {
+	var healthy, ejected []*endpoint
+	for _, e := range s.endpoints {
+		if e.gone || e.reg.Leaving || slices.Contains(r.avoid, e.reg.ID) {
+			continue
+		}
+		if e.health.ejected(c.now) {
+			ejected = append(ejected, e)
+			continue
+		}
+		healthy = append(healthy, e)
+	}
+	if len(healthy) == 0 {
+		return ejected
+	}
+	return healthy
+}
+
+// avoidFor keeps r away from an endpoint.
+func (r *request) avoidFor(id wire.EndpointID) {
+	if !slices.Contains(r.avoid, id) {
+		r.avoid = append(r.avoid, id)
+	}
+}
--- /dev/null
+++ b/internal/gateway/shell/beliefs.go
@@ -0,0 +1,91 @@
+package shell
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/gateway"
+	"trefoilpath.org/trefoilpath/internal/route"
+	"trefoilpath.org/trefoilpath/internal/store"
+	"trefoilpath.org/trefoilpath/internal/storecopy"
+)
+
+// newSyncers prepares the copies of the configuration and the registrations.
+func (g *Gateway) newSyncers() {
+	syncer := func(prefix string, changed func(storecopy.Update)) *storecopy.Syncer {
+		return storecopy.NewSyncer(storecopy.Config{
+			Prefix: prefix, Client: g.cfg.Store, Now: g.now, Changed: changed,
+			Gateways: func() int { return int(g.gateways.Load()) },
+			Fetch:    g.fetchCopy,
+			Failed:   g.peerFailed,
+			Reachable: func(ok bool, status store.Status) {
+				g.log.Info().Str("event", "store-reachable").Str("prefix", prefix).Bool("ok", ok).Int("status", int(status)).Send()
+			},
+		})
+	}
+	g.config = syncer(g.cfg.Decoder.ConfigPrefix(), g.configChanged)
+	g.servers = syncer(g.cfg.Decoder.RegistrationPrefix(), g.serversChanged)
+}
+
+// configChanged puts a new configuration in force. One that can't be decoded is
+// left out, and the last good one stays.
+func (g *Gateway) configChanged(u storecopy.Update) {
+	g.meters.store.Update(u.Took.Milliseconds())
+	for _, p := range u.Listing.Pairs {
+		if p.Key != g.cfg.Decoder.ConfigPrefix() {
+			continue
+		}
+		began := time.Now()
+		cfg, err := g.cfg.Decoder.Config(p.Value)
+		if err != nil {
+			g.log.Error().Str("event", "configuration-unusable").Uint64("revision", p.Version).Err(err).Send()
+			continue
+		}
+		table, err := route.Compile(cfg)
+		if err != nil {
+			g.log.Error().Str("event", "configuration-unusable").Uint64("revision", p.Version).Err(err).Send()
+			continue
+		}
+		if old := g.table.Load(); old != nil && table.Version() <= old.Version() {
+			continue
+		}
+		g.table.Store(table)
+		g.log.Info().Str("event", "configuration-read").Uint64("version", cfg.Version).Uint64("revision", p.Version).
+			Str("source", string(u.Source)).Dur("took_ms", u.Took).Dur("decoded_ms", time.Since(began)).
+			Int("bytes", len(p.Value)).Send()
+		g.tick(gateway.Input{Config: table})
+	}
+	g.tellVersions(u)
+}
+
+// serversChanged takes a new set of endpoints. An entry that can't be decoded
+// names no endpoint; the others hold.
+func (g *Gateway) serversChanged(u storecopy.Update) {
+	g.meters.store.Update(u.Took.Milliseconds())
+	in := &gateway.Endpoints{Revision: u.Listing.Revision}
+	for _, p := range u.Listing.Pairs {
+		reg, err := g.cfg.Decoder.Registration(p.Key, p.Value)
+		if err != nil {
+			g.log.Warn().Str("event", "registration-unusable").Uint64("revision", p.Version).Err(err).Send()
+			continue
+		}
+		in.Rows = append(in.Rows, reg)
+	}
+	g.log.Info().Str("event", "registrations-read").Uint64("revision", u.Listing.Revision).
+		Str("source", string(u.Source)).Dur("took_ms", u.Took).Int("endpoints", len(in.Rows)).Send()
+	g.tick(gateway.Input{Endpoints: in})
+	g.tellVersions(u)
+}
+
+// tellVersions lets the core announce what this process holds. It is called
+// while one of the copies is locked, so it remembers both versions itself.
+func (g *Gateway) tellVersions(u storecopy.Update) {
+	g.versionsMu.Lock()
+	if u.Prefix == g.cfg.Decoder.ConfigPrefix() {
+		g.versions.Config = u.Version
+	} else {
+		g.versions.Registrations = u.Version
+	}
+	versions := g.versions
+	g.versionsMu.Unlock()
+	g.tick(gateway.Input{Versions: &versions})
+}
--- /dev/null
+++ b/internal/gateway/shell/callers.go
@@ -0,0 +1,163 @@
+package shell
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"trefoilpath.org/trefoilpath/internal/gateway"
+	"trefoilpath.org/trefoilpath/internal/route"
+)
+
+const (
+	// defaultBodyBytes bounds a request's body if the configuration does not.
+	defaultBodyBytes = 4 << 20
+	// defaultTimeout bounds a request if neither caller nor route does.
+	defaultTimeout = 15 * time.Second
+	// startingRetryAfter is told to callers while no configuration is known.
+	startingRetryAfter = 300 * time.Millisecond
+	// bodyTimeout bounds the reading of a request's body.
+	bodyTimeout = 5 * time.Second
+)
+
+// ServeHTTP serves a caller's request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := g.newExchange(w, r)
+	table := g.table.Load()
+	if table == nil {
+		x.refuse(startingRetryAfter, "no configuration yet")
+		return
+	}
+	if !x.admit(table) || !x.readBody(table.Limits()) {
+		return
+	}
+	g.register(x)
+	g.tick(gateway.Input{Arrive: x.arrival()})
+	x.run()
+}
+
+// admit finds the route and the account of a request, or answers it.
+func (x *exchange) admit(table *route.Table) bool {
+	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	x.route = table.Match(x.r.Host, path)
+	if x.route == nil {
+		x.reject(http.StatusNotFound, "no route for this host and path")
+		return false
+	}
+	account, known := table.Account(x.caller.Key)
+	if !known && !x.route.Public {
+		x.reject(http.StatusUnauthorized, "unknown key")
+		return false
+	}
+	x.urgency = x.route.Priority
+	if account != nil {
+		x.account = account.Name
+		if account.Ranked {
+			x.urgency = account.Priority
+		}
+	}
+	x.service = x.route.Pick(x.caller.RequestID)
+	x.deadline = x.arrived + x.timeLeft()
+	return true
+}
+
+// timeLeft returns how long the caller or the route waits, whichever is less.
+func (x *exchange) timeLeft() time.Duration {
+	left := x.route.Timeout
+	if left <= 0 {
+		left = defaultTimeout
+	}
+	if x.caller.Timed {
+		left = min(left, x.caller.TimeLeft)
+	}
+	return left
+}
+
+// readBody reads the whole body, so that it can be sent to a second endpoint.
+func (x *exchange) readBody(limits route.Limits) bool {
+	if x.r.Body == nil || x.r.Body == http.NoBody {
+		return true
+	}
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	control := http.NewResponseController(x.w)
+	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		x.g.log.Warn().Str("event", "no-read-deadline").Err(err).Send()
+	}
+	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		x.reject(http.StatusRequestEntityTooLarge, "body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+		return false
+	}
+	if err != nil {
+		x.logLocal("body-not-read", err.Error())
+		panic(http.ErrAbortHandler) // the caller has broken off
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		x.g.log.Warn().Str("event", "no-read-deadline").Err(err).Send()
+	}
+	x.body = body
+	return true
+}
+
+// readAll reads a body of a stated size into a buffer of that size; -1: unknown.
+func readAll(r io.Reader, size, limit int64) ([]byte, error) {
+	if size < 0 || size > limit {
+		return io.ReadAll(r)
+	}
+	buf := make([]byte, size)
+	if _, err := io.ReadFull(r, buf); err != nil {
+		return nil, err
+	}
+	// Reads the end, so that the server knows that the body is over.
+	var rest [1]byte
+	if n, err := r.Read(rest[:]); n > 0 || err != nil && err != io.EOF {
+		return nil, errors.Wrap(err, "body is longer than stated")
+	}
+	return buf, nil
+}
+
+// reject answers a request that is wrong in itself.
+func (x *exchange) reject(status int, text string) {
+	x.logLocal("reject", strconv.Itoa(status)+" "+text)
+	x.answerText(status, text)
+}
+
+// refuse answers that a request has not run and will not.
+func (x *exchange) refuse(after time.Duration, text string) {
+	x.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	x.answerText(http.StatusServiceUnavailable, text)
+}
+
+func (x *exchange) answerText(status int, text string) {
+	h := x.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(text)+1))
+	x.closeIfLeaving()
+	x.w.WriteHeader(status)
+	if _, err := io.WriteString(x.w, text+"\n"); err != nil {
+		x.logLocal("caller-lost", err.Error())
+	}
+	x.g.meters.answered(status, x.g.now()-x.arrived)
+}
+
+// closeIfLeaving ends the caller's connection after this answer if the process
+// is about to stop.
+func (x *exchange) closeIfLeaving() {
+	if x.g.leaving.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
+// logLocal logs a decision that the core has no part in.
+func (x *exchange) logLocal(event, detail string) {
+	x.g.log.Info().Str("event", event).Str("request", x.caller.RequestID).
+		Dur("waited_ms", x.g.now()-x.arrived).Str("detail", detail).Send()
+}
--- /dev/null
+++ b/internal/gateway/shell/dump.go
@@ -0,0 +1,39 @@
+package shell
+
+import (
+	"encoding/json"
+	stdlog "log"
+	"net/http"
+	"strings"
+)
+
+// serveMetrics prints counters and latencies.
+func (g *Gateway) serveMetrics(w http.ResponseWriter) {
+	g.meters.write(w)
+}
+
+// serveDump prints the core's state as JSON.
+func (g *Gateway) serveDump(w http.ResponseWriter) {
+	g.mu.Lock()
+	dump := g.core.Dump()
+	g.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(dump); err != nil {
+		g.log.Warn().Str("event", "dump-failed").Err(err).Send()
+	}
+}
+
+// serverLog turns the lines of net/http into events.
+func (g *Gateway) serverLog() *stdlog.Logger {
+	return stdlog.New(serverLines{g}, "", 0)
+}
+
+type serverLines struct{ g *Gateway }
+
+// Write implements io.Writer.
+func (s serverLines) Write(p []byte) (int, error) {
+	s.g.log.Warn().Str("event", "http-server").Str("detail", strings.TrimSpace(string(p))).Send()
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/gateway/tables.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/enginecost"
+	"trefoilpath.org/trefoilpath/internal/retrybudget"
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// endpoint is one registered endpoint.
+type endpoint struct {
+	reg     Registration
+	hash    uint64 // names it in messages between gateways
+	order   int    // place in the order that all gateways share
+	engine  *enginecost.Params
+	works   []*work // that run here, the gateway's own and others', by time of dispatch
+	gone    bool    // no longer registered; the row stays while own work runs
+	health  health
+	slow    float64       // moving ratio of measured to predicted time; 1: as published
+	heard   time.Duration // when it last sent anything to this gateway
+	load    Load
+	loadAt  time.Duration
+	answers int // of own requests, since the start
+}
+
+// service groups endpoints.
+type service struct {
+	name      string
+	endpoints []*endpoint // in the order that all gateways share
+	budget    *retrybudget.Budget
+	waiting   []*request
+	median    float64 // moving failure ratio of its endpoints
+}
+
+// phase is what a request waits for.
+type phase uint8
+
+const (
+	phaseWaiting phase = 1 // room at an endpoint
+	phaseRunning phase = 2 // its attempt
+)
+
+// request is one caller's request without an answer so far.
+type request struct {
+	in        Arrive
+	arrived   time.Duration
+	phase     phase
+	attempt   int // number of the current or last attempt
+	sends     int // endpoints to which a byte was sent
+	sent      bool
+	work      *work
+	avoid     []wire.EndpointID
+	resume    bool // a part of the stream has been delivered
+	cancelled bool // the current attempt
+	unproven  int  // attempts that may have run
+	held      bool // the shell holds a failure answer that may be passed on
+	refusals  int
+	silentAt  time.Duration
+	predicted time.Duration // when the first event is due
+}
+
+// workPhase is how far a request is at its engine.
+type workPhase uint8
+
+const (
+	workReading workPhase = 1
+	workWriting workPhase = 2
+)
+
+// workKey names a work among all gateways.
+type workKey struct {
+	gateway netip.AddrPort
+	request uint64
+}
+
+// work is a request that runs at an endpoint, with the engines that help to
+// read its prompt.
+type work struct {
+	key       workKey
+	phase     workPhase
+	at        []*endpoint // the one that answers first, then the helpers
+	prompt    int64
+	output    int64
+	part      time.Duration // read time of each engine's part
+	pause     time.Duration // longest pause that its caller accepts
+	sent      time.Duration
+	firstSeen time.Duration
+	refreshed time.Duration // another gateway's: when it last said that it runs
+}
+
+// answering returns the endpoint that answers.
+func (w *work) answering() *endpoint { return w.at[0] }
+
+// memory returns the tokens that the work takes at the endpoint that answers.
+func (w *work) memory() int64 { return w.prompt + w.output }
+
+// peer is another gateway.
+type peer struct {
+	addr        netip.AddrPort
+	incarnation uint64
+	heard       time.Duration
+	known       bool // it has been heard
+	leaving     bool
+	added       time.Duration
+	seed        bool
+	works       map[uint64]*work
+	versions    Versions
+}
+
+// timerKind says what a timer is for.
+type timerKind uint8
+
+const (
+	timerDeadline timerKind = 1
+	timerPlace    timerKind = 2
+	timerShare    timerKind = 3
+	timerFull     timerKind = 4
+	timerReturn   timerKind = 5
+	timerSilence  timerKind = 6
+)
+
+// timerKey names a timer; fields that do not apply are zero.
+type timerKey struct {
+	kind     timerKind
+	request  RequestID
+	endpoint wire.EndpointID
+}
--- /dev/null
+++ b/internal/gateway/work.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// transit is the time from a dispatch to its arrival at an engine, with the
+	// gateway's own work: two hops in a failure domain and some processor time.
+	transit = 2 * time.Millisecond
+	// overdueRead is the read time that is assumed to be left of a prompt whose
+	// predicted end has passed without a first event.
+	overdueRead = 10 * time.Millisecond
+	// idleMemory is the part of an engine's memory that placing leaves free, for
+	// prompts whose count was rounded up to blocks.
+	idleMemory = 0.02
+)
+
+// addWork puts w at its endpoints.
+func (c *Core) addWork(w *work) {
+	for _, e := range w.at {
+		i := len(e.works)
+		for i > 0 && e.works[i-1].sent > w.sent {
+			i--
+		}
+		e.works = slices.Insert(e.works, i, w)
+	}
+}
+
+// removeWork takes w off its endpoints.
+func (c *Core) removeWork(w *work) {
+	for _, e := range w.at {
+		e.removeWork(w)
+	}
+	c.place = true
+}
+
+// occupancy is what runs at an engine, from the view of one gateway.
+type occupancy struct {
+	streams int           // requests that the engine answers
+	writers int           // of these, those past their first event
+	context int64         // tokens of the writers
+	memory  int64         // tokens
+	pause   time.Duration // shortest pause objective of those answered; 0: none
+	queue   time.Duration // read time that waits
+	strides time.Duration // token steps of one pass
+	helping int           // parts read for prompts that others answer
+}
+
+// occupancy sums the work at e.
+func (c *Core) occupancy(e *endpoint) occupancy {
+	var o occupancy
+	var end time.Duration
+	overdue := time.Duration(0)
+	for _, w := range e.works {
+		if w.answering() == e {
+			o.streams++
+			o.memory += w.memory()
+			if w.pause > 0 && (o.pause == 0 || w.pause < o.pause) {
+				o.pause = w.pause
+			}
+		}
+		if w.phase == workWriting {
+			if w.answering() == e {
+				o.writers++
+				o.context += w.prompt / int64(len(w.at))
+			}
+			continue
+		}
+		end = max(end, w.sent+transit) + e.scale(w.part)
+		if w.answering() == e {
+			if end <= c.now {
+				overdue += overdueRead
+			}
+		} else if end > c.now {
+			o.helping++
+		}
+	}
+	o.queue = max(end-c.now, 0) + overdue
+	if o.writers > 0 {
+		o.strides = e.scale(e.engine.Strides(o.writers, o.context))
+	}
+	return o
+}
+
+// scale corrects a predicted time by how the endpoint has kept to predictions.
+func (e *endpoint) scale(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * e.slow)
+}
+
+// first predicts when an engine gives the first event of a prompt whose part it
+// reads after what waits there, counted from now. A new read begins with the
+// next pass, on average half a pass of token steps away.
+func (o *occupancy) first(e *endpoint, part time.Duration) time.Duration {
+	return transit + o.strides/2 + o.queue + e.scale(part) + o.strides
+}
+
+// room returns the read time that the engine can take now without stretching a
+// pause there beyond its objective, or beyond open where nothing is written.
+func (o *occupancy) room(margin, open time.Duration) time.Duration {
+	if o.pause == 0 {
+		return open - o.queue
+	}
+	strides := o.strides
+	return o.pause - margin - strides - o.queue
+}
--- /dev/null
+++ b/internal/route/config.go
@@ -0,0 +1,82 @@
+package route
+
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/enginecost"
+)
+
+// Kind says what may be repeated.
+type Kind uint8
+
+// The kinds of a route.
+const (
+	KindSafe   Kind = 1 // may run more than once
+	KindUnsafe Kind = 2 // runs at most once
+	KindStream Kind = 3 // an event stream; runs at most once unless resumable
+)
+
+var kindNames = [...]string{"", "safe", "unsafe", "stream"}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// Config is one version of the routing configuration.
+type Config struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+	// Accounts is nil if callers need no key.
+	Accounts []Account
+}
+
+// Route says where requests under one host and path prefix go.
+type Route struct {
+	Name           string
+	Host           string
+	Prefix         string // begins and ends with a slash
+	Kind           Kind
+	Timeout        time.Duration // longest time to an answer's end
+	Objective      time.Duration // to the first event of a stream, else to the whole answer
+	PauseObjective time.Duration // longest pause between events of a stream
+	Attempts       int           // endpoints to which one request may be sent
+	Priority       int           // 0 is the most urgent
+	Public         bool          // needs no key
+	Resumable      bool          // a stream may go on behind an event at another endpoint
+	Targets        []Target
+}
+
+// Idempotent reports whether a request of the route may run more than once.
+func (r *Route) Idempotent() bool {
+	return r.Kind == KindSafe || r.Kind == KindStream && r.Resumable
+}
+
+// Target is a service with its share of a route's requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Service is a group of endpoints that answer the same requests.
+type Service struct {
+	Name       string
+	HealthPath string
+	MaxConns   int                // connections that one endpoint accepts from all callers
+	Engine     *enginecost.Params // nil for a plain service
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Account is a client account with the keys that name it.
+type Account struct {
+	Name     string
+	Keys     []string
+	Priority int
+	Ranked   bool // Priority replaces that of the route
+}
--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -3,7 +3,10 @@
 // watches.
 package store
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // OpKind is one kind of operation.
 type OpKind uint8
@@ -52,8 +55,15 @@
 	StatusUnknown     Status = 5 // no answer; a write may have taken effect, now or later
 	StatusTimeout     Status = 6 // OpWatch: nothing changed within TTL
 	StatusInvalid     Status = 7 // the store rejected the operation, for example a value over a megabyte
+	StatusCompacted   Status = 8 // OpWatch: the history after Expect is gone; list the keys anew
 )
 
+// Client executes operations one at a time and always returns a Result with the
+// operation's ID. Implementations are safe for concurrent use.
+type Client interface {
+	Do(ctx context.Context, op Op) Result
+}
+
 // Result answers an Op. Versions are positive and increase with every write to
 // the store, whatever the key; a lease holder uses its key's version as fence.
 type Result struct {
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -2,6 +2,8 @@
 // densely, found by key, and visited in insertion order.
 package table
 
+import "iter"
+
 // Table holds rows of type V under keys of type K. Iteration follows insertion
 // order, so that a core that visits a table makes the same decisions on every
 // run. A Table is not safe for concurrent use.
@@ -78,6 +80,14 @@
 	}
 }
 
+// Values iterates over the rows in insertion order. Rows may be deleted
+// meanwhile.
+func (t *Table[K, V]) Values() iter.Seq[*V] {
+	return func(yield func(*V) bool) {
+		t.Each(func(_ K, v *V) bool { return yield(v) })
+	}
+}
+
 // Keys returns the keys in insertion order.
 func (t *Table[K, V]) Keys() []K {
 	keys := make([]K, 0, t.live)
