Place long prompts in turn and interleave those of medium length

Cause: gateways that waited for engines placed at the same moment and chose the same ones (seen: two dispatches to one engine 0.1 ms apart); medium prompts left a stream with a 500 ms pause on six engines, which then could not take a part of a long one. Change: long prompts that wait are announced and placed in one order by all gateways; medium ones are read in parts of at most 100 ms by engines that go on with their other work, and are answered by an engine with tight streams.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -31,6 +31,9 @@
 	OpenRead time.Duration
 	// SmallRead is the read time up to which a prompt is read by one engine.
 	SmallRead time.Duration
+	// MaxInterleaved is the number of engines that read parts of a prompt of medium
+	// length between their other work.
+	MaxInterleaved int
 	// SpareSlots are slots of an engine that short streams leave free.
 	SpareSlots int
 	// TightPause is the pause objective up to which streams are gathered on few engines.
@@ -40,10 +43,11 @@
 // DefaultPlace returns the values in use.
 func DefaultPlace() PlaceConfig {
 	return PlaceConfig{
-		Margin:     35 * time.Millisecond,
-		OpenRead:   600 * time.Millisecond,
-		SmallRead:  100 * time.Millisecond,
-		SpareSlots: 2,
-		TightPause: 300 * time.Millisecond,
+		Margin:         35 * time.Millisecond,
+		OpenRead:       2000 * time.Millisecond,
+		SmallRead:      100 * time.Millisecond,
+		MaxInterleaved: 6,
+		SpareSlots:     2,
+		TightPause:     300 * time.Millisecond,
 	}
 }
--- a/internal/gateway/configure.go
+++ b/internal/gateway/configure.go
@@ -123,7 +123,7 @@
 	if s := c.services.Get(name); s != nil {
 		return s
 	}
-	return c.services.Put(name, service{name: name, budget: retrybudget.New(c.cfg.Retry)})
+	return c.services.Put(name, service{name: name, hash: xxhash.Sum64String(name), budget: retrybudget.New(c.cfg.Retry)})
 }
 
 // removeWork takes w off the endpoint.
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -61,6 +61,9 @@
 	s := c.service(r.in.Service)
 	s.waiting = append(s.waiting, r)
 	c.place = true
+	if r.divided {
+		c.announce(r)
+	}
 }
 
 // again reports whether r may be sent to another endpoint, and else why not.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -31,6 +31,7 @@
 	From        netip.AddrPort   `cbor:"-"` // of the sender, from the datagram
 	Incarnation uint64           `cbor:"1,keyasint"`
 	Rows        []PeerRow        `cbor:"2,keyasint,omitempty"`
+	Waiting     []WaitingRow     `cbor:"7,keyasint,omitempty"`
 	Ended       []uint64         `cbor:"3,keyasint,omitempty"` // requests of rows
 	Versions    *Versions        `cbor:"4,keyasint,omitempty"` // only in a full message
 	Known       []netip.AddrPort `cbor:"5,keyasint,omitempty"` // gateways heard of late
@@ -49,8 +50,16 @@
 	AgeMS   int64    `cbor:"8,keyasint,omitempty"` // since the dispatch
 }
 
+// WaitingRow is a long prompt of the sender that waits for engines.
+type WaitingRow struct {
+	Request uint64 `cbor:"1,keyasint"`
+	Service uint64 `cbor:"2,keyasint"` // hash of the name
+	DueUS   int64  `cbor:"3,keyasint"` // until its first event is due; negative once late
+}
+
 // sharing is what waits to be told to the other gateways.
 type sharing struct {
+	waiting      []*request // that began to wait
 	touchedWorks []*work
 	endedWorks   []uint64 // told at once
 	recentEnded  []uint64 // told once more with the next full message
@@ -75,6 +84,16 @@
 	s.schedule(c)
 }
 
+// endedRequest tells others that a request waits no longer.
+func (s *sharing) endedRequest(c *Core, r *request) {
+	s.endedWorks = append(s.endedWorks, rowID(r))
+	s.schedule(c)
+}
+
+// rowID names the current attempt of a request in messages. The request's ID is
+// the number without the last eight bits.
+func rowID(r *request) uint64 { return uint64(r.in.ID)<<8 | uint64(r.attempt&0xff) }
+
 // changed tells others of new versions with a full message.
 func (s *sharing) changed(c *Core) {
 	s.full = true
@@ -94,8 +113,9 @@
 		return
 	}
 	works := s.touchedWorks
+	waiting := s.waiting
 	if s.full {
-		works = c.ownWorks()
+		works, waiting = c.ownWorks(), c.ownWaiting()
 		c.forgetPeers()
 		c.timers.Set(timerKey{kind: timerFull}, c.now+c.fullEvery())
 	}
@@ -108,7 +128,13 @@
 	} else {
 		s.recentEnded = append(s.recentEnded, s.endedWorks...)
 	}
+	for _, r := range waiting {
+		m.Waiting = append(m.Waiting, WaitingRow{
+			Request: uint64(r.in.ID), Service: c.service(r.in.Service).hash, DueUS: (r.due() - c.now).Microseconds(),
+		})
+	}
 	c.sendRows(m, works)
+	s.waiting = s.waiting[:0]
 	s.due, s.full = false, false
 	s.touchedWorks = s.touchedWorks[:0]
 	s.endedWorks = nil
@@ -154,6 +180,17 @@
 	return out
 }
 
+// ownWaiting returns the long prompts that wait here.
+func (c *Core) ownWaiting() []*request {
+	var out []*request
+	for r := range c.requests.Values() {
+		if r.phase == phaseWaiting && r.divided {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // fullEvery returns the time between full messages.
 func (c *Core) fullEvery() time.Duration {
 	n := max(c.peers.Len(), fullPeers)
@@ -163,7 +200,7 @@
 func (c *Core) addSeeds(seeds []netip.AddrPort) {
 	for _, addr := range seeds {
 		if addr != c.cfg.Addr && c.peers.Get(addr) == nil {
-			c.peers.Put(addr, peer{addr: addr, seed: true, works: make(map[uint64]*work)})
+			c.peers.Put(addr, peer{addr: addr, seed: true, works: make(map[uint64]*work), waiting: make(map[uint64]*waiting)})
 		}
 	}
 }
@@ -175,7 +212,7 @@
 	}
 	p := c.peers.Get(m.From)
 	if p == nil {
-		p = c.peers.Put(m.From, peer{addr: m.From, added: c.now, works: make(map[uint64]*work)})
+		p = c.peers.Put(m.From, peer{addr: m.From, added: c.now, works: make(map[uint64]*work), waiting: make(map[uint64]*waiting)})
 	}
 	if p.incarnation != m.Incarnation {
 		c.dropWorks(p)
@@ -188,17 +225,23 @@
 	}
 	p.heard, p.leaving = c.now, m.Leaving
 	for _, id := range m.Ended {
+		c.peerWaits(p, id)
 		if w := p.works[id]; w != nil {
 			delete(p.works, id)
 			c.removeWork(w)
 		}
 	}
+	for _, row := range m.Waiting {
+		p.waiting[row.Request] = &waiting{
+			service: row.Service, due: c.now + time.Duration(row.DueUS)*time.Microsecond, refreshed: c.now,
+		}
+	}
 	for i := range m.Rows {
 		c.peerRow(p, &m.Rows[i])
 	}
 	for _, addr := range m.Known {
 		if addr != c.cfg.Addr && c.peers.Get(addr) == nil {
-			c.peers.Put(addr, peer{addr: addr, added: c.now, works: make(map[uint64]*work)})
+			c.peers.Put(addr, peer{addr: addr, added: c.now, works: make(map[uint64]*work), waiting: make(map[uint64]*waiting)})
 		}
 	}
 	c.peerVersions(p, m)
@@ -215,9 +258,18 @@
 	}
 }
 
+// peerWaits notes that a request of another gateway waits no longer.
+func (c *Core) peerWaits(p *peer, row uint64) {
+	if id := row >> 8; p.waiting[id] != nil {
+		delete(p.waiting, id)
+		c.place = true
+	}
+}
+
 // peerRow adds or updates a work of another gateway. Endpoints that this
 // gateway does not know yet are left out; a later full message names them again.
 func (c *Core) peerRow(p *peer, row *PeerRow) {
+	c.peerWaits(p, row.Request)
 	if old := p.works[row.Request]; old != nil {
 		old.refreshed = c.now
 		if row.Writing && old.phase == workReading {
@@ -264,6 +316,12 @@
 				c.removeWork(w)
 			}
 		}
+		for id, w := range p.waiting {
+			if c.now-w.refreshed > stale {
+				delete(p.waiting, id)
+				c.place = true
+			}
+		}
 		if p.known && c.now-p.heard > stale {
 			p.known = false
 			c.log(Event{Name: "gateway-silent", Detail: "addr=" + p.addr.String(), Took: c.now - p.heard})
@@ -283,6 +341,7 @@
 		delete(p.works, id)
 		c.removeWork(w)
 	}
+	clear(p.waiting)
 }
 
 // gateways returns how many gateways share the fleet's budgets: this one and
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -33,9 +33,9 @@
 //   - what fits nowhere waits, since a read that is sent can't be taken back
 //     and would share a pass with all others that wait at the engine.
 //
-// Urgent is false once the objective can't be met any more; force is set if the
-// request has waited so long that it takes the least bad place.
-func (c *Core) placeEngine(s *service, r *request, force bool) (placement, bool) {
+// Whole engines are only given to the prompt whose turn it is. Force is set if
+// the request has waited so long that it takes the least bad place.
+func (c *Core) placeEngine(s *service, r *request, turn, force bool) (placement, bool) {
 	list := c.candidates(s, r)
 	if len(list) == 0 {
 		return placement{}, false
@@ -48,6 +48,9 @@
 	if total <= c.cfg.Place.SmallRead && c.tight(r) {
 		return c.placeSmall(r, list, total, slack, force)
 	}
+	if p, ok := c.placeInterleaved(r, list, total, slack); ok || !turn {
+		return p, ok
+	}
 	return c.placeLarge(r, list, total, slack, force)
 }
 
@@ -120,6 +123,53 @@
 	return a.occ.queue+a.occ.strides < b.occ.queue+b.occ.strides
 }
 
+// placeInterleaved cuts a prompt of medium length into parts that are so short
+// that an engine with tight streams can answer it, and any engine can read a part
+// between its other work. Its stream then stretches no engine's limits that are
+// not tight already, and it waits for no engine to be free of reads.
+func (c *Core) placeInterleaved(r *request, list []candidate, total, slack time.Duration) (placement, bool) {
+	n := int((total + c.cfg.Place.SmallRead - 1) / c.cfg.Place.SmallRead)
+	if n > c.cfg.Place.MaxInterleaved {
+		return placement{}, false
+	}
+	part := total / time.Duration(n)
+	var answering *candidate
+	for i := range list {
+		k := &list[i]
+		if !k.used || !c.holds(k, r, 0) || k.room < k.e.scale(part) {
+			continue
+		}
+		if answering == nil || k.occ.streams > answering.occ.streams {
+			answering = k
+		}
+	}
+	if answering == nil {
+		return placement{}, false
+	}
+	p := placement{at: []*endpoint{answering.e}, part: part, first: answering.occ.first(answering.e, part)}
+	helpers := slices.DeleteFunc(slices.Clone(list), func(k candidate) bool {
+		return k.e == answering.e || k.occ.pause > 0 && k.room < k.e.scale(part)
+	})
+	slices.SortStableFunc(helpers, func(a, b candidate) int { return cmp.Compare(a.load(), b.load()) })
+	if len(helpers) < n-1 {
+		return placement{}, false
+	}
+	for i := range helpers[:n-1] {
+		k := &helpers[i]
+		p.at = append(p.at, k.e)
+		p.first = max(p.first, transit+k.occ.strides*3/2+k.e.scale(part))
+	}
+	return p, p.first <= slack
+}
+
+// load orders engines by how much a short part disturbs them.
+func (k *candidate) load() time.Duration {
+	if k.used {
+		return k.occ.queue + k.occ.strides
+	}
+	return k.occ.queue
+}
+
 // placeLarge cuts a long prompt into even parts and spreads them.
 func (c *Core) placeLarge(r *request, list []candidate, total, slack time.Duration, force bool) (placement, bool) {
 	slices.SortStableFunc(list, func(a, b candidate) int {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -38,6 +38,15 @@
 	s := c.service(r.in.Service)
 	s.waiting = append(s.waiting, r)
 	c.place = true
+	if r.divided = c.divisible(s, r); r.divided {
+		c.announce(r)
+	}
+}
+
+// divisible reports whether r's prompt is long enough to be read by several engines.
+func (c *Core) divisible(s *service, r *request) bool {
+	engine := s.endpoints[0].engine
+	return engine != nil && (engine.Read(r.in.Prompt) > c.cfg.Place.SmallRead || !c.tight(r))
 }
 
 // unservable says why r can't be served however long it waits.
@@ -72,7 +81,12 @@
 			continue
 		}
 		slices.SortStableFunc(s.waiting, c.byUrgency)
-		s.waiting = slices.DeleteFunc(s.waiting, func(r *request) bool { return c.tryPlace(s, r) })
+		blocked := false
+		s.waiting = slices.DeleteFunc(s.waiting, func(r *request) bool {
+			done := c.tryPlace(s, r, blocked)
+			blocked = blocked || r.divided && !done
+			return done
+		})
 		waiting = waiting || len(s.waiting) > 0
 	}
 	if waiting {
@@ -92,8 +106,9 @@
 
 func (c *Core) late(r *request) bool { return c.now > r.due() }
 
-// tryPlace reports whether r waits no longer.
-func (c *Core) tryPlace(s *service, r *request) bool {
+// tryPlace reports whether r waits no longer. A long prompt is only placed in its
+// turn; blocked says that one before it waits here.
+func (c *Core) tryPlace(s *service, r *request, blocked bool) bool {
 	if r.phase != phaseWaiting {
 		return true
 	}
@@ -104,8 +119,8 @@
 	}
 	waited := c.now - r.arrived
 	force := waited > max(forceLeast, time.Duration(forceAfter*float64(r.in.Route.Objective)))
-	p, ok := c.choose(s, r, force)
-	if ok {
+	turn := !r.divided || !blocked && c.turn(s, r)
+	if p, ok := c.choose(s, r, turn, force); ok {
 		c.dispatch(s, r, p)
 		return true
 	}
@@ -117,9 +132,9 @@
 }
 
 // choose picks the policy of the service.
-func (c *Core) choose(s *service, r *request, force bool) (placement, bool) {
+func (c *Core) choose(s *service, r *request, turn, force bool) (placement, bool) {
 	if len(s.endpoints) > 0 && s.endpoints[0].engine != nil {
-		return c.placeEngine(s, r, force)
+		return c.placeEngine(s, r, turn, force)
 	}
 	return c.placePlain(s, r, force)
 }
@@ -132,7 +147,7 @@
 	r.predicted = c.now + p.first
 	e := p.at[0]
 	w := &work{
-		key: workKey{c.cfg.Addr, uint64(r.in.ID)<<8 | uint64(r.attempt&0xff)}, phase: workReading, at: p.at,
+		key: workKey{c.cfg.Addr, rowID(r)}, phase: workReading, at: p.at,
 		prompt: r.in.Prompt, output: r.in.Output, part: p.part,
 		pause: r.in.Route.PauseObjective, sent: c.now,
 	}
@@ -231,6 +246,8 @@
 	r.phase = 0
 	if r.work != nil {
 		c.endWork(r)
+	} else if r.divided {
+		c.share.endedRequest(c, r)
 	}
 	c.timers.Stop(timerKey{kind: timerDeadline, request: r.in.ID})
 	c.timers.Stop(timerKey{kind: timerSilence, request: r.in.ID})
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -28,6 +28,7 @@
 // service groups endpoints.
 type service struct {
 	name      string
+	hash      uint64      // names it in messages between gateways
 	endpoints []*endpoint // in the order that all gateways share
 	budget    *retrybudget.Budget
 	waiting   []*request
@@ -59,6 +60,8 @@
 	refusals  int
 	silentAt  time.Duration
 	predicted time.Duration // when the first event is due
+	divided   bool          // its prompt may be read by several engines
+	holdUntil time.Duration // until others have heard that it waits
 }
 
 // workPhase is how far a request is at its engine.
@@ -106,9 +109,17 @@
 	added       time.Duration
 	seed        bool
 	works       map[uint64]*work
+	waiting     map[uint64]*waiting
 	versions    Versions
 }
 
+// waiting is a request at another gateway that waits for engines.
+type waiting struct {
+	service   uint64 // hash of the name
+	due       time.Duration
+	refreshed time.Duration
+}
+
 // timerKind says what a timer is for.
 type timerKind uint8
 
--- /dev/null
+++ b/internal/gateway/turn.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"cmp"
+	"net/netip"
+	"time"
+)
+
+const (
+	// announceTime is how long a long prompt waits until the other gateways have
+	// heard of it: one message between failure domains, with some processor time.
+	announceTime = 4 * time.Millisecond
+	// turnSilence is how long a gateway may be silent before its waiting requests
+	// no longer go first.
+	turnSilence = 400 * time.Millisecond
+)
+
+// rank orders the long prompts that wait at all gateways.
+type rank struct {
+	late    bool
+	due     time.Duration
+	gateway netip.AddrPort
+	request uint64
+}
+
+func (a rank) before(b rank) bool {
+	if a.late != b.late {
+		return !a.late
+	}
+	if a.due != b.due {
+		return a.due < b.due
+	}
+	if order := a.gateway.Compare(b.gateway); order != 0 {
+		return order < 0
+	}
+	return cmp.Less(a.request, b.request)
+}
+
+func (c *Core) rank(r *request) rank {
+	return rank{late: c.late(r), due: r.due(), gateway: c.cfg.Addr, request: uint64(r.in.ID)}
+}
+
+// turn reports whether r goes first of all long prompts that wait. Gateways that
+// placed theirs at the same moment would choose the same engines, and a prompt
+// that needs many engines would wait for ever behind those that need few.
+func (c *Core) turn(s *service, r *request) bool {
+	if c.now < r.holdUntil {
+		return false
+	}
+	own := c.rank(r)
+	for p := range c.peers.Values() {
+		if c.now-p.heard > turnSilence {
+			continue
+		}
+		for id, w := range p.waiting {
+			other := rank{late: w.due < c.now, due: w.due, gateway: p.addr, request: id}
+			if w.service == s.hash && other.before(own) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// announce tells the other gateways that r waits.
+func (c *Core) announce(r *request) {
+	if c.gateways() == 1 {
+		return
+	}
+	r.holdUntil = c.now + announceTime
+	c.share.due = true
+	c.share.waiting = append(c.share.waiting, r)
+	c.timers.Set(timerKey{kind: timerPlace}, r.holdUntil)
+}
