--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -141,13 +141,24 @@
 	Attempt  int
 	Endpoint wire.EndpointID
 	Addr     string
-	Helpers  []string // addresses of engines that read parts of the prompt
+	Helpers  []Helper // engines that read parts of the prompt
 	Resume   bool     // go on behind the last event that the caller has
 	// Silence is how long the endpoint may take to begin its answer before the
 	// attempt is cancelled; 0: until the deadline.
 	Silence time.Duration
 }
 
+// Helper is an engine that reads a part of a prompt for another one.
+type Helper struct {
+	Endpoint wire.EndpointID
+	Addr     string
+	// Ticket names a reservation of Tokens there, which the shell makes before it
+	// sends the request, renews while the request runs, and releases at its end.
+	// Without a ticket the helper only reads.
+	Ticket string
+	Tokens int64
+}
+
 // Cancel ends a running attempt with ResultSilent.
 type Cancel struct {
 	ID      RequestID
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -47,6 +47,7 @@
 	Output  int64    `cbor:"5,keyasint,omitempty"`
 	PartUS  int64    `cbor:"6,keyasint,omitempty"` // read time of each part
 	PauseMS int64    `cbor:"7,keyasint,omitempty"`
+	Held    []int64  `cbor:"9,keyasint,omitempty"` // tokens that each keeps for the first
 	AgeMS   int64    `cbor:"8,keyasint,omitempty"` // since the dispatch
 }
 
@@ -167,6 +168,7 @@
 		Request: w.key.request, Writing: w.phase == workWriting, Prompt: w.prompt, Output: w.output,
 		PartUS: w.part.Microseconds(), PauseMS: w.pause.Milliseconds(), AgeMS: (c.now - w.sent).Milliseconds(),
 	}
+	row.Held = w.held
 	for _, e := range w.at {
 		row.At = append(row.At, e.hash)
 	}
@@ -303,6 +305,9 @@
 			continue
 		}
 		w.at = append(w.at, e)
+		if len(row.Held) == len(row.At) {
+			w.held = append(w.held, row.Held[i])
+		}
 	}
 	p.works[row.Request] = w
 	c.addWork(w)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -17,6 +17,7 @@
 // placement is a decision to send a request to engines.
 type placement struct {
 	at    []*endpoint
+	held  []int64 // tokens that each keeps for the first; nil: none
 	part  time.Duration
 	first time.Duration // predicted, from now
 }
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -20,7 +20,7 @@
 	// sizeRank is added to the rank of a prompt for each second of its reading.
 	// Pairs of tokens make reading grow faster than a prompt, so that under
 	// overload shorter prompts bring more callers their answers in time.
-	sizeRank = 0.25
+	sizeRank = 0.5
 )
 
 // job is a long prompt that waits, here or at another gateway.
@@ -46,7 +46,8 @@
 
 // slot is the place of a job in a plan.
 type slot struct {
-	engines []int // indices, the answering one first
+	engines []int   // indices, the answering one first
+	held    []int64 // tokens that each keeps for the answering one; nil: none
 	part    time.Duration
 	start   time.Duration
 	first   time.Duration
@@ -202,7 +203,7 @@
 		s.engines = append(s.engines, i)
 		s.start = max(s.start, k.avail)
 		s.first = max(s.first, s.start+k.occ.strides*3/2+k.e.scale(s.part)+transit)
-		if k.slots > 0 && k.memory >= j.prompt+j.output && (answering < 0 || k.memory > engines[s.engines[answering]].memory) {
+		if k.slots > 0 && (answering < 0 || k.memory > engines[s.engines[answering]].memory) {
 			answering = len(s.engines) - 1
 		}
 		if len(s.engines) == n {
@@ -213,12 +214,34 @@
 		return slot{}, false
 	}
 	s.engines[0], s.engines[answering] = s.engines[answering], s.engines[0]
-	return s, true
+	return s, s.hold(j, engines)
 }
 
+// hold spreads what the answering engine can't hold of the prompt over the
+// others, and reports whether it fits.
+func (s *slot) hold(j *job, engines []planEngine) bool {
+	need := j.prompt + j.output - engines[s.engines[0]].memory
+	if need <= 0 {
+		return true
+	}
+	s.held = make([]int64, len(s.engines))
+	for n, i := range s.engines[1:] {
+		take := min(need, engines[i].memory)
+		if take < leastTicket {
+			continue
+		}
+		s.held[n+1] = take
+		need -= take
+	}
+	return need <= 0
+}
+
+// leastTicket is the least number of tokens that are worth a reservation.
+const leastTicket = 4096
+
 // placement returns the slot as a decision.
 func (s *slot) placement(engines []planEngine) placement {
-	p := placement{part: s.part, first: s.first}
+	p := placement{part: s.part, first: s.first, held: s.held}
 	for _, i := range s.engines {
 		p.at = append(p.at, engines[i].e)
 	}
@@ -234,9 +257,12 @@
 			k.room -= k.e.scale(s.part)
 			k.avail = 0
 		}
-		if n == 0 {
-			k.memory -= j.prompt + j.output
+		switch {
+		case n == 0:
+			k.memory = max(k.memory-j.prompt-j.output, 0)
 			k.slots--
+		case s.held != nil:
+			k.memory -= s.held[n]
 		}
 	}
 }
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -55,14 +56,12 @@
 	if len(c.usable(s, r)) == 0 {
 		return ReasonNoEndpoint
 	}
-	largest := int64(0)
-	for _, e := range s.endpoints {
-		if e.engine == nil {
-			return ReasonNone
-		}
-		largest = max(largest, e.engine.MemoryTokens)
+	engine := s.engine()
+	if engine == nil {
+		return ReasonNone
 	}
-	if r.in.Prompt+r.in.Output > largest {
+	group := min(int64(len(s.endpoints)), int64(1+engine.MaxHelpers))
+	if r.in.Prompt+r.in.Output > group*engine.MemoryTokens {
 		return ReasonTooLarge
 	}
 	return ReasonNone
@@ -142,7 +141,7 @@
 	r.predicted = c.now + p.first
 	e := p.at[0]
 	w := &work{
-		key: workKey{c.cfg.Addr, rowID(r)}, phase: workReading, at: p.at,
+		key: workKey{c.cfg.Addr, rowID(r)}, phase: workReading, at: p.at, held: p.held,
 		prompt: r.in.Prompt, output: r.in.Output, part: p.part,
 		pause: r.in.Route.PauseObjective, sent: c.now,
 	}
@@ -157,8 +156,13 @@
 		ID: r.in.ID, Attempt: r.attempt, Endpoint: e.reg.ID, Addr: e.reg.Addr,
 		Resume: r.resume, Silence: c.silence(s, r, p),
 	}
-	for _, h := range p.at[1:] {
-		d.Helpers = append(d.Helpers, h.reg.Addr)
+	for i, h := range p.at[1:] {
+		helper := Helper{Endpoint: h.reg.ID, Addr: h.reg.Addr}
+		if p.held != nil && p.held[i+1] > 0 {
+			helper.Ticket = c.ticket(w, i+1)
+			helper.Tokens = p.held[i+1]
+		}
+		d.Helpers = append(d.Helpers, helper)
 	}
 	c.emit(Output{Dispatch: d})
 	if d.Silence > 0 {
@@ -167,6 +171,12 @@
 	c.logRequest("dispatch", r, Event{Endpoint: string(e.reg.ID), Took: p.first, Count: len(p.at), Detail: c.dispatchDetail(r, e, p)})
 }
 
+// ticket names the reservation of the i-th endpoint of a work: for one request,
+// in one life of one gateway.
+func (c *Core) ticket(w *work, i int) string {
+	return strconv.FormatUint(c.cfg.Incarnation, 36) + "-" + strconv.FormatUint(w.key.request, 36) + "-" + itoa(i)
+}
+
 // dispatchDetail names what decided the placing.
 func (c *Core) dispatchDetail(r *request, e *endpoint, p placement) string {
 	if e.engine == nil {
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -141,6 +141,11 @@
 	if !x.route.Idempotent() {
 		age = reuseAgeUnsafe
 	}
+	release, err := x.g.reserve(ctx, d)
+	if err != nil {
+		return x.broke(ctx, e, gateway.ResultFull, err)
+	}
+	defer release()
 	conn, err := x.g.pool.Get(ctx, d.Addr, age)
 	if err != nil {
 		return x.broke(ctx, e, gateway.ResultUnreachable, err)
--- a/internal/gateway/shell/translate.go
+++ b/internal/gateway/shell/translate.go
@@ -15,6 +15,11 @@
 	// Forward sets the headers of a request to an endpoint, in a copy of the
 	// caller's, and removes those that a caller may not choose.
 	Forward(h http.Header, f ForwardHeaders)
+	// Reserve and Release make the orders that set memory aside at an engine and
+	// free it. A reservation lasts for hold from its arrival; made again, it is
+	// renewed.
+	Reserve(ticket string, tokens int64, hold time.Duration) Order
+	Release(ticket string) Order
 	// Answer reads an endpoint's headers.
 	Answer(status int, h http.Header) AnswerHeaders
 	// Names returns the names of headers that the shell handles itself.
@@ -32,6 +37,13 @@
 	Registration(key string, value []byte) (gateway.Registration, error)
 }
 
+// Order is a request that changes the state of an endpoint.
+type Order struct {
+	Target string
+	Header http.Header
+	Body   []byte
+}
+
 // HeaderNames are names of headers.
 type HeaderNames struct {
 	RequestID string // echoed by endpoints
@@ -55,7 +67,7 @@
 	Instance  string // the only one that may run the request
 	Account   string
 	LastEvent string
-	Helpers   []string
+	Helpers   []gateway.Helper
 	Urgency   int
 	Ranked    bool // Urgency is to be told
 }
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -86,6 +86,7 @@
 	key       workKey
 	phase     workPhase
 	at        []*endpoint // the one that answers first, then the helpers
+	held      []int64     // tokens of the prompt that each keeps for the first; nil: none
 	prompt    int64
 	output    int64
 	part      time.Duration // read time of each engine's part
@@ -98,8 +99,20 @@
 // answering returns the endpoint that answers.
 func (w *work) answering() *endpoint { return w.at[0] }
 
-// memory returns the tokens that the work takes at the endpoint that answers.
-func (w *work) memory() int64 { return w.prompt + w.output }
+// memory returns the tokens that the work takes at the i-th of its endpoints.
+func (w *work) memory(i int) int64 {
+	if i > 0 {
+		if w.held == nil {
+			return 0
+		}
+		return w.held[i]
+	}
+	total := w.prompt + w.output
+	for _, n := range w.held {
+		total -= n
+	}
+	return total
+}
 
 // peer is another gateway.
 type peer struct {
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -54,9 +54,12 @@
 	var end time.Duration
 	overdue := time.Duration(0)
 	for _, w := range e.works {
+		if w.held != nil && w.answering() != e {
+			o.memory += w.memory(slices.Index(w.at, e))
+		}
 		if w.answering() == e {
 			o.streams++
-			o.memory += w.memory()
+			o.memory += w.memory(0)
 			if w.pause > 0 && (o.pause == 0 || w.pause < o.pause) {
 				o.pause = w.pause
 			}
