Let eight gateways watch the store for a large fleet

Change: the eight gateways that come first by hash watch; all reconcile, and learn changes from peers.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -365,6 +367,27 @@
 	return n
 }
 
+// watchers is the number of gateways that watch the store in a large fleet. A
+// waiting watch and each change that ends it are calls, and the store's rates
+// grow more slowly than the fleet.
+const watchers = 8
+
+// Watches reports whether this gateway is one of those that watch the store: the
+// first by rank among those heard, where the rank is a hash of the address, so
+// that the watchers are spread over failure domains.
+func (c *Core) Watches() bool {
+	own := addrRank(c.cfg.Addr)
+	before := 0
+	for p := range c.peers.Values() {
+		if p.known && !p.leaving && addrRank(p.addr) < own {
+			before++
+		}
+	}
+	return before < watchers
+}
+
+func addrRank(addr netip.AddrPort) uint64 { return xxhash.Sum64String(addr.String()) }
+
 // Gateways returns the number of gateways that this one counts.
 func (c *Core) Gateways() int { return c.gateways() }
 
--- a/internal/gateway/shell/beliefs.go
+++ b/internal/gateway/shell/beliefs.go
@@ -15,6 +15,7 @@
 		return storecopy.NewSyncer(storecopy.Config{
 			Prefix: prefix, Client: g.cfg.Store, Now: g.now, Changed: changed,
 			Gateways: func() int { return int(g.gateways.Load()) },
+			Watches:  g.watches.Load,
 			Fetch:    g.fetchCopy,
 			Failed:   g.peerFailed,
 			Reachable: func(ok bool, status store.Status) {
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -47,8 +47,8 @@
 	lastEvent string // that the caller has got whole
 	lastAt    time.Duration
 	pause     time.Duration // longest between two events
-	held      *heldAnswer // a failure that may still be passed on
-	answered  bool        // the answer is complete at the caller
+	held      *heldAnswer   // a failure that may still be passed on
+	answered  bool          // the answer is complete at the caller
 
 	mu      sync.Mutex // guards what follows
 	attempt int
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -48,6 +48,7 @@
 	leaving  atomic.Bool
 	lastID   atomic.Uint64
 	gateways atomic.Int64
+	watches  atomic.Bool
 	newest   atomic.Pointer[netip.AddrPort] // the peer with the newest copies
 
 	versionsMu sync.Mutex
@@ -78,6 +79,7 @@
 		Place:         gateway.DefaultPlace(),
 	})
 	g.gateways.Store(1)
+	g.watches.Store(true)
 	return g
 }
 
@@ -93,6 +95,7 @@
 		g.carryOut(&out)
 	}
 	g.gateways.Store(int64(g.core.Gateways()))
+	g.watches.Store(g.core.Watches())
 	if g.wake != nil {
 		g.wake.Reset(max(g.core.Next()-g.now(), 0))
 	}
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -20,8 +20,9 @@
 	// retryMin and retryMax bound the pause after a failed call.
 	retryMin = 100 * time.Millisecond
 	retryMax = 900 * time.Millisecond
-	// watchPause collects changes that come together into one call.
-	watchPause = 30 * time.Millisecond
+	// watchPause collects changes that come together into one call. Changes are to
+	// be in force within two seconds.
+	watchPause = 150 * time.Millisecond
 	// reconcileMin is the shortest time between two listings of a healthy store:
 	// with five gateways whose listings are spread, some gateway looks every 0.4 s.
 	reconcileMin = 2 * time.Second
@@ -59,6 +60,9 @@
 	Now    func() time.Duration // monotonic
 	// Gateways returns the number of processes that keep this copy.
 	Gateways func() int
+	// Watches reports whether this process is one of those that watch; nil: it is.
+	// The others learn of changes from them.
+	Watches func() bool
 	// Fetch returns the copy of the peer that has announced the newest one.
 	Fetch func(ctx context.Context, prefix string) (Listing, error)
 	// Changed is called, one call at a time, with each new state.
@@ -137,8 +141,8 @@
 	pause := retryMin
 	for ctx.Err() == nil {
 		version := s.Version()
-		if version.Revision == 0 || !s.reached() {
-			sleep(ctx, retryMin)
+		if version.Revision == 0 || !s.reached() || s.cfg.Watches != nil && !s.cfg.Watches() {
+			sleep(ctx, 2*retryMin)
 			continue
 		}
 		if s.watchOnce(ctx, version.Revision) {
