Ask engines for their pace and tell the other gateways

A request that was sent and may have run is no longer told to have not run when it finds no second place. Ruled out: learning from first events alone, since long prompts are read by many.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -63,6 +63,7 @@
 	}
 	c.addSeeds(cfg.Seeds)
 	c.timers.Set(timerKey{kind: timerFull}, 0)
+	c.timers.Set(timerKey{kind: timerProbe}, probeInterval)
 	return c
 }
 
@@ -121,6 +122,8 @@
 			c.share.full = true
 		case timerReturn:
 			c.returnEndpoint(key.endpoint)
+		case timerProbe:
+			c.probe()
 		case timerSilence:
 			c.checkSilence(key.request)
 		}
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -17,6 +17,8 @@
 		c.ended(in.Ended)
 	case in.Load != nil:
 		c.loadReported(in.Load)
+	case in.Report != nil:
+		c.reportTaken(in.Report)
 	case in.Config != nil:
 		c.configure(in.Config)
 	case in.Endpoints != nil:
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -31,6 +31,7 @@
 	First     *FirstEvent
 	Ended     *Ended
 	Load      *Load
+	Report    *Report
 	Config    *route.Table
 	Endpoints *Endpoints
 	Peer      *PeerMessage
@@ -74,6 +75,13 @@
 	Waiting  int
 }
 
+// Report is an engine's word on itself, asked for by a Probe.
+type Report struct {
+	Endpoint wire.EndpointID
+	OK       bool    // it answered
+	Pace     float64 // times slower than its published constants; 1: as published
+}
+
 // Result says how an attempt ended.
 type Result uint8
 
@@ -130,6 +138,7 @@
 	Dispatch *Dispatch
 	Finish   *Finish
 	Cancel   *Cancel
+	Probe    *Probe
 	ToPeer   *ToPeer
 	Newer    *Newer
 	Ready    *Ready
@@ -166,6 +175,12 @@
 	Attempt int
 }
 
+// Probe asks an engine for its report.
+type Probe struct {
+	Endpoint wire.EndpointID
+	Addr     string
+}
+
 // Finish ends a request. Nothing follows for it.
 type Finish struct {
 	ID         RequestID
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -9,6 +9,8 @@
 
 func itoa(n int) string { return strconv.Itoa(n) }
 
+func formatPace(pace float64) string { return strconv.FormatFloat(pace, 'f', 2, 64) }
+
 // maxRefusals bounds how many endpoints that prove they did not run a request
 // are tried beyond the route's attempts: such a request has reached none.
 const maxRefusals = 2
@@ -151,7 +153,7 @@
 	if r == nil {
 		return
 	}
-	if r.phase == phaseWaiting && r.unproven == 0 && !r.resume {
+	if r.phase == phaseWaiting {
 		c.refuse(r, ReasonDeadline)
 		return
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -37,6 +37,7 @@
 	Ended       []uint64         `cbor:"3,keyasint,omitempty"` // requests of rows
 	Versions    *Versions        `cbor:"4,keyasint,omitempty"` // only in a full message
 	Known       []netip.AddrPort `cbor:"5,keyasint,omitempty"` // gateways heard of late
+	Paces       []PaceRow        `cbor:"8,keyasint,omitempty"` // only in a full message
 	Leaving     bool             `cbor:"6,keyasint,omitempty"`
 }
 
@@ -129,7 +130,7 @@
 		m.Ended = append(slices.Clone(s.recentEnded), s.endedWorks...)
 		s.recentEnded = nil
 		versions := c.versions
-		m.Versions, m.Known = &versions, c.livePeers()
+		m.Versions, m.Known, m.Paces = &versions, c.livePeers(), c.paceRows()
 	} else {
 		s.recentEnded = append(s.recentEnded, s.endedWorks...)
 	}
@@ -251,6 +252,7 @@
 			c.peers.Put(addr, peer{addr: addr, added: c.now, works: make(map[uint64]*work), waiting: make(map[uint64]*waiting)})
 		}
 	}
+	c.peerPaces(m.Paces)
 	c.peerVersions(p, m)
 }
 
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -118,7 +118,7 @@
 		c.dispatch(s, r, p)
 		return true
 	}
-	if waited > time.Duration(sendLimitWait*float64(r.in.Deadline-r.arrived)) {
+	if r.attempt == 0 && waited > time.Duration(sendLimitWait*float64(r.in.Deadline-r.arrived)) {
 		c.refuse(r, ReasonOverload)
 		return true
 	}
@@ -208,8 +208,17 @@
 // silenceLeast is the shortest silence of an engine that is taken as a failure.
 const silenceLeast = 1200 * time.Millisecond
 
-// refuse ends a request that has not run.
+// refuse ends a request that can't be served. It is only told to have not run if
+// that is proved for each of its attempts.
 func (c *Core) refuse(r *request, reason Reason) {
+	switch {
+	case r.held:
+		c.finish(r, VerdictDone, reason)
+		return
+	case r.unproven > 0 || r.resume:
+		c.finish(r, VerdictUnknown, reason)
+		return
+	}
 	c.counts.Refused++
 	after := c.retryAfter(r, reason)
 	c.emit(Output{Finish: &Finish{ID: r.in.ID, Verdict: VerdictRefused, RetryAfter: after, Reason: reason}})
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -131,6 +131,8 @@
 		if x := g.exchanges[out.Cancel.ID]; x != nil {
 			x.cancelAttempt(out.Cancel.Attempt)
 		}
+	case out.Probe != nil:
+		go g.probe(*out.Probe)
 	case out.ToPeer != nil:
 		g.peers.send(out.ToPeer)
 	case out.Newer != nil:
--- a/internal/gateway/shell/reserve.go
+++ b/internal/gateway/shell/reserve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -10,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"trefoilpath.org/trefoilpath/internal/gateway"
-	"trefoilpath.org/trefoilpath/internal/upstream"
 )
 
 const (
@@ -22,8 +20,6 @@
 	reserveRenew = 1100 * time.Millisecond
 	// orderTimeout bounds one order. Engines answer at once.
 	orderTimeout = 400 * time.Millisecond
-	// maxOrderAnswer bounds the body of an order's answer.
-	maxOrderAnswer = 16 << 10
 )
 
 // reserve sets memory aside at the helpers that are to hold a part of the prompt,
@@ -89,32 +85,9 @@
 // order sends an order to an endpoint. The error is nil only if the endpoint has
 // carried it out.
 func (g *Gateway) order(ctx context.Context, h gateway.Helper, o Order) error {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	conn, err := g.pool.Get(ctx, h.Addr, reuseAge)
-	if err != nil {
-		return err
-	}
-	stop := context.AfterFunc(ctx, conn.Close)
-	defer stop()
-	g.cfg.Translator.Forward(o.Header, ForwardHeaders{TimeLeft: orderTimeout, Instance: string(h.Endpoint)})
-	req := &upstream.Request{Method: http.MethodPost, Target: o.Target, Host: h.Addr, Header: o.Header, Body: o.Body}
-	if err := conn.Write(req); err != nil {
-		conn.Close()
-		return err
-	}
-	resp, err := conn.Read(req)
-	if err != nil {
-		conn.Close()
-		return err
-	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxOrderAnswer)); err != nil {
-		conn.Close()
-		return errors.Wrap(err, "read answer to an order")
-	}
-	conn.Done(resp)
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("order refused: %s", resp.Status)
-	}
-	return nil
+	_, err := g.ask(ctx, askRequest{
+		method: http.MethodPost, target: o.Target, header: o.Header, body: o.Body,
+		endpoint: string(h.Endpoint), addr: h.Addr,
+	})
+	return errors.Wrap(err, "order")
 }
--- a/internal/gateway/shell/translate.go
+++ b/internal/gateway/shell/translate.go
@@ -20,6 +20,10 @@
 	// renewed.
 	Reserve(ticket string, tokens int64, hold time.Duration) Order
 	Release(ticket string) Order
+	// ReportTarget is the path of an engine's report; Pace reads from it how many
+	// times slower than its published constants the engine is.
+	ReportTarget() string
+	Pace(body []byte) (float64, error)
 	// Answer reads an endpoint's headers.
 	Answer(status int, h http.Header) AnswerHeaders
 	// Names returns the names of headers that the shell handles itself.
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -19,6 +19,8 @@
 	gone    bool    // no longer registered; the row stays while own work runs
 	health  health
 	slow    float64       // moving ratio of measured to predicted time; 1: as published
+	pace    float64       // of its last report; 0: none
+	paceAt  time.Duration // when that was taken, here or at another gateway
 	heard   time.Duration // when it last sent anything to this gateway
 	load    Load
 	loadAt  time.Duration
@@ -148,6 +150,7 @@
 	timerFull     timerKind = 4
 	timerReturn   timerKind = 5
 	timerSilence  timerKind = 6
+	timerProbe    timerKind = 7
 )
 
 // timerKey names a timer; fields that do not apply are zero.
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -115,7 +115,7 @@
 
 // scale corrects a predicted time by how the endpoint has kept to predictions.
 func (e *endpoint) scale(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * e.slow)
+	return time.Duration(float64(d) * max(e.slow, e.pace))
 }
 
 // first predicts when an engine gives the first event of a prompt whose part it
