Play the heavy phases in a simulation and test what follows an attempt

Cause of one change: a prompt whose parts are longer than engines usually take at once found no place and was refused; it now gets longer parts.

--- /dev/null
+++ b/internal/gateway/core_test.go
@@ -0,0 +1,316 @@
+package gateway
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+// call gives a request of a kind to a core and returns the outputs.
+func call(c *Core, now time.Duration, id RequestID, kind string) []Output {
+	r := testRoutes()[kind]
+	return slices.Clone(c.Tick(now, Input{Arrive: &Arrive{
+		ID: id, RequestID: "r", Route: r, Service: r.Targets[0].Service, Prompt: 4000, Output: 1000, Deadline: now + r.Timeout,
+	}}))
+}
+
+func dispatchOf(out []Output) *Dispatch {
+	for _, o := range out {
+		if o.Dispatch != nil {
+			return o.Dispatch
+		}
+	}
+	return nil
+}
+
+func finishOf(out []Output) *Finish {
+	for _, o := range out {
+		if o.Finish != nil {
+			return o.Finish
+		}
+	}
+	return nil
+}
+
+// attempt sends a request and ends its first attempt with a result.
+func attempt(t *testing.T, kind string, end Ended) []Output {
+	t.Helper()
+	c := newTestCore(t, 0, 1)
+	d := dispatchOf(call(c, time.Second, 1, kind))
+	if d == nil {
+		t.Fatal("not dispatched")
+	}
+	c.Tick(time.Second, Input{Sent: &Sent{ID: 1, Attempt: d.Attempt}})
+	end.ID, end.Attempt = 1, d.Attempt
+	return slices.Clone(c.Tick(1010*time.Millisecond, Input{Ended: &end}))
+}
+
+func TestWhatFollowsAnAttempt(t *testing.T) {
+	for _, test := range []struct {
+		name, kind string
+		end        Ended
+		again      bool
+		verdict    Verdict
+	}{
+		{"unsafe, broken: may have run", "unsafe", Ended{Result: ResultBroken}, false, VerdictUnknown},
+		{"unsafe, endpoint's own failure", "unsafe", Ended{Result: ResultFailed, Status: 500}, false, VerdictDone},
+		{"unsafe, not run: sent elsewhere", "unsafe", Ended{Result: ResultFull, Status: 503}, true, 0},
+		{"unsafe, nothing written", "unsafe", Ended{Result: ResultUnreachable}, true, 0},
+		{"safe, broken", "safe", Ended{Result: ResultBroken}, true, 0},
+		{"safe, failure", "safe", Ended{Result: ResultFailed, Status: 500}, true, 0},
+		{"safe, done", "safe", Ended{Result: ResultDone, Status: 200}, false, VerdictDone},
+		{"stream, broken after whole events", "short", Ended{Result: ResultBroken, Begun: true, Resumable: true}, true, 0},
+		{"stream, broken where it can't go on", "short", Ended{Result: ResultBroken, Begun: true}, false, VerdictUnknown},
+		{"stream, another instance", "short", Ended{Result: ResultMisdirected, Status: 421}, true, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			out := attempt(t, test.kind, test.end)
+			if d := dispatchOf(out); (d != nil) != test.again {
+				t.Fatalf("sent again: %v, want %v", d != nil, test.again)
+			}
+			if test.again {
+				return
+			}
+			if f := finishOf(out); f == nil || f.Verdict != test.verdict {
+				t.Errorf("verdict %+v, want %v", f, test.verdict)
+			}
+		})
+	}
+}
+
+// TestRefusalOnlyWithProof checks that a request of which an attempt may have run
+// is not told to have not run when its second attempt is refused.
+func TestRefusalOnlyWithProof(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	call(c, time.Second, 1, "safe")
+	c.Tick(time.Second, Input{Sent: &Sent{ID: 1, Attempt: 1}})
+	d := dispatchOf(c.Tick(1010*time.Millisecond, Input{Ended: &Ended{ID: 1, Attempt: 1, Result: ResultBroken}}))
+	if d == nil {
+		t.Fatal("not sent again")
+	}
+	c.Tick(1010*time.Millisecond, Input{Sent: &Sent{ID: 1, Attempt: 2}})
+	var f *Finish
+	for n := 2; f == nil && n < 8; n++ {
+		f = finishOf(c.Tick(time.Duration(1010+n)*time.Millisecond, Input{Ended: &Ended{ID: 1, Attempt: n, Result: ResultFull, Status: 503}}))
+		c.Tick(time.Duration(1010+n)*time.Millisecond, Input{Sent: &Sent{ID: 1, Attempt: n + 1}})
+	}
+	if f == nil || f.Verdict != VerdictUnknown {
+		t.Fatalf("verdict %+v, want unknown", f)
+	}
+}
+
+func TestLeavingAndGoneEndpointsGetNoNewWork(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	in := testEndpoints(0, 3)
+	in.Rows[0].Leaving = true
+	in.Rows = in.Rows[:2] // the third is gone
+	c.Tick(time.Second, Input{Endpoints: in})
+	for id := RequestID(1); id < 6; id++ {
+		d := dispatchOf(call(c, time.Second, id, "safe"))
+		if d == nil || d.Endpoint != "p-01" {
+			t.Fatalf("dispatch %+v, want to p-01", d)
+		}
+	}
+}
+
+func TestRunningWorkOutlivesRegistration(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	d := dispatchOf(call(c, time.Second, 1, "short"))
+	c.Tick(1100*time.Millisecond, Input{Endpoints: &Endpoints{Rows: testEndpoints(0, 3).Rows, Revision: 2}})
+	f := finishOf(c.Tick(2*time.Second, Input{Ended: &Ended{ID: 1, Attempt: d.Attempt, Result: ResultDone, Status: 200}}))
+	if f == nil || f.Verdict != VerdictDone {
+		t.Fatalf("verdict %+v, want done", f)
+	}
+	if c.endpoints.Get(d.Endpoint) != nil {
+		t.Error("the endpoint is kept after its last work")
+	}
+}
+
+// TestNewLifeUnderTheSameID checks that nothing is known of an endpoint's former
+// life: it was ejected, and is used at once after its new start.
+func TestNewLifeUnderTheSameID(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	in := testEndpoints(0, 1)
+	c.Tick(time.Second, Input{Endpoints: in})
+	c.eject(c.endpoints.Get("p-00"), "test", 0)
+	again := testEndpoints(0, 1)
+	again.Rows[0].Born = 77
+	c.Tick(1100*time.Millisecond, Input{Endpoints: again})
+	if c.endpoints.Get("p-00").health.ejected(c.now) {
+		t.Error("the new life is still ejected")
+	}
+}
+
+func TestUnreachableEndpointIsLeftAlone(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	d := dispatchOf(call(c, time.Second, 1, "safe"))
+	out := c.Tick(1010*time.Millisecond, Input{Ended: &Ended{ID: 1, Attempt: 1, Result: ResultUnreachable}})
+	if other := dispatchOf(out); other == nil || other.Endpoint == d.Endpoint {
+		t.Fatalf("second attempt %+v, want another endpoint than %s", other, d.Endpoint)
+	}
+	for id := RequestID(2); id < 12; id++ {
+		if got := dispatchOf(call(c, 1020*time.Millisecond, id, "safe")); got != nil && got.Endpoint == d.Endpoint {
+			t.Fatalf("request %d went to the ejected endpoint", id)
+		}
+	}
+}
+
+func TestSilentEndpointIsCancelledOnlyIfRepeatable(t *testing.T) {
+	for kind, want := range map[string]bool{"safe": true, "unsafe": false, "short": true} {
+		c := newTestCore(t, 0, 1)
+		d := dispatchOf(call(c, time.Second, 1, kind))
+		c.Tick(time.Second, Input{Sent: &Sent{ID: 1, Attempt: d.Attempt}})
+		cancelled := false
+		for now := time.Second; now < 4*time.Second; now += 50 * time.Millisecond {
+			for _, o := range c.Tick(now) {
+				cancelled = cancelled || o.Cancel != nil
+			}
+		}
+		if cancelled != want {
+			t.Errorf("%s: cancelled %v, want %v", kind, cancelled, want)
+		}
+	}
+}
+
+func TestDeadlineEndsARunningRequest(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	call(c, time.Second, 1, "unsafe")
+	c.Tick(time.Second, Input{Sent: &Sent{ID: 1, Attempt: 1}})
+	f := finishOf(c.Tick(1600 * time.Millisecond))
+	if f == nil || f.Verdict != VerdictTimeout {
+		t.Fatalf("verdict %+v, want timeout", f)
+	}
+}
+
+func TestNothingIsServedWithoutEndpoints(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	c.Tick(time.Second, Input{Endpoints: &Endpoints{Revision: 2}})
+	if c.ready.OK {
+		t.Error("ready without endpoints")
+	}
+	f := finishOf(call(c, 2*time.Second, 1, "safe"))
+	if f == nil || f.Verdict != VerdictRefused || f.RetryAfter <= 0 {
+		t.Fatalf("verdict %+v, want a refusal with a time to come back", f)
+	}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	newer := testTable(t)
+	c.Tick(time.Second, Input{Config: newer})
+	if c.table == newer {
+		t.Error("a configuration of the same version replaced the one in force")
+	}
+}
+
+// TestGatewaysAgreeOnThePlan gives long prompts to two gateways at the same time
+// and checks that no engine gets parts of both.
+func TestGatewaysAgreeOnThePlan(t *testing.T) {
+	s := newSimulation(t, 2)
+	s.run(300 * time.Millisecond)
+	s.arrive(0, "long", 300_000, 10)
+	s.arrive(1, "long", 250_000, 10)
+	s.run(400 * time.Millisecond)
+	used := make(map[wire.EndpointID]int)
+	for _, c := range s.cores {
+		for r := range c.requests.Values() {
+			if r.work == nil {
+				t.Fatal("a prompt waits though engines are free")
+			}
+			for _, e := range r.work.at {
+				used[e.reg.ID]++
+			}
+		}
+	}
+	for id, n := range used {
+		if n > 1 {
+			t.Errorf("%s reads parts of %d prompts", id, n)
+		}
+	}
+}
+
+// TestRestartedPeerHasNoWork checks that work of a gateway's former life goes
+// when its new life is heard, and work of a silent one after a while.
+func TestRestartedPeerHasNoWork(t *testing.T) {
+	s := newSimulation(t, 2)
+	s.run(300 * time.Millisecond)
+	s.arrive(1, "short", 4000, 60)
+	s.run(350 * time.Millisecond)
+	seen := func() int {
+		n := 0
+		for p := range s.cores[0].peers.Values() {
+			n += len(p.works)
+		}
+		return n
+	}
+	if seen() != 1 {
+		t.Fatalf("%d works of the other gateway are seen, want 1", seen())
+	}
+	s.cores[1] = New(Config{Incarnation: 99, Addr: gatewayAddr(1), Seeds: []netip.AddrPort{gatewayAddr(0)}, Place: DefaultPlace(), Retry: s.cores[0].cfg.Retry})
+	s.run(700 * time.Millisecond)
+	if seen() != 0 {
+		t.Errorf("%d works of the former life are left", seen())
+	}
+}
+
+func TestSlowEngineGetsNoPartOfALongPrompt(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	c.Tick(time.Second, Input{Report: &Report{Endpoint: "e-03", OK: true, Pace: 5}})
+	for id := RequestID(1); id < 4; id++ {
+		r := testRoutes()["long"]
+		c.Tick(time.Second, Input{Arrive: &Arrive{ID: id, RequestID: "l", Route: r, Service: engineService, Prompt: 250_000, Output: 500, Deadline: 16 * time.Second}})
+	}
+	c.Tick(1020 * time.Millisecond)
+	if n := len(c.endpoints.Get("e-03").works); n != 0 {
+		t.Errorf("the slow engine got %d parts", n)
+	}
+}
+
+// TestPromptLargerThanAnEngine checks that reservations cover what the answering
+// engine can't hold.
+func TestPromptLargerThanAnEngine(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	r := testRoutes()["long"]
+	const prompt = 1_000_000
+	d := dispatchOf(c.Tick(time.Second, Input{Arrive: &Arrive{
+		ID: 1, RequestID: "l", Route: r, Service: engineService, Prompt: prompt, Output: 500, Deadline: 16 * time.Second,
+	}}))
+	if d == nil {
+		t.Fatal("not dispatched")
+	}
+	held := int64(0)
+	names := make(map[string]bool)
+	for _, h := range d.Helpers {
+		if h.Ticket == "" {
+			continue
+		}
+		if names[h.Ticket] {
+			t.Errorf("ticket %s is used twice", h.Ticket)
+		}
+		names[h.Ticket] = true
+		held += h.Tokens
+	}
+	if held < prompt-450_000 {
+		t.Errorf("%d tokens are reserved, want at least %d", held, prompt-450_000)
+	}
+}
+
+func TestFewGatewaysWatchTheStore(t *testing.T) {
+	s := newSimulation(t, 30)
+	s.run(2 * time.Second)
+	n := 0
+	for _, c := range s.cores {
+		if c.Gateways() != 30 {
+			t.Fatalf("a gateway knows %d of 30", c.Gateways())
+		}
+		if c.Watches() {
+			n++
+		}
+	}
+	if n != watchers {
+		t.Errorf("%d gateways watch, want %d", n, watchers)
+	}
+}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -42,6 +42,7 @@
 	memory int64         // free, in tokens
 	slots  int           // free
 	used   bool          // tight streams run there
+	open   bool          // it writes nothing, so a part stretches no pause
 }
 
 // slot is the place of a job in a plan.
@@ -143,7 +144,8 @@
 			used: occ.pause > 0 && occ.pause <= c.cfg.Place.TightPause,
 		}
 		k.room = c.cfg.Place.OpenRead
-		if occ.pause > 0 {
+		k.open = occ.pause == 0
+		if !k.open {
 			k.room = occ.pause - c.cfg.Place.Margin - occ.strides
 		}
 		if k.used {
@@ -172,11 +174,15 @@
 		}
 		return cmp.Compare(x.avail, y.avail)
 	})
+	openRead := c.cfg.Place.OpenRead
+	if n := countOpen(engines); n > 0 {
+		openRead = max(openRead, j.total/time.Duration(n))
+	}
 	var best slot
 	found := false
 	most := min(len(engines), 1+engines[0].e.engine.MaxHelpers)
 	for n := 1; n <= most; n++ {
-		s, ok := c.slotOf(j, engines, order, n)
+		s, ok := slotOf(j, engines, order, n, openRead)
 		if !ok {
 			continue
 		}
@@ -191,13 +197,25 @@
 	return best, found
 }
 
-// slotOf returns the earliest place of j on n engines.
-func (c *Core) slotOf(j *job, engines []planEngine, order []int, n int) (slot, bool) {
+// countOpen returns the number of engines that write nothing, up to those that
+// can read one prompt together.
+func countOpen(engines []planEngine) int {
+	n := 0
+	for i := range engines {
+		n += bit(engines[i].open)
+	}
+	return min(n, 1+engines[0].e.engine.MaxHelpers)
+}
+
+// slotOf returns the earliest place of j on n engines. An engine that writes
+// nothing takes a part of up to openRead; that is more than usual for a prompt
+// that would not fit otherwise.
+func slotOf(j *job, engines []planEngine, order []int, n int, openRead time.Duration) (slot, bool) {
 	s := slot{part: j.total / time.Duration(n)}
 	answering := -1
 	for _, i := range order {
 		k := &engines[i]
-		if k.room < k.e.scale(s.part) {
+		if k.open && openRead < k.e.scale(s.part) || !k.open && k.room < k.e.scale(s.part) {
 			continue
 		}
 		s.engines = append(s.engines, i)
