--- a/internal/gateway/shell/run.go
+++ b/internal/gateway/shell/run.go
@@ -130,21 +130,22 @@
 	defer signal.Stop(stop)
 	select {
 	case <-ctx.Done():
+		return g.shutDown(servers, 0)
 	case err := <-g.failed:
 		return err
 	case <-stop:
 	}
-	return g.shutDown(servers)
+	return g.shutDown(servers, min(balancerLag, g.cfg.Settings.Grace/3))
 }
 
 // shutDown fails readiness at once, serves what still arrives until the balancer
 // has noticed, then closes idle connections and waits for the requests in flight.
-func (g *Gateway) shutDown(servers []*http.Server) error {
+func (g *Gateway) shutDown(servers []*http.Server, lag time.Duration) error {
 	began := time.Now()
 	g.leaving.Store(true)
 	g.tick(gateway.Input{Shutdown: &gateway.Shutdown{}})
 	g.log.Info().Str("event", "stopping").Int("in_flight", g.inFlight()).Send()
-	time.Sleep(min(balancerLag, g.cfg.Settings.Grace/3))
+	time.Sleep(lag)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.cfg.Settings.Grace-graceMargin))
 	defer cancel()
 	err := servers[0].Shutdown(ctx)
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -55,12 +55,10 @@
 	sent      bool
 	work      *work
 	avoid     []wire.EndpointID
-	resume    bool // a part of the stream has been delivered
-	cancelled bool // the current attempt
-	unproven  int  // attempts that may have run
-	held      bool // the shell holds a failure answer that may be passed on
-	refusals  int
-	silentAt  time.Duration
+	resume    bool          // a part of the stream has been delivered
+	cancelled bool          // the current attempt
+	unproven  int           // attempts that may have run
+	held      bool          // the shell holds a failure answer that may be passed on
 	predicted time.Duration // when the first event is due
 	divided   bool          // its prompt may be read by several engines
 	holdUntil time.Duration // until others have heard that it waits
--- /dev/null
+++ b/internal/retrybudget/budget_test.go
@@ -0,0 +1,63 @@
+package retrybudget
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestFleetStaysWithinTheBudget plays gateways that repeat whenever they may and
+// checks every sliding window against the fleet's budget.
+func TestFleetStaysWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := Config{Ratio: 0.2, Slack: float64(rapid.IntRange(0, 150).Draw(t, "slack")), Window: 10 * time.Second}
+		n := rapid.IntRange(1, 12).Draw(t, "gateways")
+		var budgets []*Budget
+		for range n {
+			budgets = append(budgets, New(cfg))
+		}
+		var requests, repeats []time.Duration
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond
+			b := budgets[rapid.IntRange(0, n-1).Draw(t, "at")]
+			if rapid.Bool().Draw(t, "request") {
+				b.Request(now)
+				requests = append(requests, now)
+				continue
+			}
+			for b.Take(now, n) {
+				repeats = append(repeats, now)
+			}
+		}
+		for _, end := range repeats {
+			allowed := cfg.Slack + cfg.Ratio*float64(within(requests, end-2*cfg.Window, end))
+			if got := within(repeats, end-cfg.Window, end); float64(got) > allowed {
+				t.Fatalf("%d repeats in the window to %v, allowed %.1f", got, end, allowed)
+			}
+		}
+	})
+}
+
+func within(times []time.Duration, from, to time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at > from && at <= to {
+			n++
+		}
+	}
+	return n
+}
+
+func TestBudgetComesBack(t *testing.T) {
+	b := New(Config{Slack: 10, Window: 10 * time.Second})
+	for b.Take(0, 1) {
+	}
+	if b.Take(5*time.Second, 1) {
+		t.Error("the budget is back within the window")
+	}
+	if !b.Take(12*time.Second, 1) {
+		t.Error("the budget is not back after the window")
+	}
+}
--- /dev/null
+++ b/internal/storecopy/copy_test.go
@@ -0,0 +1,77 @@
+package storecopy
+
+import (
+	"testing"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/store"
+)
+
+func pair(key string, version uint64) store.Pair {
+	return store.Pair{Key: key, Version: version, Value: []byte(key)}
+}
+
+func keys(c *Copy) string {
+	out := ""
+	for _, p := range c.Listing().Pairs {
+		out += p.Key
+	}
+	return out
+}
+
+func TestWatchAndListing(t *testing.T) {
+	c := NewCopy()
+	c.List(0, Listing{Revision: 10, Pairs: []store.Pair{pair("a", 3), pair("b", 9)}})
+	c.Change(time.Second, []store.Pair{pair("c", 11), {Key: "a", Version: 12, Deleted: true}}, 12)
+	if got := keys(c); got != "bc" {
+		t.Errorf("keys %q, want bc", got)
+	}
+	if c.List(time.Second, Listing{Revision: 11, Pairs: []store.Pair{pair("a", 3)}}) || keys(c) != "bc" {
+		t.Error("an older listing changed the copy")
+	}
+	if !c.List(time.Second, Listing{Revision: 14, Pairs: []store.Pair{pair("b", 13)}}) || keys(c) != "b" {
+		t.Errorf("keys %q after the newer listing, want b", keys(c))
+	}
+	if c.Change(time.Second, []store.Pair{{Key: "b", Version: 12, Deleted: true}}, 14) {
+		t.Error("a deletion older than the key's value took effect")
+	}
+}
+
+// TestKeysThatLapsedInAnOutage checks that a key whose lease ran out while the
+// store was away is kept for a moment, and dropped if it does not come back.
+func TestKeysThatLapsedInAnOutage(t *testing.T) {
+	c := NewCopy()
+	c.List(0, Listing{Revision: 10, Pairs: []store.Pair{pair("a", 3), pair("b", 4)}})
+	c.Lost()
+	c.Answered(5 * time.Second)
+	c.List(5*time.Second, Listing{Revision: 20})
+	if got := keys(c); got != "ab" {
+		t.Fatalf("keys %q right after the outage, want ab", got)
+	}
+	c.Change(6*time.Second, []store.Pair{pair("a", 21)}, 21)
+	c.Expire(5*time.Second + ReturnGrace)
+	if got := keys(c); got != "a" {
+		t.Errorf("keys %q after the grace, want a", got)
+	}
+	c.Change(9*time.Second, []store.Pair{{Key: "a", Version: 30, Deleted: true}}, 30)
+	if got := keys(c); got != "" {
+		t.Errorf("keys %q after a deletion in calm times, want none", got)
+	}
+}
+
+func TestVersionsOfEqualCopiesAreEqual(t *testing.T) {
+	a, b := NewCopy(), NewCopy()
+	a.List(0, Listing{Revision: 10, Pairs: []store.Pair{pair("a", 3), pair("b", 4)}})
+	b.List(0, Listing{Revision: 10, Pairs: []store.Pair{pair("b", 4), pair("a", 3)}})
+	if a.Version() != b.Version() {
+		t.Error("the versions of equal copies differ")
+	}
+	b.List(0, Listing{Revision: 20, Pairs: []store.Pair{pair("a", 3), pair("b", 4)}})
+	if a.Version().Behind(b.Version()) {
+		t.Error("a copy without a difference counts as behind")
+	}
+	b.Change(0, []store.Pair{pair("c", 21)}, 21)
+	if !a.Version().Behind(b.Version()) || b.Version().Behind(a.Version()) {
+		t.Error("the newer copy is not told apart")
+	}
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,237 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// server answers each connection by a script: one function a request.
+type server struct {
+	listener net.Listener
+	requests atomic.Int64
+	conns    atomic.Int64
+}
+
+func newServer(t *testing.T, answer func(c net.Conn, n int64, r *http.Request) bool) *server {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &server{listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					if !answer(c, s.requests.Add(1), r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+const testIDHeader = "X-Id"
+
+func request(id string) *Request {
+	return &Request{Method: "GET", Target: "/x", Host: "h", Header: http.Header{}, ID: id, IDHeader: testIDHeader}
+}
+
+func reply(c net.Conn, id, body, more string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n%s\r\n%s", testIDHeader, id, len(body), more, body)
+	return err == nil
+}
+
+// exchange sends one request through the pool and returns the body.
+func exchange(p *Pool, s *server, id string) (string, error) {
+	c, err := p.Get(context.Background(), s.listener.Addr().String(), time.Minute)
+	if err != nil {
+		return "", err
+	}
+	if err := c.Write(request(id)); err != nil {
+		c.Close()
+		return "", err
+	}
+	resp, err := c.Read(request(id))
+	if err != nil {
+		c.Close()
+		return "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.Close()
+		return string(body), err
+	}
+	c.Done(resp)
+	return string(body), nil
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	s := newServer(t, func(c net.Conn, n int64, r *http.Request) bool { return reply(c, "a", "body", "") })
+	p := NewPool()
+	for range 5 {
+		if body, err := exchange(p, s, "a"); err != nil || body != "body" {
+			t.Fatal(body, err)
+		}
+	}
+	if n := s.conns.Load(); n != 1 {
+		t.Errorf("%d connections, want 1", n)
+	}
+}
+
+// TestNothingIsResent closes a kept-alive connection after the request was read.
+func TestNothingIsResent(t *testing.T) {
+	s := newServer(t, func(c net.Conn, n int64, r *http.Request) bool { return n == 1 && reply(c, "a", "body", "") })
+	p := NewPool()
+	if _, err := exchange(p, s, "a"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := exchange(p, s, "a"); err == nil {
+		t.Error("no error for a request without an answer")
+	}
+	if n := s.requests.Load(); n != 2 {
+		t.Errorf("%d requests were read, want 2", n)
+	}
+}
+
+func TestConnectionsThatAreNotUsedAgain(t *testing.T) {
+	for name, answer := range map[string]func(c net.Conn, r *http.Request) bool{
+		"closing":         func(c net.Conn, r *http.Request) bool { return reply(c, "a", "body", "Connection: close\r\n") },
+		"trailing answer": func(c net.Conn, r *http.Request) bool { return reply(c, "a", "body", "") && reply(c, "b", "x", "") },
+		"stray answer":    func(c net.Conn, r *http.Request) bool { return reply(c, "b", "x", "") && reply(c, "a", "body", "") },
+		"expired":         func(c net.Conn, r *http.Request) bool { return reply(c, "a", "body", "Keep-Alive: timeout=0\r\n") },
+		"without length": func(c net.Conn, r *http.Request) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: a\r\n\r\nbody", testIDHeader)
+			return false
+		},
+	} {
+		s := newServer(t, func(c net.Conn, n int64, r *http.Request) bool { return answer(c, r) })
+		p := NewPool()
+		for range 3 {
+			body, err := exchange(p, s, "a")
+			if err != nil || body != "body" {
+				t.Errorf("%s: %q, %v", name, body, err)
+			}
+			time.Sleep(5 * time.Millisecond) // bytes behind an answer arrive
+		}
+		if n := s.conns.Load(); n != 3 {
+			t.Errorf("%s: %d connections, want 3", name, n)
+		}
+	}
+}
+
+// TestResetIsNotTheEnd checks that a body without a length is complete only if
+// its connection was closed, not if it was reset.
+func TestResetIsNotTheEnd(t *testing.T) {
+	s := newServer(t, func(c net.Conn, n int64, r *http.Request) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: a\r\n\r\nhalf", testIDHeader)
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	if body, err := exchange(NewPool(), s, "a"); err == nil {
+		t.Errorf("a reset body looks complete: %q", body)
+	}
+}
+
+// TestEarlyAnswer checks that an answer before the end of a long body is read,
+// and that the connection is not used half-way.
+func TestEarlyAnswer(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = c.Read(make([]byte, 10))
+		reply(c, "a", "early", "")
+		time.Sleep(time.Second)
+	}()
+	p := NewPool()
+	c, err := p.Get(context.Background(), l.Addr().String(), time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := request("a")
+	r.Method, r.Body = "POST", make([]byte, 32<<20)
+	if err := c.Write(r); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := c.Read(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "early" {
+		t.Fatal(string(body), err)
+	}
+	c.Done(resp)
+	if open, _ := p.Stats(); open != 0 {
+		t.Error("the connection is kept half-way")
+	}
+}
+
+func TestSweepClosesIdleConnections(t *testing.T) {
+	s := newServer(t, func(c net.Conn, n int64, r *http.Request) bool {
+		return reply(c, "a", "body", "Keep-Alive: timeout=2\r\n")
+	})
+	p := NewPool()
+	if _, err := exchange(p, s, "a"); err != nil {
+		t.Fatal(err)
+	}
+	p.Sweep(time.Now().Add(time.Second))
+	if open, _ := p.Stats(); open != 1 {
+		t.Errorf("%d connections open before the time, want 1", open)
+	}
+	p.Sweep(time.Now().Add(1500 * time.Millisecond))
+	if open, _ := p.Stats(); open != 0 {
+		t.Errorf("%d connections open after the time, want 0", open)
+	}
+}
+
+func BenchmarkExchange(b *testing.B) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	web := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(testIDHeader, "a")
+		_, _ = io.WriteString(w, "body")
+	})}
+	go func() { _ = web.Serve(l) }()
+	defer web.Close()
+	p := NewPool()
+	s := &server{listener: l}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := exchange(p, s, "a"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
