Bound the attempts of a request that reaches no endpoint

Change: three such attempts, then a refusal (nothing was sent); ended requests are told in as many messages as they need.

--- a/internal/fleetsoak/faults.go
+++ b/internal/fleetsoak/faults.go
@@ -67,6 +67,8 @@
 }
 
 func (s *run) kill(p *process, d time.Duration) error {
+	p.life.Lock()
+	defer p.life.Unlock()
 	p.disturbed(d + startTimeout)
 	if err := p.signal(syscall.SIGKILL); err != nil {
 		return err
@@ -88,7 +90,9 @@
 // terminate stops a gateway gracefully: it must end within its grace, and what
 // it has accepted is not cut. Callers are sent elsewhere once it isn't ready.
 func (s *run) terminate(p *process) error {
-	began := time.Now()
+	p.life.Lock()
+	defer p.life.Unlock()
+	began, held := time.Now(), p.paused()
 	if err := p.signal(syscall.SIGTERM); err != nil {
 		return err
 	}
@@ -96,15 +100,21 @@
 	if err != nil {
 		return err
 	}
-	if !inTime {
+	if !inTime && !held && !p.paused() {
 		s.violate("grace", fmt.Sprintf("%s runs %v after SIGTERM", p.name, time.Since(began)))
 	}
 	p.disturbed(startTimeout) // refused connections until it is back
 	return s.restart(p)
 }
 
+// paused reports whether a fault has the process stopped at this moment, in which
+// it can't keep to its grace.
+func (p *process) paused() bool { return p.pauses.Load() > 0 }
+
 func (s *run) pause(p *process, d time.Duration) error {
 	p.disturbed(d + settle)
+	p.pauses.Add(1)
+	defer p.pauses.Add(-1)
 	if err := p.signal(syscall.SIGSTOP); err != nil {
 		return err
 	}
--- a/internal/fleetsoak/fleet.go
+++ b/internal/fleetsoak/fleet.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -52,6 +53,9 @@
 	env      []string
 	log      *os.File
 
+	life   sync.Mutex   // held while a fault ends and restarts the process
+	pauses atomic.Int64 // faults that hold it stopped
+
 	mu      sync.Mutex
 	running *os.Process
 	exited  chan struct{}
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -314,3 +316,49 @@
 		t.Errorf("%d gateways watch, want %d", n, watchers)
 	}
 }
+
+// TestUnreachableServiceIsRefusedSoon checks that a request is not tried without
+// end while no endpoint of its service takes a connection (found by the fault soak
+// at a gateway whose registrations were stale: 7,600 attempts for one request).
+func TestUnreachableServiceIsRefusedSoon(t *testing.T) {
+	for _, kind := range []string{"safe", "unsafe", "short", "long"} {
+		c := newTestCore(t, 0, 1)
+		out := call(c, time.Second, 1, kind)
+		attempts := 0
+		for now := time.Second; finishOf(out) == nil && attempts < 20; now += time.Millisecond {
+			if d := dispatchOf(out); d != nil {
+				attempts++
+				out = slices.Clone(c.Tick(now, Input{Ended: &Ended{ID: 1, Attempt: d.Attempt, Result: ResultUnreachable}}))
+				continue
+			}
+			out = slices.Clone(c.Tick(now))
+		}
+		f := finishOf(out)
+		if f == nil || f.Verdict != VerdictRefused || attempts > 1+maxUnreachable {
+			t.Errorf("%s: %+v after %d attempts, want a refusal after at most %d", kind, f, attempts, 1+maxUnreachable)
+		}
+	}
+}
+
+// TestMessagesFitDatagrams checks the size of messages after many short works.
+func TestMessagesFitDatagrams(t *testing.T) {
+	s := newSimulation(t, 2)
+	s.run(300 * time.Millisecond)
+	largest := 0
+	s.sent = func(m *PeerMessage) {
+		raw, err := cbor.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		largest = max(largest, len(raw))
+	}
+	c := s.cores[0]
+	for id := RequestID(1); id < 3000; id++ {
+		call(c, s.now, id, "safe")
+		c.Tick(s.now, Input{Ended: &Ended{ID: id, Attempt: 1, Result: ResultDone, Status: 200}})
+	}
+	s.run(900 * time.Millisecond)
+	if largest > 4000 {
+		t.Errorf("a message has %d bytes", largest)
+	}
+}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -15,6 +15,9 @@
 // are tried beyond the route's attempts: such a request has reached none.
 const maxRefusals = 2
 
+// maxUnreachable bounds how many endpoints are tried in vain for a connection.
+const maxUnreachable = 3
+
 // ended handles the end of an attempt: the request is done, is sent again, or
 // fails.
 func (c *Core) ended(in *Ended) {
@@ -78,7 +81,8 @@
 	reason := reasonOf(in.Result)
 	switch in.Result {
 	case ResultUnreachable:
-		return true, reason // nothing was sent
+		r.unreached++
+		return r.unreached <= maxUnreachable, reason // nothing was sent
 	case ResultFull, ResultMisdirected:
 		if r.sends >= r.in.Route.Attempts+maxRefusals || !r.in.Route.Idempotent() && r.sends >= maxRefusals+1 {
 			return false, reason
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -17,7 +17,7 @@
 	// joinDelay collects the gateways that are first heard at about the same time,
 	// as after the start of a fleet, into one full message.
 	joinDelay = 25 * time.Millisecond
-	fullPeers    = 10
+	fullPeers = 10
 	// staleFactor is how many intervals another gateway's work is kept without
 	// word of it.
 	staleFactor = 4
@@ -27,7 +27,8 @@
 	// tryPeer is how long a gateway that was only named by others gets messages.
 	tryPeer = 3 * time.Second
 	// rowsPerMessage keeps a message within one datagram.
-	rowsPerMessage = 20
+	rowsPerMessage  = 20
+	endedPerMessage = 150
 )
 
 // PeerMessage is what gateways tell each other, one datagram each. Any of them
@@ -138,9 +139,10 @@
 		s.fullAt = c.now + c.fullEvery()
 		c.timers.Set(timerKey{kind: timerFull}, s.fullAt)
 	}
-	m := &PeerMessage{Incarnation: c.cfg.Incarnation, Ended: s.endedWorks, Leaving: c.leaving}
+	m := &PeerMessage{Incarnation: c.cfg.Incarnation, Leaving: c.leaving}
+	ended := s.endedWorks
 	if s.full {
-		m.Ended = append(slices.Clone(s.recentEnded), s.endedWorks...)
+		ended = append(slices.Clone(s.recentEnded), s.endedWorks...)
 		s.recentEnded = nil
 		versions := c.versions
 		m.Versions, m.Known, m.Paces = &versions, c.livePeers(), c.paceRows()
@@ -153,7 +155,7 @@
 			Prompt: r.in.Prompt, Output: r.in.Output,
 		})
 	}
-	c.sendRows(m, works)
+	c.sendRows(m, works, ended)
 	s.waiting = s.waiting[:0]
 	s.due, s.full = false, false
 	s.touchedWorks = s.touchedWorks[:0]
@@ -161,9 +163,12 @@
 	c.timers.Stop(timerKey{kind: timerShare})
 }
 
-// sendRows sends m with the rows of works, in as many messages as they need.
-func (c *Core) sendRows(m *PeerMessage, works []*work) {
+// sendRows sends m with the rows of works and the requests that ended, in as many
+// messages as they need.
+func (c *Core) sendRows(m *PeerMessage, works []*work, ended []uint64) {
 	for {
+		k := min(len(ended), endedPerMessage)
+		m.Ended, ended = ended[:k], ended[k:]
 		n := min(len(works), rowsPerMessage)
 		for _, w := range works[:n] {
 			m.Rows = append(m.Rows, c.row(w))
@@ -172,7 +177,7 @@
 		for p := range c.peers.Values() {
 			c.emit(Output{ToPeer: &ToPeer{Addr: p.addr, Msg: m}})
 		}
-		if len(works) == 0 {
+		if len(works) == 0 && len(ended) == 0 {
 			return
 		}
 		m = &PeerMessage{Incarnation: c.cfg.Incarnation, Leaving: c.leaving}
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -58,6 +58,7 @@
 	resume    bool          // a part of the stream has been delivered
 	cancelled bool          // the current attempt
 	unproven  int           // attempts that may have run
+	unreached int           // attempts that got no connection
 	held      bool          // the shell holds a failure answer that may be passed on
 	predicted time.Duration // when the first event is due
 	divided   bool          // its prompt may be read by several engines
