--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/invariant"
 	"trefoilpath.org/trefoilpath/internal/route"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
@@ -219,6 +220,9 @@
 		c.finish(r, VerdictUnknown, reason)
 		return
 	}
+	if r.unproven > 0 || r.resume {
+		invariant.Fail("refused-means-not-run", "request", r.in.RequestID, "unproven", r.unproven)
+	}
 	c.counts.Refused++
 	after := c.retryAfter(r, reason)
 	c.emit(Output{Finish: &Finish{ID: r.in.ID, Verdict: VerdictRefused, RetryAfter: after, Reason: reason}})
--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -53,6 +53,10 @@
 		x.reject(http.StatusUnauthorized, "unknown key")
 		return false
 	}
+	if limit := table.Limits().HeaderBytes; limit > 0 && headerSize(x.r) > limit {
+		x.reject(http.StatusRequestHeaderFieldsTooLarge, "headers are larger than "+strconv.Itoa(limit)+" bytes")
+		return false
+	}
 	x.urgency = x.route.Priority
 	if account != nil {
 		x.account = account.Name
@@ -65,6 +69,17 @@
 	return true
 }
 
+// headerSize returns the size of a request's head as it was sent, about.
+func headerSize(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost: \r\n")
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // timeLeft returns how long the caller or the route waits, whichever is less.
 func (x *exchange) timeLeft() time.Duration {
 	left := x.route.Timeout
