Spread the first prompts of gateways that have no view yet

Change: ties between engines are broken in an order of each gateway's own; an engine that refused for want of room counts as full for 120 ms. Test that failed first: 24 of 24 prompts on one engine.

--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -362,3 +362,16 @@
 		t.Errorf("a message has %d bytes", largest)
 	}
 }
+
+// TestFullEngineIsLeftAloneForAMoment checks that an engine that refused a prompt
+// for want of room gets no other one at once.
+func TestFullEngineIsLeftAloneForAMoment(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	d := dispatchOf(call(c, time.Second, 1, "short"))
+	c.Tick(time.Second, Input{Ended: &Ended{ID: 1, Attempt: 1, Result: ResultFull, Status: 503}})
+	for id := RequestID(2); id < 5; id++ {
+		if again := dispatchOf(call(c, 1010*time.Millisecond, id, "short")); again == nil || again.Endpoint == d.Endpoint {
+			t.Fatalf("request %d: %+v, want another engine than %s", id, again, d.Endpoint)
+		}
+	}
+}
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -23,6 +23,9 @@
 	failureExcess = 0.3
 	// minAnswers is how many answers are needed to judge a ratio.
 	minAnswers = 8
+	// fullTime is how long an engine counts as full after it has refused a request
+	// for want of room: two passes, in which streams end.
+	fullTime = 120 * time.Millisecond
 	// paceWeight is the weight of the newest measurement in the moving pace.
 	paceWeight = 0.25
 	// paceLeast and paceMost bound the pace that is believed.
@@ -69,6 +72,7 @@
 	case ResultMisdirected:
 		c.eject(e, "another instance answers", ejectMisdirected)
 	case ResultFull:
+		e.full = c.now + fullTime
 		c.blame(e, in)
 	}
 }
--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -106,3 +106,20 @@
 		}
 	}
 }
+
+// TestFleetWithoutAViewSpreads plays the moment after all gateways have lost power
+// at once: none has heard of another. Their first short prompts must not all go to
+// the same engine (seen on the grown deployment: 22 gateways chose one of 60).
+func TestFleetWithoutAViewSpreads(t *testing.T) {
+	s := newSimulation(t, 12)
+	for i := range s.cores {
+		s.arrive(i, "short", 4000, 30)
+		s.arrive(i, "short", 4000, 30)
+	}
+	s.run(30 * time.Millisecond)
+	for _, e := range s.order {
+		if n := len(e.reads) + len(e.writers); n > 16 {
+			t.Errorf("%s has %d prompts of 24, more than its slots", e.id, n)
+		}
+	}
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -62,6 +62,9 @@
 			continue
 		}
 		occ := c.occupancy(e)
+		if c.now < e.full {
+			occ.streams = max(occ.streams, e.engine.Slots)
+		}
 		list = append(list, candidate{
 			e: e, occ: occ,
 			room: occ.room(c.cfg.Place.Margin, c.cfg.Place.OpenRead),
@@ -121,9 +124,17 @@
 	if a.used {
 		return a.occ.streams > b.occ.streams
 	}
-	return a.occ.queue+a.occ.strides < b.occ.queue+b.occ.strides
+	if busyA, busyB := a.occ.queue+a.occ.strides, b.occ.queue+b.occ.strides; busyA != busyB {
+		return busyA < busyB
+	}
+	return c.ownOrder(a.e) < c.ownOrder(b.e)
 }
 
+// ownOrder returns the place of an engine in an order that differs between
+// gateways. Where the shared view tells no difference between engines, as after
+// the start of the fleet, gateways then don't all choose the same one.
+func (c *Core) ownOrder(e *endpoint) uint64 { return pairRank(addrRank(c.cfg.Addr), e.hash) }
+
 // placeInterleaved cuts a prompt of medium length into parts that are so short
 // that an engine with tight streams can answer it, and any engine can read a part
 // between its other work. Its stream then stretches no engine's limits that are
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -22,6 +22,7 @@
 	pace    float64       // of its last report; 0: none
 	paceAt  time.Duration // when that was taken, here or at another gateway
 	heard   time.Duration // when it last sent anything to this gateway
+	full    time.Duration // until which it counts as full, after a refusal
 	load    Load
 	loadAt  time.Duration
 	answers int // of own requests, since the start
