Hand on only keys that the store holds

Ruled out: deaf watches (leaving was seen everywhere within 2 ms). Test: TestKeptKeysAreNotHandedOn.

--- a/internal/gateway/shell/peers.go
+++ b/internal/gateway/shell/peers.go
@@ -91,7 +91,7 @@
 		http.Error(w, "no such prefix", http.StatusNotFound)
 		return
 	}
-	listing, known := s.Listing()
+	listing, known := s.Shared()
 	if !known {
 		http.Error(w, "no copy yet", http.StatusServiceUnavailable)
 		return
--- a/internal/storecopy/copy.go
+++ b/internal/storecopy/copy.go
@@ -61,6 +61,20 @@
 	return l
 }
 
+// Shared returns the keys without those that are only kept for a while. It is what
+// other processes are given: a key that the store no longer holds must not come
+// back at them.
+func (c *Copy) Shared() Listing {
+	l := c.Listing()
+	l.Pairs = slices.DeleteFunc(l.Pairs, func(p store.Pair) bool { return c.kept(p.Key) })
+	return l
+}
+
+func (c *Copy) kept(key string) bool {
+	_, kept := c.removals[key]
+	return kept
+}
+
 // Lost records that the store does not answer.
 func (c *Copy) Lost() { c.down = true }
 
@@ -138,8 +152,11 @@
 // remove drops a key, or marks it if the store has just returned.
 func (c *Copy) remove(now time.Duration, key string) bool {
 	if now < c.graceEnd || c.down {
-		if _, marked := c.removals[key]; !marked {
-			c.removals[key] = max(c.graceEnd, now)
+		if !c.kept(key) {
+			c.removals[key] = c.graceEnd
+			if c.down {
+				c.removals[key] = now + ReturnGrace
+			}
 		}
 		return false
 	}
@@ -153,6 +170,9 @@
 	var digest uint64
 	var buf [8]byte
 	for key, p := range c.pairs {
+		if c.kept(key) {
+			continue
+		}
 		h := xxhash.New()
 		binary.LittleEndian.PutUint64(buf[:], p.Version)
 		_, _ = h.WriteString(key) // a Digest never fails
--- a/internal/storecopy/copy_test.go
+++ b/internal/storecopy/copy_test.go
@@ -75,3 +75,35 @@
 		t.Error("the newer copy is not told apart")
 	}
 }
+
+// TestKeptKeysAreNotHandedOn checks that a key that one process keeps for a while,
+// because it can't reach the store, does not come back at others that take its copy
+// (hunt of Sanabil, trouble-1 --seed 718413597577: an endpoint that had left was
+// registered again and got requests).
+func TestKeptKeysAreNotHandedOn(t *testing.T) {
+	cut, fine := NewCopy(), NewCopy()
+	for _, c := range []*Copy{cut, fine} {
+		c.List(0, Listing{Revision: 10, Pairs: []store.Pair{pair("a", 3), pair("b", 4)}})
+	}
+	cut.Lost()
+	fine.Change(time.Second, []store.Pair{{Key: "a", Version: 11, Deleted: true}}, 11)
+	cut.List(time.Second, Listing{Revision: 12, Pairs: []store.Pair{pair("b", 4)}})
+	if got := keys(cut); got != "ab" {
+		t.Fatalf("keys %q at the process without the store, want ab kept for a moment", got)
+	}
+	if fine.Version().Digest != cut.Version().Digest {
+		t.Error("a kept key counts as a difference")
+	}
+	fine.List(time.Second, cut.Shared())
+	if got := keys(fine); got != "b" {
+		t.Errorf("keys %q after the copy of the other, want b", got)
+	}
+	cut.Expire(time.Second + ReturnGrace/2)
+	if got := keys(cut); got != "ab" {
+		t.Errorf("keys %q within the grace, want ab", got)
+	}
+	cut.Expire(time.Second + ReturnGrace)
+	if got := keys(cut); got != "b" {
+		t.Errorf("keys %q after the grace, want b", got)
+	}
+}
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -96,11 +96,11 @@
 	}
 }
 
-// Listing returns the copy and whether there is one.
-func (s *Syncer) Listing() (Listing, bool) {
+// Shared returns the copy for other processes and whether there is one.
+func (s *Syncer) Shared() (Listing, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.copy.Listing(), s.known
+	return s.copy.Shared(), s.known
 }
 
 // Version returns the version of the copy.
@@ -189,6 +189,7 @@
 			continue
 		}
 		s.fetch(ctx)
+		s.apply(SourceGrace, 0, s.copy.Expire)
 		sleep(ctx, jitter(pause))
 		pause = min(2*pause, retryMax)
 	}
