Keep the platform's names of the soak in its stand-in

Change: callers' headers, configuration, registrations and settings of the fault soak come from platform/standin; one constructor for the gateway's HTTP servers; settings that nothing used are gone.

--- a/internal/fleetsoak/callers.go
+++ b/internal/fleetsoak/callers.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"trefoilpath.org/trefoilpath/platform/standin"
 )
 
 const (
@@ -34,7 +36,7 @@
 	transport := &http.Transport{DisableKeepAlives: n%2 == 0, MaxIdleConnsPerHost: 4}
 	defer transport.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
-		kind := []string{"stream", "safe", "unsafe"}[rng.IntN(3)]
+		kind := []string{standin.KindStream, standin.KindSafe, standin.KindUnsafe}[rng.IntN(3)]
 		p := s.fleet.gateways[rng.IntN(len(s.fleet.gateways))]
 		if !p.ready() {
 			time.Sleep(20 * time.Millisecond)
@@ -45,24 +47,16 @@
 	}
 }
 
-// send makes one request, which is never resent by the HTTP client: it has a body
-// that can't be read again.
+// send makes one request.
 func (s *run) send(transport http.RoundTripper, p *process, kind, id string) *outcome {
 	o := &outcome{id: id, kind: kind, gateway: p, began: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeLeft+lateAnswer)
 	defer cancel()
-	body := io.NopCloser(strings.NewReader("prompt " + id))
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callers()+"/"+kind+"/x", body)
+	req, err := standin.NewRequest(ctx, p.callers(), kind, id, callTimeLeft)
 	if err != nil {
 		o.err = err
 		return o
 	}
-	req.Host = "h.example"
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(callTimeLeft.Milliseconds()))
-	if kind == "stream" {
-		req.Header.Set("Token-Count", "400,100")
-	}
 	resp, err := transport.RoundTrip(req)
 	if err == nil {
 		o.status, o.header = resp.StatusCode, resp.Header
@@ -84,18 +78,18 @@
 	whole := wholeStream(s.events)
 	switch {
 	case o.err != nil:
-		if o.kind == "stream" && !strings.HasPrefix(whole, o.body) {
+		if o.kind == standin.KindStream && !strings.HasPrefix(whole, o.body) {
 			s.violate("whole-answer", fmt.Sprintf("%s broke off with %q", o.id, o.body))
 		}
 		if o.gateway.calm(o.began) && !o.gateway.stopped() {
 			s.violate("not-cut", fmt.Sprintf("%s %s at %s: %v", o.kind, o.id, o.gateway.name, o.err))
 		}
-	case o.status == http.StatusOK && o.kind == "stream":
-		if o.body != whole || o.header.Get("Origin-Seal") == "" {
+	case o.status == http.StatusOK && o.kind == standin.KindStream:
+		if o.body != whole || !standin.Sealed(o.header) {
 			s.violate("whole-answer", fmt.Sprintf("%s got %q", o.id, o.body))
 		}
 	case o.status == http.StatusOK:
-		if o.body != "answer to "+o.id || o.header.Get("Origin-Seal") == "" {
+		if o.body != "answer to "+o.id || !standin.Sealed(o.header) {
 			s.violate("own-answer", fmt.Sprintf("%s got %q", o.id, o.body))
 		}
 	}
--- a/internal/fleetsoak/faults.go
+++ b/internal/fleetsoak/faults.go
@@ -96,7 +96,7 @@
 	if err := p.signal(syscall.SIGTERM); err != nil {
 		return err
 	}
-	inTime, err := p.waitExit(graceSeconds*time.Second + time.Second)
+	inTime, err := p.waitExit(grace + time.Second)
 	if err != nil {
 		return err
 	}
--- a/internal/fleetsoak/fleet.go
+++ b/internal/fleetsoak/fleet.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -15,7 +14,6 @@
 
 	"github.com/pkg/errors"
 
-	"trefoilpath.org/trefoilpath/platform"
 	"trefoilpath.org/trefoilpath/platform/standin"
 )
 
@@ -23,8 +21,8 @@
 	callerPort = 18080
 	readyPort  = 18081
 	peerPort   = 18082
-	// graceSeconds is what a gateway has from SIGTERM to its end.
-	graceSeconds = 4
+	// grace is what a gateway has from SIGTERM to its end.
+	grace = 4 * time.Second
 	// startTimeout bounds the time until a started gateway is ready.
 	startTimeout = 15 * time.Second
 )
@@ -62,21 +60,12 @@
 	disturb time.Time // until then a cut answer is no finding
 }
 
-// routes of the soak's configuration.
-const configText = `{"version":%d,"routes":[
- {"name":"s","host":"h.example","prefix":"/stream/","kind":"streaming","timeoutMs":8000,"goalMs":300,"gapGoalMs":200,"service":"llm","attempts":2,"resumable":true,"public":true},
- {"name":"u","host":"h.example","prefix":"/unsafe/","kind":"unsafe","timeoutMs":3000,"goalMs":100,"service":"desk","attempts":1,"public":true},
- {"name":"r","host":"h.example","prefix":"/safe/","kind":"safe","timeoutMs":3000,"goalMs":100,"service":"desk","attempts":2,"public":true},
- {"name":"v","host":"h.example","prefix":"/v%d/","kind":"safe","timeoutMs":3000,"goalMs":100,"service":"desk","attempts":2,"public":true}],
- "services":[{"name":"llm","engine":{"slots":16,"kvTokens":450000,"stride":46,"step_ms":0.925,"read_per_s":256000,"pairs_per_m":0.0917,"chunk":2048}},{"name":"desk"}],
- "tenants":[]}`
-
 // startFleet starts the stand-ins and the gateways and waits until all are ready.
 func startFleet(o Options, dir string) (*fleet, error) {
 	f := &fleet{dir: dir, store: standin.NewStore()}
 	f.configure()
 	for i := range o.Replicas {
-		for _, service := range []string{"llm", "desk"} {
+		for _, service := range standin.Services {
 			if err := f.addReplica(fmt.Sprintf("%s-%d", service, i), service); err != nil {
 				return f, err
 			}
@@ -98,7 +87,7 @@
 // configure publishes the next version, which moves one route.
 func (f *fleet) configure() {
 	f.version++
-	f.store.Put(platform.ConfigKey, fmt.Appendf(nil, configText, f.version, f.version))
+	f.store.Configure(f.version)
 }
 
 func (f *fleet) addReplica(id, service string) error {
@@ -117,9 +106,7 @@
 }
 
 func (f *fleet) register(r *replica, state string) {
-	f.store.Put(platform.RegistrationPrefix+r.ID, map[string]any{
-		"service": r.service, "addr": r.via.addr(), "zone": "z", "slots": 16, "state": state, "sequence": 1,
-	})
+	f.store.Register(r.ID, r.service, r.via.addr(), state)
 }
 
 func (f *fleet) addGateway(o Options, i int) error {
@@ -131,12 +118,13 @@
 	p := &process{name: fmt.Sprintf("g-%d", i), ip: loopback(i)}
 	var seeds []string
 	for j := range min(o.Gateways, 3) {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", loopback(j), peerPort))
+		seeds = append(seeds, loopback(j))
 	}
 	settings := filepath.Join(f.dir, p.name+".conf")
-	text := fmt.Sprintf("node=%s\nzone=z\nip=%s\nbind.front=%s:%d\nbind.ready=%s:%d\nportRange=%d,%d\nseeds=%s\nplatform.addr=%s\n"+
-		"bounds.graceS=%d\nbounds.retryBudgetRatio=0.2\nbounds.budgetSlack=1000\nlimits.memoryMb=200\n",
-		p.name, p.ip, p.ip, callerPort, p.ip, readyPort, peerPort, peerPort, strings.Join(seeds, ","), via.addr(), graceSeconds)
+	text := (&standin.GatewaySettings{
+		Name: p.name, IP: p.ip, CallerPort: callerPort, ReadyPort: readyPort, PeerPort: peerPort,
+		Seeds: seeds, StoreAddr: via.addr(), Grace: grace, MemoryMB: 200, RetryBudget: 1000,
+	}).Text()
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
--- a/internal/fleetsoak/run.go
+++ b/internal/fleetsoak/run.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"trefoilpath.org/trefoilpath/platform/standin"
 )
 
 // Options describe one run.
@@ -136,7 +138,7 @@
 	for _, o := range s.outcomes {
 		known[o.id] = true
 		n := runs[o.id]
-		if o.kind == "unsafe" && n > 1 {
+		if o.kind == standin.KindUnsafe && n > 1 {
 			s.violate("at-most-once", fmt.Sprintf("%s ran %d times", o.id, n))
 		}
 		if o.status == 503 && n > 0 {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -16,9 +16,7 @@
 	Seeds         []netip.AddrPort
 	FailureDomain wire.FailureDomain
 	Retry         retrybudget.Config
-	// Stall is how long an engine holds work that depends on a lost engine.
-	Stall time.Duration
-	Place PlaceConfig
+	Place         PlaceConfig
 }
 
 // PlaceConfig tunes the placing of requests at engines.
--- a/internal/gateway/shell/dump.go
+++ b/internal/gateway/shell/dump.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-	stdlog "log"
+	"log/slog"
 	"net/http"
 	"strings"
 )
@@ -25,9 +25,12 @@
 	}
 }
 
-// serverLog turns the lines of net/http into events.
-func (g *Gateway) serverLog() *stdlog.Logger {
-	return stdlog.New(serverLines{g}, "", 0)
+// newServer returns a server whose own messages become events.
+func (g *Gateway) newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: slog.NewLogLogger(slog.NewTextHandler(serverLines{g}, nil), slog.LevelWarn),
+	}
 }
 
 type serverLines struct{ g *Gateway }
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -75,7 +75,6 @@
 		Self: s.Node, Incarnation: uint64(g.start.UnixNano()), Addr: s.PeerAddr, Seeds: s.Seeds,
 		FailureDomain: wire.FailureDomain(s.FailureDomain),
 		Retry:         retrybudget.Config{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
-		Stall:         s.StallTimeout,
 		Place:         gateway.DefaultPlace(),
 	})
 	g.gateways.Store(1)
--- a/internal/gateway/shell/run.go
+++ b/internal/gateway/shell/run.go
@@ -103,10 +103,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "listen")
 		}
-		server := &http.Server{
-			Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: headerBytes, ErrorLog: g.serverLog(),
-		}
+		server := g.newServer(p.handler)
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(l); err != http.ErrServerClosed {
--- a/internal/gateway/shell/settings.go
+++ b/internal/gateway/shell/settings.go
@@ -23,5 +23,4 @@
 	RetryRatio    float64       // repeats for each request, in the fleet
 	RetrySlack    float64       // repeats besides, in the fleet, for each window
 	RetryWindow   time.Duration
-	StallTimeout  time.Duration // how long an engine waits for a lost one
 }
