--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -375,3 +375,26 @@
 		}
 	}
 }
+
+// TestWhatCantBeServedIsRefusedAtOnce checks that a prompt whose turn would come
+// after its deadline is refused when that is known, not when the deadline is near.
+func TestWhatCantBeServedIsRefusedAtOnce(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	r := testRoutes()["long"]
+	refused := 0
+	for id := RequestID(1); id <= 10; id++ {
+		out := c.Tick(time.Second, Input{Arrive: &Arrive{
+			ID: id, RequestID: "l", Route: r, Service: engineService, Prompt: 1_000_000, Output: 500, Deadline: 16 * time.Second,
+		}})
+		if f := finishOf(out); f != nil {
+			if f.Verdict != VerdictRefused || f.RetryAfter <= 0 {
+				t.Fatalf("request %d: %+v", id, f)
+			}
+			refused++
+		}
+	}
+	// One of these takes all engines for 2.9 s, so five are done in 15 s.
+	if refused < 4 {
+		t.Errorf("%d of ten were refused at once, want at least four", refused)
+	}
+}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -75,11 +75,12 @@
 		if !ok {
 			continue
 		}
-		if j.own != nil {
-			j.own.plannedStart = c.now + best.start
-			if best.start == 0 && c.now >= j.own.holdUntil {
-				c.dispatch(s, j.own, best.placement(engines))
-			}
+		if j.own != nil && best.first > j.own.in.Deadline-c.now {
+			c.refuse(j.own, ReasonOverload) // its turn would come too late
+			continue
+		}
+		if j.own != nil && best.start == 0 && c.now >= j.own.holdUntil {
+			c.dispatch(s, j.own, best.placement(engines))
 		}
 		best.take(j, engines)
 	}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -175,7 +175,8 @@
 // ticket names the reservation of the i-th endpoint of a work: for one request,
 // in one life of one gateway.
 func (c *Core) ticket(w *work, i int) string {
-	return strconv.FormatUint(c.cfg.Incarnation, 36) + "-" + strconv.FormatUint(w.key.request, 36) + "-" + itoa(i)
+	life := pairRank(c.cfg.Incarnation, addrRank(c.cfg.Addr))
+	return strconv.FormatUint(life, 36) + "-" + strconv.FormatUint(w.key.request, 36) + "-" + itoa(i)
 }
 
 // dispatchDetail names what decided the placing.
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -64,8 +64,6 @@
 	predicted time.Duration // when the first event is due
 	divided   bool          // its prompt may be read by several engines
 	holdUntil time.Duration // until others have heard that it waits
-
-	plannedStart time.Duration // of a divided prompt that waits
 }
 
 // workPhase is how far a request is at its engine.
