--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -29,7 +29,8 @@
 	x := g.newExchange(w, r)
 	table := g.table.Load()
 	if table == nil {
-		x.refuse(startingRetryAfter, "no configuration yet")
+		x.logLocal("refuse", "no-configuration")
+		x.refuse(startingRetryAfter, "not run: no configuration yet")
 		return
 	}
 	if !x.admit(table) || !x.readBody(table.Limits()) {
