Drop a field that nothing read and a case that can't come

Reading of the change: the time of a work's first event was stored and not used; a complete 2xx answer of a stream route is always passed on as a stream. Behaviour unchanged; go test of the packages passes.

--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -63,7 +63,6 @@
 	w := r.work
 	w.phase = workWriting
 	w.readAhead()
-	w.firstSeen = c.now
 	e := w.answering()
 	e.heard = c.now
 	c.learnPace(r, e)
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -227,7 +227,7 @@
 		e.Result = gateway.ResultFull
 		e.Fault = a.Fault
 		e.Detail = "status " + strconv.Itoa(resp.StatusCode)
-	case resp.StatusCode >= 500 || x.begun || x.route.Kind == route.KindStream && resp.StatusCode < 300:
+	case resp.StatusCode >= 500 || x.begun:
 		x.hold(resp, body)
 		e.Result = gateway.ResultFailed
 	default:
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -93,7 +93,6 @@
 	behind    []time.Duration // at each engine: parts that came later and were read first; nil: none
 	pause     time.Duration   // longest pause that its caller accepts
 	sent      time.Duration
-	firstSeen time.Duration
 	refreshed time.Duration // another gateway's: when it last said that it runs
 }
 
