Decide the verdict of a hopeless request in one place

Change: giveUp chooses the verdict; refuse asserts with counts of its own that each endpoint that was sent a byte has proved that it did not run it; hashes are kept; the number of gateways is asked for when it is wanted; dead code goes; a moving mean is no longer called median. A seed in re-read settings that was known already now counts as a seed.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -10,7 +10,6 @@
 
 // Config describes one gateway.
 type Config struct {
-	Self          string // name of the process, for other gateways
 	Incarnation   uint64 // differs between lives of the process
 	Addr          netip.AddrPort
 	Seeds         []netip.AddrPort
--- a/internal/gateway/configure.go
+++ b/internal/gateway/configure.go
@@ -69,7 +69,7 @@
 	if e != nil {
 		c.forget(e) // a new life under the same ID knows nothing of before
 	}
-	e = c.endpoints.Put(reg.ID, endpoint{reg: reg, slow: 1, hash: xxhash.Sum64String(string(reg.ID)), heard: c.now})
+	e = c.endpoints.Put(reg.ID, endpoint{reg: reg, slow: 1, hash: xxhash.Sum64String(string(reg.ID))})
 	c.byHash[e.hash] = e
 	c.adopt(e)
 	c.log(Event{Name: "endpoint-registered", Endpoint: string(reg.ID), Detail: "addr=" + reg.Addr + " service=" + reg.Service})
@@ -80,12 +80,9 @@
 		e.gone = true
 		c.log(Event{Name: "endpoint-gone", Endpoint: string(e.reg.ID), Detail: "addr=" + e.reg.Addr})
 	}
-	for _, w := range e.works {
-		if w.key.gateway == c.cfg.Addr {
-			return
-		}
+	if !c.ownWork(e) {
+		c.forget(e)
 	}
-	c.forget(e)
 }
 
 // forget drops an endpoint and all work there.
@@ -112,9 +109,6 @@
 	}
 	for s := range c.services.Values() {
 		slices.SortFunc(s.endpoints, func(a, b *endpoint) int { return cmp.Compare(a.hash, b.hash) })
-		for i, e := range s.endpoints {
-			e.order = i
-		}
 	}
 }
 
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -13,9 +13,10 @@
 // Core is the state of one gateway. It is deterministic and not safe for
 // concurrent use.
 type Core struct {
-	cfg Config
-	now time.Duration
-	out []Output
+	cfg      Config
+	rankHash uint64 // hash of the own address
+	now      time.Duration
+	out      []Output
 
 	table     *route.Table
 	endpoints *table.Table[wire.EndpointID, endpoint]
@@ -53,6 +54,7 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		cfg:       cfg,
+		rankHash:  addrRank(cfg.Addr),
 		endpoints: table.New[wire.EndpointID, endpoint](),
 		byHash:    make(map[uint64]*endpoint),
 		services:  table.New[string, service](),
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -18,7 +18,7 @@
 	failuresToEject = 2
 	// failureWeight is the weight of the newest answer in the moving failure ratio.
 	failureWeight = 0.1
-	// failureExcess is how far an endpoint's failure ratio may be above the median
+	// failureExcess is how far an endpoint's failure ratio may be above the mean
 	// of its service: application errors are common to all of its endpoints.
 	failureExcess = 0.3
 	// minAnswers is how many answers are needed to judge a ratio.
@@ -70,22 +70,31 @@
 	case ResultUnreachable:
 		c.eject(e, "unreachable", 0)
 	case ResultMisdirected:
+		r.proved()
 		c.eject(e, "another instance answers", ejectMisdirected)
 	case ResultFull:
+		r.proved()
 		e.full = c.now + fullTime
 		c.blame(e, in)
 	}
 }
 
+// proved counts an endpoint's proof that it did not run the request.
+func (r *request) proved() {
+	if r.sent {
+		r.proofs++
+	}
+}
+
 // failed counts a failure answer, which may be the application's own.
 func (c *Core) failed(e *endpoint) {
 	h := &e.health
 	h.ratio = h.ratio*(1-failureWeight) + failureWeight
 	s := c.service(e.reg.Service)
-	s.median = s.median*(1-failureWeight) + failureWeight*h.ratio
-	if e.answers >= minAnswers && h.ratio > s.median+failureExcess && c.mayEject(s) {
+	s.ratio = s.ratio*(1-failureWeight) + failureWeight*h.ratio
+	if e.answers >= minAnswers && h.ratio > s.ratio+failureExcess && c.mayEject(s) {
 		c.eject(e, "failure ratio", 0)
-		h.ratio = s.median
+		h.ratio = s.ratio
 	}
 }
 
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -64,7 +64,6 @@
 	w.phase = workWriting
 	w.readAhead()
 	e := w.answering()
-	e.heard = c.now
 	c.learnPace(r, e)
 	c.share.touched(c, w)
 	c.place = true
@@ -78,7 +77,7 @@
 
 func (c *Core) loadReported(in *Load) {
 	if e := c.endpoints.Get(in.Endpoint); e != nil {
-		e.load, e.loadAt, e.heard = *in, c.now, c.now
+		e.load, e.loadAt = *in, c.now
 	}
 }
 
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -46,7 +46,6 @@
 	RequestID string // the caller's ID of this try, for logs
 	Route     *route.Route
 	Service   string
-	Urgency   int
 	Prompt    int64         // tokens
 	Output    int64         // tokens, the limit
 	Deadline  time.Duration // when the caller or the route stops waiting
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -3,8 +3,6 @@
 import (
 	"strconv"
 	"time"
-
-	"trefoilpath.org/trefoilpath/internal/route"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
@@ -40,14 +38,14 @@
 	r.resume = in.Begun
 	r.held = r.held || in.Result == ResultFailed
 	if again, reason := c.again(r, in); !again {
-		c.fail(r, in, reason)
+		c.giveUp(r, reason)
 		return
 	}
 	r.avoidFor(e.reg.ID)
 	if len(c.usable(c.service(r.in.Service), r)) == 0 {
 		r.avoid = nil
 	}
-	c.enqueueAgain(r, in)
+	c.enqueue(r)
 }
 
 func detailOf(in *Ended) string {
@@ -61,21 +59,6 @@
 	return detail
 }
 
-// enqueueAgain lets r wait for another endpoint, unless there is none.
-func (c *Core) enqueueAgain(r *request, in *Ended) {
-	r.phase = phaseWaiting
-	if reason := c.unservable(r); reason != ReasonNone {
-		c.fail(r, in, reason)
-		return
-	}
-	s := c.service(r.in.Service)
-	s.waiting = append(s.waiting, r)
-	c.place = true
-	if r.divided {
-		c.announce(r)
-	}
-}
-
 // again reports whether r may be sent to another endpoint, and else why not.
 func (c *Core) again(r *request, in *Ended) (bool, Reason) {
 	reason := reasonOf(in.Result)
@@ -94,9 +77,6 @@
 		if in.Begun && !in.Resumable {
 			return false, reason
 		}
-		if r.in.Route.Kind == route.KindStream && in.Result == ResultFailed && !in.Begun && in.Status < 500 {
-			return false, reason
-		}
 	}
 	if !c.service(r.in.Service).budget.Take(c.now, c.gateways()) {
 		return false, ReasonBudget
@@ -116,24 +96,6 @@
 	return ReasonBroken
 }
 
-// fail ends a request whose last attempt did not succeed. It is refused only if
-// no attempt can have run.
-func (c *Core) fail(r *request, in *Ended, reason Reason) {
-	notRun := in.Result == ResultFull || in.Result == ResultMisdirected || in.Result == ResultUnreachable
-	switch {
-	case r.held:
-		c.finish(r, VerdictDone, reason) // the endpoint's own failure
-	case notRun && !r.mayHaveRun():
-		c.refuse(r, reason)
-	default:
-		c.finish(r, VerdictUnknown, reason)
-	}
-}
-
-// mayHaveRun reports whether an earlier attempt ended without proof. The last
-// attempt is judged by its result.
-func (r *request) mayHaveRun() bool { return r.unproven > 0 }
-
 // finish ends a request.
 func (c *Core) finish(r *request, v Verdict, reason Reason) {
 	switch v {
@@ -158,7 +120,7 @@
 		return
 	}
 	if r.phase == phaseWaiting {
-		c.refuse(r, ReasonDeadline)
+		c.giveUp(r, ReasonDeadline)
 		return
 	}
 	c.finish(r, VerdictTimeout, ReasonDeadline)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -225,21 +225,29 @@
 
 func (c *Core) addSeeds(seeds []netip.AddrPort) {
 	for _, addr := range seeds {
-		if addr != c.cfg.Addr && c.peers.Get(addr) == nil {
-			c.peers.Put(addr, peer{addr: addr, seed: true, works: make(map[uint64]*work), waiting: make(map[uint64]*waiting)})
+		if addr != c.cfg.Addr {
+			c.peer(addr).seed = true
 		}
 	}
 }
 
+// peer returns the row of a gateway, made when it is first named.
+func (c *Core) peer(addr netip.AddrPort) *peer {
+	if p := c.peers.Get(addr); p != nil {
+		return p
+	}
+	return c.peers.Put(addr, peer{
+		addr: addr, rank: addrRank(addr), added: c.now,
+		works: make(map[uint64]*work), waiting: make(map[uint64]*waiting),
+	})
+}
+
 // fromPeer takes a message of another gateway.
 func (c *Core) fromPeer(m *PeerMessage) {
 	if m.From == c.cfg.Addr {
 		return
 	}
-	p := c.peers.Get(m.From)
-	if p == nil {
-		p = c.peers.Put(m.From, peer{addr: m.From, added: c.now, works: make(map[uint64]*work), waiting: make(map[uint64]*waiting)})
-	}
+	p := c.peer(m.From)
 	if p.incarnation != m.Incarnation {
 		c.dropWorks(p)
 		p.incarnation = m.Incarnation
@@ -266,8 +274,8 @@
 		c.peerRow(p, &m.Rows[i])
 	}
 	for _, addr := range m.Known {
-		if addr != c.cfg.Addr && c.peers.Get(addr) == nil {
-			c.peers.Put(addr, peer{addr: addr, added: c.now, works: make(map[uint64]*work), waiting: make(map[uint64]*waiting)})
+		if addr != c.cfg.Addr {
+			c.peer(addr)
 		}
 	}
 	c.peerPaces(m.Paces)
@@ -396,10 +404,9 @@
 // first by rank among those heard, where the rank is a hash of the address, so
 // that the watchers are spread over failure domains.
 func (c *Core) Watches() bool {
-	own := addrRank(c.cfg.Addr)
 	before := 0
 	for p := range c.peers.Values() {
-		if p.known && !p.leaving && addrRank(p.addr) < own {
+		if p.known && !p.leaving && p.rank < c.rankHash {
 			before++
 		}
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -133,7 +133,7 @@
 // ownOrder returns the place of an engine in an order that differs between
 // gateways. Where the shared view tells no difference between engines, as after
 // the start of the fleet, gateways then don't all choose the same one.
-func (c *Core) ownOrder(e *endpoint) uint64 { return pairRank(addrRank(c.cfg.Addr), e.hash) }
+func (c *Core) ownOrder(e *endpoint) uint64 { return pairRank(c.rankHash, e.hash) }
 
 // placeInterleaved cuts a prompt of medium length into parts that are so short
 // that an engine with tight streams can answer it, and any engine can read a part
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		if j.own != nil && best.first > j.own.in.Deadline-c.now {
-			c.refuse(j.own, ReasonOverload) // its turn would come too late
+			c.giveUp(j.own, ReasonOverload) // its turn would come too late
 			continue
 		}
 		if j.own != nil && best.start == 0 && c.now >= j.own.holdUntil {
@@ -108,12 +108,7 @@
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b job) int {
-		if a.rank.before(b.rank) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b job) int { return a.rank.compare(b.rank) })
 	return out[:min(len(out), planJobs)]
 }
 
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -40,9 +40,9 @@
 // probes reports whether this gateway is the one that asks e: of those heard,
 // the one whose hash together with that of e is the largest.
 func (c *Core) probes(e *endpoint) bool {
-	own := pairRank(addrRank(c.cfg.Addr), e.hash)
+	own := pairRank(c.rankHash, e.hash)
 	for p := range c.peers.Values() {
-		if p.known && !p.leaving && pairRank(addrRank(p.addr), e.hash) > own {
+		if p.known && !p.leaving && pairRank(p.rank, e.hash) > own {
 			return false
 		}
 	}
@@ -63,7 +63,6 @@
 		return // failures of requests tell of an engine that does not answer
 	}
 	c.setPace(e, in.Pace)
-	e.heard = c.now
 }
 
 func (c *Core) setPace(e *endpoint, pace float64) {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -34,7 +35,7 @@
 func (c *Core) enqueue(r *request) {
 	r.phase = phaseWaiting
 	if reason := c.unservable(r); reason != ReasonNone {
-		c.refuse(r, reason)
+		c.giveUp(r, reason)
 		return
 	}
 	s := c.service(r.in.Service)
@@ -47,7 +48,7 @@
 
 // divisible reports whether r's prompt is long enough to be read by several engines.
 func (c *Core) divisible(s *service, r *request) bool {
-	engine := s.endpoints[0].engine
+	engine := s.engine()
 	return engine != nil && (engine.Read(r.in.Prompt) > c.cfg.Place.SmallRead || !c.tight(r))
 }
 
@@ -95,7 +96,7 @@
 	if la, lb := c.late(a), c.late(b); la != lb {
 		return bit(la) - bit(lb)
 	}
-	return int(max(-1, min(1, a.due()-b.due())))
+	return cmp.Compare(a.due(), b.due())
 }
 
 // due is when the first event, or the answer, is expected by the caller.
@@ -110,7 +111,7 @@
 	}
 	left := r.in.Deadline - c.now
 	if left < leastTime {
-		c.refuse(r, ReasonOverload)
+		c.giveUp(r, ReasonOverload)
 		return true
 	}
 	waited := c.now - r.arrived
@@ -120,7 +121,7 @@
 		return true
 	}
 	if r.attempt == 0 && waited > time.Duration(sendLimitWait*float64(r.in.Deadline-r.arrived)) {
-		c.refuse(r, ReasonOverload)
+		c.giveUp(r, ReasonOverload)
 		return true
 	}
 	return false
@@ -175,7 +176,7 @@
 // ticket names the reservation of the i-th endpoint of a work: for one request,
 // in one life of one gateway.
 func (c *Core) ticket(w *work, i int) string {
-	life := pairRank(c.cfg.Incarnation, addrRank(c.cfg.Addr))
+	life := pairRank(c.cfg.Incarnation, c.rankHash)
 	return strconv.FormatUint(life, 36) + "-" + strconv.FormatUint(w.key.request, 36) + "-" + itoa(i)
 }
 
@@ -210,19 +211,23 @@
 // silenceLeast is the shortest silence of an engine that is taken as a failure.
 const silenceLeast = 1200 * time.Millisecond
 
-// refuse ends a request that can't be served. It is only told to have not run if
-// that is proved for each of its attempts.
-func (c *Core) refuse(r *request, reason Reason) {
+// giveUp ends a request that can't be served, or not again. It is only told to
+// have not run if that is proved for each of its attempts.
+func (c *Core) giveUp(r *request, reason Reason) {
 	switch {
 	case r.held:
-		c.finish(r, VerdictDone, reason)
-		return
+		c.finish(r, VerdictDone, reason) // the endpoint's own failure
 	case r.unproven > 0 || r.resume:
 		c.finish(r, VerdictUnknown, reason)
-		return
+	default:
+		c.refuse(r, reason)
 	}
-	if r.unproven > 0 || r.resume {
-		invariant.Fail("refused-means-not-run", "request", r.in.RequestID, "unproven", r.unproven)
+}
+
+// refuse ends a request that has not run.
+func (c *Core) refuse(r *request, reason Reason) {
+	if r.sends != r.proofs {
+		invariant.Fail("refused-means-not-run", "request", r.in.RequestID, "sends", r.sends, "proofs", r.proofs)
 	}
 	c.counts.Refused++
 	after := c.retryAfter(r, reason)
@@ -247,9 +252,9 @@
 		n++
 		backlog += c.occupancy(e).queue
 	}
-	for _, w := range s.waiting {
-		if len(s.endpoints) > 0 && s.endpoints[0].engine != nil {
-			backlog += s.endpoints[0].engine.Read(w.in.Prompt)
+	if engine := s.engine(); engine != nil {
+		for _, w := range s.waiting {
+			backlog += engine.Read(w.in.Prompt)
 		}
 	}
 	after := retryAfterLeast
@@ -292,9 +297,8 @@
 }
 
 // usable returns the endpoints of s that may be given r, or any request if r is
-// nil: registered, not
-// leaving, not ejected, and not one that r has tried. If all that is left has
-// been ejected, those are better than none.
+// nil: registered, not leaving, not ejected, and not one that r has tried. If all
+// that is left has been ejected, those are better than none.
 func (c *Core) usable(s *service, r *request) []*endpoint {
 	var healthy, ejected []*endpoint
 	for _, e := range s.endpoints {
--- a/internal/gateway/shell/ask.go
+++ b/internal/gateway/shell/ask.go
@@ -14,8 +14,8 @@
 // maxAskBytes bounds the answer to the gateway's own questions.
 const maxAskBytes = 64 << 10
 
-// askRequest is a question or an order of the gateway itself to an endpoint.
-type askRequest struct {
+// question is a question or an order of the gateway itself to an endpoint.
+type question struct {
 	method, target string
 	header         http.Header
 	body           []byte
@@ -23,9 +23,9 @@
 	addr           string
 }
 
-// ask sends a request of the gateway's own, once, and returns the answer's body.
+// query sends a request of the gateway's own, once, and returns the answer's body.
 // Any status but 200 is an error.
-func (g *Gateway) ask(ctx context.Context, r askRequest) ([]byte, error) {
+func (g *Gateway) query(ctx context.Context, r question) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	conn, err := g.pool.Get(ctx, r.addr, reuseAge)
@@ -60,7 +60,7 @@
 // probe asks an engine for its report and tells the core.
 func (g *Gateway) probe(p gateway.Probe) {
 	report := &gateway.Report{Endpoint: p.Endpoint}
-	body, err := g.ask(context.Background(), askRequest{
+	body, err := g.query(context.Background(), question{
 		method: http.MethodGet, target: g.cfg.Translator.ReportTarget(), header: make(http.Header),
 		endpoint: string(p.Endpoint), addr: p.Addr,
 	})
--- a/internal/gateway/shell/beliefs.go
+++ b/internal/gateway/shell/beliefs.go
@@ -14,8 +14,8 @@
 	syncer := func(prefix string, changed func(storecopy.Update)) *storecopy.Syncer {
 		return storecopy.NewSyncer(storecopy.Config{
 			Prefix: prefix, Client: g.cfg.Store, Now: g.now, Changed: changed,
-			Gateways: func() int { return int(g.gateways.Load()) },
-			Watches:  g.watches.Load,
+			Gateways: func() int { return ask(g, (*gateway.Core).Gateways) },
+			Watches:  func() bool { return ask(g, (*gateway.Core).Watches) },
 			Fetch:    g.fetchCopy,
 			Failed:   g.peerFailed,
 			Reachable: func(ok bool, status store.Status) {
@@ -27,6 +27,13 @@
 	g.servers = syncer(g.cfg.Decoder.RegistrationPrefix(), g.serversChanged)
 }
 
+// ask reads a value of the core. It must not be called while a copy is locked.
+func ask[T any](g *Gateway, of func(*gateway.Core) T) T {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return of(g.core)
+}
+
 // configChanged puts a new configuration in force. One that can't be decoded is
 // left out, and the last good one stays.
 func (g *Gateway) configChanged(u storecopy.Update) {
--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -58,12 +58,8 @@
 		x.reject(http.StatusRequestHeaderFieldsTooLarge, "headers are larger than "+strconv.Itoa(limit)+" bytes")
 		return false
 	}
-	x.urgency = x.route.Priority
 	if account != nil {
 		x.account = account.Name
-		if account.Ranked {
-			x.urgency = account.Priority
-		}
 	}
 	x.service = x.route.Pick(x.caller.RequestID)
 	x.deadline = x.arrived + x.timeLeft()
--- a/internal/gateway/shell/dump.go
+++ b/internal/gateway/shell/dump.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"net/http"
 	"strings"
+
+	"trefoilpath.org/trefoilpath/internal/gateway"
 )
 
 // serveMetrics prints counters and latencies.
@@ -14,9 +16,7 @@
 
 // serveDump prints the core's state as JSON.
 func (g *Gateway) serveDump(w http.ResponseWriter) {
-	g.mu.Lock()
-	dump := g.core.Dump()
-	g.mu.Unlock()
+	dump := ask(g, (*gateway.Core).Dump)
 	w.Header().Set("Content-Type", "application/json")
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// maxHeldBytes bounds an answer that is kept until it is complete. A larger
-	// one is passed on as it comes.
+	// maxHeldBytes bounds an answer that is kept until it is complete. A larger one
+	// is an error.
 	maxHeldBytes = 1 << 20
 	// reuseAge is how long a connection may have been idle to carry a request.
 	// One that may not run twice gets a connection that was in use just now, since
@@ -36,7 +36,6 @@
 	route   *route.Route
 	service string
 	account string
-	urgency int
 	body    []byte
 
 	deadline time.Duration
@@ -72,7 +71,7 @@
 
 func (x *exchange) arrival() *gateway.Arrive {
 	return &gateway.Arrive{
-		ID: x.id, RequestID: x.caller.RequestID, Route: x.route, Service: x.service, Urgency: x.urgency,
+		ID: x.id, RequestID: x.caller.RequestID, Route: x.route, Service: x.service,
 		Prompt: x.caller.Prompt, Output: x.caller.Output, Deadline: x.deadline,
 	}
 }
@@ -182,13 +181,10 @@
 // request builds the request for an endpoint.
 func (x *exchange) request(d *gateway.Dispatch) *upstream.Request {
 	h := forwardable(x.r.Header)
-	f := ForwardHeaders{
+	x.g.cfg.Translator.Forward(h, ForwardHeaders{
 		TimeLeft: x.deadline - x.g.now(), Instance: string(d.Endpoint), Account: x.account, Helpers: d.Helpers,
-	}
-	if x.lastEvent != "" {
-		f.LastEvent = x.lastEvent
-	}
-	x.g.cfg.Translator.Forward(h, f)
+		LastEvent: x.lastEvent,
+	})
 	return &upstream.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
 		ID: x.caller.RequestID, IDHeader: x.g.cfg.Translator.Names().RequestID,
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -34,22 +34,20 @@
 
 // Gateway is a running gateway.
 type Gateway struct {
-	cfg      Config
-	start    time.Time
-	log      zerolog.Logger
-	lines    *boundedWriter
-	meters   *meters
-	pool     *upstream.Pool
-	peers    *peerSocket
-	config   *storecopy.Syncer
-	servers  *storecopy.Syncer
-	table    atomic.Pointer[route.Table]
-	ready    atomic.Bool
-	leaving  atomic.Bool
-	lastID   atomic.Uint64
-	gateways atomic.Int64
-	watches  atomic.Bool
-	newest   atomic.Pointer[netip.AddrPort] // the peer with the newest copies
+	cfg     Config
+	start   time.Time
+	log     zerolog.Logger
+	lines   *boundedWriter
+	meters  *meters
+	pool    *upstream.Pool
+	peers   *peerSocket
+	config  *storecopy.Syncer
+	servers *storecopy.Syncer
+	table   atomic.Pointer[route.Table]
+	ready   atomic.Bool
+	leaving atomic.Bool
+	lastID  atomic.Uint64
+	newest  atomic.Pointer[netip.AddrPort] // the peer with the newest copies
 
 	versionsMu sync.Mutex
 	versions   gateway.Versions
@@ -72,13 +70,11 @@
 	}
 	g.log = newLogger(g.lines, s.Node)
 	g.core = gateway.New(gateway.Config{
-		Self: s.Node, Incarnation: uint64(g.start.UnixNano()), Addr: s.PeerAddr, Seeds: s.Seeds,
+		Incarnation: uint64(g.start.UnixNano()), Addr: s.PeerAddr, Seeds: s.Seeds,
 		FailureDomain: wire.FailureDomain(s.FailureDomain),
 		Retry:         retrybudget.Config{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 		Place:         gateway.DefaultPlace(),
 	})
-	g.gateways.Store(1)
-	g.watches.Store(true)
 	return g
 }
 
@@ -93,8 +89,6 @@
 	for _, out := range g.core.Tick(g.now(), in...) {
 		g.carryOut(&out)
 	}
-	g.gateways.Store(int64(g.core.Gateways()))
-	g.watches.Store(g.core.Watches())
 	if g.wake != nil {
 		g.wake.Reset(max(g.core.Next()-g.now(), 0))
 	}
--- a/internal/gateway/shell/reserve.go
+++ b/internal/gateway/shell/reserve.go
@@ -85,7 +85,7 @@
 // order sends an order to an endpoint. The error is nil only if the endpoint has
 // carried it out.
 func (g *Gateway) order(ctx context.Context, h gateway.Helper, o Order) error {
-	_, err := g.ask(ctx, askRequest{
+	_, err := g.query(ctx, question{
 		method: http.MethodPost, target: o.Target, header: o.Header, body: o.Body,
 		endpoint: string(h.Endpoint), addr: h.Addr,
 	})
--- a/internal/gateway/shell/run.go
+++ b/internal/gateway/shell/run.go
@@ -33,8 +33,7 @@
 	balancerLag = 2600 * time.Millisecond
 	// graceMargin is left of the grace when the last requests are cut off.
 	graceMargin = 400 * time.Millisecond
-	// housekeeping is how often idle connections, the settings file and the clocks
-	// are looked at.
+	// housekeeping is how often idle connections and the clocks are looked at.
 	housekeeping = 250 * time.Millisecond
 	// suspended is the difference of the clocks that means that the VM stood still.
 	suspended = 200 * time.Millisecond
@@ -157,11 +156,7 @@
 	return nil
 }
 
-func (g *Gateway) inFlight() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.core.InFlight()
-}
+func (g *Gateway) inFlight() int { return ask(g, (*gateway.Core).InFlight) }
 
 // housekeep does what is due at intervals.
 func (g *Gateway) housekeep(ctx context.Context) {
--- a/internal/gateway/shell/stream.go
+++ b/internal/gateway/shell/stream.go
@@ -5,9 +5,10 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"trefoilpath.org/trefoilpath/internal/gateway"
 	"trefoilpath.org/trefoilpath/internal/upstream"
 )
@@ -24,6 +25,8 @@
 	pauseLeast  = 1200 * time.Millisecond
 )
 
+var errEventTooLarge = errors.Errorf("event is larger than %d bytes", maxEventBytes)
+
 // pump passes the events of a stream on, each when it is whole. An event that
 // is torn by the end of the stream is not passed on, so that another endpoint
 // may go on behind the last whole one.
@@ -56,9 +59,12 @@
 		if err == io.EOF {
 			return x.endStream(conn, resp, buf, e)
 		}
-		if err != nil || len(buf) > maxEventBytes {
+		if err == nil && len(buf) > maxEventBytes {
+			err = errEventTooLarge
+		}
+		if err != nil {
 			conn.Close()
-			return x.broke(ctx, e, gateway.ResultBroken, orTooLarge(err))
+			return x.broke(ctx, e, gateway.ResultBroken, err)
 		}
 		if len(buf) == cap(buf) {
 			buf = append(buf, 0)[:len(buf)]
@@ -66,19 +72,6 @@
 	}
 }
 
-type tooLargeError struct{}
-
-func (tooLargeError) Error() string {
-	return "event is larger than " + strconv.Itoa(maxEventBytes) + " bytes"
-}
-
-func orTooLarge(err error) error {
-	if err == nil {
-		return tooLargeError{}
-	}
-	return err
-}
-
 func (x *exchange) longestPause() time.Duration {
 	return max(pauseLeast, pauseFactor*x.route.PauseObjective)
 }
--- a/internal/gateway/shell/translate.go
+++ b/internal/gateway/shell/translate.go
@@ -55,14 +55,12 @@
 
 // CallerHeaders are what a caller says of a request.
 type CallerHeaders struct {
-	RequestID  string // of this try
-	Key        string
-	LastEvent  string // behind which a stream is to go on
-	TimeLeft   time.Duration
-	Timed      bool  // TimeLeft is given
-	Prompt     int64 // tokens
-	Output     int64 // tokens, the limit
-	OutputHint int64 // tokens, the caller's guess
+	RequestID string // of this try
+	Key       string
+	TimeLeft  time.Duration
+	Timed     bool  // TimeLeft is given
+	Prompt    int64 // tokens
+	Output    int64 // tokens, the limit
 }
 
 // ForwardHeaders are what the gateway tells an endpoint.
@@ -72,14 +70,10 @@
 	Account   string
 	LastEvent string
 	Helpers   []gateway.Helper
-	Urgency   int
-	Ranked    bool // Urgency is to be told
 }
 
 // AnswerHeaders are what an endpoint says of an answer.
 type AnswerHeaders struct {
-	RequestID     string
-	Sealed        bool // the endpoint signed it
 	NotRun        bool // the endpoint did not run the request
 	OtherInstance bool
 	Fault         string // the endpoint to blame, if it isn't this one
--- a/internal/gateway/sim_test.go
+++ b/internal/gateway/sim_test.go
@@ -95,7 +95,7 @@
 		}
 	}
 	c := New(Config{
-		Self: fmt.Sprintf("g-%d", i), Incarnation: uint64(i + 1), Addr: gatewayAddr(i), Seeds: seeds,
+		Incarnation: uint64(i + 1), Addr: gatewayAddr(i), Seeds: seeds,
 		Retry: retrybudget.Config{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 		Place: DefaultPlace(),
 	})
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -13,7 +13,6 @@
 type endpoint struct {
 	reg     Registration
 	hash    uint64 // names it in messages between gateways
-	order   int    // place in the order that all gateways share
 	engine  *enginecost.Params
 	works   []*work // that run here, the gateway's own and others', by time of dispatch
 	gone    bool    // no longer registered; the row stays while own work runs
@@ -21,7 +20,6 @@
 	slow    float64       // moving ratio of measured to predicted time; 1: as published
 	pace    float64       // of its last report; 0: none
 	paceAt  time.Duration // when that was taken, here or at another gateway
-	heard   time.Duration // when it last sent anything to this gateway
 	full    time.Duration // until which it counts as full, after a refusal
 	load    Load
 	loadAt  time.Duration
@@ -35,7 +33,7 @@
 	endpoints []*endpoint // in the order that all gateways share
 	budget    *retrybudget.Budget
 	waiting   []*request
-	median    float64 // moving failure ratio of its endpoints
+	ratio     float64 // moving mean of its endpoints' failure ratios
 }
 
 // phase is what a request waits for.
@@ -58,6 +56,7 @@
 	avoid     []wire.EndpointID
 	resume    bool          // a part of the stream has been delivered
 	cancelled bool          // the current attempt
+	proofs    int           // endpoints that were sent a byte and proved not to have run it
 	unproven  int           // attempts that may have run
 	unreached int           // attempts that got no connection
 	held      bool          // the shell holds a failure answer that may be passed on
@@ -117,6 +116,7 @@
 // peer is another gateway.
 type peer struct {
 	addr        netip.AddrPort
+	rank        uint64 // hash of the address
 	incarnation uint64
 	heard       time.Duration
 	known       bool // it has been heard
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -23,17 +23,11 @@
 	request uint64
 }
 
-func (a rank) before(b rank) bool {
-	if a.late != b.late {
-		return !a.late
-	}
-	if a.due != b.due {
-		return a.due < b.due
-	}
-	if order := a.gateway.Compare(b.gateway); order != 0 {
-		return order < 0
-	}
-	return cmp.Less(a.request, b.request)
+func (a rank) compare(b rank) int {
+	return cmp.Or(
+		cmp.Compare(bit(a.late), bit(b.late)), cmp.Compare(a.due, b.due),
+		a.gateway.Compare(b.gateway), cmp.Compare(a.request, b.request),
+	)
 }
 
 func (c *Core) rank(r *request) rank {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -39,7 +39,6 @@
 	r       *bufio.Reader
 	idle    time.Time // since when
 	expires time.Time // when the endpoint closes it, if it said so
-	served  int       // answers read
 
 	writing  chan error // result of a write that goes on while the answer is read
 	unusable bool
@@ -75,9 +74,6 @@
 	return []byte(b.String())
 }
 
-// Fresh reports whether the connection has carried no request yet.
-func (c *Conn) Fresh() bool { return c.served == 0 }
-
 // Write sends the request. A large body is written while the answer is read,
 // since the endpoint may answer before it has read all of it.
 func (c *Conn) Write(r *Request) error {
@@ -135,7 +131,6 @@
 // Done gives the connection back after the body of resp has been read to its
 // end. It is closed if it can't be used again.
 func (c *Conn) Done(resp *http.Response) {
-	c.served++
 	if c.unusable || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 ||
 		c.r.Buffered() > 0 || !c.written() {
 		c.Close()
@@ -172,7 +167,7 @@
 func (c *Conn) Close() {
 	if c.closed.CompareAndSwap(false, true) {
 		_ = c.net.Close() // nothing can be done about a failure
-		c.pool.closed(c)
+		c.pool.closed()
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// DialTimeout bounds the making of a connection: some round trips within a
+	// dialTimeout bounds the making of a connection: some round trips within a
 	// region, and one lost packet.
-	DialTimeout = 400 * time.Millisecond
+	dialTimeout = 400 * time.Millisecond
 	// idleLimit is how long an idle connection is kept if the endpoint does not
 	// say; expiryMargin is left of what it says.
 	idleLimit    = 2500 * time.Millisecond
@@ -47,7 +47,7 @@
 	return &Pool{
 		idle: make(map[string][]*Conn),
 		dialer: net.Dialer{
-			Timeout: DialTimeout,
+			Timeout: dialTimeout,
 			Control: control,
 			KeepAliveConfig: net.KeepAliveConfig{
 				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
@@ -129,7 +129,7 @@
 	}
 }
 
-func (p *Pool) closed(*Conn) {
+func (p *Pool) closed() {
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
