Close the listener of a stand-in that is closed right after its start

The HTTP server of a stand-in is started in a goroutine; closed before that has taken the listener, it left the listener open for a moment, and the client's connection was made. Change: Close closes the listener itself. Test that failed first: TestClosedStandinTakesNoConnection.

--- a/internal/standin/engine_test.go
+++ b/internal/standin/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -272,3 +273,22 @@
 		t.Errorf("%d tokens held after the drop", held)
 	}
 }
+
+// TestClosedStandinTakesNoConnection closes a stand-in right after its start, when
+// its server may not have taken the listener yet.
+func TestClosedStandinTakesNoConnection(t *testing.T) {
+	for range 500 {
+		e, err := standin.NewEngine(enginemodel.Config{Have: wire.Assignment{Model: testModel}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := e.Close(); err != nil {
+			t.Fatal(err)
+		}
+		c, err := net.Dial("tcp", strings.TrimPrefix(e.URL(), "http://"))
+		if err == nil {
+			c.Close()
+			t.Fatal("a closed stand-in took a connection")
+		}
+	}
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -48,8 +48,15 @@
 // URL returns the base URL.
 func (s *server) URL() string { return "http://" + s.Address() }
 
-// Close stops serving and breaks all connections.
-func (s *server) Close() error { return s.http.Close() }
+// Close stops serving and breaks all connections. The listener is closed here too:
+// right after the start the HTTP server may not have taken it yet.
+func (s *server) Close() error {
+	err := s.http.Close()
+	if closed := s.listener.Close(); closed != nil && !errors.Is(closed, net.ErrClosed) && err == nil {
+		err = closed
+	}
+	return err
+}
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	raw, err := json.Marshal(v)
