Tell steady changes to other gateways; pass large plain answers on

Cause: each change restarted the timer that collects changes for 1.5 ms, so that above some 700 changes a second only full messages went out; a plain answer over 1 MB, the bound of what is kept, ended in 502. Both found by reading. Ruled out: sending without collecting, which triples the messages of a dispatch. Change: the timer runs from the first change on; a larger answer is passed on as it comes, and one that breaks off closes the caller's connection and is not run again.

--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -398,3 +398,23 @@
 		t.Errorf("%d of ten were refused at once, want at least four", refused)
 	}
 }
+
+// TestSteadyChangesAreTold plays a change every millisecond, less than the time
+// in which changes are collected, and checks that the other gateway hears of
+// them before the next full message.
+func TestSteadyChangesAreTold(t *testing.T) {
+	c := newTestCore(t, 0, 2)
+	start := time.Second
+	c.Tick(start) // sends what is due
+	told := time.Duration(0)
+	for n := range 20 {
+		now := start + time.Duration(n+1)*time.Millisecond
+		out := call(c, now, RequestID(n+1), "safe")
+		if told == 0 && slices.ContainsFunc(out, func(o Output) bool { return o.ToPeer != nil && len(o.ToPeer.Msg.Rows) > 0 }) {
+			told = now - start
+		}
+	}
+	if limit := time.Millisecond + shareDelay + time.Millisecond; told == 0 || told > limit {
+		t.Errorf("the first change is told after %v, want %v at most", told, limit)
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -73,6 +73,7 @@
 	touchedWorks []*work
 	endedWorks   []uint64 // told at once
 	recentEnded  []uint64 // told once more with the next full message
+	scheduled    bool // a message follows within shareDelay
 	due          bool
 	full         bool
 	fullAt       time.Duration // when the next full message is due
@@ -119,8 +120,10 @@
 	}
 }
 
+// schedule has what waits sent shareDelay after the first of the changes.
 func (s *sharing) schedule(c *Core) {
-	if !s.due {
+	if !s.due && !s.scheduled {
+		s.scheduled = true
 		c.timers.Set(timerKey{kind: timerShare}, c.now+shareDelay)
 	}
 }
@@ -157,7 +160,7 @@
 	}
 	c.sendRows(m, works, ended)
 	s.waiting = s.waiting[:0]
-	s.due, s.full = false, false
+	s.scheduled, s.due, s.full = false, false, false
 	s.touchedWorks = s.touchedWorks[:0]
 	s.endedWorks = nil
 	c.timers.Stop(timerKey{kind: timerShare})
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// maxHeldBytes bounds an answer that is kept until it is complete. A larger one
-	// is an error.
+	// maxHeldBytes bounds an answer that is kept until it is complete, so that
+	// another endpoint may be asked if it breaks off. A larger one is passed on as
+	// it comes. The bound is far above the usual answer and small beside a VM's
+	// memory.
 	maxHeldBytes = 1 << 20
 	// reuseAge is how long a connection may have been idle to carry a request.
 	// One that may not run twice gets a connection that was in use just now, since
@@ -207,11 +209,8 @@
 		conn.Close()
 		return x.broke(ctx, e, gateway.ResultBroken, err)
 	}
-	if len(body) > maxHeldBytes {
-		conn.Close()
-		e.Detail = "answer is too large"
-		e.Result = gateway.ResultBroken
-		return e
+	if len(body) > maxHeldBytes && !x.begun && !a.NotRun {
+		return x.passLarge(ctx, conn, resp, body, d, e)
 	}
 	conn.Done(resp)
 	e.Begun, e.Resumable = x.begun, x.route.Resumable
--- /dev/null
+++ b/internal/gateway/shell/large.go
@@ -0,0 +1,33 @@
+package shell
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"trefoilpath.org/trefoilpath/internal/gateway"
+	"trefoilpath.org/trefoilpath/internal/upstream"
+)
+
+// passLarge passes an answer on that is too large to be kept: first what has been
+// read of it, then the rest as it comes. If it breaks off, the caller's connection
+// is closed, so that the answer does not look complete.
+func (x *exchange) passLarge(ctx context.Context, conn *upstream.Conn, resp *http.Response, read []byte, d *gateway.Dispatch, e *gateway.Ended) *gateway.Ended {
+	x.g.tick(gateway.Input{First: &gateway.FirstEvent{ID: x.id, Attempt: d.Attempt}})
+	x.begin(resp)
+	_, err := x.w.Write(read)
+	if err == nil {
+		_, err = io.Copy(x.w, resp.Body)
+	}
+	if err != nil {
+		conn.Close()
+		ended := x.broke(ctx, e, gateway.ResultBroken, err)
+		ended.Resumable = false
+		return ended
+	}
+	conn.Done(resp)
+	x.answered = true
+	e.Result = gateway.ResultDone
+	x.g.meters.answered(resp.StatusCode, x.g.now()-x.arrived)
+	return e
+}
