Keep late prompts from making others late; order by rank and account

Cause: a short prompt that had waited 0.7 s was sent to the least busy engine whatever that did to the pauses there. Ruled out: never placing what is late (an engine that is slow by itself would get nothing; it is now used for what is late already). Change: what is late takes only places that make nobody late; its own pause may be longer, so late streams share few engines. Requests that wait are ordered by due time, rank (account before route, 100 ms a rank) and the account's own backlog. The rank is also told to engines. Occupancy is summed once a tick.

--- a/internal/gateway/configure.go
+++ b/internal/gateway/configure.go
@@ -27,7 +27,7 @@
 
 // adopt takes the constants of the endpoint's service from the configuration.
 func (c *Core) adopt(e *endpoint) {
-	e.engine = nil
+	e.engine, e.summed = nil, false
 	if c.table == nil {
 		return
 	}
@@ -123,6 +123,7 @@
 // removeWork takes w off the endpoint.
 func (e *endpoint) removeWork(w *work) {
 	if i := slices.Index(e.works, w); i >= 0 {
+		e.summed = false
 		e.works = slices.Delete(e.works, i, i+1)
 	}
 }
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -11,6 +11,7 @@
 //	work.go      what runs at an endpoint, and predictions from it
 //	place.go     the endpoints for a request to an engine
 //	plain.go     the endpoint for a request to a plain service
+//	order.go     the order of requests that wait
 //	queue.go     requests that wait for room; refusals
 //	outcome.go   what follows an attempt: done, another attempt, or an error
 //	health.go    ejection and return of endpoints
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -164,5 +164,6 @@
 	if measured < predicted+50*time.Millisecond {
 		ratio = 1
 	}
+	e.summed = false
 	e.slow = min(max(e.slow*(1-paceWeight)+paceWeight*ratio, paceLeast), paceMost)
 }
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -61,8 +61,7 @@
 		return
 	}
 	w := r.work
-	w.phase = workWriting
-	w.readAhead()
+	w.begin()
 	e := w.answering()
 	c.learnPace(r, e)
 	c.share.touched(c, w)
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -46,6 +46,8 @@
 	RequestID string // the caller's ID of this try, for logs
 	Route     *route.Route
 	Service   string
+	Account   string        // client account; empty: none
+	Priority  int           // of the account, or of the route; 0 is the most urgent
 	Prompt    int64         // tokens
 	Output    int64         // tokens, the limit
 	Deadline  time.Duration // when the caller or the route stops waiting
--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -123,3 +123,52 @@
 		}
 	}
 }
+
+// crowd plays short prompts of nine accounts that send at a tenth of what the
+// fleet serves, and of one that sends twice of it.
+func crowd(t *testing.T, seed uint64, one caller) *simulation {
+	s := newSimulation(t, 5)
+	rng := rand.New(rand.NewPCG(seed, 1))
+	offer := func(rate float64, from func() caller) {
+		var next func()
+		next = func() {
+			if s.now < 4*time.Second {
+				s.arriveFrom(rng.IntN(5), from(), "short", prompts(rng, 4960, 0.9, 23_800), 4+rng.IntN(60))
+				s.after(time.Duration(rng.ExpFloat64()/rate*float64(time.Second)), next)
+			}
+		}
+		next()
+	}
+	offer(20, func() caller { return caller{account: string(rune('a' + rng.IntN(9))), priority: 1} })
+	offer(350, func() caller { return one })
+	s.run(20 * time.Second)
+	return s
+}
+
+// TestLargeAccountDoesNotCrowdOutOthers checks that an account that sends more
+// than the fleet serves costs the others little: the bound is the aim for the
+// short kind on days with trouble.
+func TestLargeAccountDoesNotCrowdOutOthers(t *testing.T) {
+	s := crowd(t, 1, caller{account: "large", priority: 1})
+	others, _ := s.inTimeOf(func(j *simJob) bool { return j.from.account != "large" })
+	large, served := s.inTimeOf(func(j *simJob) bool { return j.from.account == "large" })
+	t.Logf("others %.3f in time, the large one %.3f and %.3f served", others, large, served)
+	if others < 0.7 {
+		t.Errorf("%.3f of the other accounts' prompts in time, want 0.7", others)
+	}
+	if served == 0 {
+		t.Error("the large account is not served at all")
+	}
+}
+
+// TestUrgentAccountsComeFirst checks that a rank is a head start under overload,
+// and that the lower rank is served all the same.
+func TestUrgentAccountsComeFirst(t *testing.T) {
+	s := crowd(t, 2, caller{account: "large", priority: 4})
+	urgent, _ := s.inTimeOf(func(j *simJob) bool { return j.from.priority == 1 })
+	rest, served := s.inTimeOf(func(j *simJob) bool { return j.from.priority == 4 })
+	t.Logf("urgent %.3f in time, the rest %.3f and %.3f served", urgent, rest, served)
+	if urgent < 0.7 || served == 0 {
+		t.Errorf("%.3f of the urgent prompts in time, want 0.7; %.3f of the rest served", urgent, served)
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -65,6 +65,7 @@
 	DueUS   int64  `cbor:"3,keyasint"` // until its first event is due; negative once late
 	Prompt  int64  `cbor:"4,keyasint"` // tokens
 	Output  int64  `cbor:"5,keyasint"`
+	LaterMS int64  `cbor:"6,keyasint,omitempty"` // handicap in the order
 }
 
 // sharing is what waits to be told to the other gateways.
@@ -73,7 +74,7 @@
 	touchedWorks []*work
 	endedWorks   []uint64 // told at once
 	recentEnded  []uint64 // told once more with the next full message
-	scheduled    bool // a message follows within shareDelay
+	scheduled    bool     // a message follows within shareDelay
 	due          bool
 	full         bool
 	fullAt       time.Duration // when the next full message is due
@@ -155,7 +156,7 @@
 	for _, r := range waiting {
 		m.Waiting = append(m.Waiting, WaitingRow{
 			Request: uint64(r.in.ID), Service: c.service(r.in.Service).hash, DueUS: (r.due() - c.now).Microseconds(),
-			Prompt: r.in.Prompt, Output: r.in.Output,
+			Prompt: r.in.Prompt, Output: r.in.Output, LaterMS: r.handicap.Milliseconds(),
 		})
 	}
 	c.sendRows(m, works, ended)
@@ -270,7 +271,9 @@
 	}
 	for _, row := range m.Waiting {
 		p.waiting[row.Request] = &waiting{
-			service: row.Service, prompt: row.Prompt, output: row.Output, due: c.now + time.Duration(row.DueUS)*time.Microsecond, refreshed: c.now,
+			service: row.Service, prompt: row.Prompt, output: row.Output, refreshed: c.now,
+			due:      c.now + time.Duration(row.DueUS)*time.Microsecond,
+			handicap: time.Duration(row.LaterMS) * time.Millisecond,
 		}
 	}
 	for i := range m.Rows {
@@ -311,8 +314,7 @@
 	if old := p.works[row.Request]; old != nil {
 		old.refreshed = c.now
 		if row.Writing && old.phase == workReading {
-			old.phase = workWriting
-			old.readAhead()
+			old.begin()
 			c.place = true
 		}
 		return
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -32,21 +32,21 @@
 //     their other work;
 //   - long prompts get whole engines by a plan that all gateways share (plan.go);
 //   - what fits nowhere waits, since a read that is sent can't be taken back
-//     and would share a pass with all others that wait at the engine.
-//
-// Force is set if the request has waited so long that it takes the least bad place.
-func (c *Core) placeEngine(s *service, r *request, force bool) (placement, bool) {
+//     and would share a pass with all others that wait at the engine;
+//   - what is late already takes no place where it would make others late: under
+//     an overload all would be late otherwise, and nobody be served better.
+func (c *Core) placeEngine(s *service, r *request) (placement, bool) {
 	list := c.candidates(s, r)
 	if len(list) == 0 {
 		return placement{}, false
 	}
 	total := list[0].e.engine.Read(r.in.Prompt)
 	slack := r.arrived + r.in.Route.Objective - c.now - transit
-	if slack < 0 || force {
+	if slack < 0 {
 		slack = time.Hour
 	}
 	if total <= c.cfg.Place.SmallRead && c.tight(r) {
-		return c.placeSmall(r, list, total, slack, force)
+		return c.placeSmall(r, list, total, slack)
 	}
 	return c.placeInterleaved(r, list, total, slack)
 }
@@ -87,22 +87,19 @@
 }
 
 // placeSmall puts a short prompt whole on one engine.
-func (c *Core) placeSmall(r *request, list []candidate, total, slack time.Duration, force bool) (placement, bool) {
+func (c *Core) placeSmall(r *request, list []candidate, total, slack time.Duration) (placement, bool) {
 	var best *candidate
+	late := c.late(r)
 	for i := range list {
 		k := &list[i]
-		spare := c.cfg.Place.SpareSlots
-		if force {
-			spare = 0
-		}
-		if !c.holds(k, r, spare) {
+		if !c.holds(k, r, c.cfg.Place.SpareSlots) {
 			continue
 		}
-		part := k.e.scale(total)
-		if !force && (k.room < part || k.occ.first(k.e, total) > slack) {
+		fits := k.room >= k.e.scale(total) && k.occ.first(k.e, total) <= slack
+		if !fits && !(late && c.spoilt(k, r, total)) {
 			continue
 		}
-		if best == nil || c.betterSmall(k, best, force) {
+		if best == nil || c.betterSmall(k, best, late) {
 			best = k
 		}
 	}
@@ -112,11 +109,34 @@
 	return placement{at: []*endpoint{best.e}, part: total, first: best.occ.first(best.e, total)}, true
 }
 
+// spoilt reports whether the engine is so slow that no stream like r's keeps its
+// pauses there, whatever else it does, and reads little: another one that is late
+// makes nobody late.
+func (c *Core) spoilt(k *candidate, r *request, total time.Duration) bool {
+	pause := k.e.scale(k.e.engine.Strides(1, 0)+total) + c.cfg.Place.Margin
+	return pause > r.in.Route.PauseObjective && k.occ.queue < latePause
+}
+
+// pauseOf returns the pause that r's stream may have. One that is late already
+// loses nothing by a longer one, as long as its caller does not give it up.
+func (c *Core) pauseOf(r *request) time.Duration {
+	if c.late(r) {
+		return max(r.in.Route.PauseObjective, latePause)
+	}
+	return r.in.Route.PauseObjective
+}
+
+// latePause is well under the two seconds after which callers give a stream up.
+const latePause = 800 * time.Millisecond
+
 // betterSmall prefers the fullest of the engines with tight streams, then the
-// one that is soonest free.
-func (c *Core) betterSmall(a, b *candidate, force bool) bool {
-	if force {
-		return a.occ.queue+a.occ.strides < b.occ.queue+b.occ.strides
+// one that is soonest free. What is late goes to the fullest of those with other
+// streams first, so that late streams share few engines.
+func (c *Core) betterSmall(a, b *candidate, late bool) bool {
+	if x, y := a.lax(), b.lax(); late && x != y {
+		return x
+	} else if late && x {
+		return a.occ.streams > b.occ.streams
 	}
 	if a.used != b.used {
 		return a.used
@@ -174,6 +194,9 @@
 	return p, p.first <= slack
 }
 
+// lax reports whether only streams run there that accept long pauses.
+func (k *candidate) lax() bool { return k.occ.streams > 0 && !k.used }
+
 // load orders engines by how much a short part disturbs them.
 func (k *candidate) load() time.Duration {
 	if k.used {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -95,7 +95,7 @@
 	var out []job
 	for _, r := range s.waiting {
 		if r.divided && r.phase == phaseWaiting {
-			out = append(out, c.job(engine, c.rank(r), r, r.in.Prompt, r.in.Output))
+			out = append(out, c.job(engine, c.rank(r), r.due(), r, r.in.Prompt, r.in.Output))
 		}
 	}
 	for p := range c.peers.Values() {
@@ -104,7 +104,8 @@
 		}
 		for id, w := range p.waiting {
 			if w.service == s.hash {
-				out = append(out, c.job(engine, rank{due: w.due, gateway: p.addr, request: id}, nil, w.prompt, w.output))
+				k := rank{due: w.due + w.handicap, gateway: p.addr, request: id}
+				out = append(out, c.job(engine, k, w.due, nil, w.prompt, w.output))
 			}
 		}
 	}
@@ -112,8 +113,8 @@
 	return out[:min(len(out), planJobs)]
 }
 
-func (c *Core) job(engine *enginecost.Params, k rank, r *request, prompt, output int64) job {
-	j := job{rank: k, own: r, prompt: prompt, output: output, total: engine.Read(prompt), slack: k.due - c.now}
+func (c *Core) job(engine *enginecost.Params, k rank, due time.Duration, r *request, prompt, output int64) job {
+	j := job{rank: k, own: r, prompt: prompt, output: output, total: engine.Read(prompt), slack: due - c.now}
 	j.rank.late = j.slack < j.total/time.Duration(1+engine.MaxHelpers)
 	j.rank.due += time.Duration(sizeRank * float64(j.total))
 	return j
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -29,7 +29,7 @@
 	c.timers.Set(timerKey{kind: timerProbe}, c.now+probeInterval)
 	for e := range c.endpoints.Values() {
 		if e.pace != 0 && c.now-e.paceAt > paceAge {
-			e.pace = 0
+			e.pace, e.summed = 0, false
 		}
 		if e.engine != nil && !e.gone && c.probes(e) {
 			c.emit(Output{Probe: &Probe{Endpoint: e.reg.ID, Addr: e.reg.Addr}})
@@ -74,7 +74,7 @@
 		c.log(Event{Name: "engine-pace", Endpoint: string(e.reg.ID), Detail: "pace=" + formatPace(pace)})
 		c.place = true
 	}
-	e.pace, e.paceAt = pace, c.now
+	e.pace, e.paceAt, e.summed = pace, c.now, false
 }
 
 // paceRows returns the engines that are slow by a report that this gateway took.
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -17,7 +16,8 @@
 	// at an endpoint; predicted reads end without a message.
 	placeInterval = 10 * time.Millisecond
 	// forceAfter is the part of its objective, and forceLeast the least time,
-	// that a late request goes on waiting for a place that harms nobody.
+	// that a late request waits for an endpoint of a plain service with a free place
+	// before it is queued at one.
 	forceAfter = 1.5
 	forceLeast = 700 * time.Millisecond
 	// leastTime is what an attempt needs at least; with less time left a request
@@ -39,6 +39,7 @@
 		return
 	}
 	s := c.service(r.in.Service)
+	r.handicap = s.handicap(r)
 	s.waiting = append(s.waiting, r)
 	c.place = true
 	if r.divided = c.divisible(s, r); r.divided {
@@ -69,8 +70,7 @@
 	return ReasonNone
 }
 
-// placeWaiting places what waits, the soonest due first; requests that are late
-// already come after those that can still be in time.
+// placeWaiting places what waits, the most urgent first.
 func (c *Core) placeWaiting() {
 	if !c.place {
 		return
@@ -92,18 +92,6 @@
 	}
 }
 
-func (c *Core) byUrgency(a, b *request) int {
-	if la, lb := c.late(a), c.late(b); la != lb {
-		return bit(la) - bit(lb)
-	}
-	return cmp.Compare(a.due(), b.due())
-}
-
-// due is when the first event, or the answer, is expected by the caller.
-func (r *request) due() time.Duration { return r.arrived + r.in.Route.Objective }
-
-func (c *Core) late(r *request) bool { return c.now > r.due() }
-
 // tryPlace reports whether r waits no longer.
 func (c *Core) tryPlace(s *service, r *request) bool {
 	if r.phase != phaseWaiting {
@@ -115,8 +103,7 @@
 		return true
 	}
 	waited := c.now - r.arrived
-	force := waited > max(forceLeast, time.Duration(forceAfter*float64(r.in.Route.Objective)))
-	if p, ok := c.choose(s, r, force); ok {
+	if p, ok := c.choose(s, r, waited); ok {
 		c.dispatch(s, r, p)
 		return true
 	}
@@ -128,10 +115,11 @@
 }
 
 // choose picks the policy of the service.
-func (c *Core) choose(s *service, r *request, force bool) (placement, bool) {
+func (c *Core) choose(s *service, r *request, waited time.Duration) (placement, bool) {
 	if s.engine() != nil {
-		return c.placeEngine(s, r, force)
+		return c.placeEngine(s, r)
 	}
+	force := waited > max(forceLeast, time.Duration(forceAfter*float64(r.in.Route.Objective)))
 	return c.placePlain(s, r, force)
 }
 
@@ -145,7 +133,7 @@
 	w := &work{
 		key: workKey{c.cfg.Addr, rowID(r)}, phase: workReading, at: p.at, held: p.held,
 		prompt: r.in.Prompt, output: r.in.Output, part: p.part,
-		pause: r.in.Route.PauseObjective, sent: c.now,
+		pause: c.pauseOf(r), sent: c.now,
 	}
 	r.work = w
 	c.addWork(w)
--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -58,8 +58,12 @@
 		x.reject(http.StatusRequestHeaderFieldsTooLarge, "headers are larger than "+strconv.Itoa(limit)+" bytes")
 		return false
 	}
+	x.rank = x.route.Priority
 	if account != nil {
 		x.account = account.Name
+		if account.Ranked {
+			x.rank = account.Priority
+		}
 	}
 	x.service = x.route.Pick(x.caller.RequestID)
 	x.deadline = x.arrived + x.timeLeft()
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -38,6 +38,7 @@
 	route   *route.Route
 	service string
 	account string
+	rank    int // priority of the account or the route
 	body    []byte
 
 	deadline time.Duration
@@ -74,6 +75,7 @@
 func (x *exchange) arrival() *gateway.Arrive {
 	return &gateway.Arrive{
 		ID: x.id, RequestID: x.caller.RequestID, Route: x.route, Service: x.service,
+		Account: x.account, Priority: x.rank,
 		Prompt: x.caller.Prompt, Output: x.caller.Output, Deadline: x.deadline,
 	}
 }
@@ -185,7 +187,7 @@
 	h := forwardable(x.r.Header)
 	x.g.cfg.Translator.Forward(h, ForwardHeaders{
 		TimeLeft: x.deadline - x.g.now(), Instance: string(d.Endpoint), Account: x.account, Helpers: d.Helpers,
-		LastEvent: x.lastEvent,
+		LastEvent: x.lastEvent, Priority: x.rank,
 	})
 	return &upstream.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
--- a/internal/gateway/shell/translate.go
+++ b/internal/gateway/shell/translate.go
@@ -70,6 +70,7 @@
 	Account   string
 	LastEvent string
 	Helpers   []gateway.Helper
+	Priority  int // 0 is the most urgent
 }
 
 // AnswerHeaders are what an endpoint says of an answer.
--- a/internal/gateway/sim_test.go
+++ b/internal/gateway/sim_test.go
@@ -116,6 +116,7 @@
 	id      RequestID
 	attempt int
 	kind    string
+	from    caller
 	arrived time.Duration
 	parts   int // still being read
 	events  int // still to be written
@@ -285,14 +286,25 @@
 
 // arrive gives a request to a gateway.
 func (s *simulation) arrive(gateway int, kind string, prompt int64, events int) {
+	s.arriveFrom(gateway, caller{}, kind, prompt, events)
+}
+
+// caller is the client account of a request and its rank.
+type caller struct {
+	account  string
+	priority int
+}
+
+func (s *simulation) arriveFrom(gateway int, from caller, kind string, prompt int64, events int) {
 	s.lastID++
 	r := testRoutes()[kind]
-	j := &simJob{gateway: gateway, id: s.lastID, kind: kind, arrived: s.now, events: events}
+	j := &simJob{gateway: gateway, id: s.lastID, kind: kind, from: from, arrived: s.now, events: events}
 	s.jobs[[2]uint64{uint64(gateway), uint64(j.id)}] = j
 	s.all = append(s.all, j)
 	s.prompts[j] = prompt
 	s.tick(gateway, Input{Arrive: &Arrive{
 		ID: j.id, RequestID: fmt.Sprint(j.id), Route: r, Service: engineService,
+		Account: from.account, Priority: from.priority,
 		Prompt: prompt, Output: int64(events * 46), Deadline: s.now + r.Timeout,
 	}})
 }
@@ -367,12 +379,16 @@
 // inTime returns the share of a kind's requests whose first event and pauses
 // kept to the objectives, and the share that was served at all.
 func (s *simulation) inTime(kind string) (inTime, served float64) {
-	r := testRoutes()[kind]
+	return s.inTimeOf(func(j *simJob) bool { return j.kind == kind })
+}
+
+func (s *simulation) inTimeOf(which func(*simJob) bool) (inTime, served float64) {
 	all, good, done := 0, 0, 0
 	for _, j := range s.all {
-		if j.kind != kind {
+		if !which(j) {
 			continue
 		}
+		r := testRoutes()[j.kind]
 		all++
 		if j.done {
 			done++
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -24,6 +24,10 @@
 	load    Load
 	loadAt  time.Duration
 	answers int // of own requests, since the start
+
+	sum      occupancy // of works, at summedAt
+	summed   bool      // and nothing has changed since
+	summedAt time.Duration
 }
 
 // service groups endpoints.
@@ -62,6 +66,7 @@
 	held      bool          // the shell holds a failure answer that may be passed on
 	predicted time.Duration // when the first event is due
 	divided   bool          // its prompt may be read by several engines
+	handicap  time.Duration // by which it comes later in the order of those that wait
 	holdUntil time.Duration // until others have heard that it waits
 }
 
@@ -134,6 +139,7 @@
 	prompt    int64
 	output    int64
 	due       time.Duration
+	handicap  time.Duration
 	refreshed time.Duration
 }
 
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -18,7 +18,7 @@
 // rank orders the long prompts that wait at all gateways.
 type rank struct {
 	late    bool
-	due     time.Duration
+	due     time.Duration // as the order takes it, with the handicap
 	gateway netip.AddrPort
 	request uint64
 }
@@ -31,7 +31,7 @@
 }
 
 func (c *Core) rank(r *request) rank {
-	return rank{late: c.late(r), due: r.due(), gateway: c.cfg.Addr, request: uint64(r.in.ID)}
+	return rank{late: c.late(r), due: r.due() + r.handicap, gateway: c.cfg.Addr, request: uint64(r.in.ID)}
 }
 
 // announce tells the other gateways that r waits.
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -31,6 +31,7 @@
 			i--
 		}
 		e.works = slices.Insert(e.works, i, w)
+		e.summed = false
 	}
 }
 
@@ -53,8 +54,17 @@
 	strides time.Duration // token steps of one pass
 }
 
-// occupancy sums the work at e.
+// occupancy returns what runs at e. It is summed once for a tick that changes
+// nothing there, however many requests wait for a place.
 func (c *Core) occupancy(e *endpoint) occupancy {
+	if !e.summed || e.summedAt != c.now {
+		e.sum, e.summed, e.summedAt = c.sumWork(e), true, c.now
+	}
+	return e.sum
+}
+
+// sumWork sums the work at e.
+func (c *Core) sumWork(e *endpoint) occupancy {
 	var o occupancy
 	var end time.Duration
 	overdue := time.Duration(0)
@@ -94,13 +104,15 @@
 	return o
 }
 
-// readAhead notes that a part of w, which came later, was read before the other
-// prompts at its engines.
-func (w *work) readAhead() {
-	if len(w.at) == 1 {
-		return
-	}
+// begin notes that w has its first event: each of its parts, which came later
+// than other prompts at its engines, was read before them.
+func (w *work) begin() {
+	w.phase = workWriting
 	for _, e := range w.at {
+		e.summed = false
+		if len(w.at) == 1 {
+			return
+		}
 		for _, o := range e.works {
 			if o == w || o.phase != workReading || o.sent > w.sent {
 				continue
