Keep the configuration's limits of header and idle time; notice changed settings

Cause: the time in which a caller must send a head, and that in which it may be idle, were constants of the HTTP server, whatever the operator's configuration said; a settings file that changed without SIGHUP was read at the next start. Ruled out: a second server for each version of the limits (connections that are open would keep the old ones). Change: connections without a request are looked at four times a second and closed by the limits in force; so is the settings file by its size and time. A large answer keeps its stated length.

--- a/cmd/trefoilpath/platform.go
+++ b/cmd/trefoilpath/platform.go
@@ -45,7 +45,7 @@
 		}
 		return shell.New(shell.Config{
 			Settings: s, Translator: maderas.Exchange{}, Decoder: maderas.Decoder{},
-			Store: maderas.NewStore(s.StoreAddr, storeClient()), Log: os.Stdout, Reload: load,
+			Store: maderas.NewStore(s.StoreAddr, storeClient()), Log: os.Stdout, Reload: load, SettingsPath: path,
 		}).Run(context.Background())
 	})
 }
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -30,6 +30,9 @@
 	Log        io.Writer
 	// Reload reads the settings again.
 	Reload func() (Settings, error)
+	// SettingsPath is the file that Reload reads; a change of it is noticed without
+	// a signal. Empty: none.
+	SettingsPath string
 }
 
 // Gateway is a running gateway.
@@ -40,6 +43,7 @@
 	lines   *boundedWriter
 	meters  *meters
 	pool    *upstream.Pool
+	conns   *callerConns
 	peers   *peerSocket
 	config  *storecopy.Syncer
 	servers *storecopy.Syncer
@@ -63,7 +67,7 @@
 func New(cfg Config) *Gateway {
 	s := &cfg.Settings
 	g := &Gateway{
-		cfg: cfg, start: time.Now(), meters: newMeters(), pool: upstream.NewPool(),
+		cfg: cfg, start: time.Now(), meters: newMeters(), pool: upstream.NewPool(), conns: newCallerConns(),
 		lines:     newBoundedWriter(cfg.Log),
 		exchanges: make(map[gateway.RequestID]*exchange),
 		failed:    make(chan error, 1),
--- a/internal/gateway/shell/large.go
+++ b/internal/gateway/shell/large.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 
 	"trefoilpath.org/trefoilpath/internal/gateway"
 	"trefoilpath.org/trefoilpath/internal/upstream"
@@ -14,6 +15,9 @@
 // is closed, so that the answer does not look complete.
 func (x *exchange) passLarge(ctx context.Context, conn *upstream.Conn, resp *http.Response, read []byte, d *gateway.Dispatch, e *gateway.Ended) *gateway.Ended {
 	x.g.tick(gateway.Input{First: &gateway.FirstEvent{ID: x.id, Attempt: d.Attempt}})
+	if resp.ContentLength >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
 	x.begin(resp)
 	_, err := x.w.Write(read)
 	if err == nil {
--- a/internal/gateway/shell/run.go
+++ b/internal/gateway/shell/run.go
@@ -18,13 +18,13 @@
 )
 
 const (
-	// headerTimeout bounds the reading of a request's head, headerBytes its size.
-	// They are twice what the platform's limits usually are.
+	// headerTimeout bounds the reading of a request's head, headerBytes its size, and
+	// idleTimeout the wait for the next request, whatever the configuration says,
+	// and before there is one. They are above the platform's usual limits, which
+	// callerConns and admit keep.
 	headerTimeout = 6 * time.Second
 	headerBytes   = 32 << 10
-	// idleTimeout is how long a caller's idle connection is kept: beyond the
-	// platform's usual limit, so that it is the caller who closes.
-	idleTimeout = 20 * time.Second
+	idleTimeout   = 20 * time.Second
 	// memoryPart of the VM's memory is the target of the garbage collector.
 	memoryPart = 0.6
 	// balancerLag is how long callers still arrive after this process has said
@@ -103,6 +103,9 @@
 			return nil, errors.Wrap(err, "listen")
 		}
 		server := g.newServer(p.handler)
+		if len(servers) == 0 {
+			server.ConnState = g.conns.state // the port for callers
+		}
 		servers = append(servers, server)
 		go func() {
 			if err := server.Serve(l); err != http.ErrServerClosed {
@@ -164,12 +167,17 @@
 	defer ticker.Stop()
 	lag := bootLag()
 	next := time.Now().Add(logPeriod)
+	file := newWatchedFile(g.cfg.SettingsPath)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
 			g.pool.Sweep(now)
+			g.sweepCallers(now)
+			if file.changed() {
+				g.reload("changed")
+			}
 			if l := bootLag(); l-lag > suspended {
 				g.log.Warn().Str("event", "resumed").Dur("suspended_ms", l-lag).Send()
 				g.config.Reconcile()
@@ -184,6 +192,18 @@
 	}
 }
 
+// sweepCallers closes callers' connections that wait beyond the configuration's limits.
+func (g *Gateway) sweepCallers(now time.Time) {
+	table := g.table.Load()
+	if table == nil {
+		return
+	}
+	if n := g.conns.sweep(now, table.Limits()); n > 0 {
+		g.log.Info().Str("event", "caller-connections-closed").Int("count", n).
+			Str("detail", "no request within the configuration's limits").Send()
+	}
+}
+
 func (g *Gateway) tellDropped() {
 	if n := g.lines.refill(); n > 0 {
 		g.meters.logDrops.Inc(int64(n))
@@ -201,7 +221,8 @@
 	return time.Duration(boot.Nano() - mono.Nano())
 }
 
-// reloads reads the settings again on SIGHUP. Requests go on.
+// reloads reads the settings again on SIGHUP; housekeep does when the file has
+// changed. Requests go on.
 func (g *Gateway) reloads(ctx context.Context) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -211,17 +232,17 @@
 		case <-ctx.Done():
 			return
 		case <-hup:
-			g.reload()
+			g.reload("signal")
 		}
 	}
 }
 
-func (g *Gateway) reload() {
+func (g *Gateway) reload(why string) {
 	s, err := g.cfg.Reload()
 	if err != nil {
 		g.log.Error().Str("event", "reload-failed").Err(err).Send()
 		return
 	}
-	g.log.Info().Str("event", "reload").Int("seeds", len(s.Seeds)).Send()
+	g.log.Info().Str("event", "reload").Str("detail", why).Int("seeds", len(s.Seeds)).Send()
 	g.tick(gateway.Input{Seeds: s.Seeds})
 }
