Use all slots for short prompts; let up to 16 engines read a medium one

Cause: two slots of each engine stayed empty for longer prompts while short ones waited until they were late; a prompt of 70,000 to 150,000 tokens found no engine in a phase of short prompts, since at most 6 engines read parts of one. Both tests failed before.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -43,7 +43,7 @@
 		Margin:         35 * time.Millisecond,
 		OpenRead:       2000 * time.Millisecond,
 		SmallRead:      100 * time.Millisecond,
-		MaxInterleaved: 6,
+		MaxInterleaved: 16,
 		SpareSlots:     2,
 		TightPause:     300 * time.Millisecond,
 	}
--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -172,3 +172,51 @@
 		t.Errorf("%.3f of the urgent prompts in time, want 0.7; %.3f of the rest served", urgent, served)
 	}
 }
+
+// busyFleet returns a gateway before 18 engines that write a number of short streams
+// each, at a moment at which they read nothing.
+func busyFleet(t *testing.T, streams int) (*Core, RequestID, time.Duration) {
+	c := newTestCore(t, 0, 1)
+	id, now := RequestID(0), time.Second
+	for range 18 * streams {
+		id++
+		now += 50 * time.Millisecond
+		if dispatchOf(call(c, now, id, "short")) == nil {
+			t.Fatalf("prompt %d waits", id)
+		}
+		c.Tick(now+20*time.Millisecond, Input{First: &FirstEvent{ID: id, Attempt: 1}})
+	}
+	return c, id + 1, now + 50*time.Millisecond
+}
+
+// TestShortPromptsUseAllSlots plays a phase of short prompts that fills the slots
+// that are kept for longer prompts: with none of those, the next short one must
+// not wait beside free slots.
+func TestShortPromptsUseAllSlots(t *testing.T) {
+	c, id, now := busyFleet(t, 14)
+	for range 18 * 2 {
+		if dispatchOf(call(c, now, id, "short")) == nil {
+			t.Fatalf("prompt %d waits although slots are free", id)
+		}
+		c.Tick(now+20*time.Millisecond, Input{First: &FirstEvent{ID: id, Attempt: 1}})
+		id++
+		now += 50 * time.Millisecond
+	}
+}
+
+// TestMediumPromptBesideShortStreams plays a prompt of 100,000 tokens in a phase of
+// short prompts, when all engines write such streams: none is free to read 0.8 s,
+// but all can read parts between their other work.
+func TestMediumPromptBesideShortStreams(t *testing.T) {
+	c, id, now := busyFleet(t, 10)
+	r := testRoutes()["medium"]
+	d := dispatchOf(c.Tick(now, Input{Arrive: &Arrive{
+		ID: id, RequestID: "m", Route: r, Service: engineService, Prompt: 100_000, Output: 1000, Deadline: now + r.Timeout,
+	}}))
+	if d == nil {
+		t.Fatal("the prompt waits")
+	}
+	if part := c.requests.Get(id).work.part; part > DefaultPlace().SmallRead {
+		t.Errorf("parts of %v would stretch the pauses of short streams", part)
+	}
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -92,7 +92,7 @@
 	late := c.late(r)
 	for i := range list {
 		k := &list[i]
-		if !c.holds(k, r, c.cfg.Place.SpareSlots) {
+		if !c.holds(k, r, 0) {
 			continue
 		}
 		fits := k.room >= k.e.scale(total) && k.occ.first(k.e, total) <= slack
@@ -109,6 +109,12 @@
 	return placement{at: []*endpoint{best.e}, part: total, first: best.occ.first(best.e, total)}, true
 }
 
+// spare reports whether the engine has slots left beside those that are kept for
+// longer prompts as long as short ones find others.
+func (c *Core) spare(k *candidate) bool {
+	return k.occ.streams < k.e.engine.Slots-c.cfg.Place.SpareSlots
+}
+
 // spoilt reports whether the engine is so slow that no stream like r's keeps its
 // pauses there, whatever else it does, and reads little: another one that is late
 // makes nobody late.
@@ -138,6 +144,9 @@
 	} else if late && x {
 		return a.occ.streams > b.occ.streams
 	}
+	if x, y := c.spare(a), c.spare(b); x != y {
+		return x
+	}
 	if a.used != b.used {
 		return a.used
 	}
