Cut prompts of medium length into parts of 40 ms, up to 100 ms

Cause: a medium prompt was cut into parts of up to 100 ms; each holds the streams beside it up by that much in one pass. There are engines enough for smaller parts. Change: 40 ms is aimed at, 100 ms is the most where 16 engines don't suffice.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -29,8 +29,10 @@
 	// SmallRead is the read time up to which a prompt is read by one engine.
 	SmallRead time.Duration
 	// MaxInterleaved is the number of engines that read parts of a prompt of medium
-	// length between their other work.
+	// length between their other work, and MostPart the read time of such a part, if
+	// parts of SmallRead would be more.
 	MaxInterleaved int
+	MostPart       time.Duration
 	// SpareSlots are slots of an engine that short streams leave free.
 	SpareSlots int
 	// TightPause is the pause objective up to which streams are gathered on few engines.
@@ -42,8 +44,9 @@
 	return PlaceConfig{
 		Margin:         35 * time.Millisecond,
 		OpenRead:       2000 * time.Millisecond,
-		SmallRead:      100 * time.Millisecond,
+		SmallRead:      40 * time.Millisecond,
 		MaxInterleaved: 16,
+		MostPart:       100 * time.Millisecond,
 		SpareSlots:     2,
 		TightPause:     300 * time.Millisecond,
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -169,11 +169,11 @@
 // between its other work. Its stream then stretches no engine's limits that are
 // not tight already, and it waits for no engine to be free of reads.
 func (c *Core) placeInterleaved(r *request, list []candidate, total, slack time.Duration) (placement, bool) {
-	n := int((total + c.cfg.Place.SmallRead - 1) / c.cfg.Place.SmallRead)
-	if n > c.cfg.Place.MaxInterleaved {
+	n := min(int((total+c.cfg.Place.SmallRead-1)/c.cfg.Place.SmallRead), c.cfg.Place.MaxInterleaved)
+	part := total / time.Duration(n)
+	if part > c.cfg.Place.MostPart {
 		return placement{}, false
 	}
-	part := total / time.Duration(n)
 	var answering *candidate
 	for i := range list {
 		k := &list[i]
