Divide large fleets into cells; show that the soak misses mechanisms

The fault soak had no table of the mechanisms without which it fails. Ruled out: passing requests on between cells (a second hop; a cell without endpoints uses those of others instead). Change: above 40 gateways the fleet is cut into cells by the order of hashes; work is told and planned within the cell, versions go to a few gateways of other cells at once and on from there.

--- a/internal/fleetsoak/callers.go
+++ b/internal/fleetsoak/callers.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -92,12 +93,18 @@
 		if o.body != "answer to "+o.id || !standin.Sealed(o.header) {
 			s.violate("own-answer", fmt.Sprintf("%s got %q", o.id, o.body))
 		}
+	case !slices.Contains(properFailures, o.status):
+		s.violate("proper-failure", fmt.Sprintf("%s %s got %d", o.kind, o.id, o.status))
 	}
 	s.mu.Lock()
 	s.outcomes = append(s.outcomes, o)
 	s.mu.Unlock()
 }
 
+// properFailures are what the callers' requests, which are all proper, may end with:
+// a replica's own failure, or one of the gateway.
+var properFailures = []int{http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout}
+
 // stopped reports whether the process has ended.
 func (p *process) stopped() bool {
 	p.mu.Lock()
--- a/internal/fleetsoak/faults.go
+++ b/internal/fleetsoak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -19,7 +20,7 @@
 	r := s.fleet.replicas[rng.IntN(len(s.fleet.replicas))]
 	via := s.fleet.storeVia[rng.IntN(len(s.fleet.storeVia))]
 	d := time.Duration(200+rng.IntN(1500)) * time.Millisecond
-	kind := rng.IntN(14)
+	kind := rng.IntN(16)
 	s.note("fault kind=%d gateway=%s replica=%s for=%v", kind, p.name, r.ID, d)
 	switch kind {
 	case 0:
@@ -41,6 +42,7 @@
 	case 9:
 		s.harmReplica(r, 0, func() {
 			r.Fail(standin.FaultClose, standin.FaultTorn, standin.FaultStray, standin.FaultUnfinished, standin.FaultExtra, standin.FaultFull)
+			r.Fail(standin.FaultError, standin.FaultMisdirect, standin.FaultError, standin.FaultMisdirect)
 		})
 	case 10:
 		s.harmStore(d)
@@ -62,10 +64,27 @@
 	case 13:
 		s.changeConfig()
 		return s.drain(r)
+	case 14:
+		s.failService(r.service)
+	case 15:
+		s.changeConfig()
 	}
 	return nil
 }
 
+// failService lets all replicas of a service fail many requests, each of which
+// could be sent again: only the budget bounds that.
+func (s *run) failService(service string) {
+	for _, r := range s.fleet.replicas {
+		if r.service == service {
+			r.Fail(slices.Repeat([]standin.Fault{standin.FaultError}, failuresEach)...)
+		}
+	}
+}
+
+// failuresEach is several times what the budget allows to be repeated in a run.
+const failuresEach = 600
+
 func (s *run) kill(p *process, d time.Duration) error {
 	p.life.Lock()
 	defer p.life.Unlock()
--- a/internal/fleetsoak/fleet.go
+++ b/internal/fleetsoak/fleet.go
@@ -23,6 +23,10 @@
 	peerPort   = 18082
 	// grace is what a gateway has from SIGTERM to its end.
 	grace = 4 * time.Second
+	// retrySlack is what the fleet may repeat in a window beside a ratio of the
+	// requests, and budgetWindow that window.
+	retrySlack   = 20
+	budgetWindow = 10 * time.Second
 	// startTimeout bounds the time until a started gateway is ready.
 	startTimeout = 15 * time.Second
 )
@@ -123,7 +127,7 @@
 	settings := filepath.Join(f.dir, p.name+".conf")
 	text := (&standin.GatewaySettings{
 		Name: p.name, IP: p.ip, CallerPort: callerPort, ReadyPort: readyPort, PeerPort: peerPort,
-		Seeds: seeds, StoreAddr: via.addr(), Grace: grace, MemoryMB: 200, RetryBudget: 1000,
+		Seeds: seeds, StoreAddr: via.addr(), Grace: grace, MemoryMB: 200, RetryBudget: retrySlack,
 	}).Text()
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
--- a/internal/fleetsoak/run.go
+++ b/internal/fleetsoak/run.go
@@ -117,6 +117,9 @@
 
 // settle waits until all gateways are ready and hold the newest configuration.
 func (s *run) settle() error {
+	for _, r := range s.fleet.replicas {
+		r.Heal()
+	}
 	for _, p := range s.fleet.gateways {
 		if err := p.waitReady(); err != nil {
 			return err
@@ -145,6 +148,7 @@
 			s.violate("not-run", fmt.Sprintf("%s %s was told to have not run, and ran %d times", o.kind, o.id, n))
 		}
 	}
+	s.confirmBudget(runs)
 	for id := range runs {
 		if !known[id] {
 			s.violate("asked-for", fmt.Sprintf("%q ran and no caller sent it", id))
@@ -152,6 +156,19 @@
 	}
 }
 
+// confirmBudget compares the repeats of the whole run with what the budget allows
+// in as many windows as the run touches.
+func (s *run) confirmBudget(runs map[string]int) {
+	repeats := 0
+	for _, n := range runs {
+		repeats += max(n-1, 0)
+	}
+	windows := int(time.Since(s.start)/budgetWindow) + 1
+	if most := int(standin.RetryRatio*float64(len(s.outcomes))) + windows*retrySlack; repeats > most {
+		s.violate("retry-budget", fmt.Sprintf("%d runs again of %d requests, %d allowed", repeats, len(s.outcomes), most))
+	}
+}
+
 func (s *run) result(calm time.Time) Result {
 	res := Result{Requests: len(s.outcomes), Violations: s.violations}
 	inCalm, good := 0, 0
--- /dev/null
+++ b/internal/gateway/cells_test.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
+
+func TestCellCount(t *testing.T) {
+	for _, test := range []struct{ gateways, cells int }{
+		{1, 1}, {5, 1}, {31, 1}, {wholeFleet, 1}, {48, 4}, {100, 8}, {300, 16}, {430, 32},
+	} {
+		if got := cellCount(test.gateways); got != test.cells {
+			t.Errorf("%d gateways: %d cells, want %d", test.gateways, got, test.cells)
+		}
+	}
+}
+
+// TestCellsDivideTheFleet checks that gateways that have heard each other agree on
+// the cells: each endpoint is of exactly one, and each gateway's cell has the
+// gateways that name it.
+func TestCellsDivideTheFleet(t *testing.T) {
+	const gateways, engines = 64, 200
+	s := newFleet(t, gateways, engines)
+	s.run(5 * time.Second)
+	cellsOf := make(map[wire.EndpointID]map[int]bool)
+	for i, c := range s.cores {
+		if n := c.gateways(); n != gateways {
+			t.Fatalf("gateway %d has heard %d", i, n)
+		}
+		if n := c.nearPeers() + 1; n != gateways/cellCount(gateways) {
+			t.Errorf("gateway %d: cell of %d gateways", i, n)
+		}
+		for p := range c.peers.Values() {
+			other := s.at(p.addr)
+			if back := s.cores[other].peers.Get(c.cfg.Addr); back == nil || p.near != back.near {
+				t.Errorf("gateways %d and %d don't agree on whether they share a cell", i, other)
+			}
+		}
+		for e := range c.endpoints.Values() {
+			if e.engine == nil || !e.near {
+				continue
+			}
+			if cellsOf[e.reg.ID] == nil {
+				cellsOf[e.reg.ID] = make(map[int]bool)
+			}
+			cellsOf[e.reg.ID][c.cell] = true
+		}
+	}
+	if len(cellsOf) != engines {
+		t.Errorf("%d engines are of a cell, want %d", len(cellsOf), engines)
+	}
+	for id, cells := range cellsOf {
+		if len(cells) != 1 {
+			t.Errorf("engine %s is of %d cells", id, len(cells))
+		}
+	}
+}
+
+// TestCellWithoutEndpointsUsesOthers checks that a request is served by another
+// cell's engine if its own cell has none left.
+func TestCellWithoutEndpointsUsesOthers(t *testing.T) {
+	s := newFleet(t, 64, 200)
+	s.run(5 * time.Second)
+	c := s.cores[0]
+	near := make(map[wire.EndpointID]bool)
+	for e := range c.endpoints.Values() {
+		if e.near && e.engine != nil {
+			near[e.reg.ID] = true
+			c.eject(e, "test", time.Minute)
+		}
+	}
+	d := dispatchOf(call(c, s.now, 1<<20, "short"))
+	if d == nil || near[d.Endpoint] {
+		t.Errorf("dispatch %+v, want one to an engine of another cell", d)
+	}
+}
+
+// TestNewVersionReachesAllCells checks that all gateways hear of a version within
+// a second: a change is to be in force everywhere within two.
+func TestNewVersionReachesAllCells(t *testing.T) {
+	s := newFleet(t, 120, 400)
+	s.run(5 * time.Second)
+	v := Versions{}
+	v.Config.Revision, v.Config.Digest = 7, 1
+	start := s.now
+	s.tick(0, Input{Versions: &v})
+	for s.now < start+time.Second {
+		s.run(s.now + 20*time.Millisecond)
+		for i, c := range s.cores { // a gateway that hears of a newer version fetches it
+			if c.versions != v && s.newer[i] {
+				s.tick(i, Input{Versions: &v})
+			}
+		}
+	}
+	for i, c := range s.cores {
+		if c.versions != v {
+			t.Errorf("gateway %d has not heard of the version", i)
+		}
+	}
+}
+
+// TestBytesDoNotGrowWithTheFleet plays the same load a gateway in fleets of 48 and
+// of 100 gateways and checks what each sends.
+func TestBytesDoNotGrowWithTheFleet(t *testing.T) {
+	perGateway := func(gateways int) float64 {
+		s := newFleet(t, gateways, gateways*4)
+		s.run(5 * time.Second)
+		bytes := 0
+		s.sent = func(m *PeerMessage) {
+			raw, err := cbor.Marshal(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			bytes += len(raw)
+		}
+		const length = 2 * time.Second
+		n := float64(gateways)
+		s.play(rand.New(rand.NewPCG(1, 1)), mix{short: 8 * n, medium: 0.6 * n, long: 0.05 * n}, length)
+		return float64(bytes) / n / length.Seconds()
+	}
+	small, large := perGateway(48), perGateway(100)
+	t.Logf("%.0f B/s a gateway in a fleet of 48, %.0f in one of 100", small, large)
+	if large > 1.25*small {
+		t.Errorf("%.0f B/s a gateway at 48 gateways, %.0f at 100", small, large)
+	}
+}
--- a/internal/gateway/configure.go
+++ b/internal/gateway/configure.go
@@ -110,6 +110,7 @@
 	for s := range c.services.Values() {
 		slices.SortFunc(s.endpoints, func(a, b *endpoint) int { return cmp.Compare(a.hash, b.hash) })
 	}
+	c.assignCells()
 }
 
 // service returns the row of a service, made when it is first named.
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -33,6 +33,10 @@
 	leaving    bool
 	place      bool // something changed that may let a waiting request go
 	share      sharing
+	cells      int // into which the fleet is divided
+	cell       int // the own one
+	farTurn    int // place in the order in which gateways of other cells are told
+	knownTurn  int // place in the order in which addresses are told
 	counts     Counts
 	scratch    []candidate
 }
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -16,4 +16,5 @@
 //	outcome.go   what follows an attempt: done, another attempt, or an error
 //	health.go    ejection and return of endpoints
 //	peers.go     the view that gateways share
+//	cells.go     parts of a large fleet, within which the view is shared
 package gateway
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -77,6 +77,7 @@
 	scheduled    bool     // a message follows within shareDelay
 	due          bool
 	full         bool
+	news         int           // gateways of other cells to be told at once
 	fullAt       time.Duration // when the next full message is due
 }
 
@@ -109,7 +110,7 @@
 
 // changed tells others of new versions with a full message.
 func (s *sharing) changed(c *Core) {
-	s.full = true
+	s.full, s.news = true, farAtOnce
 	s.schedule(c)
 }
 
@@ -140,7 +141,10 @@
 	if s.full {
 		works, waiting = c.ownWorks(), c.ownWaiting()
 		c.forgetPeers()
+		c.assignCells()
 		s.fullAt = c.now + c.fullEvery()
+		c.tellFar(max(c.farDue(c.fullEvery()), s.news))
+		s.news = 0
 		c.timers.Set(timerKey{kind: timerFull}, s.fullAt)
 	}
 	m := &PeerMessage{Incarnation: c.cfg.Incarnation, Leaving: c.leaving}
@@ -149,7 +153,7 @@
 		ended = append(slices.Clone(s.recentEnded), s.endedWorks...)
 		s.recentEnded = nil
 		versions := c.versions
-		m.Versions, m.Known, m.Paces = &versions, c.livePeers(), c.paceRows()
+		m.Versions, m.Known, m.Paces = &versions, c.livePeers(knownPerMessage), c.paceRows()
 	} else {
 		s.recentEnded = append(s.recentEnded, s.endedWorks...)
 	}
@@ -159,7 +163,7 @@
 			Prompt: r.in.Prompt, Output: r.in.Output, LaterMS: r.handicap.Milliseconds(),
 		})
 	}
-	c.sendRows(m, works, ended)
+	c.sendRows(m, works, ended, s.full)
 	s.waiting = s.waiting[:0]
 	s.scheduled, s.due, s.full = false, false, false
 	s.touchedWorks = s.touchedWorks[:0]
@@ -168,8 +172,9 @@
 }
 
 // sendRows sends m with the rows of works and the requests that ended, in as many
-// messages as they need.
-func (c *Core) sendRows(m *PeerMessage, works []*work, ended []uint64) {
+// messages as they need, to the gateways of the cell; the first one of a full set
+// also goes to those that have not been heard.
+func (c *Core) sendRows(m *PeerMessage, works []*work, ended []uint64, full bool) {
 	for {
 		k := min(len(ended), endedPerMessage)
 		m.Ended, ended = ended[:k], ended[k:]
@@ -179,11 +184,14 @@
 		}
 		works = works[n:]
 		for p := range c.peers.Values() {
-			c.emit(Output{ToPeer: &ToPeer{Addr: p.addr, Msg: m}})
+			if p.near && (p.known || full || c.cells == 1) {
+				c.emit(Output{ToPeer: &ToPeer{Addr: p.addr, Msg: m}})
+			}
 		}
 		if len(works) == 0 && len(ended) == 0 {
 			return
 		}
+		full = false
 		m = &PeerMessage{Incarnation: c.cfg.Incarnation, Leaving: c.leaving}
 	}
 }
@@ -223,7 +231,7 @@
 
 // fullEvery returns the time between full messages.
 func (c *Core) fullEvery() time.Duration {
-	n := max(c.peers.Len(), fullPeers)
+	n := max(c.nearPeers(), fullPeers)
 	return fullInterval * time.Duration(n) / fullPeers
 }
 
@@ -241,7 +249,7 @@
 		return p
 	}
 	return c.peers.Put(addr, peer{
-		addr: addr, rank: addrRank(addr), added: c.now,
+		addr: addr, rank: addrRank(addr), added: c.now, near: true,
 		works: make(map[uint64]*work), waiting: make(map[uint64]*waiting),
 	})
 }
@@ -257,7 +265,7 @@
 		p.incarnation = m.Incarnation
 	}
 	if !p.known {
-		p.known = true
+		p.known, p.greet = true, true
 		c.log(Event{Name: "gateway-heard", Detail: "addr=" + p.addr.String(), Count: c.gateways()})
 		c.share.joined(c)
 	}
@@ -366,11 +374,11 @@
 				c.place = true
 			}
 		}
-		if p.known && c.now-p.heard > stale {
+		if p.known && c.now-p.heard > c.silenceOf(p) {
 			p.known = false
 			c.log(Event{Name: "gateway-silent", Detail: "addr=" + p.addr.String(), Took: c.now - p.heard})
 		}
-		limit := forgetPeer
+		limit := max(forgetPeer, c.silenceOf(p))
 		if p.heard == 0 {
 			limit = tryPeer
 		}
@@ -423,21 +431,26 @@
 // Gateways returns the number of gateways that this one counts.
 func (c *Core) Gateways() int { return c.gateways() }
 
-func (c *Core) livePeers() []netip.AddrPort {
+// livePeers returns the addresses of gateways that are heard, most at a time, in turn.
+func (c *Core) livePeers(most int) []netip.AddrPort {
 	var out []netip.AddrPort
 	for p := range c.peers.Values() {
 		if p.known {
 			out = append(out, p.addr)
 		}
 	}
-	return out
+	if len(out) <= most {
+		return out
+	}
+	c.knownTurn = (c.knownTurn + most) % len(out)
+	return slices.Concat(out, out)[c.knownTurn : c.knownTurn+most]
 }
 
 // viewAge returns the age of the oldest view of a gateway that is heard.
 func (c *Core) viewAge() time.Duration {
 	age := time.Duration(0)
 	for p := range c.peers.Values() {
-		if p.known {
+		if p.known && p.near {
 			age = max(age, c.now-p.heard)
 		}
 	}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -31,7 +31,7 @@
 		if e.pace != 0 && c.now-e.paceAt > paceAge {
 			e.pace, e.summed = 0, false
 		}
-		if e.engine != nil && !e.gone && c.probes(e) {
+		if e.engine != nil && !e.gone && e.near && c.probes(e) {
 			c.emit(Output{Probe: &Probe{Endpoint: e.reg.ID, Addr: e.reg.Addr}})
 		}
 	}
@@ -42,7 +42,7 @@
 func (c *Core) probes(e *endpoint) bool {
 	own := pairRank(c.rankHash, e.hash)
 	for p := range c.peers.Values() {
-		if p.known && !p.leaving && pairRank(p.rank, e.hash) > own {
+		if p.known && p.near && !p.leaving && pairRank(p.rank, e.hash) > own {
 			return false
 		}
 	}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -234,7 +234,7 @@
 	backlog := time.Duration(0)
 	n := 0
 	for _, e := range s.endpoints {
-		if e.engine == nil {
+		if e.engine == nil || !e.near {
 			continue
 		}
 		n++
@@ -285,10 +285,11 @@
 }
 
 // usable returns the endpoints of s that may be given r, or any request if r is
-// nil: registered, not leaving, not ejected, and not one that r has tried. If all
-// that is left has been ejected, those are better than none.
+// nil: of the own cell, registered, not leaving, not ejected, and not one that r has
+// tried. Without any, those of other cells are better than none, and then those that
+// have been ejected.
 func (c *Core) usable(s *service, r *request) []*endpoint {
-	var healthy, ejected []*endpoint
+	var healthy, far, ejected []*endpoint
 	for _, e := range s.endpoints {
 		if e.gone || e.reg.Leaving || r != nil && slices.Contains(r.avoid, e.reg.ID) {
 			continue
@@ -297,12 +298,19 @@
 			ejected = append(ejected, e)
 			continue
 		}
+		if !e.near {
+			far = append(far, e)
+			continue
+		}
 		healthy = append(healthy, e)
 	}
-	if len(healthy) == 0 {
-		return ejected
+	if len(healthy) > 0 {
+		return healthy
+	}
+	if len(far) > 0 {
+		return far
 	}
-	return healthy
+	return ejected
 }
 
 // avoidFor keeps r away from an endpoint.
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -16,6 +16,7 @@
 	engine  *enginecost.Params
 	works   []*work // that run here, the gateway's own and others', by time of dispatch
 	gone    bool    // no longer registered; the row stays while own work runs
+	near    bool    // of the own cell
 	health  health
 	slow    float64       // moving ratio of measured to predicted time; 1: as published
 	pace    float64       // of its last report; 0: none
@@ -128,6 +129,8 @@
 	leaving     bool
 	added       time.Duration
 	seed        bool
+	near        bool // of the own cell, or not heard so far
+	greet       bool // it has been heard for the first time, and is to hear this one
 	works       map[uint64]*work
 	waiting     map[uint64]*waiting
 	versions    Versions
