Let a long prompt wait for more engines rather than be read too late

Cause: at the turn from short prompts to long ones few engines are free; a long prompt took those at once, even if one engine read it for 5 s and it was late, and a late one took all open engines for 3.4 s (720,000 tokens on 8 of 16 engines at the start of a short phase: 93 short prompts late). Change: a prompt that would be late where it can start waits while it can be in time elsewhere; one that is late stretches no engine's read time unless it could never be read otherwise. What can't be served any more is found by a second plan that postpones nothing, and refused at once as before. Both tests failed before.

--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -69,14 +69,19 @@
 	if len(engines) == 0 {
 		return
 	}
+	postponed := false
 	for i := range jobs {
 		j := &jobs[i]
 		best, ok := c.bestSlot(j, engines)
 		if !ok {
 			continue
 		}
-		if j.own != nil && best.first > j.own.in.Deadline-c.now {
-			c.giveUp(j.own, ReasonOverload) // its turn would come too late
+		if best.first > j.slack && !j.rank.late {
+			postponed = true // it may yet be in time, on engines that become free
+			continue
+		}
+		if c.hopeless(j, &best) {
+			c.giveUp(j.own, ReasonOverload)
 			continue
 		}
 		if j.own != nil && best.start == 0 && c.now >= j.own.holdUntil {
@@ -84,6 +89,35 @@
 		}
 		best.take(j, engines)
 	}
+	if postponed {
+		c.refuseHopeless(s, jobs)
+	}
+}
+
+// hopeless reports whether the turn of an own prompt comes too late.
+func (c *Core) hopeless(j *job, s *slot) bool {
+	return j.own != nil && s.first > j.own.in.Deadline-c.now
+}
+
+// refuseHopeless works out when each prompt has its turn if none is postponed, and
+// refuses the own ones for which that is too late.
+func (c *Core) refuseHopeless(s *service, jobs []job) {
+	engines := c.planEngines(s)
+	for i := range jobs {
+		j := &jobs[i]
+		if j.own != nil && j.own.phase != phaseWaiting {
+			continue
+		}
+		best, ok := c.bestSlot(j, engines)
+		if !ok {
+			continue
+		}
+		if c.hopeless(j, &best) {
+			c.giveUp(j.own, ReasonOverload)
+			continue
+		}
+		best.take(j, engines)
+	}
 }
 
 // jobs returns the long prompts that wait, those that are to go first first.
@@ -171,13 +205,10 @@
 		}
 		return cmp.Compare(x.avail, y.avail)
 	})
-	openRead := c.cfg.Place.OpenRead
-	if n := countOpen(engines); n > 0 {
-		openRead = max(openRead, j.total/time.Duration(n))
-	}
+	most := min(len(engines), 1+engines[0].e.engine.MaxHelpers)
+	openRead := c.openRead(j, engines, most)
 	var best slot
 	found := false
-	most := min(len(engines), 1+engines[0].e.engine.MaxHelpers)
 	for n := 1; n <= most; n++ {
 		s, ok := slotOf(j, engines, order, n, openRead)
 		if !ok {
@@ -194,6 +225,18 @@
 	return best, found
 }
 
+// openRead returns the read time that an engine that writes nothing may be given. It
+// is more than usual for a prompt that would not fit otherwise: on the engines that
+// are open now, or, for one that is late, on as many as may ever read it, since
+// others can still be in time on those.
+func (c *Core) openRead(j *job, engines []planEngine, most int) time.Duration {
+	n := countOpen(engines)
+	if j.rank.late || n == 0 {
+		n = most
+	}
+	return max(c.cfg.Place.OpenRead, j.total/time.Duration(n))
+}
+
 // countOpen returns the number of engines that write nothing, up to those that
 // can read one prompt together.
 func countOpen(engines []planEngine) int {
--- /dev/null
+++ b/internal/gateway/plan_test.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// longPrompt gives a gateway a long prompt that is due after a time.
+func longPrompt(c *Core, now time.Duration, id RequestID, prompt int64, objective time.Duration) *Dispatch {
+	r := *testRoutes()["long"]
+	r.Objective = objective
+	return dispatchOf(c.Tick(now, Input{Arrive: &Arrive{
+		ID: id, RequestID: "l", Route: &r, Service: engineService, Prompt: prompt, Output: 500, Deadline: now + r.Timeout,
+	}}))
+}
+
+// TestLongPromptWaitsForMoreEngines plays the moment after a phase of short prompts:
+// one engine is free, the others still write short streams. A prompt that one engine
+// would read too late waits for more of them, and is read in time by several.
+func TestLongPromptWaitsForMoreEngines(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	id, now := RequestID(0), time.Second
+	streams := make(map[RequestID]bool)
+	for range 17 * 16 {
+		id++
+		now += 40 * time.Millisecond
+		d := dispatchOf(call(c, now, id, "short"))
+		if d == nil {
+			t.Fatalf("prompt %d waits", id)
+		}
+		streams[id] = true
+		c.Tick(now+20*time.Millisecond, Input{First: &FirstEvent{ID: id, Attempt: 1}})
+	}
+	const prompt, objective = 300_000, 4 * time.Second // 5.3 s for one engine
+	now += 40 * time.Millisecond
+	if d := longPrompt(c, now, id+1, prompt, objective); d != nil {
+		t.Fatalf("sent to %d engines at once, which is too late", 1+len(d.Helpers))
+	}
+	var d *Dispatch
+	for n := RequestID(1); n <= id && d == nil; n++ { // the streams end
+		now += 5 * time.Millisecond
+		d = dispatchOf(c.Tick(now, Input{Ended: &Ended{ID: n, Attempt: 1, Result: ResultDone, Status: 200}}))
+	}
+	if d == nil {
+		t.Fatal("not sent when engines became free")
+	}
+	if w := c.requests.Get(id + 1); w.predicted > w.due() {
+		t.Errorf("sent %v late to %d engines", w.predicted-w.due(), 1+len(d.Helpers))
+	}
+}
+
+// TestLatePromptLeavesEnginesFree plays a very long prompt that is late already,
+// when only few engines write nothing: it must not hold all of them for longer than
+// usual, since prompts that can still be in time need them.
+func TestLatePromptLeavesEnginesFree(t *testing.T) {
+	c, id, now := busyFleet(t, 14)
+	for n := RequestID(1); n < id; n++ { // eight engines have written all
+		if w := c.requests.Get(n).work; w.answering().reg.ID < "e-08" {
+			c.Tick(now, Input{Ended: &Ended{ID: n, Attempt: 1, Result: ResultDone, Status: 200}})
+		}
+	}
+	if d := longPrompt(c, now, id, 720_000, 10*time.Millisecond); d != nil {
+		t.Errorf("%d engines read for %v", 1+len(d.Helpers), c.requests.Get(id).work.part)
+	}
+}
