Answer parts from engines with slots to spare; fetch only changes from peers

Cause: a prompt that is read in parts was answered by the fullest engine that had any slot. And each change of a registration made all gateways but the eight watchers fetch the whole copy of a peer, 600 KB before 3,000 replicas. Change: engines with spare slots come first there too; a peer is asked for what has changed after a revision, and for all of it if that does not make the same copy. The test failed before (it took one of the last slots of e-16 while e-00 had two to spare).

--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
 // mix is the load of one phase: requests a second of each kind.
@@ -220,3 +222,26 @@
 		t.Errorf("parts of %v would stretch the pauses of short streams", part)
 	}
 }
+
+// TestInterleavedPromptLeavesTheLastSlots checks that a prompt that is read in parts
+// is answered by an engine with slots to spare as long as there is one: another
+// gateway may be taking the last slot of a full one at the same moment.
+func TestInterleavedPromptLeavesTheLastSlots(t *testing.T) {
+	c, id, now := busyFleet(t, 10)
+	spare := wire.EndpointID("")
+	for e := range c.endpoints.Values() {
+		if o := c.occupancy(e); o.streams > 0 && o.streams < 14 {
+			spare = e.reg.ID
+		}
+	}
+	r := testRoutes()["short"]
+	d := dispatchOf(c.Tick(now, Input{Arrive: &Arrive{
+		ID: id, RequestID: "m", Route: r, Service: engineService, Prompt: 20_000, Output: 1000, Deadline: now + r.Timeout,
+	}}))
+	if d == nil || len(d.Helpers) == 0 {
+		t.Fatalf("dispatch %+v, want one in parts", d)
+	}
+	if d.Endpoint != spare {
+		t.Errorf("it takes one of the last slots of %s while %s has slots to spare", d.Endpoint, spare)
+	}
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -180,7 +180,7 @@
 		if !k.used || !c.holds(k, r, 0) || k.room < k.e.scale(part) {
 			continue
 		}
-		if answering == nil || k.occ.streams > answering.occ.streams {
+		if answering == nil || c.betterAnswering(k, answering) {
 			answering = k
 		}
 	}
@@ -203,6 +203,16 @@
 	return p, p.first <= slack
 }
 
+// betterAnswering prefers the fullest engine that has slots to spare. Gateways whose
+// views differ for a moment would both take the last slot of an engine otherwise,
+// and one of the two prompts wait for a stream there to end.
+func (c *Core) betterAnswering(a, b *candidate) bool {
+	if x, y := c.spare(a), c.spare(b); x != y {
+		return x
+	}
+	return a.occ.streams > b.occ.streams
+}
+
 // lax reports whether only streams run there that accept long pauses.
 func (k *candidate) lax() bool { return k.occ.streams > 0 && !k.used }
 
--- a/internal/gateway/shell/peers.go
+++ b/internal/gateway/shell/peers.go
@@ -1,12 +1,14 @@
 package shell
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -84,14 +86,20 @@
 	g.log.Warn().Str("event", "gateway-message-failed").Err(err).Send()
 }
 
-// serveCopy answers another gateway that asks for the copy of a prefix.
+// serveCopy answers another gateway that asks for the copy of a prefix, or for what
+// has changed in it after a revision.
 func (g *Gateway) serveCopy(w http.ResponseWriter, r *http.Request) {
 	s := g.syncer(r.URL.Query().Get("prefix"))
 	if s == nil {
 		http.Error(w, "no such prefix", http.StatusNotFound)
 		return
 	}
-	listing, known := s.Shared()
+	after, err := strconv.ParseUint(cmp.Or(r.URL.Query().Get("after"), "0"), 10, 64)
+	if err != nil {
+		http.Error(w, "after is not a revision", http.StatusBadRequest)
+		return
+	}
+	listing, known := s.Shared(after)
 	if !known {
 		http.Error(w, "no copy yet", http.StatusServiceUnavailable)
 		return
@@ -112,12 +120,12 @@
 }
 
 // fetchCopy asks the gateway that has announced the newest copy.
-func (g *Gateway) fetchCopy(ctx context.Context, prefix string) (storecopy.Listing, error) {
+func (g *Gateway) fetchCopy(ctx context.Context, prefix string, after uint64) (storecopy.Listing, error) {
 	addr := g.newest.Load()
 	if addr == nil {
 		return storecopy.Listing{}, nil
 	}
-	u := "http://" + addr.String() + copyPath + "?prefix=" + url.QueryEscape(prefix)
+	u := "http://" + addr.String() + copyPath + "?prefix=" + url.QueryEscape(prefix) + "&after=" + strconv.FormatUint(after, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 	if err != nil {
 		return storecopy.Listing{}, errors.Wrap(err, "fetch copy")
--- a/internal/storecopy/copy.go
+++ b/internal/storecopy/copy.go
@@ -16,12 +16,19 @@
 // outage; the platform puts the keys of live owners back within about two seconds.
 const ReturnGrace = 2300 * time.Millisecond
 
-// Listing is the state of all keys under a prefix at one revision.
+// Listing is the state of all keys under a prefix at one revision, or what has
+// changed in it since an earlier one.
 type Listing struct {
-	Revision uint64       `cbor:"1,keyasint"` // of the store
-	Pairs    []store.Pair `cbor:"2,keyasint"` // sorted by key
+	Revision uint64       `cbor:"1,keyasint"`           // of the store
+	Pairs    []store.Pair `cbor:"2,keyasint"`           // sorted by key
+	After    uint64       `cbor:"3,keyasint,omitempty"` // only changes later than this revision; 0: all keys
+	Digest   uint64       `cbor:"4,keyasint,omitempty"` // of the whole copy, if only changes are given
 }
 
+// deletionLog is how many deletions a copy remembers for others: more than a
+// release or the loss of a failure domain makes between two fetches.
+const deletionLog = 512
+
 // Version orders copies of one prefix.
 type Version struct {
 	Revision uint64 `cbor:"1,keyasint"` // of the store, up to which all changes are in
@@ -39,6 +46,8 @@
 	pairs    map[string]store.Pair
 	removals map[string]time.Duration // when a key that has gone missing is dropped
 	version  Version
+	deleted  []store.Pair  // the latest deletions, oldest first
+	since    uint64        // revision from which on they are complete
 	graceEnd time.Duration // until which missing keys are kept
 	down     bool
 }
@@ -70,6 +79,37 @@
 	return l
 }
 
+// SharedAfter returns what has changed in Shared since a revision, or all of it if
+// the copy does not reach back so far.
+func (c *Copy) SharedAfter(after uint64) Listing {
+	l := c.Shared()
+	if after == 0 || after < c.since || after > c.version.Revision {
+		return l
+	}
+	l.After, l.Digest = after, c.version.Digest
+	l.Pairs = slices.DeleteFunc(l.Pairs, func(p store.Pair) bool { return p.Version <= after })
+	for _, p := range c.deleted {
+		if p.Version > after {
+			l.Pairs = append(l.Pairs, p)
+		}
+	}
+	return l
+}
+
+// Take takes the listing of a peer and reports whether the keys or their values
+// changed, and whether the copy is now that of the peer. If it isn't, all keys are
+// needed.
+func (c *Copy) Take(now time.Duration, l Listing) (changed, whole bool) {
+	if l.After == 0 {
+		return c.List(now, l), true
+	}
+	if c.version.Revision < l.After {
+		return false, false
+	}
+	changed = c.Change(now, l.Pairs, l.Revision)
+	return changed, c.version.Digest == l.Digest
+}
+
 func (c *Copy) kept(key string) bool {
 	_, kept := c.removals[key]
 	return kept
@@ -100,9 +140,12 @@
 	}
 	for key := range c.pairs {
 		if !present[key] {
-			changed = c.remove(now, key) || changed
+			changed = c.remove(now, key, l.Revision) || changed
 		}
 	}
+	if c.version.Revision == 0 {
+		c.since = l.Revision
+	}
 	c.advance(l.Revision)
 	return changed
 }
@@ -114,7 +157,7 @@
 	for _, p := range pairs {
 		if p.Deleted {
 			if held, ok := c.pairs[p.Key]; ok && held.Version < p.Version {
-				changed = c.remove(now, p.Key) || changed
+				changed = c.remove(now, p.Key, p.Version) || changed
 			}
 			continue
 		}
@@ -129,8 +172,7 @@
 	changed := false
 	for key, at := range c.removals {
 		if now >= at {
-			delete(c.removals, key)
-			delete(c.pairs, key)
+			c.drop(key, c.version.Revision)
 			changed = true
 		}
 	}
@@ -149,8 +191,9 @@
 	return true
 }
 
-// remove drops a key, or marks it if the store has just returned.
-func (c *Copy) remove(now time.Duration, key string) bool {
+// remove drops a key that was deleted at a revision, or marks it if the store has
+// just returned.
+func (c *Copy) remove(now time.Duration, key string, revision uint64) bool {
 	if now < c.graceEnd || c.down {
 		if !c.kept(key) {
 			c.removals[key] = c.graceEnd
@@ -160,9 +203,19 @@
 		}
 		return false
 	}
+	c.drop(key, revision)
+	return true
+}
+
+// drop deletes a key and remembers that for others.
+func (c *Copy) drop(key string, revision uint64) {
 	delete(c.removals, key)
 	delete(c.pairs, key)
-	return true
+	c.deleted = append(c.deleted, store.Pair{Key: key, Version: revision, Deleted: true})
+	if n := len(c.deleted) - deletionLog; n > 0 {
+		c.since = max(c.since, c.deleted[n-1].Version)
+		c.deleted = slices.Delete(c.deleted, 0, n)
+	}
 }
 
 // advance sets the version. The digest does not depend on the order of keys.
--- a/internal/storecopy/copy_test.go
+++ b/internal/storecopy/copy_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"trefoilpath.org/trefoilpath/internal/store"
 )
 
@@ -107,3 +109,48 @@
 		t.Errorf("keys %q after the grace, want b", got)
 	}
 }
+
+// TestChangesOfAPeer checks that a copy that takes only a peer's changes becomes
+// that of the peer, or says that it does not.
+func TestChangesOfAPeer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		peer, own := NewCopy(), NewCopy()
+		revision := uint64(10)
+		first := Listing{Revision: revision, Pairs: []store.Pair{pair("a", 3), pair("b", 4), pair("c", 5)}}
+		peer.List(0, first)
+		own.List(0, first)
+		for range rapid.IntRange(1, 2*deletionLog).Draw(t, "changes") {
+			revision++
+			key := string(rune('a' + rapid.IntRange(0, 5).Draw(t, "key")))
+			p := pair(key, revision)
+			p.Deleted = rapid.Bool().Draw(t, "deleted")
+			peer.Change(0, []store.Pair{p}, revision)
+		}
+		l := peer.SharedAfter(own.Version().Revision)
+		if _, whole := own.Take(0, l); !whole {
+			t.Fatalf("changes after %d don't make the peer's copy", l.After)
+		}
+		if keys(own) != keys(peer) || own.Version() != peer.Version() {
+			t.Errorf("keys %q at %+v, want %q at %+v", keys(own), own.Version(), keys(peer), peer.Version())
+		}
+	})
+}
+
+// TestChangesThatDoNotFit checks that a copy that lacks or holds a key against the
+// peer notices that the changes don't make the same copy.
+func TestChangesThatDoNotFit(t *testing.T) {
+	peer, own := NewCopy(), NewCopy()
+	peer.List(0, Listing{Revision: 10, Pairs: []store.Pair{pair("a", 3)}})
+	own.List(0, Listing{Revision: 10, Pairs: []store.Pair{pair("a", 3), pair("stray", 4)}})
+	peer.Change(0, []store.Pair{pair("b", 11)}, 11)
+	l := peer.SharedAfter(10)
+	if l.After != 10 || len(l.Pairs) != 1 {
+		t.Fatalf("changes %+v, want b alone", l)
+	}
+	if _, whole := own.Take(0, l); whole {
+		t.Error("a copy with a key too many takes itself for the peer's")
+	}
+	if own.Take(0, peer.SharedAfter(0)); keys(own) != "ab" {
+		t.Errorf("keys %q after all of the peer's, want ab", keys(own))
+	}
+}
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -63,8 +63,9 @@
 	// Watches reports whether this process is one of those that watch; nil: it is.
 	// The others learn of changes from them.
 	Watches func() bool
-	// Fetch returns the copy of the peer that has announced the newest one.
-	Fetch func(ctx context.Context, prefix string) (Listing, error)
+	// Fetch returns the copy of the peer that has announced the newest one, or what
+	// has changed in it after a revision; 0: all of it.
+	Fetch func(ctx context.Context, prefix string, after uint64) (Listing, error)
 	// Changed is called, one call at a time, with each new state.
 	Changed func(Update)
 	// Reachable is called when the store is lost or regained.
@@ -96,11 +97,12 @@
 	}
 }
 
-// Shared returns the copy for other processes and whether there is one.
-func (s *Syncer) Shared() (Listing, bool) {
+// Shared returns the copy for other processes, or what has changed in it after a
+// revision, and whether there is a copy.
+func (s *Syncer) Shared(after uint64) (Listing, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.copy.Shared(), s.known
+	return s.copy.SharedAfter(after), s.known
 }
 
 // Version returns the version of the copy.
@@ -257,23 +259,35 @@
 	}
 }
 
-// fetch takes the copy of a peer if it is newer.
+// fetch takes what a peer's copy has that the own one lacks, or all of it if the
+// changes alone don't make the same copy.
 func (s *Syncer) fetch(ctx context.Context) {
+	if !s.fetchAfter(ctx, s.Version().Revision) {
+		s.fetchAfter(ctx, 0)
+	}
+}
+
+// fetchAfter reports whether all keys need not be fetched.
+func (s *Syncer) fetchAfter(ctx context.Context, after uint64) bool {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	began := s.cfg.Now()
-	l, err := s.cfg.Fetch(call, s.cfg.Prefix)
+	l, err := s.cfg.Fetch(call, s.cfg.Prefix, after)
 	if err != nil {
 		s.cfg.Failed(err)
-		return
+		return true
 	}
 	if l.Revision == 0 {
-		return
+		return true
 	}
+	whole := true
 	s.apply(SourcePeer, s.cfg.Now()-began, func(now time.Duration) bool {
 		s.known = true
-		return s.copy.List(now, l)
+		var changed bool
+		changed, whole = s.copy.Take(now, l)
+		return changed
 	})
+	return whole
 }
 
 // apply changes the copy and hands the new state on if it differs.
