Move what gateways receive into a file of its own; tell the handicap in the log

Reading only: peers.go had grown to 458 lines with two jobs, telling and hearing. The dispatch line now says by how much rank and backlog put a request back.

--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -15,6 +15,7 @@
 //	queue.go     requests that wait for room; refusals
 //	outcome.go   what follows an attempt: done, another attempt, or an error
 //	health.go    ejection and return of endpoints
-//	peers.go     the view that gateways share
+//	peers.go     the view that gateways share: what is sent
+//	receive.go   what is received, and what is forgotten of silent gateways
 //	cells.go     parts of a large fleet, within which the view is shared
 package gateway
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -177,6 +177,9 @@
 	var b strings.Builder
 	b.WriteString("prompt=" + itoa(int(r.in.Prompt)) + " part=" + p.part.Round(time.Millisecond).String())
 	b.WriteString(" queue=" + o.queue.Round(time.Millisecond).String() + " streams=" + itoa(o.streams))
+	if r.handicap > 0 {
+		b.WriteString(" later=" + r.handicap.String())
+	}
 	b.WriteString(" view=" + c.viewAge().Round(time.Millisecond).String())
 	for _, h := range p.at[1:] {
 		b.WriteString(" helper=" + string(h.reg.ID))
