--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -20,6 +20,9 @@
 	defaultTimeout = 15 * time.Second
 	// startingRetryAfter is told to callers while no configuration is known.
 	startingRetryAfter = 300 * time.Millisecond
+	// keepAliveMargin is how long before the limit callers are told that an idle
+	// connection ends: their last request may be held up by a lost packet.
+	keepAliveMargin = time.Second
 	// bodyTimeout bounds the reading of a request's body.
 	bodyTimeout = 5 * time.Second
 )
@@ -156,7 +159,7 @@
 	h := x.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(text)+1))
-	x.closeIfLeaving()
+	x.setConnection()
 	x.w.WriteHeader(status)
 	if _, err := io.WriteString(x.w, text+"\n"); err != nil {
 		x.logLocal("caller-lost", err.Error())
@@ -164,11 +167,20 @@
 	x.g.meters.answered(status, x.g.now()-x.arrived)
 }
 
-// closeIfLeaving ends the caller's connection after this answer if the process
-// is about to stop.
-func (x *exchange) closeIfLeaving() {
+// setConnection tells the caller what becomes of its connection after this answer:
+// it ends if the process is about to stop, and otherwise when it has been idle for
+// the configuration's limit, less a margin for requests on their way.
+func (x *exchange) setConnection() {
 	if x.g.leaving.Load() {
 		x.w.Header().Set("Connection", "close")
+		return
+	}
+	table := x.g.table.Load()
+	if table == nil {
+		return
+	}
+	if keep := table.Limits().IdleTimeout - keepAliveMargin; keep >= time.Second {
+		x.w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(keep.Seconds())))
 	}
 }
 
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -252,7 +252,7 @@
 func (x *exchange) deliver(status int, header http.Header, body []byte) {
 	copyHeader(x.w.Header(), header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	x.closeIfLeaving()
+	x.setConnection()
 	x.begun = true
 	x.w.WriteHeader(status)
 	if _, err := x.w.Write(body); err != nil {
--- a/internal/gateway/shell/stream.go
+++ b/internal/gateway/shell/stream.go
@@ -102,7 +102,7 @@
 // begin sends the head of a stream. It stays that of the first endpoint.
 func (x *exchange) begin(resp *http.Response) {
 	copyHeader(x.w.Header(), resp.Header)
-	x.closeIfLeaving()
+	x.setConnection()
 	x.begun = true
 	x.w.WriteHeader(resp.StatusCode)
 	x.g.meters.first.Update((x.g.now() - x.arrived).Milliseconds())
