--- /dev/null
+++ b/internal/gateway/bad_input_test.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"trefoilpath.org/trefoilpath/internal/enginecost"
+	"trefoilpath.org/trefoilpath/internal/retrybudget"
+	"trefoilpath.org/trefoilpath/internal/route"
+)
+
+// TestAnyConstantsAndCounts checks that no constants of an engine and no token
+// counts of a caller, however odd, stop a gateway: each request ends.
+func TestAnyConstantsAndCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		odd := rapid.SampledFrom([]int64{0, 1, 2, 16, 1000, 450_000, 1 << 40})
+		duration := func(name string) time.Duration { return time.Duration(odd.Draw(t, name)) * time.Microsecond }
+		engine := &enginecost.Params{
+			Slots: int(odd.Draw(t, "slots")), Stride: int(min(odd.Draw(t, "stride"), 1000)), MemoryTokens: odd.Draw(t, "memory"),
+			Step: duration("step"), ReadPerSecond: float64(odd.Draw(t, "read")), PairsPerMillion: duration("pairs"),
+			Chunk: odd.Draw(t, "chunk"), MaxHelpers: int(min(odd.Draw(t, "helpers"), 16)),
+		}
+		r := testRoutes()[rapid.SampledFrom([]string{"short", "medium", "long"}).Draw(t, "kind")]
+		table, err := route.Compile(&route.Config{Version: 2, Routes: []route.Route{*r}, Services: []route.Service{{Name: engineService, Engine: engine}}})
+		if err != nil {
+			t.Skip("not a configuration")
+		}
+		c := New(Config{
+			Incarnation: 1, Addr: gatewayAddr(0), Place: DefaultPlace(),
+			Retry: retrybudget.Config{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		})
+		c.Tick(0, Input{Config: table}, Input{Endpoints: testEndpoints(rapid.IntRange(1, 20).Draw(t, "engines"), 0)})
+		now := time.Second
+		for id := RequestID(1); id < 6; id++ {
+			c.Tick(now, Input{Arrive: &Arrive{
+				ID: id, RequestID: "r", Route: r, Service: engineService, Prompt: odd.Draw(t, "prompt"), Output: odd.Draw(t, "output"), Deadline: now + r.Timeout,
+			}})
+			now += 10 * time.Millisecond
+		}
+		for range 40 {
+			now += time.Second
+			c.Tick(now)
+		}
+		if n := c.InFlight(); n > 0 {
+			t.Errorf("%d requests have no end", n)
+		}
+	})
+}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -33,7 +33,8 @@
 	// parts of SmallRead would be more.
 	MaxInterleaved int
 	MostPart       time.Duration
-	// SpareSlots are slots of an engine that short streams leave free.
+	// SpareSlots are slots of an engine that short streams leave free as long as
+	// other engines have more.
 	SpareSlots int
 	// TightPause is the pause objective up to which streams are gathered on few engines.
 	TightPause time.Duration
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -418,3 +418,16 @@
 		t.Errorf("the first change is told after %v, want %v at most", told, limit)
 	}
 }
+
+// TestPromptWithoutACount checks that a request whose count of tokens is missing or
+// garbled, which is taken as 0, is served on each kind of route.
+func TestPromptWithoutACount(t *testing.T) {
+	for _, kind := range []string{"short", "medium", "long"} {
+		c, id, now := busyFleet(t, 1) // engines with tight streams, which take parts
+		r := testRoutes()[kind]
+		out := c.Tick(now, Input{Arrive: &Arrive{ID: id, RequestID: "r", Route: r, Service: engineService, Deadline: now + r.Timeout}})
+		if d := dispatchOf(out); d == nil || len(d.Helpers) > 0 {
+			t.Errorf("%s: dispatch %+v, want one engine", kind, d)
+		}
+	}
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -76,9 +76,8 @@
 }
 
 // holds reports whether the engine has a slot and memory to answer r.
-func (c *Core) holds(k *candidate, r *request, spare int) bool {
-	return k.occ.streams < k.e.engine.Slots-spare &&
-		c.memoryFree(k.e, &k.occ) >= r.in.Prompt+r.in.Output
+func (c *Core) holds(k *candidate, r *request) bool {
+	return k.occ.streams < k.e.engine.Slots && c.memoryFree(k.e, &k.occ) >= r.in.Prompt+r.in.Output
 }
 
 // memoryFree returns the tokens that an engine can still hold.
@@ -92,7 +91,7 @@
 	late := c.late(r)
 	for i := range list {
 		k := &list[i]
-		if !c.holds(k, r, 0) {
+		if !c.holds(k, r) {
 			continue
 		}
 		fits := k.room >= k.e.scale(total) && k.occ.first(k.e, total) <= slack
@@ -169,7 +168,7 @@
 // between its other work. Its stream then stretches no engine's limits that are
 // not tight already, and it waits for no engine to be free of reads.
 func (c *Core) placeInterleaved(r *request, list []candidate, total, slack time.Duration) (placement, bool) {
-	n := min(int((total+c.cfg.Place.SmallRead-1)/c.cfg.Place.SmallRead), c.cfg.Place.MaxInterleaved)
+	n := min(max(int((total+c.cfg.Place.SmallRead-1)/c.cfg.Place.SmallRead), 1), c.cfg.Place.MaxInterleaved)
 	part := total / time.Duration(n)
 	if part > c.cfg.Place.MostPart {
 		return placement{}, false
@@ -177,7 +176,7 @@
 	var answering *candidate
 	for i := range list {
 		k := &list[i]
-		if !k.used || !c.holds(k, r, 0) || k.room < k.e.scale(part) {
+		if !k.used || !c.holds(k, r) || k.room < k.e.scale(part) {
 			continue
 		}
 		if answering == nil || c.betterAnswering(k, answering) {
