Take a large answer as begun with its head

A request that may run again is cancelled if its answer does not begin within twice its objective; a large answer counted as begun when its first MB was there, and a cancel in that moment cut it after it had been passed on in part. Ruled out: the test's replica (it had sent all). Change: a stated length over the bound counts as begun with the head; and an answer that is cancelled before the caller has got any of it is not begun there.

--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -206,6 +206,10 @@
 	if x.isStream(resp) {
 		return x.pump(ctx, conn, resp, d, e)
 	}
+	if resp.ContentLength > maxHeldBytes && !a.NotRun {
+		// The answer has begun; that its body takes long is no silence.
+		x.g.tick(gateway.Input{First: &gateway.FirstEvent{ID: x.id, Attempt: d.Attempt}})
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldBytes+1))
 	if err != nil {
 		conn.Close()
--- a/internal/gateway/shell/large.go
+++ b/internal/gateway/shell/large.go
@@ -15,6 +15,10 @@
 // is closed, so that the answer does not look complete.
 func (x *exchange) passLarge(ctx context.Context, conn *upstream.Conn, resp *http.Response, read []byte, d *gateway.Dispatch, e *gateway.Ended) *gateway.Ended {
 	x.g.tick(gateway.Input{First: &gateway.FirstEvent{ID: x.id, Attempt: d.Attempt}})
+	if err := ctx.Err(); err != nil { // cancelled before the caller has got anything
+		conn.Close()
+		return x.broke(ctx, e, gateway.ResultBroken, err)
+	}
 	if resp.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
