Wait on a context in one place

The copies of the store's keys had a fourth function that waits on a timer or the end of a context, beside those of agents, the operator's commands and incarnations. Ruled out: one function for the jitter too; the spreads differ on purpose. Change: internal/sleep has it, and all four call it; no behaviour changes.

--- a/internal/agent/shell/engine.go
+++ b/internal/agent/shell/engine.go
@@ -9,6 +9,7 @@
 
 	"trefoilpath.org/trefoilpath/internal/agent"
 	"trefoilpath.org/trefoilpath/internal/engine"
+	"trefoilpath.org/trefoilpath/internal/sleep"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -151,7 +152,7 @@
 			}
 			up, lost = false, lost || gone
 		}
-		if !sleep(ctx, jittered(probe)) {
+		if !sleep.For(ctx, jittered(probe)) {
 			return nil
 		}
 		probe = min(2*probe, maxProbe)
--- a/internal/agent/shell/links.go
+++ b/internal/agent/shell/links.go
@@ -9,6 +9,7 @@
 
 	"trefoilpath.org/trefoilpath/internal/agent"
 	"trefoilpath.org/trefoilpath/internal/membership"
+	"trefoilpath.org/trefoilpath/internal/sleep"
 	"trefoilpath.org/trefoilpath/internal/transport"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
@@ -65,7 +66,7 @@
 	}
 	for {
 		l.refresh(ctx)
-		if !sleep(ctx, jittered(vmListEvery)) {
+		if !sleep.For(ctx, jittered(vmListEvery)) {
 			return nil
 		}
 	}
@@ -190,7 +191,7 @@
 		if !r.isWanted() && r.links.retire(r) {
 			return
 		}
-		if !sleep(ctx, jittered(pause)) {
+		if !sleep.For(ctx, jittered(pause)) {
 			return
 		}
 		pause = min(2*pause, maxRedial)
@@ -312,15 +313,3 @@
 func jittered(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2)
 }
-
-// sleep waits and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/incarnation/incarnation.go
+++ b/internal/incarnation/incarnation.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"trefoilpath.org/trefoilpath/internal/sleep"
 	"trefoilpath.org/trefoilpath/internal/store"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
@@ -67,14 +68,7 @@
 
 // wait pauses for about d and reports whether ctx is still alive.
 func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d/2 + rand.N(d/2))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return sleep.For(ctx, d/2+rand.N(d/2))
 }
 
 // FromClock returns the time in milliseconds as an incarnation.
--- a/internal/operator/wait.go
+++ b/internal/operator/wait.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/entry"
+	"trefoilpath.org/trefoilpath/internal/sleep"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -35,7 +36,7 @@
 // agents. It returns who lagged in the last round that ended before ctx did.
 func Wait(ctx context.Context, entries []*Client, revision uint64) []Lagging {
 	lagging := lagNow(ctx, entries, revision)
-	for len(lagging) > 0 && sleep(ctx, pollEvery) {
+	for len(lagging) > 0 && sleep.For(ctx, pollEvery) {
 		now := lagNow(ctx, entries, revision)
 		if ctx.Err() != nil {
 			break // calls were cut short
@@ -45,17 +46,6 @@
 	return lagging
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func lagNow(ctx context.Context, entries []*Client, revision uint64) []Lagging {
 	v := view{revision: revision, newest: make(map[wire.NodeID]entry.PeerStatus)}
 	for _, c := range entries {
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/sleep"
 	"trefoilpath.org/trefoilpath/internal/store"
 )
 
@@ -144,16 +145,16 @@
 	for ctx.Err() == nil {
 		version := s.Version()
 		if version.Revision == 0 || !s.reached() || s.cfg.Watches != nil && !s.cfg.Watches() {
-			sleep(ctx, 2*retryMin)
+			sleep.For(ctx, 2*retryMin)
 			continue
 		}
 		if s.watchOnce(ctx, version.Revision) {
 			pause = retryMin
-			sleep(ctx, watchPause)
+			sleep.For(ctx, watchPause)
 			continue
 		}
 		signal(s.kick)
-		sleep(ctx, jitter(pause))
+		sleep.For(ctx, jitter(pause))
 		pause = min(2*pause, retryMax)
 	}
 }
@@ -192,7 +193,7 @@
 		}
 		s.fetch(ctx)
 		s.apply(SourceGrace, 0, s.copy.Expire)
-		sleep(ctx, jitter(pause))
+		sleep.For(ctx, jitter(pause))
 		pause = min(2*pause, retryMax)
 	}
 }
@@ -210,7 +211,7 @@
 		case <-timer.C:
 			return
 		case <-s.kick:
-			sleep(ctx, retryMin/2)
+			sleep.For(ctx, retryMin/2)
 			return
 		case <-grace.C:
 			s.apply(SourceGrace, 0, s.copy.Expire)
@@ -251,7 +252,7 @@
 		case <-ctx.Done():
 			return
 		case <-s.behind:
-			sleep(ctx, peerDelay)
+			sleep.For(ctx, peerDelay)
 			if s.Version().Behind(*s.announced.Load()) {
 				s.fetch(ctx)
 			}
@@ -327,12 +328,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d*3/4 + rand.N(d/2)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
