Say once what the gateway said twice

Messages to gateways, the room that an engine has for a read, the refusal of a hopeless prompt, the sending of a request with the closing after an error, and the end of a complete answer each stood in two or three places; a delta for a peer sorted all keys before it dropped most of them; the silence of each known gateway was worked out from all of them, for each one, with every full message. A field of dispatches, one of gateways, a reason, a parameter and a function of engine costs were used by nothing. Ruled out: one shape for the sums of a copy's digest (a change of each key at a time); that is left, with the fields of settings that nothing acts on. Change: one piece each; no decision, bound, message or log line changes.

--- a/internal/enginecost/params.go
+++ b/internal/enginecost/params.go
@@ -34,11 +34,6 @@
 		time.Duration(pairs*float64(p.PairsPerMillion))
 }
 
-// Part returns the time that one of n even parts of a prompt takes.
-func (p *Params) Part(prompt int64, n int) time.Duration {
-	return p.Read(prompt) / time.Duration(max(n, 1))
-}
-
 // Strides returns the time that the token steps of one pass take while a number
 // of requests with a total context in tokens write.
 func (p *Params) Strides(writers int, context int64) time.Duration {
--- a/internal/gateway/cells.go
+++ b/internal/gateway/cells.go
@@ -99,8 +99,7 @@
 	if len(far) == 0 {
 		return
 	}
-	versions := c.versions
-	m := &PeerMessage{Incarnation: c.cfg.Incarnation, Leaving: c.leaving, Versions: &versions, Known: c.livePeers(farAtOnce)}
+	m := c.news(farAtOnce)
 	for range min(count, len(far)) {
 		c.farTurn = (c.farTurn + 1) % len(far)
 		far[c.farTurn].greet = true
@@ -118,11 +117,3 @@
 	far := c.peers.Len() - c.nearPeers()
 	return int((time.Duration(far)*interval + farInterval - 1) / farInterval)
 }
-
-// silenceOf returns how long a gateway may be silent until it is taken for gone.
-func (c *Core) silenceOf(p *peer) time.Duration {
-	if !p.near {
-		return farSilence
-	}
-	return staleFactor * c.fullEvery()
-}
--- a/internal/gateway/cells_test.go
+++ b/internal/gateway/cells_test.go
@@ -29,7 +29,7 @@
 	s.run(5 * time.Second)
 	cellsOf := make(map[wire.EndpointID]map[int]bool)
 	for i, c := range s.cores {
-		if n := c.gateways(); n != gateways {
+		if n := c.Gateways(); n != gateways {
 			t.Fatalf("gateway %d has heard %d", i, n)
 		}
 		if n := c.nearPeers() + 1; n != gateways/cellCount(gateways) {
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -153,7 +153,6 @@
 	Endpoint wire.EndpointID
 	Addr     string
 	Helpers  []Helper // engines that read parts of the prompt
-	Resume   bool     // go on behind the last event that the caller has
 	// Silence is how long the endpoint may take to begin its answer before the
 	// attempt is cancelled; 0: until the deadline.
 	Silence time.Duration
@@ -216,7 +215,6 @@
 	ReasonSilent      Reason = "silent"       // an endpoint did not answer
 	ReasonBudget      Reason = "retry-budget" // it could be repeated, but the fleet's budget is spent
 	ReasonDeadline    Reason = "deadline"
-	ReasonCallerGone  Reason = "caller-gone"
 )
 
 // ToPeer is a message to another gateway.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -136,24 +136,11 @@
 	if !s.due && !s.full {
 		return
 	}
-	works := s.touchedWorks
-	waiting := s.waiting
+	m, works, waiting, ended := c.message(), s.touchedWorks, s.waiting, s.endedWorks
 	if s.full {
-		works, waiting = c.ownWorks(), c.ownWaiting()
-		c.forgetPeers()
-		c.assignCells()
-		s.fullAt = c.now + c.fullEvery()
-		c.tellFar(max(c.farDue(c.fullEvery()), s.news))
-		s.news = 0
-		c.timers.Set(timerKey{kind: timerFull}, s.fullAt)
-	}
-	m := &PeerMessage{Incarnation: c.cfg.Incarnation, Leaving: c.leaving}
-	ended := s.endedWorks
-	if s.full {
-		ended = append(slices.Clone(s.recentEnded), s.endedWorks...)
+		works, waiting, ended = c.ownWorks(), c.ownWaiting(), append(s.recentEnded, s.endedWorks...)
 		s.recentEnded = nil
-		versions := c.versions
-		m.Versions, m.Known, m.Paces = &versions, c.livePeers(knownPerMessage), c.paceRows()
+		m = c.fullMessage()
 	} else {
 		s.recentEnded = append(s.recentEnded, s.endedWorks...)
 	}
@@ -171,6 +158,35 @@
 	c.timers.Stop(timerKey{kind: timerShare})
 }
 
+// message returns an empty message.
+func (c *Core) message() *PeerMessage {
+	return &PeerMessage{Incarnation: c.cfg.Incarnation, Leaving: c.leaving}
+}
+
+// news returns a message with the versions held here and some addresses.
+func (c *Core) news(addresses int) *PeerMessage {
+	m := c.message()
+	versions := c.versions
+	m.Versions, m.Known = &versions, c.livePeers(addresses)
+	return m
+}
+
+// fullMessage begins a full message: it brings the table of gateways up to date,
+// tells those of other cells that are due, and sets the time of the next one.
+func (c *Core) fullMessage() *PeerMessage {
+	s := &c.share
+	c.forgetPeers()
+	c.assignCells()
+	interval := c.fullEvery()
+	s.fullAt = c.now + interval
+	c.timers.Set(timerKey{kind: timerFull}, s.fullAt)
+	c.tellFar(max(c.farDue(interval), s.news))
+	s.news = 0
+	m := c.news(knownPerMessage)
+	m.Paces = c.paceRows()
+	return m
+}
+
 // sendRows sends m with the rows of works and the requests that ended, in as many
 // messages as they need, to the gateways of the cell; the first one of a full set
 // also goes to those that have not been heard.
@@ -192,7 +208,7 @@
 			return
 		}
 		full = false
-		m = &PeerMessage{Incarnation: c.cfg.Incarnation, Leaving: c.leaving}
+		m = c.message()
 	}
 }
 
@@ -254,9 +270,9 @@
 	})
 }
 
-// gateways returns how many gateways share the fleet's budgets: this one and
+// Gateways returns how many gateways share the fleet's budgets: this one and
 // those heard lately.
-func (c *Core) gateways() int {
+func (c *Core) Gateways() int {
 	n := 1
 	for p := range c.peers.Values() {
 		if p.heard > 0 {
@@ -286,9 +302,6 @@
 
 func addrRank(addr netip.AddrPort) uint64 { return xxhash.Sum64String(addr.String()) }
 
-// Gateways returns the number of gateways that this one counts.
-func (c *Core) Gateways() int { return c.gateways() }
-
 // livePeers returns the addresses of gateways that are heard, most at a time, in turn.
 func (c *Core) livePeers(most int) []netip.AddrPort {
 	var out []netip.AddrPort
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -68,7 +68,7 @@
 		list = append(list, candidate{
 			e: e, occ: occ,
 			room: occ.room(c.cfg.Place.Margin, c.cfg.Place.OpenRead),
-			used: occ.pause > 0 && occ.pause <= c.cfg.Place.TightPause,
+			used: c.tightStreams(&occ),
 		})
 	}
 	c.scratch = list
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -80,8 +80,7 @@
 			postponed = true // it may yet be in time, on engines that become free
 			continue
 		}
-		if c.hopeless(j, &best) {
-			c.giveUp(j.own, ReasonOverload)
+		if c.refusedAsHopeless(j, &best) {
 			continue
 		}
 		if j.own != nil && best.start == 0 && c.now >= j.own.holdUntil {
@@ -94,9 +93,14 @@
 	}
 }
 
-// hopeless reports whether the turn of an own prompt comes too late.
-func (c *Core) hopeless(j *job, s *slot) bool {
-	return j.own != nil && s.first > j.own.in.Deadline-c.now
+// refusedAsHopeless gives an own prompt up if its turn comes too late, and reports
+// whether it did.
+func (c *Core) refusedAsHopeless(j *job, s *slot) bool {
+	if j.own == nil || s.first <= j.own.in.Deadline-c.now {
+		return false
+	}
+	c.giveUp(j.own, ReasonOverload)
+	return true
 }
 
 // refuseHopeless works out when each prompt has its turn if none is postponed, and
@@ -112,8 +116,7 @@
 		if !ok {
 			continue
 		}
-		if c.hopeless(j, &best) {
-			c.giveUp(j.own, ReasonOverload)
+		if c.refusedAsHopeless(j, &best) {
 			continue
 		}
 		best.take(j, engines)
@@ -172,12 +175,8 @@
 		occ := c.occupancy(e)
 		k := planEngine{
 			e: e, occ: occ, avail: occ.queue, memory: c.memoryFree(e, &occ), slots: e.engine.Slots - occ.streams,
-			used: occ.pause > 0 && occ.pause <= c.cfg.Place.TightPause,
-		}
-		k.room = c.cfg.Place.OpenRead
-		k.open = occ.pause == 0
-		if !k.open {
-			k.room = occ.pause - c.cfg.Place.Margin - occ.strides
+			room: occ.roomUnread(c.cfg.Place.Margin, c.cfg.Place.OpenRead),
+			used: c.tightStreams(&occ), open: occ.pause == 0,
 		}
 		if k.used {
 			k.room -= occ.queue // tight streams are never without reads for long
@@ -230,26 +229,18 @@
 // are open now, or, for one that is late, on as many as may ever read it, since
 // others can still be in time on those.
 func (c *Core) openRead(j *job, engines []planEngine, most int) time.Duration {
-	n := countOpen(engines)
-	if j.rank.late || n == 0 {
-		n = most
-	}
-	return max(c.cfg.Place.OpenRead, j.total/time.Duration(n))
-}
-
-// countOpen returns the number of engines that write nothing, up to those that
-// can read one prompt together.
-func countOpen(engines []planEngine) int {
-	n := 0
+	open := 0
 	for i := range engines {
-		n += bit(engines[i].open)
+		open += bit(engines[i].open)
+	}
+	if j.rank.late || open == 0 {
+		open = most
 	}
-	return min(n, 1+engines[0].e.engine.MaxHelpers)
+	return max(c.cfg.Place.OpenRead, j.total/time.Duration(min(open, most)))
 }
 
 // slotOf returns the earliest place of j on n engines. An engine that writes
-// nothing takes a part of up to openRead; that is more than usual for a prompt
-// that would not fit otherwise.
+// nothing takes a part of up to openRead.
 func slotOf(j *job, engines []planEngine, order []int, n int, openRead time.Duration) (slot, bool) {
 	s := slot{part: j.total / time.Duration(n)}
 	answering := -1
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -144,7 +144,7 @@
 	}
 	d := &Dispatch{
 		ID: r.in.ID, Attempt: r.attempt, Endpoint: e.reg.ID, Addr: e.reg.Addr,
-		Resume: r.resume, Silence: c.silence(s, r, p),
+		Silence: c.silence(r, p),
 	}
 	for i, h := range p.at[1:] {
 		helper := Helper{Endpoint: h.reg.ID, Addr: h.reg.Addr}
@@ -189,7 +189,7 @@
 
 // silence returns how long the endpoint may take to begin its answer. Only a
 // request that may run again is given up early.
-func (c *Core) silence(s *service, r *request, p placement) time.Duration {
+func (c *Core) silence(r *request, p placement) time.Duration {
 	if !r.in.Route.Idempotent() || r.sends+1 >= r.in.Route.Attempts {
 		return 0
 	}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -14,7 +14,7 @@
 	}
 	if !p.known {
 		p.known, p.greet = true, true
-		c.log(Event{Name: "gateway-heard", Detail: "addr=" + p.addr.String(), Count: c.gateways()})
+		c.log(Event{Name: "gateway-heard", Detail: "addr=" + p.addr.String(), Count: c.Gateways()})
 		c.share.joined(c)
 	}
 	p.heard, p.leaving = c.now, m.Leaving
@@ -49,9 +49,8 @@
 	if m.Versions == nil {
 		return
 	}
-	p.versions = *m.Versions
-	if c.versions.Config.Behind(p.versions.Config) || c.versions.Registrations.Behind(p.versions.Registrations) {
-		c.emit(Output{Newer: &Newer{Peer: p.addr, Versions: p.versions}})
+	if c.versions.Config.Behind(m.Versions.Config) || c.versions.Registrations.Behind(m.Versions.Registrations) {
+		c.emit(Output{Newer: &Newer{Peer: p.addr, Versions: *m.Versions}})
 	}
 }
 
@@ -122,11 +121,15 @@
 				c.place = true
 			}
 		}
-		if p.known && c.now-p.heard > c.silenceOf(p) {
+		silence := stale
+		if !p.near {
+			silence = farSilence
+		}
+		if p.known && c.now-p.heard > silence {
 			p.known = false
 			c.log(Event{Name: "gateway-silent", Detail: "addr=" + p.addr.String(), Took: c.now - p.heard})
 		}
-		limit := max(forgetPeer, c.silenceOf(p))
+		limit := max(forgetPeer, silence)
 		if p.heard == 0 {
 			limit = tryPeer
 		}
--- a/internal/gateway/shell/ask.go
+++ b/internal/gateway/shell/ask.go
@@ -36,13 +36,8 @@
 	defer stop()
 	g.cfg.Translator.Forward(r.header, ForwardHeaders{TimeLeft: orderTimeout, Instance: r.endpoint})
 	req := &upstream.Request{Method: r.method, Target: r.target, Host: r.addr, Header: r.header, Body: r.body}
-	if err := conn.Write(req); err != nil {
-		conn.Close()
-		return nil, err
-	}
-	resp, err := conn.Read(req)
+	resp, err := conn.Do(req)
 	if err != nil {
-		conn.Close()
 		return nil, err
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAskBytes))
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -158,14 +158,8 @@
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
 	x.g.tick(gateway.Input{Sent: &gateway.Sent{ID: x.id, Attempt: d.Attempt}})
-	req := x.request(d)
-	if err := conn.Write(req); err != nil {
-		conn.Close()
-		return x.broke(ctx, e, gateway.ResultBroken, err)
-	}
-	resp, err := conn.Read(req)
+	resp, err := conn.Do(x.request(d))
 	if err != nil {
-		conn.Close()
 		return x.broke(ctx, e, gateway.ResultBroken, err)
 	}
 	return x.take(ctx, conn, resp, d, e)
@@ -208,7 +202,7 @@
 	}
 	if resp.ContentLength > maxHeldBytes && !a.NotRun {
 		// The answer has begun; that its body takes long is no silence.
-		x.g.tick(gateway.Input{First: &gateway.FirstEvent{ID: x.id, Attempt: d.Attempt}})
+		x.tellFirst(d)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldBytes+1))
 	if err != nil {
@@ -232,13 +226,18 @@
 		x.hold(resp, body)
 		e.Result = gateway.ResultFailed
 	default:
-		x.g.tick(gateway.Input{First: &gateway.FirstEvent{ID: x.id, Attempt: d.Attempt}})
+		x.tellFirst(d)
 		x.deliver(resp.StatusCode, resp.Header, body)
 		e.Result = gateway.ResultDone
 	}
 	return e
 }
 
+// tellFirst tells the core that the attempt's answer has begun.
+func (x *exchange) tellFirst(d *gateway.Dispatch) {
+	x.g.tick(gateway.Input{First: &gateway.FirstEvent{ID: x.id, Attempt: d.Attempt}})
+}
+
 // isStream reports whether the answer is a stream of events to be passed on as
 // they come.
 func (x *exchange) isStream(resp *http.Response) bool {
@@ -262,6 +261,11 @@
 	if _, err := x.w.Write(body); err != nil {
 		x.logLocal("caller-lost", err.Error())
 	}
+	x.complete(status)
+}
+
+// complete notes that the caller has been given the whole answer.
+func (x *exchange) complete(status int) {
 	x.answered = true
 	x.g.meters.answered(status, x.g.now()-x.arrived)
 }
--- a/internal/gateway/shell/large.go
+++ b/internal/gateway/shell/large.go
@@ -14,7 +14,7 @@
 // read of it, then the rest as it comes. If it breaks off, the caller's connection
 // is closed, so that the answer does not look complete.
 func (x *exchange) passLarge(ctx context.Context, conn *upstream.Conn, resp *http.Response, read []byte, d *gateway.Dispatch, e *gateway.Ended) *gateway.Ended {
-	x.g.tick(gateway.Input{First: &gateway.FirstEvent{ID: x.id, Attempt: d.Attempt}})
+	x.tellFirst(d)
 	if err := ctx.Err(); err != nil { // cancelled before the caller has got anything
 		conn.Close()
 		return x.broke(ctx, e, gateway.ResultBroken, err)
@@ -34,8 +34,7 @@
 		return ended
 	}
 	conn.Done(resp)
-	x.answered = true
+	x.complete(resp.StatusCode)
 	e.Result = gateway.ResultDone
-	x.g.meters.answered(resp.StatusCode, x.g.now()-x.arrived)
 	return e
 }
--- a/internal/gateway/shell/stream.go
+++ b/internal/gateway/shell/stream.go
@@ -47,7 +47,7 @@
 		whole := wholeEvents(buf)
 		if whole > 0 {
 			if first {
-				x.g.tick(gateway.Input{First: &gateway.FirstEvent{ID: x.id, Attempt: d.Attempt}})
+				x.tellFirst(d)
 				first = false
 			}
 			if !x.passOn(resp, buf[:whole]) {
@@ -93,9 +93,8 @@
 			x.logLocal("caller-lost", err.Error())
 		}
 	}
-	x.answered = true
+	x.complete(resp.StatusCode)
 	e.Result = gateway.ResultDone
-	x.g.meters.answered(resp.StatusCode, x.g.now()-x.arrived)
 	return e
 }
 
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -133,7 +133,6 @@
 	greet       bool // it has been heard for the first time, and is to hear this one
 	works       map[uint64]*work
 	waiting     map[uint64]*waiting
-	versions    Versions
 }
 
 // waiting is a request at another gateway that waits for engines.
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -36,7 +36,7 @@
 
 // announce tells the other gateways that r waits.
 func (c *Core) announce(r *request) {
-	if c.gateways() == 1 {
+	if c.Gateways() == 1 {
 		return
 	}
 	r.holdUntil = c.now + announceTime
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -140,9 +140,18 @@
 // room returns the read time that the engine can take now without stretching a
 // pause there beyond its objective, or beyond open where nothing is written.
 func (o *occupancy) room(margin, open time.Duration) time.Duration {
+	return o.roomUnread(margin, open) - o.queue
+}
+
+// roomUnread is the same once the engine has read what waits there.
+func (o *occupancy) roomUnread(margin, open time.Duration) time.Duration {
 	if o.pause == 0 {
-		return open - o.queue
+		return open
 	}
-	strides := o.strides
-	return o.pause - margin - strides - o.queue
+	return o.pause - margin - o.strides
+}
+
+// tightStreams reports whether streams run there that accept short pauses only.
+func (c *Core) tightStreams(o *occupancy) bool {
+	return o.pause > 0 && o.pause <= c.cfg.Place.TightPause
 }
--- a/internal/storecopy/copy.go
+++ b/internal/storecopy/copy.go
@@ -62,9 +62,16 @@
 
 // Listing returns the keys, sorted.
 func (c *Copy) Listing() Listing {
-	l := Listing{Revision: c.version.Revision, Pairs: make([]store.Pair, 0, len(c.pairs))}
+	return c.listing(func(store.Pair) bool { return true })
+}
+
+// listing returns the keys that are wanted, sorted.
+func (c *Copy) listing(wanted func(store.Pair) bool) Listing {
+	l := Listing{Revision: c.version.Revision}
 	for _, p := range c.pairs {
-		l.Pairs = append(l.Pairs, p)
+		if wanted(p) {
+			l.Pairs = append(l.Pairs, p)
+		}
 	}
 	slices.SortFunc(l.Pairs, func(a, b store.Pair) int { return strings.Compare(a.Key, b.Key) })
 	return l
@@ -74,20 +81,17 @@
 // other processes are given: a key that the store no longer holds must not come
 // back at them.
 func (c *Copy) Shared() Listing {
-	l := c.Listing()
-	l.Pairs = slices.DeleteFunc(l.Pairs, func(p store.Pair) bool { return c.kept(p.Key) })
-	return l
+	return c.listing(func(p store.Pair) bool { return !c.kept(p.Key) })
 }
 
 // SharedAfter returns what has changed in Shared since a revision, or all of it if
 // the copy does not reach back so far.
 func (c *Copy) SharedAfter(after uint64) Listing {
-	l := c.Shared()
 	if after == 0 || after < c.since || after > c.version.Revision {
-		return l
+		return c.Shared()
 	}
+	l := c.listing(func(p store.Pair) bool { return p.Version > after && !c.kept(p.Key) })
 	l.After, l.Digest = after, c.version.Digest
-	l.Pairs = slices.DeleteFunc(l.Pairs, func(p store.Pair) bool { return p.Version <= after })
 	for _, p := range c.deleted {
 		if p.Version > after {
 			l.Pairs = append(l.Pairs, p)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -74,6 +74,21 @@
 	return []byte(b.String())
 }
 
+// Do sends the request and reads the head of its answer. After an error the
+// connection is closed.
+func (c *Conn) Do(r *Request) (*http.Response, error) {
+	err := c.Write(r)
+	var resp *http.Response
+	if err == nil {
+		resp, err = c.Read(r)
+	}
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
 // Write sends the request. A large body is written while the answer is read,
 // since the endpoint may answer before it has read all of it.
 func (c *Conn) Write(r *Request) error {
