Follow a store that is restored from a backup

Cause: a copy compared revisions alone. After a restore, which gives the revisions of the last seconds out again, listings below the known revision were dropped and the watch went on from a revision of another era, so that no new version came into force, removed endpoints kept getting requests and new ones got none. Store-Era was not read. Change: positions are (era, revision). Values of different eras are ordered by their content (version of a configuration; start, orders and state of a registration); what the restored store has out of date is stale until it is written in the new era. Gateways announce the era and the version in force.

--- a/internal/fleetsoak/faults.go
+++ b/internal/fleetsoak/faults.go
@@ -22,7 +22,7 @@
 	r := s.fleet.replicas[rng.IntN(len(s.fleet.replicas))]
 	storeProxy := s.fleet.storeProxies[rng.IntN(len(s.fleet.storeProxies))]
 	d := time.Duration(200+rng.IntN(1500)) * time.Millisecond
-	kind := rng.IntN(16)
+	kind := rng.IntN(17)
 	s.logf("fault kind=%d gateway=%s replica=%s for=%v", kind, p.name, r.ID, d)
 	switch kind {
 	case 0:
@@ -70,10 +70,45 @@
 		s.failService(r.service)
 	case 15:
 		s.changeConfig()
+	case 16:
+		s.restoreStore(d)
 	}
 	return nil
 }
 
+// restoreStore takes a backup of the store, changes the configuration and all
+// registrations, and after d takes the store away for a moment and restores it from the
+// backup. The operator and the replicas then write again what was lost, at revisions
+// below those that the gateways know.
+func (s *run) restoreStore(d time.Duration) {
+	s.markStoreImpaired(d + restoreOutage + rewriteDelay)
+	backup := s.fleet.store.Backup()
+	s.changeConfig()
+	s.configMu.Lock()
+	for range lostRewrites {
+		s.fleet.writeAgain()
+	}
+	s.configMu.Unlock()
+	time.Sleep(d)
+	s.fleet.store.SetDown(true)
+	time.Sleep(restoreOutage)
+	s.fleet.store.Restore(backup)
+	s.fleet.store.SetDown(false)
+	time.Sleep(rewriteDelay)
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
+	s.fleet.writeAgain()
+}
+
+// restoreOutage is how long the store is away before it comes back from a backup, and
+// rewriteDelay how long it takes until what was lost is written again.
+const (
+	restoreOutage = 200 * time.Millisecond
+	rewriteDelay  = time.Second
+	// lostRewrites is how often all keys are written between the backup and the restore.
+	lostRewrites = 20
+)
+
 // failService makes all replicas of a service fail many requests, each of which
 // may be retried, so that only the retry budget bounds the retries.
 func (s *run) failService(service string) {
@@ -164,10 +199,14 @@
 	}
 }
 
-// drain registers a replica as draining, waits drainBound after the registration
+// drain registers a replica as draining, unless another fault drains it already, waits drainBound after the registration
 // has ended, and checks for 500 ms that no request reaches the replica, unless the
 // store was impaired. Then it registers the replica as ready.
 func (s *run) drain(r *replica) error {
+	if !r.draining.CompareAndSwap(false, true) {
+		return nil
+	}
+	defer r.draining.Store(false)
 	s.fleet.register(r, "draining")
 	time.Sleep(drainBound)
 	before := len(r.Runs())
--- a/internal/fleetsoak/fleet.go
+++ b/internal/fleetsoak/fleet.go
@@ -44,8 +44,9 @@
 // replica is a stand-in of an endpoint behind a proxy.
 type replica struct {
 	*standin.Replica
-	proxy   *proxy
-	service string
+	proxy    *proxy
+	service  string
+	draining atomic.Bool // a fault drains it now
 }
 
 // gatewayProcess is a gateway: its current process and those started after it.
@@ -89,6 +90,19 @@
 	return f, nil
 }
 
+// writeAgain writes the configuration and the registrations as the operator and the
+// replicas know them.
+func (f *fleet) writeAgain() {
+	f.store.Configure(f.version)
+	for _, r := range f.replicas {
+		state := "ready"
+		if r.draining.Load() {
+			state = "draining"
+		}
+		f.register(r, state)
+	}
+}
+
 // configure publishes the next version of the configuration, which moves a route.
 func (f *fleet) configure() {
 	f.version++
--- a/internal/fleetsoak/run.go
+++ b/internal/fleetsoak/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,9 +129,27 @@
 		}
 	}
 	time.Sleep(settleTime)
+	s.checkConfiguration()
 	return nil
 }
 
+// checkConfiguration checks that the last version of the configuration is in force at
+// all gateways: its own route is served, and that of the version before is not.
+func (s *run) checkConfiguration() {
+	transport := &http.Transport{DisableKeepAlives: true}
+	for _, p := range s.fleet.gateways {
+		for version, want := range map[int]int{s.fleet.version: http.StatusOK, s.fleet.version - 1: http.StatusNotFound} {
+			o := s.send(transport, p, fmt.Sprintf("v%d", version), fmt.Sprintf("config-%s-%d", p.name, version))
+			s.mu.Lock()
+			s.outcomes = append(s.outcomes, o)
+			s.mu.Unlock()
+			if o.status != want {
+				s.recordViolation("config-in-force", fmt.Sprintf("%s answers the route of version %d with %d, want %d: %v", p.name, version, o.status, want, o.err))
+			}
+		}
+	}
+}
+
 // checkRuns compares the outcomes that callers saw with the replicas' records
 // of runs.
 func (s *run) checkRuns() {
--- a/internal/fleetsoak/soak_test.go
+++ b/internal/fleetsoak/soak_test.go
@@ -54,6 +54,7 @@
 	cause string
 }{
 	{1, "none: the short run of CI"},
+	{9003, "a restore of the store from a backup: later versions stayed unknown, a replica that had left got requests"},
 }
 
 func TestSoak(t *testing.T) {
--- a/internal/gateway/configure.go
+++ b/internal/gateway/configure.go
@@ -15,7 +15,7 @@
 // configure makes a newer version of the configuration active. Older and equal
 // versions are ignored.
 func (c *Core) configure(table *route.Table) {
-	if c.routing != nil && table.Version() <= c.routing.Version() {
+	if table.Version() <= c.activeVersion() {
 		return
 	}
 	c.routing = table
@@ -26,6 +26,14 @@
 	c.placementDue = true
 }
 
+// activeVersion returns the version of the configuration in force; 0: none.
+func (c *Core) activeVersion() uint64 {
+	if c.routing == nil {
+		return 0
+	}
+	return c.routing.Version()
+}
+
 // applyEngineParams sets the engine constants of e from the active configuration.
 func (c *Core) applyEngineParams(e *endpoint) {
 	e.engine, e.occupancyValid = nil, false
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -26,6 +26,7 @@
 	peers           *table.Table[netip.AddrPort, peer]
 	timers          *timer.Queue[timerKey]
 
+	checkedVersion    uint64   // of the configuration that was in force at the last check
 	endpointsReceived bool     // a list of endpoints has been received
 	endpointsRevision uint64   // of the store, at the latest list of endpoints
 	versions          Versions // of the cached copies, as sent to peers
--- a/internal/gateway/invariants.go
+++ b/internal/gateway/invariants.go
@@ -7,6 +7,10 @@
 
 // check stops the process if the tables violate an invariant of the gateway.
 func (c *Core) check() {
+	if v := c.activeVersion(); v < c.checkedVersion {
+		invariant.Fail("configuration-never-older", "version", v, "before", c.checkedVersion)
+	}
+	c.checkedVersion = c.activeVersion()
 	for r := range c.requests.Values() {
 		if (r.phase == phaseRunning) != (r.work != nil) {
 			invariant.Fail("work-matches-phase", "request", r.in.RequestID, "phase", r.phase)
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -21,6 +22,25 @@
 	Slots         int   // requests that it runs at once; 0: no limit known
 	Leaving       bool  // the endpoint is draining
 	Born          int64 // Unix time of its start in ms; 0: unknown
+	Orders        int64 // accepted since its start, when it registered
+}
+
+// Compare returns a positive number if r was written after the registration other of
+// the same ID, a negative one if before, and 0 if they do not tell. Within one life of an
+// endpoint the number of orders only rises, and a leaving endpoint stays so.
+func (r Registration) Compare(other Registration) int {
+	switch {
+	case r.Born != other.Born:
+		if r.Born == 0 || other.Born == 0 {
+			return 0
+		}
+		return cmp.Compare(r.Born, other.Born)
+	case r.Service != other.Service || r.Addr != other.Addr:
+		return 0
+	case r.Orders != other.Orders:
+		return cmp.Compare(r.Orders, other.Orders)
+	}
+	return bit(r.Leaving) - bit(other.Leaving)
 }
 
 // Input is one input of the core. Exactly one field is set.
@@ -130,6 +150,7 @@
 type Versions struct {
 	Config        storecopy.Version
 	Registrations storecopy.Version
+	Active        uint64 `cbor:",omitempty"` // version of the configuration in force, set by the core; 0: none
 }
 
 // Shutdown starts a graceful shutdown.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -174,6 +174,7 @@
 func (c *Core) versionMessage(addresses int) *PeerMessage {
 	m := c.message()
 	versions := c.versions
+	versions.Active = c.activeVersion()
 	m.Versions, m.Known = &versions, c.livePeers(addresses)
 	return m
 }
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -44,13 +44,14 @@
 	c.comparePeerVersions(p, m)
 }
 
-// comparePeerVersions emits a Newer output if the peer's copy of the store's keys is
-// newer than the own one.
+// comparePeerVersions emits a Newer output if the peer's copy of the store's keys or
+// its configuration in force is newer than the own one.
 func (c *Core) comparePeerVersions(p *peer, m *PeerMessage) {
 	if m.Versions == nil {
 		return
 	}
-	if c.versions.Config.Behind(m.Versions.Config) || c.versions.Registrations.Behind(m.Versions.Registrations) {
+	if c.versions.Config.Behind(m.Versions.Config) || c.versions.Registrations.Behind(m.Versions.Registrations) ||
+		m.Versions.Active > c.activeVersion() {
 		c.emit(Output{Newer: &PeerHasNewer{Peer: p.addr, Versions: *m.Versions}})
 	}
 }
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -136,8 +136,9 @@
 		g.peers.send(out.ToPeer)
 	case out.Newer != nil:
 		g.newestPeer.Store(&out.Newer.Peer)
-		g.configSyncer.Announced(out.Newer.Versions.Config)
-		g.registrationSyncer.Announced(out.Newer.Versions.Registrations)
+		active := out.Newer.Versions.Active
+		g.configSyncer.Announced(out.Newer.Versions.Config, func() bool { return active > g.activeVersion() })
+		g.registrationSyncer.Announced(out.Newer.Versions.Registrations, func() bool { return false })
 	case out.Ready != nil:
 		g.ready.Store(out.Ready.OK)
 	case out.Log != nil:
@@ -145,6 +146,14 @@
 	}
 }
 
+// activeVersion returns the version of the configuration in force; 0: none.
+func (g *Gateway) activeVersion() uint64 {
+	if table := g.table.Load(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
 // runTimers ticks the core when its next deadline is due, until ctx ends.
 func (g *Gateway) runTimers(ctx context.Context) {
 	g.mu.Lock()
--- a/internal/gateway/shell/peers.go
+++ b/internal/gateway/shell/peers.go
@@ -90,7 +90,7 @@
 }
 
 // serveCopy sends another gateway the cached copy of the prefix in the query, or its
-// changes after the revision in the parameter after.
+// changes after the revision in the parameter after of the era in the parameter era.
 func (g *Gateway) serveCopy(w http.ResponseWriter, r *http.Request) {
 	s := g.syncer(r.URL.Query().Get("prefix"))
 	if s == nil {
@@ -102,7 +102,12 @@
 		http.Error(w, "after is not a revision", http.StatusBadRequest)
 		return
 	}
-	listing, known := s.Shared(after)
+	era, err := strconv.ParseUint(cmp.Or(r.URL.Query().Get("era"), "0"), 10, 64)
+	if err != nil {
+		http.Error(w, "era is not a number", http.StatusBadRequest)
+		return
+	}
+	listing, known := s.Shared(storecopy.Version{Revision: after, Era: era})
 	if !known {
 		http.Error(w, "no copy yet", http.StatusServiceUnavailable)
 		return
@@ -123,15 +128,16 @@
 	return nil
 }
 
-// fetchCopy fetches the cached copy of a prefix, or its changes after a revision if
-// after is not 0, from the gateway that has announced the newest copy. Without such
-// a gateway the listing is zero.
-func (g *Gateway) fetchCopy(ctx context.Context, prefix string, after uint64) (storecopy.Listing, error) {
+// fetchCopy fetches the cached copy of a prefix, or its changes since a version if that
+// is not zero, from the gateway that has announced the newest copy. Without such a
+// gateway the listing is zero.
+func (g *Gateway) fetchCopy(ctx context.Context, prefix string, since storecopy.Version) (storecopy.Listing, error) {
 	addr := g.newestPeer.Load()
 	if addr == nil {
 		return storecopy.Listing{}, nil
 	}
-	u := "http://" + addr.String() + copyPath + "?prefix=" + url.QueryEscape(prefix) + "&after=" + strconv.FormatUint(after, 10)
+	u := "http://" + addr.String() + copyPath + "?prefix=" + url.QueryEscape(prefix) +
+		"&after=" + strconv.FormatUint(since.Revision, 10) + "&era=" + strconv.FormatUint(since.Era, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 	if err != nil {
 		return storecopy.Listing{}, errors.Wrap(err, "fetch copy")
--- a/internal/gateway/shell/syncers.go
+++ b/internal/gateway/shell/syncers.go
@@ -1,6 +1,7 @@
 package shell
 
 import (
+	"cmp"
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/gateway"
@@ -11,9 +12,9 @@
 
 // newSyncers creates the syncers of the configuration and the registrations.
 func (g *Gateway) newSyncers() {
-	syncer := func(prefix string, changed func(storecopy.Update)) *storecopy.Syncer {
+	syncer := func(prefix string, policy storecopy.Policy, changed func(storecopy.Update)) *storecopy.Syncer {
 		return storecopy.NewSyncer(storecopy.Config{
-			Prefix: prefix, Client: g.cfg.Store, Now: g.now, Changed: changed,
+			Prefix: prefix, Policy: policy, Client: g.cfg.Store, Now: g.now, Changed: changed, EraBegan: g.eraBegan,
 			Gateways:    func() int { return readCore(g, (*gateway.Core).Gateways) },
 			Watches:     func() bool { return readCore(g, (*gateway.Core).Watches) },
 			Fetch:       g.fetchCopy,
@@ -23,8 +24,44 @@
 			},
 		})
 	}
-	g.configSyncer = syncer(g.cfg.Decoder.ConfigPrefix(), g.configChanged)
-	g.registrationSyncer = syncer(g.cfg.Decoder.RegistrationPrefix(), g.registrationsChanged)
+	g.configSyncer = syncer(g.cfg.Decoder.ConfigPrefix(),
+		storecopy.Policy{Compare: g.compareConfigs, ContentVersions: true}, g.configChanged)
+	g.registrationSyncer = syncer(g.cfg.Decoder.RegistrationPrefix(),
+		storecopy.Policy{Compare: g.compareRegistrations}, g.registrationsChanged)
+}
+
+// compareConfigs orders two configurations by their version. One that can't be decoded
+// is the earlier one.
+func (g *Gateway) compareConfigs(a, b []byte) int {
+	version := func(value []byte) uint64 {
+		cfg, err := g.cfg.Decoder.Config(value)
+		if err != nil {
+			g.log.Error().Str("event", "configuration-unusable").Err(err).Send()
+			return 0
+		}
+		return cfg.Version
+	}
+	return cmp.Compare(version(a), version(b))
+}
+
+// compareRegistrations orders two registrations of one endpoint. One that can't be
+// decoded tells nothing; registrationsChanged logs it.
+func (g *Gateway) compareRegistrations(a, b []byte) int {
+	key := g.cfg.Decoder.RegistrationPrefix() + "compared"
+	x, errX := g.cfg.Decoder.Registration(key, a)
+	y, errY := g.cfg.Decoder.Registration(key, b)
+	if errX != nil || errY != nil {
+		return 0
+	}
+	return x.Compare(y)
+}
+
+// eraBegan logs and counts a restore of the store from a backup.
+func (g *Gateway) eraBegan(e storecopy.EraChange) {
+	g.meters.storeEras.Inc(1)
+	g.log.Warn().Str("event", "store-era").Str("prefix", e.Prefix).Uint64("old", e.Old.Era).Uint64("new", e.New.Era).
+		Uint64("old_revision", e.Old.Revision).Uint64("revision", e.New.Revision).Str("source", string(e.Source)).
+		Int("stale", e.Stale).Int("missing", e.Missing).Send()
 }
 
 // readCore returns a value of the core. Lock order: a syncer's copy before g.mu;
@@ -54,7 +91,7 @@
 			g.log.Error().Str("event", "configuration-unusable").Uint64("revision", p.Version).Err(err).Send()
 			continue
 		}
-		if old := g.table.Load(); old != nil && table.Version() <= old.Version() {
+		if table.Version() <= g.activeVersion() {
 			continue
 		}
 		g.table.Store(table)
--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -72,6 +72,7 @@
 	Status  Status `json:"status"`
 	Version uint64 `json:"version,omitempty"` // of the key
 	Latest  uint64 `json:"latest,omitempty"`  // newest version in the store
+	Era     uint64 `json:"era,omitempty"`     // of the store, which rises when it is restored from a backup; 0: unknown
 	Value   []byte `json:"value,omitempty"`
 	Lease   uint64 `json:"lease,omitempty"` // OpGrant: the new lease; OpGet: that of the key, 0: none
 	Pairs   []Pair `json:"pairs,omitempty"` // OpList, OpWatch; sorted by key
--- a/internal/storecopy/copy.go
+++ b/internal/storecopy/copy.go
@@ -1,6 +1,7 @@
 package storecopy
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"strings"
@@ -11,9 +12,9 @@
 	"trefoilpath.org/trefoilpath/internal/store"
 )
 
-// ReturnGrace is how long a key that is missing after a store outage is kept
-// before it counts as deleted. The lease of a live owner may have expired during
-// the outage; the platform writes such keys again within about two seconds.
+// ReturnGrace is how long a key that is missing after a store outage, or in a later
+// era of the store, is kept before it counts as deleted. The lease of a live owner may
+// have expired meanwhile; the platform writes such keys again within about two seconds.
 const ReturnGrace = 2300 * time.Millisecond
 
 // Listing holds all keys under a prefix at one revision, or only the changes
@@ -23,38 +24,63 @@
 	Pairs    []store.Pair `cbor:"2,keyasint"`           // sorted by key; changes: the deletions follow, oldest first
 	After    uint64       `cbor:"3,keyasint,omitempty"` // only changes later than this revision; 0: all keys
 	Digest   uint64       `cbor:"4,keyasint,omitempty"` // of the sender's full copy; set only if After is
+	Era      uint64       `cbor:"5,keyasint,omitempty"` // of the store; see Version
+	Stale    []StaleKey   `cbor:"6,keyasint,omitempty"` // keys whose value in the store is out of date; only from a peer
 }
 
 // maxDeletions is the number of deletions that a copy records for its peers: more
 // than a release or the loss of a failure domain causes between two fetches.
 const maxDeletions = 512
 
-// Version identifies the state of a cached copy, to compare it with a peer's.
+// Version identifies the state of a cached copy, to compare it with a peer's. A
+// revision is comparable only within one era: the store starts a new era when it is
+// restored from a backup, and gives out again the revisions since that backup.
 type Version struct {
-	Revision uint64 `cbor:"1,keyasint"` // store revision up to which the copy has all changes
-	Digest   uint64 `cbor:"2,keyasint"` // hash of the keys and their versions
+	Revision uint64 `cbor:"1,keyasint"`           // store revision up to which the copy has all changes
+	Digest   uint64 `cbor:"2,keyasint"`           // hash of the keys and their versions, except the stale ones
+	Era      uint64 `cbor:"3,keyasint,omitempty"` // of the store; 0: unknown, as in messages of earlier builds
+	Stale    uint64 `cbor:"4,keyasint,omitempty"` // hash of the stale keys; 0: none
 }
 
 // Behind reports whether other includes changes that v lacks.
 func (v Version) Behind(other Version) bool {
+	if other.Era != v.Era {
+		return other.Era > v.Era
+	}
+	if other.Stale != 0 && other.Stale != v.Stale {
+		return true
+	}
 	return other.Revision > v.Revision && other.Digest != v.Digest
 }
 
 // Copy is a cached copy of the keys under one prefix. It is deterministic and not
 // safe for concurrent use.
 type Copy struct {
-	pairs        map[string]store.Pair
+	policy       Policy
+	pairs        map[string]store.Pair    // a pair of an earlier era has version 0
 	dropAt       map[string]time.Duration // for each missing key in its grace period, when it is dropped
 	version      Version
-	deleted      []store.Pair  // the latest deletions, oldest first
+	deleted      []deletion    // the latest deletions, oldest first
 	deletedSince uint64        // deleted holds every deletion after this revision
 	graceEnd     time.Duration // keys that go missing before this time get a grace period
 	storeDown    bool          // the store does not answer
+	stale        map[string]staleValue
+	confirmed    map[string]uint64 // keys once stale that turned out to be current, with their version
+}
+
+// deletion is a key that was deleted at a revision of the current era.
+type deletion struct {
+	key      string
+	revision uint64
+	value    []byte // before the deletion
 }
 
 // NewCopy returns an empty copy.
-func NewCopy() *Copy {
-	return &Copy{pairs: make(map[string]store.Pair), dropAt: make(map[string]time.Duration)}
+func NewCopy(policy Policy) *Copy {
+	return &Copy{
+		policy: policy, pairs: make(map[string]store.Pair), dropAt: make(map[string]time.Duration),
+		stale: make(map[string]staleValue), confirmed: make(map[string]uint64),
+	}
 }
 
 // Version returns the version of the copy, zero before the first listing.
@@ -67,7 +93,7 @@
 
 // listing returns the pairs that match the filter wanted, sorted by key.
 func (c *Copy) listing(wanted func(store.Pair) bool) Listing {
-	l := Listing{Revision: c.version.Revision}
+	l := Listing{Revision: c.version.Revision, Era: c.version.Era}
 	for _, p := range c.pairs {
 		if wanted(p) {
 			l.Pairs = append(l.Pairs, p)
@@ -80,20 +106,26 @@
 // Shared returns the keys for other processes: those in their grace period are
 // left out, so that a key deleted from the store does not reappear at a peer.
 func (c *Copy) Shared() Listing {
-	return c.listing(func(p store.Pair) bool { return !c.inGrace(p.Key) })
+	l := c.listing(func(p store.Pair) bool { return !c.inGrace(p.Key) })
+	l.Stale = c.staleKeys()
+	return l
 }
 
-// SharedAfter returns the changes of Shared after a revision, or the full listing
-// if after is 0 or the recorded deletions do not cover that revision.
-func (c *Copy) SharedAfter(after uint64) Listing {
-	if after == 0 || after < c.deletedSince || after > c.version.Revision {
+// SharedSince returns the changes of Shared since a peer's version, or the full
+// listing if the peer has no copy or one of another era, or if the recorded deletions
+// do not cover its revision.
+func (c *Copy) SharedSince(v Version) Listing {
+	if v.Revision == 0 || v.Era != c.version.Era || v.Revision < c.deletedSince || v.Revision > c.version.Revision {
 		return c.Shared()
 	}
-	l := c.listing(func(p store.Pair) bool { return p.Version > after && !c.inGrace(p.Key) })
-	l.After, l.Digest = after, c.version.Digest
-	for _, p := range c.deleted {
-		if p.Version > after {
-			l.Pairs = append(l.Pairs, p)
+	l := c.listing(func(p store.Pair) bool {
+		_, stale := c.stale[p.Key]
+		return (p.Version > v.Revision || stale) && !c.inGrace(p.Key)
+	})
+	l.After, l.Digest, l.Stale = v.Revision, c.version.Digest, c.staleKeys()
+	for _, d := range c.deleted {
+		if d.revision > v.Revision {
+			l.Pairs = append(l.Pairs, store.Pair{Key: d.key, Version: d.revision, Deleted: true})
 		}
 	}
 	return l
@@ -106,10 +138,11 @@
 	if l.After == 0 {
 		return c.ApplyListing(now, l), true
 	}
-	if c.version.Revision < l.After {
+	if l.Era != c.version.Era || c.version.Revision < l.After {
 		return false, false
 	}
-	changed = c.ApplyChanges(now, l.Pairs, l.Revision)
+	changed = c.applyStale(now, l)
+	changed = c.ApplyChanges(now, l.Pairs, l.Revision) || changed
 	return changed, c.version.Digest == l.Digest
 }
 
@@ -119,6 +152,9 @@
 	return kept
 }
 
+// InGrace returns the number of keys that are missing from the store but not dropped yet.
+func (c *Copy) InGrace() int { return len(c.dropAt) }
+
 // StoreLost records that the store does not answer.
 func (c *Copy) StoreLost() { c.storeDown = true }
 
@@ -128,27 +164,46 @@
 	if c.storeDown {
 		c.storeDown = false
 		c.graceEnd = now + ReturnGrace
+		c.restartConfirmation(now)
 	}
 }
 
 // ApplyListing updates the copy to a full listing from the store or a peer and
-// reports whether the keys or their values changed. A listing older than the copy
-// is ignored.
+// reports whether the keys or their values changed. Of a listing of an earlier era it
+// takes only values that are later than the own ones by their content. An older
+// listing of the same era is ignored.
 func (c *Copy) ApplyListing(now time.Duration, l Listing) bool {
-	if l.Revision < c.version.Revision {
-		return false
+	if l.Era < c.version.Era {
+		return c.applyEarlierEra(now, l)
 	}
+	var gone map[string]deletion
 	changed := false
+	if l.Era > c.version.Era {
+		gone = c.beginEra(now, l)
+		changed = true
+	} else if l.Revision < c.version.Revision {
+		return false
+	}
+	changed = c.applyStale(now, l) || changed
 	present := make(map[string]bool, len(l.Pairs))
 	for _, p := range l.Pairs {
 		present[p.Key] = true
-		changed = c.put(p) || changed
+		if d, ok := gone[p.Key]; ok && c.policy.resurrects(d, p) {
+			c.stale[p.Key] = staleValue{version: p.Version, value: d.value, since: now}
+			continue
+		}
+		changed = c.put(now, p) || changed
 	}
 	for key := range c.pairs {
 		if !present[key] {
 			changed = c.remove(now, key, l.Revision) || changed
 		}
 	}
+	for key, s := range c.stale {
+		if _, held := c.pairs[key]; !held && !present[key] && l.Stale == nil && s.version > 0 {
+			delete(c.stale, key)
+		}
+	}
 	if c.version.Revision == 0 {
 		c.deletedSince = l.Revision
 	}
@@ -156,23 +211,30 @@
 	return changed
 }
 
-// ApplyChanges applies changes up to a revision, as a watch or a peer delivers
-// them, and reports whether the keys or their values changed.
+// ApplyChanges applies changes up to a revision of the current era, as a watch or a
+// peer delivers them, and reports whether the keys or their values changed.
 func (c *Copy) ApplyChanges(now time.Duration, pairs []store.Pair, revision uint64) bool {
 	changed := false
 	for _, p := range pairs {
 		if p.Deleted {
-			if held, ok := c.pairs[p.Key]; ok && held.Version < p.Version {
-				changed = c.remove(now, p.Key, p.Version) || changed
-			}
+			changed = c.applyDeletion(now, p) || changed
 			continue
 		}
-		changed = c.put(p) || changed
+		changed = c.put(now, p) || changed
 	}
 	c.updateVersion(revision)
 	return changed
 }
 
+// applyDeletion applies the deletion of a key.
+func (c *Copy) applyDeletion(now time.Duration, p store.Pair) bool {
+	held, ok := c.pairs[p.Key]
+	if s, stale := c.stale[p.Key]; stale && !ok && s.version < p.Version {
+		delete(c.stale, p.Key)
+	}
+	return ok && held.Version < p.Version && c.remove(now, p.Key, p.Version)
+}
+
 // Expire drops keys whose grace period is over and reports whether there were any.
 func (c *Copy) Expire(now time.Duration) bool {
 	changed := false
@@ -188,13 +250,23 @@
 	return changed
 }
 
-// put stores a pair unless the copy has the key at the same or a later version, and
-// ends the grace period of the key. It reports whether the copy changed.
-func (c *Copy) put(p store.Pair) bool {
-	delete(c.dropAt, p.Key)
-	if held, ok := c.pairs[p.Key]; ok && held.Version >= p.Version {
+// put stores a pair unless the copy has the key at the same or a later version or
+// knows the pair to be out of date. It ends the grace period of the key and reports
+// whether the copy changed.
+func (c *Copy) put(now time.Duration, p store.Pair) bool {
+	held, ok := c.pairs[p.Key]
+	if ok && held.Version >= p.Version {
+		if held.Version > 0 {
+			delete(c.dropAt, p.Key)
+		}
 		return false
 	}
+	if c.outOfDate(now, held, p) {
+		delete(c.dropAt, p.Key)
+		return false
+	}
+	delete(c.dropAt, p.Key)
+	delete(c.stale, p.Key)
 	c.pairs[p.Key] = p
 	return true
 }
@@ -202,6 +274,13 @@
 // remove drops a key that was deleted at a revision. During an outage of the store
 // and shortly after it, the key gets a grace period instead.
 func (c *Copy) remove(now time.Duration, key string, revision uint64) bool {
+	if c.policy.ContentVersions {
+		if _, known := c.stale[key]; !known {
+			c.stale[key] = staleValue{since: now}
+		}
+		return false
+	}
+	delete(c.stale, key)
 	if now < c.graceEnd || c.storeDown {
 		if !c.inGrace(key) {
 			c.dropAt[key] = c.graceEnd
@@ -215,31 +294,39 @@
 	return true
 }
 
-// drop deletes a key and records the deletion for SharedAfter.
+// drop deletes a key and records the deletion for SharedSince and for the next era.
 func (c *Copy) drop(key string, revision uint64) {
+	c.deleted = append(c.deleted, deletion{key: key, revision: revision, value: c.pairs[key].Value})
 	delete(c.dropAt, key)
 	delete(c.pairs, key)
-	c.deleted = append(c.deleted, store.Pair{Key: key, Version: revision, Deleted: true})
 	if n := len(c.deleted) - maxDeletions; n > 0 {
-		c.deletedSince = max(c.deletedSince, c.deleted[n-1].Version)
+		c.deletedSince = max(c.deletedSince, c.deleted[n-1].revision)
 		c.deleted = slices.Delete(c.deleted, 0, n)
 	}
 }
 
 // updateVersion recomputes the version after a change. Keys in their grace period
-// do not count, and the digest does not depend on the order of keys.
+// do not count, and the digests do not depend on the order of keys.
 func (c *Copy) updateVersion(revision uint64) {
-	var digest uint64
-	var buf [8]byte
+	v := Version{Revision: max(revision, c.version.Revision), Era: c.version.Era}
 	for key, p := range c.pairs {
-		if c.inGrace(key) {
-			continue
+		if _, stale := c.stale[key]; !stale && !c.inGrace(key) {
+			v.Digest += hashKey(key, p.Version, nil)
 		}
-		h := xxhash.New()
-		binary.LittleEndian.PutUint64(buf[:], p.Version)
-		_, _ = h.WriteString(key) // a Digest never fails
-		_, _ = h.Write(buf[:])
-		digest += h.Sum64()
 	}
-	c.version = Version{Revision: max(revision, c.version.Revision), Digest: digest}
+	for key, s := range c.stale {
+		v.Stale += cmp.Or(hashKey(key, s.version, c.pairs[key].Value), 1)
+	}
+	c.version = v
+}
+
+// hashKey returns a hash of a key with a version and a value.
+func hashKey(key string, version uint64, value []byte) uint64 {
+	var buf [8]byte
+	binary.LittleEndian.PutUint64(buf[:], version)
+	h := xxhash.New()
+	_, _ = h.WriteString(key) // a Digest never fails
+	_, _ = h.Write(buf[:])
+	_, _ = h.Write(value)
+	return h.Sum64()
 }
--- a/internal/storecopy/copy_test.go
+++ b/internal/storecopy/copy_test.go
@@ -22,7 +22,7 @@
 }
 
 func TestWatchAndListing(t *testing.T) {
-	c := NewCopy()
+	c := NewCopy(Policy{})
 	c.ApplyListing(0, Listing{Revision: 10, Pairs: []store.Pair{pair("a", 3), pair("b", 9)}})
 	c.ApplyChanges(time.Second, []store.Pair{pair("c", 11), {Key: "a", Version: 12, Deleted: true}}, 12)
 	if got := keys(c); got != "bc" {
@@ -42,7 +42,7 @@
 // TestKeysMissingAfterAnOutageAreKept checks that a key whose lease expired during a
 // store outage is kept for ReturnGrace, and dropped if it is not written again.
 func TestKeysMissingAfterAnOutageAreKept(t *testing.T) {
-	c := NewCopy()
+	c := NewCopy(Policy{})
 	c.ApplyListing(0, Listing{Revision: 10, Pairs: []store.Pair{pair("a", 3), pair("b", 4)}})
 	c.StoreLost()
 	c.StoreAnswered(5 * time.Second)
@@ -62,7 +62,7 @@
 }
 
 func TestVersionsOfEqualCopiesAreEqual(t *testing.T) {
-	a, b := NewCopy(), NewCopy()
+	a, b := NewCopy(Policy{}), NewCopy(Policy{})
 	a.ApplyListing(0, Listing{Revision: 10, Pairs: []store.Pair{pair("a", 3), pair("b", 4)}})
 	b.ApplyListing(0, Listing{Revision: 10, Pairs: []store.Pair{pair("b", 4), pair("a", 3)}})
 	if a.Version() != b.Version() {
@@ -83,7 +83,7 @@
 // the fault run trouble-1 of the example deployment examples/sanabil, --seed
 // 718413597577: an endpoint that had left was registered again and got requests.
 func TestKeysInGraceAreNotShared(t *testing.T) {
-	offline, online := NewCopy(), NewCopy()
+	offline, online := NewCopy(Policy{}), NewCopy(Policy{})
 	for _, c := range []*Copy{offline, online} {
 		c.ApplyListing(0, Listing{Revision: 10, Pairs: []store.Pair{pair("a", 3), pair("b", 4)}})
 	}
@@ -114,7 +114,7 @@
 // since a common revision becomes equal to the peer's copy.
 func TestPeerChangesMakeCopiesEqual(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		peer, own := NewCopy(), NewCopy()
+		peer, own := NewCopy(Policy{}), NewCopy(Policy{})
 		revision := uint64(10)
 		first := Listing{Revision: revision, Pairs: []store.Pair{pair("a", 3), pair("b", 4), pair("c", 5)}}
 		peer.ApplyListing(0, first)
@@ -126,7 +126,7 @@
 			p.Deleted = rapid.Bool().Draw(t, "deleted")
 			peer.ApplyChanges(0, []store.Pair{p}, revision)
 		}
-		l := peer.SharedAfter(own.Version().Revision)
+		l := peer.SharedSince(own.Version())
 		if _, equal := own.ApplyPeer(0, l); !equal {
 			t.Fatalf("applying the changes after revision %d does not yield the peer's copy", l.After)
 		}
@@ -139,18 +139,18 @@
 // TestPeerChangesOnDifferentCopy checks that a copy with a key that the peer lacks
 // reports that the peer's changes do not make the copies equal.
 func TestPeerChangesOnDifferentCopy(t *testing.T) {
-	peer, own := NewCopy(), NewCopy()
+	peer, own := NewCopy(Policy{}), NewCopy(Policy{})
 	peer.ApplyListing(0, Listing{Revision: 10, Pairs: []store.Pair{pair("a", 3)}})
 	own.ApplyListing(0, Listing{Revision: 10, Pairs: []store.Pair{pair("a", 3), pair("stray", 4)}})
 	peer.ApplyChanges(0, []store.Pair{pair("b", 11)}, 11)
-	l := peer.SharedAfter(10)
+	l := peer.SharedSince(Version{Revision: 10})
 	if l.After != 10 || len(l.Pairs) != 1 {
 		t.Fatalf("changes %+v, want b alone", l)
 	}
 	if _, equal := own.ApplyPeer(0, l); equal {
 		t.Error("a copy with an extra key counts as equal to the peer's")
 	}
-	if own.ApplyPeer(0, peer.SharedAfter(0)); keys(own) != "ab" {
+	if own.ApplyPeer(0, peer.SharedSince(Version{})); keys(own) != "ab" {
 		t.Errorf("keys %q after the peer's full listing, want ab", keys(own))
 	}
 }
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -1,6 +1,7 @@
 package storecopy
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -64,23 +65,43 @@
 	Now    func() time.Duration // time on a monotonic clock
 	// Gateways returns the number of processes that keep this copy.
 	Gateways func() int
+	// Policy orders values of different eras of the store.
+	Policy Policy
 	// Watches reports whether this process watches the store. Processes that do not
 	// fetch changes from the watching ones. Nil means true.
 	Watches func() bool
 	// Fetch returns the listing of the peer that has announced the newest version:
-	// its changes after a revision, or all keys if after is 0. Without such a peer
-	// the listing is zero.
-	Fetch func(ctx context.Context, prefix string, after uint64) (Listing, error)
+	// its changes since a version, or all keys if the version is zero. Without such a
+	// peer the listing is zero.
+	Fetch func(ctx context.Context, prefix string, since Version) (Listing, error)
 	// Changed is called, one call at a time and with the copy locked, after each
 	// change. It must not call methods of the Syncer that lock the copy.
 	Changed func(Update)
 	// Reachable is called when the store becomes unreachable or reachable again.
 	// It is called with the copy locked, like Changed.
 	Reachable func(ok bool, status store.Status)
+	// EraBegan is called with the copy locked after the first listing of a later era.
+	EraBegan func(EraChange)
 	// FetchFailed is called with each error of Fetch.
 	FetchFailed func(err error)
 }
 
+// EraChange describes the first listing of a later era of the store.
+type EraChange struct {
+	Prefix   string
+	Old, New Version
+	Source   Source
+	Stale    int // keys whose value in the store is out of date
+	Missing  int // keys that the store lacks and that are kept for ReturnGrace
+}
+
+// announcement is a version that a peer has announced.
+type announcement struct {
+	version Version
+	// ahead reports whether the peer's values are newer whatever their revision.
+	ahead func() bool
+}
+
 // Syncer keeps one copy up to date. Its methods are safe for concurrent use.
 type Syncer struct {
 	cfg         Config
@@ -92,24 +113,24 @@
 	peerAhead   chan struct{} // signals that a peer has announced a version
 	cancelWatch atomic.Pointer[context.CancelFunc]
 
-	announced atomic.Pointer[Version] // last version announced by a peer
-	op        atomic.Uint64           // ID of the last store operation
+	announced atomic.Pointer[announcement] // last version announced by a peer
+	op        atomic.Uint64                // ID of the last store operation
 }
 
 // NewSyncer returns a Syncer that does nothing until Run.
 func NewSyncer(cfg Config) *Syncer {
 	return &Syncer{
-		cfg: cfg, copy: NewCopy(), storeUp: true,
+		cfg: cfg, copy: NewCopy(cfg.Policy), storeUp: true,
 		listNow: make(chan struct{}, 1), peerAhead: make(chan struct{}, 1),
 	}
 }
 
-// Shared returns the listing for other processes, or its changes after a revision
-// if after is not 0, and reports whether there is a copy yet.
-func (s *Syncer) Shared(after uint64) (Listing, bool) {
+// Shared returns the listing for other processes, or its changes since a version if
+// that is not zero, and reports whether there is a copy yet.
+func (s *Syncer) Shared(since Version) (Listing, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.copy.SharedAfter(after), s.hasCopy
+	return s.copy.SharedSince(since), s.hasCopy
 }
 
 // Version returns the version of the copy.
@@ -120,9 +141,10 @@
 }
 
 // Announced records that a peer holds version v. If the watch does not deliver it
-// within peerDelay, the copy is fetched from the peer. Announced never blocks.
-func (s *Syncer) Announced(v Version) {
-	s.announced.Store(&v)
+// within peerDelay, or if ahead then still returns true, the copy is fetched from the
+// peer. Announced never blocks.
+func (s *Syncer) Announced(v Version, ahead func() bool) {
+	s.announced.Store(&announcement{v, ahead})
 	signal(s.peerAhead)
 }
 
@@ -156,7 +178,7 @@
 			sleep.For(ctx, 2*retryMin)
 			continue
 		}
-		if s.watchOnce(ctx, version.Revision) {
+		if s.watchOnce(ctx, version) {
 			pause = retryMin
 			sleep.For(ctx, watchPause)
 			continue
@@ -167,16 +189,20 @@
 	}
 }
 
-// watchOnce makes one watch call for changes after a revision. It returns false if
-// the call failed, so that the keys must be listed.
-func (s *Syncer) watchOnce(ctx context.Context, after uint64) bool {
+// watchOnce makes one watch call for changes since a version. It returns false if the
+// keys must be listed: the call failed, or the store answered from another era, whose
+// revisions are not those of the call.
+func (s *Syncer) watchOnce(ctx context.Context, since Version) bool {
 	call, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
 	defer cancel()
 	s.cancelWatch.Store(&cancel)
 	began := s.cfg.Now()
 	r := s.cfg.Client.Do(call, store.Op{
-		ID: s.op.Add(1), Kind: store.OpWatch, Key: s.cfg.Prefix, Expect: after, TTL: watchWait,
+		ID: s.op.Add(1), Kind: store.OpWatch, Key: s.cfg.Prefix, Expect: since.Revision, TTL: watchWait,
 	})
+	if r.Era != 0 && r.Era != since.Era {
+		return false
+	}
 	switch r.Status {
 	case store.StatusTimeout:
 		return true
@@ -185,6 +211,9 @@
 		return false
 	}
 	s.apply(SourceWatch, s.cfg.Now()-began, func(now time.Duration) bool {
+		if s.copy.Version().Era != since.Era {
+			return false
+		}
 		return s.copy.ApplyChanges(now, r.Pairs, r.Latest)
 	})
 	return true
@@ -248,16 +277,22 @@
 	}
 	changed := s.apply(SourceListing, s.cfg.Now()-began, func(now time.Duration) bool {
 		s.hasCopy = true
-		return s.copy.ApplyListing(now, Listing{Revision: r.Latest, Pairs: r.Pairs})
+		era := cmp.Or(r.Era, s.copy.Version().Era)
+		return s.copy.ApplyListing(now, Listing{Era: era, Revision: r.Latest, Pairs: r.Pairs})
 	})
 	if changed {
-		if stop := s.cancelWatch.Load(); stop != nil {
-			(*stop)()
-		}
+		s.restartWatch()
 	}
 	return true
 }
 
+// restartWatch ends the current watch call.
+func (s *Syncer) restartWatch() {
+	if stop := s.cancelWatch.Load(); stop != nil {
+		(*stop)()
+	}
+}
+
 // followPeers fetches the copy of a peer that stays ahead for longer than
 // peerDelay.
 func (s *Syncer) followPeers(ctx context.Context) {
@@ -267,7 +302,8 @@
 			return
 		case <-s.peerAhead:
 			sleep.For(ctx, peerDelay)
-			if s.Version().Behind(*s.announced.Load()) {
+			a := s.announced.Load()
+			if s.Version().Behind(a.version) || a.ahead() {
 				s.fetch(ctx)
 			}
 		}
@@ -277,18 +313,18 @@
 // fetch applies the changes of a peer's copy. If the result differs from the
 // peer's copy, it fetches all keys.
 func (s *Syncer) fetch(ctx context.Context) {
-	if !s.fetchAfter(ctx, s.Version().Revision) {
-		s.fetchAfter(ctx, 0)
+	if !s.fetchSince(ctx, s.Version()) {
+		s.fetchSince(ctx, Version{})
 	}
 }
 
-// fetchAfter applies a peer's changes after a revision. It returns false if the
-// copy then differs from the peer's, so that all keys must be fetched.
-func (s *Syncer) fetchAfter(ctx context.Context, after uint64) bool {
+// fetchSince applies a peer's changes since a version. It returns false if the copy
+// then differs from the peer's, so that all keys must be fetched.
+func (s *Syncer) fetchSince(ctx context.Context, since Version) bool {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	began := s.cfg.Now()
-	l, err := s.cfg.Fetch(call, s.cfg.Prefix, after)
+	l, err := s.cfg.Fetch(call, s.cfg.Prefix, since)
 	if err != nil {
 		s.cfg.FetchFailed(err)
 		return true
@@ -311,9 +347,16 @@
 func (s *Syncer) apply(source Source, took time.Duration, change func(now time.Duration) bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := s.copy.Version()
 	if !change(s.cfg.Now()) {
 		return false
 	}
+	if v := s.copy.Version(); v.Era != before.Era && before.Revision > 0 {
+		s.restartWatch()
+		s.cfg.EraBegan(EraChange{
+			Prefix: s.cfg.Prefix, Old: before, New: v, Source: source, Stale: s.copy.Stale(), Missing: s.copy.InGrace(),
+		})
+	}
 	s.cfg.Changed(Update{Prefix: s.cfg.Prefix, Version: s.copy.Version(), Listing: s.copy.Listing(), Source: source, Took: took})
 	return true
 }
