Let watching gateways list often and drop what peers name as deleted

Each of 68 gateways listed every 27 s, and as all start together their first periods ended together. Announcements were not the cause: after the first listing all had the version within 1.4 s. Change: six gateways that reach the store watch (eight, whether or not they reached it) and list every 2.4 s from a random phase on; the others every two minutes. A deletion named by a peer takes effect at once; grace periods end on time of their own. A copy is fetched from a random one of the gateways that have it, which send three at once at most, so that a cell does not fetch a large configuration from one small VM. Ruled out: gossip. Failing before: TestChangeIsListedSoonWithoutWatches with the old periods, TestPeerDeletionsNeedNoSecondGracePeriod without the change.

--- a/internal/gateway/cells_test.go
+++ b/internal/gateway/cells_test.go
@@ -80,28 +80,60 @@
 	}
 }
 
-// TestNewVersionReachesAllCells checks that all gateways are notified of a version
-// within a second: a change has to be active everywhere within two.
-func TestNewVersionReachesAllCells(t *testing.T) {
-	s := newSimulationWith(t, 120, 400)
-	s.run(5 * time.Second)
+// TestNewVersionReachesAllGateways publishes a version at one gateway of fleets up to the
+// target's, over links that lose a tenth of the messages and with a sixth of the gateways
+// away, and checks the worst time over several seeds: a change has to be in force within
+// two seconds, of which a second is left for the store's watch and the fetch.
+func TestNewVersionReachesAllGateways(t *testing.T) {
+	for _, test := range []struct{ gateways, seeds int }{{20, 8}, {68, 6}, {120, 4}, {218, 3}, {430, 1}} {
+		if testing.Short() && test.gateways > 120 {
+			continue
+		}
+		for seed := range uint64(test.seeds) {
+			s := newSimulationWith(t, test.gateways, 40)
+			s.run(5 * time.Second)
+			worst := s.publishVersion(rand.New(rand.NewPCG(seed, 1)), 2*time.Second)
+			t.Logf("%d gateways, seed %d: the last one knows the version after %v", test.gateways, seed, worst)
+			if worst > time.Second {
+				t.Errorf("%d gateways, seed %d: the last one knows the version after %v, want 1s", test.gateways, seed, worst)
+			}
+		}
+	}
+}
+
+// publishVersion publishes a version at the first gateway while a sixth of the others are
+// away and a tenth of the messages are lost. It returns the time until all that are not
+// away have it, or limit.
+func (s *simulation) publishVersion(rng *rand.Rand, limit time.Duration) time.Duration {
+	const fetchTime = 60*time.Millisecond + 30*time.Millisecond // the wait for the watch, then the transfer
+	away := make(map[int]bool)
+	for i := 1; i < len(s.cores); i++ {
+		away[i] = rng.IntN(6) == 0
+	}
+	s.dropMessage = func(from, to int) bool { return away[from] || away[to] || rng.IntN(10) == 0 }
 	v := Versions{}
 	v.Config.Revision, v.Config.Digest = 7, 1
 	start := s.now
 	s.tick(0, Input{Versions: &v})
-	for s.now < start+time.Second {
-		s.run(s.now + 20*time.Millisecond)
-		for i, c := range s.cores { // a gateway that is notified of a newer version fetches it
-			if c.versions != v && s.notifiedOfNewer[i] {
-				s.tick(i, Input{Versions: &v})
+	fetching := make(map[int]bool)
+	for s.now < start+limit {
+		missing := 0
+		for i, c := range s.cores {
+			if c.versions == v || away[i] {
+				continue
+			}
+			missing++
+			if s.notifiedOfNewer[i] && !fetching[i] {
+				fetching[i] = true
+				s.schedule(fetchTime, func() { s.tick(i, Input{Versions: &v}) })
 			}
 		}
-	}
-	for i, c := range s.cores {
-		if c.versions != v {
-			t.Errorf("gateway %d does not have the new version after a second", i)
+		if missing == 0 {
+			return s.now - start
 		}
+		s.run(s.now + 5*time.Millisecond)
 	}
+	return limit
 }
 
 // TestBytesDoNotGrowWithTheFleet offers the same load per gateway to fleets of 48 and
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -151,6 +151,7 @@
 	Config        storecopy.Version
 	Registrations storecopy.Version
 	Active        uint64 `cbor:",omitempty"` // version of the configuration in force, set by the core; 0: none
+	StoreLost     bool   `cbor:",omitempty"` // the store does not answer this process
 }
 
 // Shutdown starts a graceful shutdown.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -294,21 +294,24 @@
 // maxWatchers is the number of gateways that watch the store in a large fleet. A
 // pending watch and each change that ends it are calls to the store, whose permitted
 // call rates grow more slowly than the fleet.
-const maxWatchers = 8
+const maxWatchers = 6
 
 // Watches reports whether this gateway is to watch the store: it is one of the first
-// live gateways by the hash of the address. Hashing distributes the watchers
-// over failure domains.
+// live gateways, by the hash of the address, that reach the store. Hashing distributes
+// the watchers over failure domains.
 func (c *Core) Watches() bool {
 	before := 0
 	for p := range c.peers.Values() {
-		if p.live && !p.leaving && p.addrHash < c.addrHash {
+		if p.live && !p.leaving && !p.storeLost && p.addrHash < c.addrHash {
 			before++
 		}
 	}
 	return before < maxWatchers
 }
 
+// Watchers returns the number of gateways that watch the store.
+func (c *Core) Watchers() int { return min(c.Gateways(), maxWatchers) }
+
 func hashAddr(addr netip.AddrPort) uint64 { return xxhash.Sum64String(addr.String()) }
 
 // livePeers returns addresses of live gateways, at most limit at a time, in rotation.
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -44,12 +44,13 @@
 	c.comparePeerVersions(p, m)
 }
 
-// comparePeerVersions emits a Newer output if the peer's copy of the store's keys or
+// comparePeerVersions records whether the peer reaches the store and emits a Newer output if the peer's copy of the store's keys or
 // its configuration in force is newer than the own one.
 func (c *Core) comparePeerVersions(p *peer, m *PeerMessage) {
 	if m.Versions == nil {
 		return
 	}
+	p.storeLost = m.Versions.StoreLost
 	if c.versions.Config.Behind(m.Versions.Config) || c.versions.Registrations.Behind(m.Versions.Registrations) ||
 		m.Versions.Active > c.activeVersion() {
 		c.emit(Output{Newer: &PeerHasNewer{Peer: p.addr, Versions: *m.Versions}})
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,11 +50,13 @@
 	ready              atomic.Bool
 	leaving            atomic.Bool // shutting down
 	lastRequestID      atomic.Uint64
-	newestPeer         atomic.Pointer[netip.AddrPort] // address of the peer with the newest cached copies
+	copyServing        chan struct{} // holds an element for each copy that is being sent to a peer
 
 	versionsMu sync.Mutex
 	versions   gateway.Versions // of both cached copies
 
+	newest newestPeers
+
 	mu        sync.Mutex // guards core, exchanges and coreTimer
 	core      *gateway.Core
 	exchanges map[gateway.RequestID]*exchange
@@ -135,7 +136,7 @@
 	case out.ToPeer != nil:
 		g.peers.send(out.ToPeer)
 	case out.Newer != nil:
-		g.newestPeer.Store(&out.Newer.Peer)
+		g.newest.add(out.Newer.Peer, out.Newer.Versions)
 		active := out.Newer.Versions.Active
 		g.configSyncer.Announced(out.Newer.Versions.Config, func() bool { return active > g.activeVersion() })
 		g.registrationSyncer.Announced(out.Newer.Versions.Registrations, func() bool { return false })
--- a/internal/gateway/shell/peers.go
+++ b/internal/gateway/shell/peers.go
@@ -4,17 +4,21 @@
 	"cmp"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"trefoilpath.org/trefoilpath/internal/gateway"
+	"trefoilpath.org/trefoilpath/internal/sleep"
 	"trefoilpath.org/trefoilpath/internal/storecopy"
 )
 
@@ -25,6 +29,18 @@
 	copyPath = "/copy"
 	// maxCopyBytes bounds a cached copy fetched from a peer.
 	maxCopyBytes = 16 << 20
+	// maxCopiesServed is the number of copies that a gateway sends at once. A large
+	// configuration takes 0.1 s on the link of a small VM; if a whole cell fetched it from
+	// the first gateway that has it, all would time out. Those that are turned away ask
+	// another one that has it meanwhile.
+	maxCopiesServed = 3
+	// maxCopyTries bounds the tries of one fetch, copyTimeout each of them. busyPause is
+	// about how long a gateway waits between two tries.
+	maxCopyTries = 8
+	copyTimeout  = time.Second
+	busyPause    = 80 * time.Millisecond
+	// maxNewestPeers bounds the gateways that are remembered to have the newest copy.
+	maxNewestPeers = 6
 	// peerReadPause is the delay after a failed read of the socket.
 	peerReadPause = 50 * time.Millisecond
 )
@@ -62,6 +78,49 @@
 	}
 }
 
+// newestPeers holds the gateways that have announced the newest copies, the latest
+// last. It is safe for concurrent use.
+type newestPeers struct {
+	mu    sync.Mutex
+	peers []newestPeer
+}
+
+type newestPeer struct {
+	addr     netip.AddrPort
+	versions gateway.Versions
+}
+
+// add records that a gateway has announced versions that the own process lacks.
+// Gateways that lack changes of these versions are forgotten.
+func (n *newestPeers) add(addr netip.AddrPort, v gateway.Versions) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peers = slices.DeleteFunc(n.peers, func(p newestPeer) bool {
+		return p.addr == addr || p.versions.Active < v.Active ||
+			p.versions.Config.Behind(v.Config) || p.versions.Registrations.Behind(v.Registrations)
+	})
+	n.peers = append(n.peers, newestPeer{addr, v})
+	n.peers = slices.Delete(n.peers, 0, max(len(n.peers)-maxNewestPeers, 0))
+}
+
+// pick returns a random one of the gateways, so that not all fetch from the first that
+// has a new version.
+func (n *newestPeers) pick() (netip.AddrPort, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.peers) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return n.peers[rand.IntN(len(n.peers))].addr, true
+}
+
+// remove forgets a gateway from which nothing can be fetched.
+func (n *newestPeers) remove(addr netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peers = slices.DeleteFunc(n.peers, func(p newestPeer) bool { return p.addr == addr })
+}
+
 // receive passes messages of other gateways to the core until ctx ends.
 func (g *Gateway) receive(ctx context.Context) {
 	buf := make([]byte, maxDatagram)
@@ -107,6 +166,13 @@
 		http.Error(w, "era is not a number", http.StatusBadRequest)
 		return
 	}
+	select {
+	case g.copyServing <- struct{}{}:
+		defer func() { <-g.copyServing }()
+	default:
+		http.Error(w, "busy", http.StatusTooManyRequests)
+		return
+	}
 	listing, known := s.Shared(storecopy.Version{Revision: after, Era: era})
 	if !known {
 		http.Error(w, "no copy yet", http.StatusServiceUnavailable)
@@ -129,13 +195,35 @@
 }
 
 // fetchCopy fetches the cached copy of a prefix, or its changes since a version if that
-// is not zero, from the gateway that has announced the newest copy. Without such a
-// gateway the listing is zero.
+// is not zero, from one of the gateways that have announced the newest copy. Without
+// such a gateway the listing is zero.
 func (g *Gateway) fetchCopy(ctx context.Context, prefix string, since storecopy.Version) (storecopy.Listing, error) {
-	addr := g.newestPeer.Load()
-	if addr == nil {
-		return storecopy.Listing{}, nil
+	var failed error
+	for range maxCopyTries {
+		addr, ok := g.newest.pick()
+		if !ok {
+			break
+		}
+		l, err := g.fetchCopyFrom(ctx, addr, prefix, since)
+		if err == nil {
+			return l, nil
+		}
+		failed = err
+		if !errors.Is(err, errPeerBusy) {
+			g.newest.remove(addr)
+		}
+		sleep.For(ctx, busyPause/2+rand.N(busyPause))
 	}
+	return storecopy.Listing{}, failed
+}
+
+// errPeerBusy is returned by fetchCopyFrom if the peer is sending other copies.
+var errPeerBusy = errors.New("the gateway is sending other copies")
+
+// fetchCopyFrom fetches from one gateway.
+func (g *Gateway) fetchCopyFrom(ctx context.Context, addr netip.AddrPort, prefix string, since storecopy.Version) (storecopy.Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
 	u := "http://" + addr.String() + copyPath + "?prefix=" + url.QueryEscape(prefix) +
 		"&after=" + strconv.FormatUint(since.Revision, 10) + "&era=" + strconv.FormatUint(since.Era, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
@@ -147,6 +235,9 @@
 		return storecopy.Listing{}, errors.Wrap(err, "fetch copy")
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusTooManyRequests {
+		return storecopy.Listing{}, errors.Wrapf(errPeerBusy, "fetch copy from %s", addr)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return storecopy.Listing{}, errors.Errorf("fetch copy: gateway %s responded with status %s", addr, resp.Status)
 	}
@@ -155,7 +246,10 @@
 		return storecopy.Listing{}, errors.Wrapf(err, "fetch copy: read response of gateway %s", addr)
 	}
 	var l storecopy.Listing
-	return l, errors.Wrapf(cbor.Unmarshal(raw, &l), "decode copy from %s", addr)
+	if err := cbor.Unmarshal(raw, &l); err != nil {
+		return storecopy.Listing{}, errors.Wrapf(err, "decode copy from %s", addr)
+	}
+	return l, nil
 }
 
 // peerClient fetches cached copies. That is rare, so it keeps no idle connections.
--- /dev/null
+++ b/internal/gateway/shell/peers_test.go
@@ -0,0 +1,78 @@
+package shell
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"trefoilpath.org/trefoilpath/internal/gateway"
+	"trefoilpath.org/trefoilpath/internal/storecopy"
+)
+
+// peerAt returns the address of a server that plays another gateway.
+func peerAt(t *testing.T, h http.HandlerFunc) netip.AddrPort {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// TestFetchGoesOnToAnotherGateway checks that a copy is fetched from another gateway that
+// has it if one is gone or is sending other copies.
+func TestFetchGoesOnToAnotherGateway(t *testing.T) {
+	busy := 0
+	unwilling := peerAt(t, func(w http.ResponseWriter, _ *http.Request) {
+		busy++
+		w.WriteHeader(http.StatusTooManyRequests)
+	})
+	gone := netip.MustParseAddrPort("127.0.0.1:1")
+	willing := peerAt(t, func(w http.ResponseWriter, r *http.Request) {
+		if q := r.URL.Query(); q.Get("after") != "5" || q.Get("era") != "2" {
+			t.Errorf("query %v, want the own revision and era", q)
+		}
+		if err := cbor.NewEncoder(w).Encode(storecopy.Listing{Revision: 9, Era: 2}); err != nil {
+			t.Error(err)
+		}
+	})
+	for range 20 { // the order of the tries is random
+		g := &Gateway{}
+		for _, addr := range []netip.AddrPort{gone, unwilling, willing} {
+			g.newest.add(addr, gateway.Versions{})
+		}
+		l, err := g.fetchCopy(context.Background(), "p", storecopy.Version{Revision: 5, Era: 2})
+		if err != nil || l.Revision != 9 {
+			t.Fatalf("listing %+v and error %v, want the copy of the one gateway that sends it", l, err)
+		}
+	}
+	if busy == 0 {
+		t.Error("the busy gateway was never asked in 20 fetches")
+	}
+}
+
+// TestNewestPeersForgetsThoseBehind checks that a gateway that lacks what another has
+// announced is not asked any more.
+func TestNewestPeersForgetsThoseBehind(t *testing.T) {
+	var n newestPeers
+	addr := func(i byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 1) }
+	versions := func(revision uint64) gateway.Versions {
+		return gateway.Versions{Config: storecopy.Version{Revision: revision, Digest: revision}}
+	}
+	n.add(addr(1), versions(1))
+	n.add(addr(2), versions(2))
+	n.add(addr(3), versions(2))
+	for range 20 {
+		if got, ok := n.pick(); !ok || got == addr(1) {
+			t.Fatalf("picked %v, want a gateway with the newest version", got)
+		}
+	}
+	n.remove(addr(2))
+	n.remove(addr(3))
+	if got, ok := n.pick(); ok {
+		t.Errorf("picked %v after all were removed", got)
+	}
+}
--- a/internal/gateway/shell/syncers.go
+++ b/internal/gateway/shell/syncers.go
@@ -12,15 +12,17 @@
 
 // newSyncers creates the syncers of the configuration and the registrations.
 func (g *Gateway) newSyncers() {
+	g.copyServing = make(chan struct{}, maxCopiesServed)
 	syncer := func(prefix string, policy storecopy.Policy, changed func(storecopy.Update)) *storecopy.Syncer {
 		return storecopy.NewSyncer(storecopy.Config{
 			Prefix: prefix, Policy: policy, Client: g.cfg.Store, Now: g.now, Changed: changed, EraBegan: g.eraBegan,
-			Gateways:    func() int { return readCore(g, (*gateway.Core).Gateways) },
+			Watchers:    func() int { return readCore(g, (*gateway.Core).Watchers) },
 			Watches:     func() bool { return readCore(g, (*gateway.Core).Watches) },
 			Fetch:       g.fetchCopy,
 			FetchFailed: g.peerFailed,
 			Reachable: func(ok bool, status store.Status) {
 				g.log.Info().Str("event", "store-reachable").Str("prefix", prefix).Bool("ok", ok).Int("status", int(status)).Send()
+				g.publish(func(v *gateway.Versions) { v.StoreLost = !ok })
 			},
 		})
 	}
@@ -126,12 +128,19 @@
 // them to peers. It is called with one copy locked, so it can't query the other
 // syncer and takes its version from g.versions.
 func (g *Gateway) publishVersions(u storecopy.Update) {
+	g.publish(func(v *gateway.Versions) {
+		if u.Prefix == g.cfg.Decoder.ConfigPrefix() {
+			v.Config = u.Version
+		} else {
+			v.Registrations = u.Version
+		}
+	})
+}
+
+// publish changes the state of the copies that the core announces to peers.
+func (g *Gateway) publish(change func(*gateway.Versions)) {
 	g.versionsMu.Lock()
-	if u.Prefix == g.cfg.Decoder.ConfigPrefix() {
-		g.versions.Config = u.Version
-	} else {
-		g.versions.Registrations = u.Version
-	}
+	change(&g.versions)
 	versions := g.versions
 	g.versionsMu.Unlock()
 	g.tick(gateway.Input{Versions: &versions})
--- a/internal/gateway/sim_test.go
+++ b/internal/gateway/sim_test.go
@@ -83,7 +83,7 @@
 }
 
 func gatewayAddr(i int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte((i + 1) >> 8), byte(i + 1)}), 7000)
 }
 
 func newTestCore(t testing.TB, i, gateways int) *Core {
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -128,6 +128,7 @@
 	lastSeen    time.Duration // when its last message was received; 0: never
 	live        bool          // messages arrive from it
 	leaving     bool          // it is shutting down
+	storeLost   bool          // the store does not answer it
 	addedAt     time.Duration
 	seed        bool                      // named in the settings; never removed
 	inCell      bool                      // in the own cell, or not live, so that its cell is unknown
--- a/internal/storecopy/copy.go
+++ b/internal/storecopy/copy.go
@@ -142,6 +142,14 @@
 		return false, false
 	}
 	changed = c.applyStale(now, l)
+	for _, p := range l.Pairs {
+		// The peer has waited for its grace period, so that the key gets no second one.
+		if held, ok := c.pairs[p.Key]; p.Deleted && ok && held.Version < p.Version && !c.policy.ContentVersions {
+			delete(c.stale, p.Key)
+			c.drop(p.Key, p.Version)
+			changed = true
+		}
+	}
 	changed = c.ApplyChanges(now, l.Pairs, l.Revision) || changed
 	return changed, c.version.Digest == l.Digest
 }
--- a/internal/storecopy/copy_test.go
+++ b/internal/storecopy/copy_test.go
@@ -136,6 +136,22 @@
 	})
 }
 
+// TestPeerDeletionsNeedNoSecondGracePeriod checks that a process that the store turns away
+// drops a key at once that a peer names as deleted: the peer has waited for the grace
+// period, and requests must not reach an endpoint that left for longer than the platform
+// allows. Found by further-grown scale-2: a request 3.06 s after the endpoint had left.
+func TestPeerDeletionsNeedNoSecondGracePeriod(t *testing.T) {
+	turnedAway, online := NewCopy(Policy{}), NewCopy(Policy{})
+	first := Listing{Revision: 10, Pairs: []store.Pair{pair("a", 3), pair("b", 4)}}
+	turnedAway.ApplyListing(0, first)
+	online.ApplyListing(0, first)
+	turnedAway.StoreLost()
+	online.ApplyChanges(0, []store.Pair{{Key: "a", Version: 11, Deleted: true}}, 11)
+	if changed, equal := turnedAway.ApplyPeer(0, online.SharedSince(turnedAway.Version())); !changed || !equal || keys(turnedAway) != "b" {
+		t.Errorf("keys %q (changed %v, equal %v) after the peer's deletion, want b", keys(turnedAway), changed, equal)
+	}
+}
+
 // TestPeerChangesOnDifferentCopy checks that a copy with a key that the peer lacks
 // reports that the peer's changes do not make the copies equal.
 func TestPeerChangesOnDifferentCopy(t *testing.T) {
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -30,9 +30,16 @@
 	// is healthy. With five gateways and staggered listings, one of them lists
 	// every 0.4 s.
 	reconcileMin = 2 * time.Second
-	// reconcilePerPeer times the number of gateways is the period in larger fleets,
-	// which keeps the listing rate of the whole fleet constant.
-	reconcilePerPeer = 400 * time.Millisecond
+	// reconcilePerWatcher times the number of watching gateways is their period in larger
+	// fleets, which keeps the listing rate of the whole fleet constant.
+	reconcilePerWatcher = 400 * time.Millisecond
+	// followerPeriod is the period of gateways that do not watch. They learn changes from
+	// the watching ones, and watch themselves if they hear from none.
+	followerPeriod = 2 * time.Minute
+	// expireInterval is how often keys whose grace period is over are dropped.
+	expireInterval = 150 * time.Millisecond
+	// fetchTimeout bounds the fetch of a peer's copy, including tries at several peers.
+	fetchTimeout = 3 * time.Second
 	// peerDelay is how long the watch may lag behind a peer before the peer's copy
 	// is fetched.
 	peerDelay = 60 * time.Millisecond
@@ -63,8 +70,8 @@
 	Prefix string
 	Client store.Client
 	Now    func() time.Duration // time on a monotonic clock
-	// Gateways returns the number of processes that keep this copy.
-	Gateways func() int
+	// Watchers returns the number of processes that watch the store.
+	Watchers func() int
 	// Policy orders values of different eras of the store.
 	Policy Policy
 	// Watches reports whether this process watches the store. Processes that do not
@@ -162,7 +169,7 @@
 // Run keeps the copy up to date until ctx ends.
 func (s *Syncer) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){s.watch, s.reconcile, s.followPeers} {
+	for _, loop := range []func(context.Context){s.watch, s.reconcile, s.followPeers, s.expire} {
 		wg.Go(func() { loop(ctx) })
 	}
 	wg.Wait()
@@ -172,12 +179,22 @@
 // unreachable, before the first listing, and while Config.Watches returns false.
 func (s *Syncer) watch(ctx context.Context) {
 	pause := retryMin
+	following := false
 	for ctx.Err() == nil {
 		version := s.Version()
-		if version.Revision == 0 || !s.storeReachable() || s.cfg.Watches != nil && !s.cfg.Watches() {
+		if version.Revision == 0 || !s.storeReachable() {
 			sleep.For(ctx, 2*retryMin)
 			continue
 		}
+		if !s.watches() {
+			following = true
+			sleep.For(ctx, 2*retryMin)
+			continue
+		}
+		if following {
+			following = false
+			signal(s.listNow) // its last listing may be as old as followerPeriod
+		}
 		if s.watchOnce(ctx, version) {
 			pause = retryMin
 			sleep.For(ctx, watchPause)
@@ -189,6 +206,9 @@
 	}
 }
 
+// watches reports whether this process is to watch the store.
+func (s *Syncer) watches() bool { return s.cfg.Watches == nil || s.cfg.Watches() }
+
 // watchOnce makes one watch call for changes since a version. It returns false if the
 // keys must be listed: the call failed, or the store answered from another era, whose
 // revisions are not those of the call.
@@ -224,37 +244,57 @@
 // from a peer.
 func (s *Syncer) reconcile(ctx context.Context) {
 	pause := retryMin
+	first := true
 	for ctx.Err() == nil {
 		if s.list(ctx) {
 			pause = retryMin
-			period := max(reconcileMin, reconcilePerPeer*time.Duration(s.cfg.Gateways()))
-			s.waitForListing(ctx, jitter(period))
+			period := jitter(s.listingPeriod())
+			if first {
+				// A random phase: the processes of a fleet start at about the same time, and
+				// without it none would list for most of the first period.
+				period, first = rand.N(period), false
+			}
+			s.waitForListing(ctx, period)
 			continue
 		}
-		s.fetch(ctx)
-		s.apply(SourceGrace, 0, s.copy.Expire)
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		s.fetch(call)
+		cancel()
 		sleep.For(ctx, jitter(pause))
 		pause = min(2*pause, retryMax)
 	}
 }
 
-// waitForListing waits for the period or a signal on listNow. Meanwhile it drops
-// keys whose grace period is over.
+// listingPeriod returns the time between two listings of this process while the store
+// is healthy.
+func (s *Syncer) listingPeriod() time.Duration {
+	if !s.watches() {
+		return followerPeriod
+	}
+	return max(reconcileMin, reconcilePerWatcher*time.Duration(s.cfg.Watchers()))
+}
+
+// waitForListing waits for the period or a signal on listNow.
 func (s *Syncer) waitForListing(ctx context.Context, period time.Duration) {
 	timer := time.NewTimer(period)
 	defer timer.Stop()
-	grace := time.NewTicker(ReturnGrace / 8)
-	defer grace.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-s.listNow:
+		sleep.For(ctx, retryMin/2)
+	}
+}
+
+// expire drops keys whose grace period is over, also while the store does not answer.
+func (s *Syncer) expire(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-timer.C:
-			return
-		case <-s.listNow:
-			sleep.For(ctx, retryMin/2)
-			return
-		case <-grace.C:
+		case <-ticker.C:
 			s.apply(SourceGrace, 0, s.copy.Expire)
 		}
 	}
@@ -321,7 +361,7 @@
 // fetchSince applies a peer's changes since a version. It returns false if the copy
 // then differs from the peer's, so that all keys must be fetched.
 func (s *Syncer) fetchSince(ctx context.Context, since Version) bool {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
+	call, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	began := s.cfg.Now()
 	l, err := s.cfg.Fetch(call, s.cfg.Prefix, since)
--- /dev/null
+++ b/internal/storecopy/syncer_test.go
@@ -0,0 +1,88 @@
+package storecopy
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/store"
+)
+
+// silentWatches is a store whose watches deliver nothing.
+type silentWatches struct {
+	mu       sync.Mutex
+	revision uint64
+	pairs    []store.Pair
+	lists    int
+}
+
+// Do implements store.Client for OpList and OpWatch.
+func (s *silentWatches) Do(ctx context.Context, op store.Op) store.Result {
+	if op.Kind == store.OpWatch {
+		<-ctx.Done()
+		return store.Result{ID: op.ID, Status: store.StatusUnavailable}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	return store.Result{ID: op.ID, Status: store.StatusOK, Latest: s.revision, Pairs: s.pairs}
+}
+
+func (s *silentWatches) write(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.pairs = append(s.pairs, pair(key, s.revision))
+}
+
+func (s *silentWatches) listings() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists
+}
+
+// TestChangeIsListedSoonWithoutWatches starts the processes of a fleet of 68 at once, of
+// which six watch, and changes a key that no watch delivers. One of them must list it
+// within a second and a half, so that two seconds suffice to distribute it; before the
+// first listings had random phases, none listed for 20 s. The rate of the listings must
+// not grow with the fleet.
+func TestChangeIsListedSoonWithoutWatches(t *testing.T) {
+	const processes, watchers = 68, 6
+	s := &silentWatches{revision: 10}
+	s.write("a")
+	learned := make(chan struct{}, processes)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	start := time.Now()
+	var wg sync.WaitGroup
+	for i := range processes {
+		syncer := NewSyncer(Config{
+			Prefix: "k", Client: s, Now: func() time.Duration { return time.Since(start) },
+			Watchers: func() int { return watchers },
+			Watches:  func() bool { return i < watchers },
+			Fetch:    func(context.Context, string, Version) (Listing, error) { return Listing{}, nil },
+			Changed: func(u Update) {
+				if len(u.Listing.Pairs) == 2 {
+					learned <- struct{}{}
+				}
+			},
+			Reachable: func(bool, store.Status) {}, FetchFailed: func(error) {},
+		})
+		wg.Go(func() { syncer.Run(ctx) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	before := s.listings()
+	s.write("b")
+	select {
+	case <-learned:
+	case <-time.After(1500 * time.Millisecond):
+		t.Error("no process has listed the change after 1.5 s")
+	}
+	time.Sleep(1500*time.Millisecond - min(time.Since(start)-500*time.Millisecond, 1500*time.Millisecond))
+	if n := s.listings() - before; n > 16 {
+		t.Errorf("%d listings in 1.5 s, want at most 16: one for each 0.4 s of the watching processes, and few others", n)
+	}
+	cancel()
+	wg.Wait()
+}
