Plan long prompts at most every 5 ms and without allocations

While a long prompt waits, each message of another gateway led to a plan, 0.27 ms and 2,235 allocations each. Ruled out: engines (served the same without charge), links (2.5 MB/s carry it). Change: plans of waiting requests are computed when a request comes, else at most every 5 ms; their slices are reused. Failing before: TestPlansWhileLongPromptsWait (1,652 plans in 2 s at a gateway with four requests of its own), TestPlanDoesNotAllocate (2,235). Tried: limiting also plans that a new request asks for: refusals then are not at once (TestPromptTooLateForItsDeadlineIsRefusedAtOnce).

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -31,15 +31,19 @@
 	endpointsRevision uint64   // of the store, at the latest list of endpoints
 	versions          Versions // of the cached copies, as sent to peers
 	ready             Ready
-	leaving           bool       // a graceful shutdown has begun
-	placementDue      bool       // something changed that may let a waiting request be placed
-	outbox            peerOutbox // changes to be sent to peers
-	cells             int        // number of cells in the fleet
-	ownCell           int        // index of the own cell
-	otherCellCursor   int        // position in the rotation of sendToOtherCells
-	knownAddrCursor   int        // position in the rotation of livePeers
+	leaving           bool          // a graceful shutdown has begun
+	leftWaiting       bool          // requests still waited after the last placement attempt
+	newWaiting        bool          // a request has come to wait since
+	placedAt          time.Duration // when that was
+	placementDue      bool          // something changed that may let a waiting request be placed
+	outbox            peerOutbox    // changes to be sent to peers
+	cells             int           // number of cells in the fleet
+	ownCell           int           // index of the own cell
+	otherCellCursor   int           // position in the rotation of sendToOtherCells
+	knownAddrCursor   int           // position in the rotation of livePeers
 	counts            Counts
 	candidateBuf      []candidate // reused by candidates
+	plan              planBuffers
 }
 
 // Counts are totals since the start of the process.
@@ -53,6 +57,7 @@
 	TimedOut   uint64 // requests whose deadline passed during an attempt
 	Gone       uint64 // requests whose caller disconnected
 	Ejected    uint64 // ejections of endpoints and prolongations of them
+	Placements uint64 // attempts to place the waiting requests
 }
 
 // New returns a gateway without configuration, endpoints or peers other than the
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -52,11 +52,21 @@
 type jobPlacement struct {
 	engines    []int         // indices of planEngines, the answering one first
 	reserved   []int64       // tokens that each stores for the answering one; nil: none
+	reserveBuf []int64       // reused for reserved
 	partTime   time.Duration // prefill time of each engine's part
 	untilStart time.Duration
 	untilFirst time.Duration // until the first event
 }
 
+// planBuffers are reused by the plans of one gateway, which computes many while long
+// prompts wait.
+type planBuffers struct {
+	engines []planEngine
+	order   []int
+	trial   jobPlacement
+	best    jobPlacement
+}
+
 // placeLong assigns whole engines to the long prompts that wait at all gateways. Each
 // job, in the shared order, gets the earliest placement that the jobs before it leave,
 // and this gateway's own jobs that can start now are dispatched. Every gateway computes
@@ -173,7 +183,7 @@
 
 // planEngines returns the engines that long prompts may be placed on.
 func (c *Core) planEngines(s *service) []planEngine {
-	var out []planEngine
+	out := c.plan.engines[:0]
 	for _, e := range c.usable(s, nil) {
 		if e.engine == nil {
 			continue
@@ -193,16 +203,19 @@
 		}
 		out = append(out, k)
 	}
+	c.plan.engines = out
 	return out
 }
 
 // bestPlacement returns where and when j is prefilled. It prefers the fewest engines
-// that can start now and meet the objective, then the earliest first event.
+// that can start now and meet the objective, then the earliest first event. The slices
+// of the result are valid until the next call.
 func (c *Core) bestPlacement(j *job, engines []planEngine) (jobPlacement, bool) {
-	order := make([]int, len(engines))
-	for i := range order {
-		order[i] = i
+	order := c.plan.order[:0]
+	for i := range engines {
+		order = append(order, i)
 	}
+	c.plan.order = order
 	slices.SortStableFunc(order, func(a, b int) int {
 		x, y := &engines[a], &engines[b]
 		if x.latencySensitive != y.latencySensitive {
@@ -212,22 +225,22 @@
 	})
 	maxEngines := min(len(engines), 1+engines[0].endpoint.engine.MaxHelpers)
 	maxNoStreamPrefill := c.noStreamPrefillLimit(j, engines, maxEngines)
-	var best jobPlacement
+	p, best := &c.plan.trial, &c.plan.best
 	found := false
 	for n := 1; n <= maxEngines; n++ {
-		p, ok := placeOnEngines(j, engines, order, n, maxNoStreamPrefill)
-		if !ok {
+		if !p.placeOnEngines(j, engines, order, n, maxNoStreamPrefill) {
 			continue
 		}
 		inTime := p.untilFirst+time.Duration(firstEventMarginRatio*float64(p.untilFirst))+firstEventMargin <= j.untilDue
 		if p.untilStart == 0 && (inTime || j.order.late) {
-			return p, true
+			return *p, true
 		}
 		if !found || p.untilFirst < best.untilFirst {
-			best, found = p, true
+			*p, *best = *best, *p
+			found = true
 		}
 	}
-	return best, found
+	return *best, found
 }
 
 // noStreamPrefillLimit returns the prefill time that an engine without streams may be
@@ -246,20 +259,21 @@
 	return max(c.cfg.Placement.IdlePrefill, j.prefillTime/time.Duration(min(noStreams, maxEngines)))
 }
 
-// placeOnEngines returns the earliest placement of j on n engines. An engine without
-// streams takes a part of up to maxNoStreamPrefill.
-func placeOnEngines(j *job, engines []planEngine, order []int, n int, maxNoStreamPrefill time.Duration) (jobPlacement, bool) {
-	p := jobPlacement{partTime: j.prefillTime / time.Duration(n)}
+// placeOnEngines sets p to the earliest placement of j on n engines and reports whether
+// there is one. An engine without streams takes a part of up to maxNoStreamPrefill.
+func (p *jobPlacement) placeOnEngines(j *job, engines []planEngine, order []int, n int, maxNoStreamPrefill time.Duration) bool {
+	*p = jobPlacement{engines: p.engines[:0], reserveBuf: p.reserveBuf, partTime: j.prefillTime / time.Duration(n)}
 	answering := -1
 	for _, i := range order {
 		k := &engines[i]
-		if k.noStreams && maxNoStreamPrefill < k.endpoint.scaleByPace(p.partTime) || !k.noStreams && k.freePrefill < k.endpoint.scaleByPace(p.partTime) {
+		prefillTime := k.endpoint.scaleByPace(p.partTime)
+		if k.noStreams && maxNoStreamPrefill < prefillTime || !k.noStreams && k.freePrefill < prefillTime {
 			continue
 		}
 		p.engines = append(p.engines, i)
 		p.untilStart = max(p.untilStart, k.untilFree)
 		// Half a pass until the prefill begins, and one pass that it shares; see occupancy.untilFirst.
-		p.untilFirst = max(p.untilFirst, p.untilStart+k.occupancy.decodePass*3/2+k.endpoint.scaleByPace(p.partTime)+transitTime)
+		p.untilFirst = max(p.untilFirst, p.untilStart+k.occupancy.decodePass*3/2+prefillTime+transitTime)
 		if k.freeSlots > 0 && (answering < 0 || k.freeMemory > engines[p.engines[answering]].freeMemory) {
 			answering = len(p.engines) - 1
 		}
@@ -268,10 +282,10 @@
 		}
 	}
 	if len(p.engines) < n || answering < 0 {
-		return jobPlacement{}, false
+		return false
 	}
 	p.engines[0], p.engines[answering] = p.engines[answering], p.engines[0]
-	return p, p.reserve(j, engines)
+	return p.reserve(j, engines)
 }
 
 // reserve distributes the tokens that the answering engine has no memory for over the
@@ -281,7 +295,8 @@
 	if missing <= 0 {
 		return true
 	}
-	p.reserved = make([]int64, len(p.engines))
+	p.reserveBuf = append(p.reserveBuf[:0], make([]int64, len(p.engines))...)
+	p.reserved = p.reserveBuf
 	for n, i := range p.engines[1:] {
 		tokens := min(max(missing, minReservationTokens), engines[i].freeMemory)
 		if tokens < minReservationTokens || missing <= 0 {
@@ -298,7 +313,7 @@
 
 // placement converts p to the form that dispatch takes.
 func (p *jobPlacement) placement(engines []planEngine) placement {
-	out := placement{partTime: p.partTime, untilFirst: p.untilFirst, reserved: p.reserved}
+	out := placement{partTime: p.partTime, untilFirst: p.untilFirst, reserved: slices.Clone(p.reserved)}
 	for _, i := range p.engines {
 		out.endpoints = append(out.endpoints, engines[i].endpoint)
 	}
--- a/internal/gateway/plan_test.go
+++ b/internal/gateway/plan_test.go
@@ -64,3 +64,52 @@
 		t.Errorf("%d engines prefill for %v each, want the late prompt to wait", 1+len(d.Helpers), c.requests.Get(id).work.partTime)
 	}
 }
+
+// TestPlansWhileLongPromptsWait plays a burst of long prompts at a gateway that gets a
+// message from each of 24 others every few milliseconds. Each message may let a prompt be
+// placed, but a small VM can't compute a plan for each. A prompt that comes is still
+// placed or refused at once, and the prompts get engines as they become free.
+func TestPlansWhileLongPromptsWait(t *testing.T) {
+	const gateways, length = 25, 2 * time.Second
+	s := newSimulationWith(t, gateways, 40)
+	s.run(time.Second)
+	before, dispatched := s.cores[0].Counts(), 0
+	end := s.now + length
+	for n := 0; s.now < end; n++ {
+		s.submit(n%gateways, "long", 300_000, 8)
+		for i := 1 + n%3; i < gateways; i += 3 {
+			s.submit(i, "short", 3000, 4)
+		}
+		s.run(s.now + 20*time.Millisecond)
+	}
+	for _, j := range s.allJobs {
+		if j.kind == "long" && j.dispatchedAt > 0 {
+			dispatched++
+		}
+	}
+	after := s.cores[0].Counts()
+	own := after.Arrived - before.Arrived
+	if plans, most := after.Placements-before.Placements, uint64(length/minPlaceInterval)+2*own; plans > most {
+		t.Errorf("%d plans in %v with %d requests of its own, want at most %d", plans, length, own, most)
+	}
+	// Forty engines prefill a prompt of 5.3 engine seconds about every 130 ms.
+	if dispatched < 10 {
+		t.Errorf("%d long prompts dispatched in %v, want at least 10", dispatched, length)
+	}
+}
+
+// TestPlanDoesNotAllocate bounds the allocations of one plan for sixteen long prompts,
+// whose collection would cost a small VM more than the plan.
+func TestPlanDoesNotAllocate(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	c.Tick(0, Input{Endpoints: testEndpoints(60, 0)})
+	for id := RequestID(1); len(c.service(engineService).waiting) < maxPlanJobs; id++ {
+		c.Tick(time.Second, Input{Arrive: &Arrival{
+			ID: id, RequestID: "l", Route: testRoutes()["long"], Service: engineService,
+			PromptTokens: 300_000, MaxOutputTokens: 500, Deadline: 16 * time.Second,
+		}})
+	}
+	if n := testing.AllocsPerRun(50, func() { c.placeLong(c.service(engineService)) }); n > 40 {
+		t.Errorf("%.0f allocations for one plan, want at most 40", n)
+	}
+}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -15,6 +15,10 @@
 	// placeInterval is the time between two placement attempts of waiting requests when no
 	// endpoint changes: queued prefills are predicted to end without a message.
 	placeInterval = 10 * time.Millisecond
+	// minPlaceInterval is the shortest time between two placement attempts while requests
+	// wait and no new one has come. A plan of long prompts takes a small VM some tenths of a millisecond, and each
+	// message of another gateway may let one be placed.
+	minPlaceInterval = 5 * time.Millisecond
 	// The larger of minForceWait and forceAfterRatio times its objective is how long a late
 	// request waits for an endpoint of a plain service with a free place before it is
 	// queued at one without.
@@ -43,7 +47,7 @@
 	s := c.service(r.in.Service)
 	r.orderPenalty = s.orderPenalty(r)
 	s.waiting = append(s.waiting, r)
-	c.placementDue = true
+	c.placementDue, c.newWaiting = true, true
 	if r.divisible = c.divisible(s, r); r.divisible {
 		c.announce(r)
 	}
@@ -80,6 +84,10 @@
 		return
 	}
 	c.placementDue = false
+	if c.leftWaiting && !c.newWaiting && c.now < c.placedAt+minPlaceInterval {
+		c.timers.Set(timerKey{kind: timerPlace}, c.placedAt+minPlaceInterval)
+		return
+	}
 	waiting := false
 	for s := range c.services.Values() {
 		if len(s.waiting) == 0 {
@@ -91,6 +99,8 @@
 		s.waiting = slices.DeleteFunc(s.waiting, func(r *request) bool { return r.phase != phaseWaiting })
 		waiting = waiting || len(s.waiting) > 0
 	}
+	c.counts.Placements++
+	c.leftWaiting, c.newWaiting, c.placedAt = waiting, false, c.now
 	if waiting {
 		c.timers.Set(timerKey{kind: timerPlace}, c.now+placeInterval)
 	}
