Hold long prompts until the other gateways know them, in larger cells too

The hold of 4 ms is one message of a small fleet; a small VM handles messages of 24 peers, and the dispatch itself waited 1.5 ms for its batch. Ruled out: order of the plan (both gateways would have planned alike). Change: the hold grows by 0.4 ms a peer of the cell, to 20 ms at most; the dispatch of a divisible prompt is sent at once. Failing before: TestLongPromptsShareNoEngine, 4 of 40 pairs; with 0.25 ms a peer 2, now none.

--- a/internal/gateway/plan_test.go
+++ b/internal/gateway/plan_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -113,3 +114,31 @@
 		t.Errorf("%.0f allocations for one plan, want at most 40", n)
 	}
 }
+
+// TestLongPromptsShareNoEngine submits pairs of long prompts to different gateways within
+// some milliseconds, over messages that small VMs handle late. An engine that prefills
+// two of them makes both late, and where its memory holds only one, the other waits for
+// seconds. Found on a calm day of 25 gateways before 78 engines.
+func TestLongPromptsShareNoEngine(t *testing.T) {
+	const gateways, pairs = 25, 40
+	rng := rand.New(rand.NewPCG(5, 1))
+	shared := 0
+	for range pairs {
+		s := newSimulationWith(t, gateways, 78)
+		s.run(time.Second)
+		s.peerDelay = time.Duration(2+rng.IntN(7)) * time.Millisecond
+		s.submit(rng.IntN(12), "long", drawPromptTokens(rng, 300_000, 0.3, 440_000), 8)
+		s.run(s.now + time.Duration(rng.IntN(9))*time.Millisecond)
+		s.submit(12+rng.IntN(12), "long", drawPromptTokens(rng, 300_000, 0.3, 440_000), 8)
+		s.run(s.now + 60*time.Millisecond)
+		for _, e := range s.engineList {
+			if len(e.prefills) > 1 {
+				shared++
+				break
+			}
+		}
+	}
+	if shared > 0 {
+		t.Errorf("%d of %d pairs of prompts share an engine, want none", shared, pairs)
+	}
+}
--- a/internal/gateway/planorder.go
+++ b/internal/gateway/planorder.go
@@ -8,8 +8,12 @@
 
 const (
 	// announceDelay is how long a long prompt is held so that the other gateways learn of
-	// it: one message between failure domains, with some processor time.
-	announceDelay = 4 * time.Millisecond
+	// it: one message between failure domains, with some processor time. In larger cells it
+	// grows by announceDelayPerPeer, up to maxAnnounceDelay: a small VM may have a message
+	// of each peer to handle first.
+	announceDelay        = 4 * time.Millisecond
+	announceDelayPerPeer = 400 * time.Microsecond
+	maxAnnounceDelay     = 20 * time.Millisecond
 	// planPeerTimeout is the silence after which the waiting requests of another gateway
 	// are left out of the plan.
 	planPeerTimeout = 400 * time.Millisecond
@@ -40,7 +44,7 @@
 	if c.Gateways() == 1 {
 		return
 	}
-	r.holdUntil = c.now + announceDelay
+	r.holdUntil = c.now + min(announceDelay+announceDelayPerPeer*time.Duration(c.cellPeers()), maxAnnounceDelay)
 	c.outbox.batchDue = true
 	c.outbox.waiting = append(c.outbox.waiting, r)
 	c.timers.Set(timerKey{kind: timerPlace}, r.holdUntil)
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -152,6 +152,9 @@
 	r.work = w
 	c.addWork(w)
 	c.outbox.workChanged(c, w)
+	if r.divisible {
+		c.outbox.batchDue = true // other gateways' plans must not use these engines
+	}
 	c.counts.Dispatched++
 	if r.attempt > 1 {
 		c.counts.Retried++
