--- a/internal/gateway/cells.go
+++ b/internal/gateway/cells.go
@@ -21,9 +21,10 @@
 const (
 	// maxSingleCellGateways is the largest number of gateways that form a single cell.
 	maxSingleCellGateways = 40
-	// minCellGateways is the minimum number of gateways in a cell. In a smaller cell,
-	// the uneven traffic of single gateways would dominate the load of the cell.
-	minCellGateways = 12
+	// minCellGateways is the minimum number of gateways in a cell. In a smaller cell, the
+	// uneven traffic of single gateways would dominate the load of the cell, and the longest
+	// prompts would seldom find as many idle engines as they need.
+	minCellGateways = 24
 	// minCellEndpoints is the minimum number of endpoints of a service per cell. A
 	// service with fewer endpoints per cell is used by all gateways.
 	minCellEndpoints = 4
