Drop the unsent bytes of a cancelled request

The gateway cancelled the attempt by closing its connection, but what the kernel still held for a crowded link was sent all the same. Ruled out: the cancellation (deadline and a caller that leaves both end the attempt at once). Change: a cancelled attempt resets its connection. Failing before: TestAbortDropsUnsentBytes, the endpoint received the whole request after the cancellation; now it does not.

--- a/internal/gateway/shell/callendpoint.go
+++ b/internal/gateway/shell/callendpoint.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, conn.Close)
+	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
 	g.cfg.Translator.Forward(r.header, ForwardHeaders{TimeLeft: orderTimeout, EndpointID: r.endpoint})
 	req := &upstream.Request{Method: r.method, Target: r.target, Host: r.addr, Header: r.header, Body: r.body}
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -162,7 +162,7 @@
 	if err != nil {
 		return x.failAttempt(ctx, e, gateway.ResultUnreachable, err)
 	}
-	stop := context.AfterFunc(ctx, conn.Close)
+	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
 	x.g.tick(gateway.Input{Sent: &gateway.Sent{ID: x.id, Attempt: d.Attempt}})
 	resp, err := conn.Do(x.request(d))
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -194,6 +194,16 @@
 	}
 }
 
+// Abort closes the connection and drops what has not been sent yet, so that the endpoint
+// does not receive a request whose caller has left or whose time is over. Like Close it
+// may be called concurrently with other methods.
+func (c *Conn) Abort() {
+	if tcp, ok := c.net.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	c.Close()
+}
+
 // openAndSilent reports whether the endpoint has neither closed the idle
 // connection nor sent data on it.
 func (c *Conn) openAndSilent() bool {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -238,3 +238,51 @@
 		}
 	}
 }
+
+// TestAbortDropsUnsentBytes checks that an endpoint behind a slow link does not receive
+// the rest of a request that was cancelled while it was in the sender's buffers: the
+// endpoint begins to read only after the cancellation.
+func TestAbortDropsUnsentBytes(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	cancelled, result := make(chan struct{}), make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			result <- err
+			return
+		}
+		defer c.Close()
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10) // on failure more is read before the reset
+		<-cancelled
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil {
+			_, err = io.Copy(io.Discard, r.Body)
+		}
+		result <- err
+	}()
+	pool := NewPool()
+	conn, err := pool.Get(context.Background(), l.Addr().String(), time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := request("1")
+	r.Method, r.Body = "POST", make([]byte, 1<<20)
+	if err := conn.net.(*net.TCPConn).SetWriteBuffer(2 << 20); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.Write(r); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-conn.writeResult; err != nil {
+		t.Fatal(err)
+	}
+	conn.Abort()
+	close(cancelled)
+	if err := <-result; err == nil {
+		t.Error("the endpoint received the whole request after it was cancelled")
+	}
+}
