--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"trefoilpath.org/trefoilpath/internal/wire"
@@ -434,3 +435,32 @@
 		}
 	}
 }
+
+// TestHelpersThatRegisterLaterCount checks that the work of another gateway is counted at
+// a helper that was not registered here when its first message came.
+func TestHelpersThatRegisterLaterCount(t *testing.T) {
+	c := newTestCore(t, 0, 2)
+	known := testEndpoints(19, 3)
+	late := known.Rows[18].ID
+	m := func(decoding bool) Input {
+		return Input{Peer: &PeerMessage{From: gatewayAddr(1), Incarnation: 2, Rows: []PeerRow{{
+			Request: 1 << 8, Decoding: decoding, Prompt: 200_000, Output: 500, PartUS: 900_000,
+			At: []uint64{xxhash.Sum64String("e-00"), xxhash.Sum64String(string(late))},
+		}}}}
+	}
+	c.Tick(time.Second, m(false))
+	c.Tick(time.Second, Input{Endpoints: known})
+	c.Tick(time.Second, m(false))
+	for _, id := range []wire.EndpointID{"e-00", late} {
+		if e := c.endpoints.Get(id); len(e.workItems) != 1 || c.occupancy(e).queuedPrefill < 800*time.Millisecond {
+			t.Errorf("%s has %d work items and %v of prefill, want the part of the other gateway's prompt", id, len(e.workItems), c.occupancy(e).queuedPrefill)
+		}
+	}
+	c.Tick(time.Second, m(true))
+	c.Tick(time.Second, Input{Peer: &PeerMessage{From: gatewayAddr(1), Incarnation: 2, Ended: []uint64{1 << 8}}})
+	for _, id := range []wire.EndpointID{"e-00", late} {
+		if n := len(c.endpoints.Get(id).workItems); n != 0 {
+			t.Errorf("%s has %d work items after the end, want none", id, n)
+		}
+	}
+}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -66,11 +66,16 @@
 }
 
 // applyPeerRow adds or updates a work item of another gateway. It ignores a new item whose
-// answering endpoint is not registered here yet; a later full message repeats it. Helpers
-// that are not registered here are left out of the item for good.
+// answering endpoint is not registered here yet, and leaves out helpers that are not; a
+// later full message repeats the item.
 func (c *Core) applyPeerRow(p *peer, row *PeerRow) {
 	c.peerStoppedWaiting(p, row.Request)
-	if old := p.workItems[row.Request]; old != nil {
+	if len(row.At) == 0 {
+		return
+	}
+	if old := p.workItems[row.Request]; old != nil && old.helpersMissing > c.unregisteredHelpers(row) {
+		c.removeWork(old) // to be added with the helpers that have registered since
+	} else if old != nil {
 		old.lastSeen = c.now
 		if row.Decoding && old.phase == workPrefilling {
 			old.startDecode()
@@ -78,9 +83,6 @@
 		}
 		return
 	}
-	if len(row.At) == 0 {
-		return
-	}
 	w := &workItem{
 		key: workKey{p.addr, row.Request}, phase: workPrefilling,
 		prompt: row.Prompt, output: row.Output,
@@ -97,6 +99,7 @@
 			if i == 0 {
 				return
 			}
+			w.helpersMissing++
 			continue
 		}
 		w.endpoints = append(w.endpoints, e)
@@ -108,6 +111,15 @@
 	c.addWork(w)
 }
 
+// unregisteredHelpers returns the number of helpers of row that are not registered here.
+func (c *Core) unregisteredHelpers(row *PeerRow) int {
+	n := 0
+	for _, hash := range row.At[1:] {
+		n += bit(c.endpointsByHash[hash] == nil)
+	}
+	return n
+}
+
 // removeSilentPeers marks gateways as not live after a silence, removes them, except
 // seeds, after a longer one, and removes work items and waiting requests that no message
 // has named for staleIntervals full message intervals.
--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -141,12 +141,15 @@
 	if _, err := io.ReadFull(r, buf); err != nil {
 		return nil, err
 	}
-	// Reads to the end, so that the server knows that the body is complete. The
-	// server ends the body at the stated size, so n is 0 and an error means that the
-	// caller disconnected or was too slow.
+	// Reads to the end, so that the server knows that the body is complete. An error
+	// means that the caller disconnected or was too slow.
 	var rest [1]byte
-	if n, err := r.Read(rest[:]); n > 0 || err != nil && err != io.EOF {
-		return nil, errors.Wrap(err, "body is longer than stated")
+	n, err := r.Read(rest[:])
+	if n > 0 {
+		return nil, errors.New("body is longer than stated")
+	}
+	if err != nil && err != io.EOF {
+		return nil, errors.Wrap(err, "read the end of the body")
 	}
 	return buf, nil
 }
--- /dev/null
+++ b/internal/gateway/shell/callers_test.go
@@ -0,0 +1,17 @@
+package shell
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestReadAllReportsALongerBody checks that a body beyond its stated size is an error and
+// not a missing body.
+func TestReadAllReportsALongerBody(t *testing.T) {
+	if body, err := readAll(strings.NewReader("abcd"), 3, 10); err == nil {
+		t.Errorf("read %q without an error, want an error", body)
+	}
+	if body, err := readAll(strings.NewReader("abc"), 3, 10); err != nil || string(body) != "abc" {
+		t.Errorf("read %q with error %v, want abc", body, err)
+	}
+}
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -89,17 +89,18 @@
 // workItem is an attempt of a request that runs at an endpoint, with the engines that
 // help to prefill its prompt.
 type workItem struct {
-	key          workKey
-	phase        workPhase
-	endpoints    []*endpoint     // the answering one first, then the helpers
-	reserved     []int64         // prompt tokens that each stores for the answering one; nil: none
-	prompt       int64           // tokens
-	output       int64           // maximum number of output tokens
-	partTime     time.Duration   // prefill time of each engine's part
-	overtakenBy  []time.Duration // prefill time, at each engine, of parts that were dispatched later and finished first; nil: none
-	gapLimit     time.Duration   // longest gap that its caller accepts
-	dispatchedAt time.Duration
-	lastSeen     time.Duration // if it runs at another gateway: last message that named it
+	key            workKey
+	phase          workPhase
+	endpoints      []*endpoint     // the answering one first, then the helpers
+	reserved       []int64         // prompt tokens that each stores for the answering one; nil: none
+	prompt         int64           // tokens
+	output         int64           // maximum number of output tokens
+	partTime       time.Duration   // prefill time of each engine's part
+	overtakenBy    []time.Duration // prefill time, at each engine, of parts that were dispatched later and finished first; nil: none
+	gapLimit       time.Duration   // longest gap that its caller accepts
+	helpersMissing int             // of another gateway's item: helpers that are not registered here
+	dispatchedAt   time.Duration
+	lastSeen       time.Duration // if it runs at another gateway: last message that named it
 }
 
 // answering returns the endpoint that answers the request.
