Resume completions whose field names differ in case

Change: continueBody finds the fields as parseCompletion does; of several the last one counts. Failing before: three of the four new cases of TestContinueBodyAppendsDeliveredText.

--- a/internal/entry/shell/completionbody.go
+++ b/internal/entry/shell/completionbody.go
@@ -1,7 +1,9 @@
 package shell
 
 import (
+	"bytes"
 	"encoding/json"
+	"slices"
 	"strings"
 	"unicode/utf8"
 
@@ -172,9 +174,9 @@
 // continueBody returns the request body for the rest of an answer whose beginning,
 // text, the caller already has.
 func continueBody(body []byte, s shape, text []byte) ([]byte, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(body, &fields); err != nil {
-		return nil, errors.WithStack(err)
+	fields, err := decodeFields(body, "prompt", "messages")
+	if err != nil {
+		return nil, err
 	}
 	if s == shapeText {
 		prompt, err := contentText(fields["prompt"])
@@ -198,6 +200,36 @@
 	return withField(fields, "messages", append(messages, last))
 }
 
+// decodeFields decodes the fields of a JSON object. Fields whose name differs from one of
+// names only in case get that name, as parseCompletion takes them; of several, the last
+// one counts.
+func decodeFields(body []byte, names ...string) (map[string]json.RawMessage, error) {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if _, err := dec.Token(); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	fields := make(map[string]json.RawMessage)
+	for dec.More() {
+		token, err := dec.Token()
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		field, ok := token.(string)
+		if !ok {
+			return nil, errors.Errorf("%v in place of a field name", token)
+		}
+		if i := slices.IndexFunc(names, func(n string) bool { return strings.EqualFold(n, field) }); i >= 0 {
+			field = names[i]
+		}
+		var value json.RawMessage
+		if err := dec.Decode(&value); err != nil {
+			return nil, errors.WithStack(err)
+		}
+		fields[field] = value
+	}
+	return fields, nil
+}
+
 func withField(fields map[string]json.RawMessage, name string, value any) ([]byte, error) {
 	raw, err := json.Marshal(value)
 	if err != nil {
--- a/internal/entry/shell/completionbody_test.go
+++ b/internal/entry/shell/completionbody_test.go
@@ -13,6 +13,10 @@
 	}{
 		{shapeText, `{"model":"m","prompt":"one two","max_tokens":9,"seed":4}`},
 		{shapeChat, `{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"one "},{"type":"text","text":"two"}]}],"max_tokens":9}`},
+		{shapeText, `{"model":"m","Prompt":"one two","max_tokens":9}`},
+		{shapeText, `{"model":"m","prompt":"zero","PROMPT":"one two","max_tokens":9}`},
+		{shapeText, `{"model":"m","PROMPT":"zero","prompt":"one two","max_tokens":9}`},
+		{shapeChat, `{"model":"m","MESSAGES":[{"role":"user","content":"one two"}],"max_tokens":9}`},
 	} {
 		out, err := continueBody([]byte(c.body), c.shape, []byte(" three"))
 		if err != nil {
@@ -33,6 +37,7 @@
 	f.Add([]byte(`{"model":"m","prompt":"x","stream":true}`), true)
 	f.Add([]byte(`{"model":"m:a","messages":[{"role":"user","content":"x"}],"max_tokens":3}`), false)
 	f.Add([]byte(`{"model":"m","prompt":["a"],"n":1}`), true)
+	f.Add([]byte(`{"model":"m","Prompt":"x","prompt":"y"}`), true)
 	f.Fuzz(func(t *testing.T, body []byte, text bool) {
 		s := shapeChat
 		if text {
