See changes beyond the shown part of a list element

Change: full texts are compared and short ones shown; the benchmarks wait in steps; each option is named. Failing before: TestCompareSeesChangesBeyondTheShownPart; the benchmarks RequestLife and State (refused: concurrency_limit).

--- a/internal/declaration/compare.go
+++ b/internal/declaration/compare.go
@@ -116,12 +116,18 @@
 	if string(oldText) == string(newText) {
 		return nil
 	}
-	before, after := flatten(oldText), flatten(newText)
+	before, after := flatten(oldText, unabbreviated), flatten(newText, unabbreviated)
+	shownBefore, shownAfter := flatten(oldText, shorten), flatten(newText, shorten)
 	var out []Change
 	for _, field := range mergedKeys(before, after) {
-		if before[field] != after[field] {
-			out = append(out, Change{Entity: entity, Field: field, Old: before[field], New: after[field]})
+		if before[field] == after[field] {
+			continue
+		}
+		c := Change{Entity: entity, Field: field, Old: shownBefore[field], New: shownAfter[field]}
+		if c.Old == c.New { // they differ in what shorten cuts off
+			c.Old, c.New = before[field], after[field]
 		}
+		out = append(out, c)
 	}
 	return out
 }
@@ -135,24 +141,24 @@
 }
 
 // flatten maps the path of each scalar and each list of scalars in a JSON text to
-// its value as text.
-func flatten(text []byte) map[string]string {
+// its value as text. show turns an element of a list into text.
+func flatten(text []byte, show func(string) string) map[string]string {
 	out := make(map[string]string)
 	var v any
 	if json.Unmarshal(text, &v) == nil {
-		flattenInto(out, "", v)
+		flattenInto(out, "", v, show)
 	}
 	return out
 }
 
-func flattenInto(out map[string]string, path string, v any) {
+func flattenInto(out map[string]string, path string, v any, show func(string) string) {
 	switch v := v.(type) {
 	case map[string]any:
 		for name, child := range v {
-			flattenInto(out, strings.TrimPrefix(path+"."+name, "."), child)
+			flattenInto(out, strings.TrimPrefix(path+"."+name, "."), child, show)
 		}
 	case []any:
-		flattenList(out, path, v)
+		flattenList(out, path, v, show)
 	default:
 		out[path] = string(marshal(v))
 	}
@@ -160,19 +166,19 @@
 
 // flattenList identifies objects in a list by the model or service that they
 // refer to instead of by index, so that a change names it.
-func flattenList(out map[string]string, path string, list []any) {
+func flattenList(out map[string]string, path string, list []any, show func(string) string) {
 	scalars := make([]string, 0, len(list))
 	for _, element := range list {
 		object, ok := element.(map[string]any)
 		if !ok {
-			scalars = append(scalars, shorten(string(marshal(element))))
+			scalars = append(scalars, show(string(marshal(element))))
 			continue
 		}
 		name := fmt.Sprint(cmp.Or(object["model"], object["service"]))
 		out[path+"["+name+"]"] = "allowed"
 		for field, child := range object {
 			if field != "model" && field != "service" {
-				flattenInto(out, path+"["+name+"]."+field, child)
+				flattenInto(out, path+"["+name+"]."+field, child, show)
 			}
 		}
 	}
@@ -187,11 +193,12 @@
 const shownHashDigits = 12
 
 // shorten abbreviates a JSON string as long as that of a key hash. Names of
-// MaxNameBytes are abbreviated too. As compareFields compares abbreviated strings,
-// it misses a change of only the part that is cut off.
+// MaxNameBytes are abbreviated too.
 func shorten(text string) string {
 	if len(text) != 2*len(KeyHash{})+2 {
 		return text
 	}
 	return text[1:1+shownHashDigits] + "…"
 }
+
+func unabbreviated(text string) string { return text }
--- a/internal/declaration/compare_test.go
+++ b/internal/declaration/compare_test.go
@@ -43,3 +43,17 @@
 func shownHash(h KeyHash) string {
 	return hex.EncodeToString(h[:])[:shownHashDigits] + "…"
 }
+
+// TestCompareSeesChangesBeyondTheShownPart checks that a change of only the end of a list
+// element, which a change shows in short, is a change and tells the two apart.
+func TestCompareSeesChangesBeyondTheShownPart(t *testing.T) {
+	var a, b KeyHash
+	a[len(a)-1], b[len(b)-1] = 1, 2
+	lists := func(h KeyHash) *Lists {
+		return &Lists{Plans: PlanList{Accounts: []ClientAccount{{ID: "shop", KeySHA256: []KeyHash{h}}}}}
+	}
+	changes := Compare(lists(a), lists(b))
+	if len(changes) != 1 || changes[0].Old == changes[0].New {
+		t.Errorf("changes %v, want one whose texts differ", changes)
+	}
+}
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/limits"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -23,8 +24,10 @@
 	}
 	b := &bench{core: core}
 	core.Tick(0, []Input{{LocalDeclarations: testDeclarations()}})
-	b.now = 10 * time.Second
-	core.Tick(b.now, nil)
+	for b.now < limits.DefaultListLag+time.Second { // the account's concurrency is granted in steps
+		b.now += 100 * time.Millisecond
+		core.Tick(b.now, nil)
+	}
 	for i := range n {
 		id := wire.EndpointID(fmt.Sprintf("e%03d", i))
 		hello := wire.Hello{Endpoint: id, FailureDomain: "fd-a", Incarnation: 1, Kind: wire.KindEngine, Capacity: 400_000, Have: wire.Assignment{Model: "m"}}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -138,8 +138,10 @@
 		return &OptionError{Option: "Weights", Value: c.Weights, Want: "two shares, not both zero"}
 	case c.Candidates < 1:
 		return &OptionError{Option: "Candidates", Value: c.Candidates, Want: "at least 1"}
-	case c.RetryRatio < 0 || c.RetryBurst < 0:
+	case c.RetryRatio < 0:
 		return &OptionError{Option: "RetryRatio", Value: c.RetryRatio, Want: "at least 0"}
+	case c.RetryBurst < 0:
+		return &OptionError{Option: "RetryBurst", Value: c.RetryBurst, Want: "at least 0"}
 	}
 	return c.validateDurations()
 }
