Query engines for reports by need

Change: an engine that reports its published speed and answers as predicted is queried every four seconds. At a first event later than 1.5 times the prediction and at a silent attempt, the gateway that sees it queries all engines of the attempt at once, whichever gateway usually does, and they are queried every second for a while. Reports carry their age. Tests: TestCalmEnginesAreSeldomQueried, TestLateFirstEventQueriesTheEngine (both fail without the change: a query a second; none by the other gateways).

--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -64,6 +64,7 @@
 	w.startDecode()
 	e := w.answering()
 	c.updateObservedPace(r, e)
+	c.checkFirstEvent(r)
 	c.outbox.workChanged(c, w)
 	c.placementDue = true
 	c.logRequest("first-event", r, Event{Endpoint: string(e.registration.ID), Took: c.now - w.dispatchedAt, Detail: predictedDetail(r, w)})
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -22,6 +22,9 @@
 	observedPace   float64       // moving ratio of measured to predicted time to first event; 1: as published, and always for a plain service
 	reportedPace   float64       // from its latest report; 0: none
 	reportedPaceAt time.Duration // when this or another gateway received that report
+	ownReportAt    time.Duration // when this gateway received a report; 0: never
+	probedAt       time.Duration // when this gateway last queried it
+	doubtUntil     time.Duration // until which it is queried more often
 	fullUntil      time.Duration // until which it counts as full after a refusal
 	load           EndpointLoad  // latest report with an answer
 	loadAt         time.Duration
