Keep waiting prompts of quiet gateways in the plan

A gateway with little traffic says nothing between its full messages, every 775 ms at 31 gateways, but its waiting prompts were left out of the others' plans after 400 ms, so that each gateway took its own prompt for the only one. Ruled out: the hold of new prompts (one had waited for 907 ms). Change: they are left out after 1.6 full message intervals. Failing before: TestWaitingPromptsOfQuietGatewaysCount at 31 gateways. Tried and not taken: the first late prompt marks the engines that it waits for, so that others choose them last.

--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -148,8 +148,9 @@
 			out = append(out, c.job(engine, c.orderKey(r), r.due(), r, r.in.PromptTokens, r.in.MaxOutputTokens))
 		}
 	}
+	longestSilence := time.Duration(planPeerIntervals * float64(c.fullMessageInterval()))
 	for p := range c.peers.Values() {
-		if c.now-p.lastSeen > planPeerTimeout {
+		if c.now-p.lastSeen > longestSilence {
 			continue
 		}
 		for id, waiting := range p.waiting {
--- a/internal/gateway/plan_test.go
+++ b/internal/gateway/plan_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // longPrompt submits a long prompt with the given objective for its first event, and
@@ -142,3 +145,33 @@
 		t.Errorf("%d of %d pairs of prompts share an engine, want none", shared, pairs)
 	}
 }
+
+// TestWaitingPromptsOfQuietGatewaysCount checks that a long prompt that waits at another
+// gateway keeps its place in the plan between that gateway's full messages, which are rarer
+// in larger cells. Found on a calm day of 31 gateways: of two prompts that needed the same
+// three engines, each gateway took its own for the only one.
+func TestWaitingPromptsOfQuietGatewaysCount(t *testing.T) {
+	for _, gateways := range []int{5, 31} {
+		c := newTestCore(t, 0, gateways)
+		c.Tick(0, Input{Endpoints: testEndpoints(3, 0)})
+		now := time.Second
+		for i := 1; i < gateways; i++ {
+			m := &PeerMessage{From: gatewayAddr(i), Incarnation: uint64(i + 1)}
+			if i == 1 {
+				m.Waiting = []WaitingRow{{
+					Request: 7, Service: xxhash.Sum64String(engineService), DueUS: 2_900_000, Prompt: 300_000, Output: 500,
+				}}
+			}
+			c.Tick(now, Input{Peer: m})
+		}
+		now += c.fullMessageInterval() - 60*time.Millisecond
+		r := testRoutes()["long"]
+		out := slices.Clone(c.Tick(now, Input{Arrive: &Arrival{
+			ID: 1, RequestID: "l", Route: r, Service: engineService, PromptTokens: 300_000, MaxOutputTokens: 500, Deadline: now + r.Timeout,
+		}}))
+		out = append(out, c.Tick(now+maxAnnounceDelay)...)
+		if d := dispatchOf(out); d != nil {
+			t.Errorf("%d gateways: sent to %s, which the prompt of another gateway takes first", gateways, d.Endpoint)
+		}
+	}
+}
--- a/internal/gateway/planorder.go
+++ b/internal/gateway/planorder.go
@@ -14,9 +14,9 @@
 	announceDelay        = 4 * time.Millisecond
 	announceDelayPerPeer = 400 * time.Microsecond
 	maxAnnounceDelay     = 20 * time.Millisecond
-	// planPeerTimeout is the silence after which the waiting requests of another gateway
-	// are left out of the plan.
-	planPeerTimeout = 400 * time.Millisecond
+	// planPeerIntervals is the number of full message intervals of silence after which the
+	// waiting requests of another gateway are left out of the plan.
+	planPeerIntervals = 1.6
 )
 
 // orderKey is the position of a long prompt in the order that all gateways share.
