Bound each page of a listing instead of the whole

Each gateway lists some 1.2 MB; all at once need about 3 s of the store's link, so that every listing ran into its limit of 1.5 s and began again. Change: a listing is read page by page, each within 1.5 s. A copy from a peer may take 4 s once it has begun to arrive within 0.7 s. Failing before: TestLongListings/slow_pages, by construction: its listing of 2.4 s exceeds the old limit.

--- a/internal/gateway/shell/peers.go
+++ b/internal/gateway/shell/peers.go
@@ -34,11 +34,14 @@
 	// the first gateway that has it, all would time out. Those that are turned away ask
 	// another one that has it meanwhile.
 	maxCopiesServed = 3
-	// maxCopyTries bounds the tries of one fetch, copyTimeout each of them. busyPause is
-	// about how long a gateway waits between two tries.
-	maxCopyTries = 8
-	copyTimeout  = time.Second
-	busyPause    = 80 * time.Millisecond
+	// maxCopyTries bounds the tries of one fetch, copyTimeout each of them, and
+	// copyHeadTimeout the time until the copy begins to arrive: a gateway that is gone or
+	// frozen must not hold up a fetch as long as a large copy over a slow link does.
+	// busyPause is about how long a gateway waits between two tries.
+	maxCopyTries    = 8
+	copyTimeout     = 4 * time.Second
+	copyHeadTimeout = 700 * time.Millisecond
+	busyPause       = 80 * time.Millisecond
 	// maxNewestPeers bounds the gateways that are remembered to have the newest copy.
 	maxNewestPeers = 6
 	// peerReadPause is the delay after a failed read of the socket.
@@ -253,4 +256,6 @@
 }
 
 // peerClient fetches cached copies. That is rare, so it keeps no idle connections.
-var peerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+var peerClient = &http.Client{Transport: &http.Transport{
+	DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: copyHeadTimeout}).DialContext, ResponseHeaderTimeout: copyHeadTimeout,
+}}
--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -28,6 +28,7 @@
 	ID     uint64        `json:"id"`
 	Kind   OpKind        `json:"kind"`
 	Key    string        `json:"key,omitempty"`
+	After  string        `json:"after,omitempty"` // OpList: only keys after this one, as the next page of a listing
 	Value  []byte        `json:"value,omitempty"`
 	Expect uint64        `json:"expect,omitempty"` // OpPut, OpDelete: version that the key must have, 0: no such key (OpPut); OpWatch: last version already seen
 	Lease  uint64        `json:"lease,omitempty"`  // OpPut: attach the key to it; OpRenew, OpRevoke: the lease to extend or end
@@ -76,6 +77,7 @@
 	Value   []byte `json:"value,omitempty"`
 	Lease   uint64 `json:"lease,omitempty"` // OpGrant: the new lease; OpGet: that of the key, 0: none
 	Pairs   []Pair `json:"pairs,omitempty"` // OpList, OpWatch; sorted by key
+	More    bool   `json:"more,omitempty"`  // OpList: the listing goes on after the last pair
 }
 
 // Pair is one key with its value.
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -17,8 +17,9 @@
 	// watchWait is how long one watch call may wait for changes. The store counts
 	// it as one call.
 	watchWait = 20 * time.Second
-	// callTimeout bounds a listing. The store usually answers within milliseconds;
-	// a slow store takes a few hundred milliseconds.
+	// callTimeout bounds one call, which reads one page of a listing. The store usually
+	// answers within milliseconds; a slow store, or one that a whole fleet lists after its
+	// start, takes some hundred milliseconds a page.
 	callTimeout = 1500 * time.Millisecond
 	// retryMin and retryMax bound the exponential delay after a failed call.
 	retryMin = 100 * time.Millisecond
@@ -39,7 +40,7 @@
 	// expireInterval is how often keys whose grace period is over are dropped.
 	expireInterval = 150 * time.Millisecond
 	// fetchTimeout bounds the fetch of a peer's copy, including tries at several peers.
-	fetchTimeout = 3 * time.Second
+	fetchTimeout = 5 * time.Second
 	// peerDelay is how long the watch may lag behind a peer before the peer's copy
 	// is fetched.
 	peerDelay = 60 * time.Millisecond
@@ -257,9 +258,7 @@
 			s.waitForListing(ctx, period)
 			continue
 		}
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		s.fetch(call)
-		cancel()
+		s.fetch(ctx)
 		sleep.For(ctx, jitter(pause))
 		pause = min(2*pause, retryMax)
 	}
@@ -304,10 +303,8 @@
 // listing holds changes that the watch has not delivered, the watch is restarted,
 // since it may have stopped delivering.
 func (s *Syncer) list(ctx context.Context) bool {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	began := s.cfg.Now()
-	r := s.cfg.Client.Do(call, store.Op{ID: s.op.Add(1), Kind: store.OpList, Key: s.cfg.Prefix})
+	r := s.listPages(ctx)
 	if ctx.Err() != nil {
 		return false
 	}
@@ -326,6 +323,27 @@
 	return true
 }
 
+// listPages reads all pages of a listing. The result has the revision of the first page,
+// so that a watch from there also delivers changes made between two pages.
+func (s *Syncer) listPages(ctx context.Context) store.Result {
+	r := s.listPage(ctx, "")
+	for last := r; last.Status == store.StatusOK && last.More; {
+		last = s.listPage(ctx, last.Pairs[len(last.Pairs)-1].Key)
+		r.Pairs = append(r.Pairs, last.Pairs...)
+		if last.Status != store.StatusOK || last.Era != r.Era { // pages of two eras don't belong together
+			return store.Result{Status: store.StatusUnavailable, Era: last.Era}
+		}
+	}
+	return r
+}
+
+// listPage reads the page of a listing after a key.
+func (s *Syncer) listPage(ctx context.Context, after string) store.Result {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return s.cfg.Client.Do(call, store.Op{ID: s.op.Add(1), Kind: store.OpList, Key: s.cfg.Prefix, After: after})
+}
+
 // restartWatch ends the current watch call.
 func (s *Syncer) restartWatch() {
 	if stop := s.cancelWatch.Load(); stop != nil {
--- a/internal/storecopy/syncer_test.go
+++ b/internal/storecopy/syncer_test.go
@@ -86,3 +86,78 @@
 	cancel()
 	wg.Wait()
 }
+
+// pagedStore is a store whose listings have several pages, each after a delay. From page
+// restoreAt on it is of the next era; 0: never.
+type pagedStore struct {
+	pages     int
+	delay     time.Duration
+	restoreAt int
+	mu        sync.Mutex
+	calls     int
+}
+
+// Do implements store.Client for OpList and OpWatch.
+func (s *pagedStore) Do(ctx context.Context, op store.Op) store.Result {
+	r := store.Result{ID: op.ID, Status: store.StatusUnavailable, Era: 1, Latest: 50}
+	select {
+	case <-time.After(s.delay):
+	case <-ctx.Done():
+		return r
+	}
+	if op.Kind != store.OpList {
+		return r
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.restoreAt > 0 && s.calls >= s.restoreAt {
+		r.Era = 2
+	}
+	page := 0
+	if op.After != "" {
+		page = int(op.After[0]-'a') + 1
+	}
+	r.Status, r.More = store.StatusOK, page < s.pages-1
+	r.Pairs = []store.Pair{pair(string(rune('a'+page)), uint64(page+1))}
+	return r
+}
+
+// TestLongListings checks that a listing may take longer than one call if each page comes
+// in time, as after the start of a fleet whose machines all list at once, and that pages
+// of two eras are not put together.
+func TestLongListings(t *testing.T) {
+	for name, s := range map[string]*pagedStore{
+		"slow pages":             {pages: 6, delay: 400 * time.Millisecond},
+		"restore between two":    {pages: 6, delay: 10 * time.Millisecond, restoreAt: 4},
+		"restore before the end": {pages: 2, delay: 10 * time.Millisecond, restoreAt: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			updates := make(chan Update, 10)
+			start := time.Now()
+			syncer := NewSyncer(Config{
+				Prefix: "k", Client: s, Now: func() time.Duration { return time.Since(start) },
+				Watchers:  func() int { return 1 },
+				Fetch:     func(context.Context, string, Version) (Listing, error) { return Listing{}, nil },
+				Changed:   func(u Update) { updates <- u },
+				Reachable: func(bool, store.Status) {}, FetchFailed: func(error) {}, EraBegan: func(EraChange) {},
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go syncer.Run(ctx)
+			select {
+			case u := <-updates:
+				wantEra := uint64(1)
+				if s.restoreAt > 0 {
+					wantEra = 2
+				}
+				if len(u.Listing.Pairs) != s.pages || u.Version.Era != wantEra {
+					t.Errorf("%d keys of era %d, want %d of era %d", len(u.Listing.Pairs), u.Version.Era, s.pages, wantEra)
+				}
+			case <-time.After(5 * time.Second):
+				t.Error("no listing after 5 s")
+			}
+		})
+	}
+}
