Divide cells with many endpoints further

Placement looks at each endpoint of the cell, and the small VMs there use all of their processor. Change: a cell with more than 150 endpoints of a service is divided as long as it keeps 12 gateways: 16 cells at 300 gateways and 3,000 endpoints as before, 32 at the target, two still at 68 and 150.

--- a/internal/gateway/cells.go
+++ b/internal/gateway/cells.go
@@ -25,6 +25,10 @@
 	// uneven traffic of single gateways would dominate the load of the cell, and the longest
 	// prompts would seldom find as many idle engines as they need.
 	minCellGateways = 24
+	// maxCellEndpoints is the number of endpoints of a service per cell above which cells
+	// are divided further, as long as they keep half of minCellGateways: placement looks at
+	// each of them, and the processor of a small VM binds first.
+	maxCellEndpoints = 150
 	// minCellEndpoints is the minimum number of endpoints of a service per cell. A
 	// service with fewer endpoints per cell is used by all gateways.
 	minCellEndpoints = 4
@@ -43,13 +47,17 @@
 	maxKnownPerMessage = 64
 )
 
-// cellCount returns the number of cells of a fleet. It is a power of two, so that it
-// seldom changes.
-func cellCount(gateways int) int {
+// cellCount returns the number of cells of a fleet whose largest service has the given
+// number of endpoints. It is a power of two, so that it seldom changes.
+func cellCount(gateways, endpoints int) int {
 	if gateways <= maxSingleCellGateways {
 		return 1
 	}
-	return 1 << (bits.Len(uint(gateways/minCellGateways)) - 1)
+	cells := 1 << (bits.Len(uint(gateways/minCellGateways)) - 1)
+	for endpoints > maxCellEndpoints*cells && gateways >= minCellGateways*cells {
+		cells *= 2
+	}
+	return cells
 }
 
 // cellAt returns the cell of the i-th of n gateways or endpoints in hash order.
@@ -68,7 +76,11 @@
 		before += bit(p.addrHash < c.addrHash)
 	}
 	n := len(live) + 1
-	c.cells = cellCount(n)
+	largest := 0
+	for s := range c.services.Values() {
+		largest = max(largest, len(s.endpoints))
+	}
+	c.cells = cellCount(n, largest)
 	c.ownCell = cellAt(before, n, c.cells)
 	if c.cells > 1 {
 		slices.SortFunc(live, func(a, b *peer) int { return cmp.Compare(a.addrHash, b.addrHash) })
--- a/internal/gateway/cells_test.go
+++ b/internal/gateway/cells_test.go
@@ -11,11 +11,17 @@
 )
 
 func TestCellCount(t *testing.T) {
-	for _, test := range []struct{ gateways, cells int }{
-		{1, 1}, {5, 1}, {31, 1}, {maxSingleCellGateways, 1}, {48, 2}, {68, 2}, {100, 4}, {300, 8}, {430, 16},
+	for _, test := range []struct{ gateways, endpoints, cells int }{
+		{1, 18, 1}, {5, 18, 1}, {31, 54, 1}, {maxSingleCellGateways, 1000, 1},
+		{48, 200, 2}, {68, 150, 2}, {100, 400, 4}, {300, 1000, 8}, // at least 24 gateways each
+		{68, 1000, 4}, {100, 1000, 8}, {300, 3000, 16}, {430, 12_000, 32}, // fewer for the sake of endpoints
 	} {
-		if got := cellCount(test.gateways); got != test.cells {
-			t.Errorf("%d gateways: %d cells, want %d", test.gateways, got, test.cells)
+		got := cellCount(test.gateways, test.endpoints)
+		if got != test.cells {
+			t.Errorf("%d gateways, %d endpoints: %d cells, want %d", test.gateways, test.endpoints, got, test.cells)
+		}
+		if got > 1 && test.gateways/got < minCellGateways/2 {
+			t.Errorf("%d gateways, %d endpoints: a cell has %d gateways, want at least %d", test.gateways, test.endpoints, test.gateways/got, minCellGateways/2)
 		}
 	}
 }
@@ -32,7 +38,7 @@
 		if n := c.Gateways(); n != gateways {
 			t.Fatalf("gateway %d knows %d gateways, want %d", i, n, gateways)
 		}
-		if n := c.cellPeers() + 1; n != gateways/cellCount(gateways) {
+		if n := c.cellPeers() + 1; n != gateways/cellCount(gateways, engines) {
 			t.Errorf("gateway %d is in a cell of %d gateways, want an equal part of the fleet", i, n)
 		}
 		for p := range c.peers.Values() {
