--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -542,3 +542,55 @@
 		}
 	}
 }
+
+// TestDrainingHelperIsLeftOutForLonger plays a store outage in which an engine drains: it
+// answers requests of its own, but prompts that name it as a helper are refused. Found on a
+// recorded day of 68 gateways: 830 prompts were refused so within 16 s, which used up the
+// retry budget, since each answer of the engine began the ejections anew.
+func TestDrainingHelperIsLeftOutForLonger(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	c.Tick(0, Input{Endpoints: testEndpoints(4, 0)})
+	const draining = wire.EndpointID("e-03")
+	refused, now := 0, time.Second
+	for id := RequestID(1); now < 17*time.Second; id++ {
+		now += 100 * time.Millisecond
+		r := testRoutes()["long"]
+		d := dispatchOf(c.Tick(now, Input{Arrive: &Arrival{
+			ID: id, RequestID: "r", Route: r, Service: engineService, PromptTokens: 300_000, MaxOutputTokens: 500, Deadline: now + r.Timeout,
+		}}))
+		if d == nil {
+			continue
+		}
+		c.Tick(now, Input{Sent: &Sent{ID: id, Attempt: d.Attempt}})
+		end := AttemptEnded{ID: id, Attempt: d.Attempt, Result: ResultDone, Status: 200}
+		if slices.ContainsFunc(d.Helpers, func(h Helper) bool { return h.Endpoint == draining }) {
+			refused++
+			end.Result, end.Status, end.FailedEndpoint = ResultFull, 503, string(draining)
+		} else {
+			c.Tick(now, Input{First: &FirstEvent{ID: id, Attempt: d.Attempt}})
+		}
+		for retry := dispatchOf(c.Tick(now, Input{Ended: &end})); retry != nil; {
+			c.Tick(now, Input{Sent: &Sent{ID: id, Attempt: retry.Attempt}})
+			c.Tick(now, Input{First: &FirstEvent{ID: id, Attempt: retry.Attempt}})
+			retry = dispatchOf(c.Tick(now, Input{Ended: &AttemptEnded{ID: id, Attempt: retry.Attempt, Result: ResultDone, Status: 200}}))
+		}
+		answerAt(c, now, id+1_000_000, draining)
+	}
+	if refused < 1 || refused > 7 {
+		t.Errorf("%d prompts named the draining engine in 16 s, want 1 to 7: after 0.6, 1.2, 2.4, 4.8 and 5 s", refused)
+	}
+}
+
+// answerAt lets an endpoint answer a short request if the core sends it one.
+func answerAt(c *Core, now time.Duration, id RequestID, endpoint wire.EndpointID) {
+	d := dispatchOf(submit(c, now, id, "short"))
+	if d == nil {
+		return
+	}
+	c.Tick(now, Input{Sent: &Sent{ID: id, Attempt: d.Attempt}})
+	c.Tick(now, Input{First: &FirstEvent{ID: id, Attempt: d.Attempt}})
+	c.Tick(now, Input{Ended: &AttemptEnded{ID: id, Attempt: d.Attempt, Result: ResultDone, Status: 200}})
+	if e := c.endpoints.Get(endpoint); e != nil {
+		e.health.consecutiveFailures, e.health.consecutiveEjections = 0, 0 // as after an answer of its own
+	}
+}
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -43,6 +43,7 @@
 type health struct {
 	consecutiveFailures  int // broken answers
 	consecutiveEjections int // without a successful answer between them
+	helpFailures         int // ejections as a helper without successful help between them
 	ejectedUntil         time.Duration
 	failureRatio         float64 // moving average
 }
@@ -110,14 +111,18 @@
 }
 
 // ejectNamedHelper ejects the endpoint that a refusal attributes the failure to, if
-// that is not e itself: an engine that was to help with the prompt and is gone.
+// that is not e itself: an engine that was to help with the prompt and is gone or
+// draining. A draining engine goes on answering requests of its own, so that only help
+// given ends the doubling of the time: while the store is down, nothing else tells that
+// it is leaving, and each failure costs a retry.
 func (c *Core) ejectNamedHelper(e *endpoint, end *AttemptEnded) {
 	if end.FailedEndpoint == "" || end.FailedEndpoint == e.registration.Addr || end.FailedEndpoint == string(e.registration.ID) {
 		return
 	}
 	for _, other := range c.service(e.registration.Service).endpoints {
 		if other.registration.Addr == end.FailedEndpoint || string(other.registration.ID) == end.FailedEndpoint {
-			c.eject(other, "could not help", 0)
+			c.eject(other, "could not help", ejectionTime(other.health.helpFailures))
+			other.health.helpFailures++
 		}
 	}
 }
@@ -140,7 +145,7 @@
 	h := &e.health
 	duration := fixedDuration
 	if duration == 0 {
-		duration = min(minEjection<<min(h.consecutiveEjections, maxEjectionDoublings), maxEjection)
+		duration = ejectionTime(h.consecutiveEjections)
 		h.consecutiveEjections++
 	}
 	h.consecutiveFailures = 0
@@ -153,6 +158,12 @@
 	c.log(Event{Name: "endpoint-ejected", Endpoint: string(e.registration.ID), Detail: reason, Took: duration, Count: h.consecutiveEjections})
 }
 
+// ejectionTime returns how long an endpoint is ejected after a number of earlier
+// consecutive ejections.
+func ejectionTime(earlier int) time.Duration {
+	return min(minEjection<<min(earlier, maxEjectionDoublings), maxEjection)
+}
+
 // returnEndpoint ends the ejection of an endpoint.
 func (c *Core) returnEndpoint(id wire.EndpointID) {
 	if e := c.endpoints.Get(id); e != nil {
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -63,6 +63,9 @@
 	w := r.work
 	w.startDecode()
 	e := w.answering()
+	for _, helper := range w.endpoints[1:] {
+		helper.health.helpFailures = 0
+	}
 	c.updateObservedPace(r, e)
 	c.checkFirstEvent(r)
 	c.outbox.workChanged(c, w)
