Take no retry from the budget for an attempt of which nothing was sent

Change: such an attempt counts like one without a connection. Failing before: TestUnsentAttemptsTakeNoRetry.

--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"trefoilpath.org/trefoilpath/internal/retrybudget"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -594,3 +595,23 @@
 		e.health.consecutiveFailures, e.health.consecutiveEjections = 0, 0 // as after an answer of its own
 	}
 }
+
+// TestUnsentAttemptsTakeNoRetry checks that an attempt that ends before anything is sent,
+// because an engine refuses to reserve memory, takes nothing from the retry budget: the
+// endpoints have seen no request. Found on a recorded day of 68 gateways, where prompts
+// were refused for want of budget after two refused reservations.
+func TestUnsentAttemptsTakeNoRetry(t *testing.T) {
+	c := New(Config{Incarnation: 1, Addr: gatewayAddr(0), Retry: retrybudget.Config{Window: 10 * time.Second}, Placement: DefaultPlacement()})
+	c.Tick(0, Input{Config: testTable(t)}, Input{Endpoints: testEndpoints(18, 0)})
+	out := submit(c, time.Second, 1, "short")
+	for attempt := range maxUnreachable + 1 {
+		d := dispatchOf(out)
+		if d == nil {
+			t.Fatalf("not dispatched after %d attempts of which nothing was sent", attempt)
+		}
+		out = slices.Clone(c.Tick(time.Second, Input{Ended: &AttemptEnded{ID: 1, Attempt: d.Attempt, Result: ResultFull, Detail: "order refused"}}))
+	}
+	if f := finishOf(out); f == nil || f.Verdict != VerdictRefused || f.Reason != ReasonFull {
+		t.Errorf("verdict %+v after %d such attempts, want a refusal", f, maxUnreachable+1)
+	}
+}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -14,8 +14,8 @@
 // since that attempt had no effect.
 const maxRefusals = 2
 
-// maxUnreachable is the number of further endpoints that are tried when no connection
-// to an endpoint can be made.
+// maxUnreachable is the number of further endpoints that are tried when nothing was sent:
+// no connection to an endpoint can be made, or no memory reserved.
 const maxUnreachable = 3
 
 // ended handles the end of an attempt: the request is done, is retried, or fails.
@@ -61,14 +61,15 @@
 }
 
 // retryAllowed decides whether r may be sent to another endpoint, and if not, why. It
-// counts a failed connection, and takes any other allowed retry from the budget, so it is
-// called once per attempt.
+// counts an attempt of which nothing was sent, and takes any other allowed retry from the
+// budget, so it is called once per attempt.
 func (c *Core) retryAllowed(r *request, end *AttemptEnded) (bool, Reason) {
 	reason := failureReason(end.Result)
+	if end.Result == ResultUnreachable || end.Result == ResultFull && !r.sent {
+		r.unsentAttempts++
+		return r.unsentAttempts <= maxUnreachable, reason
+	}
 	switch end.Result {
-	case ResultUnreachable:
-		r.connectFailures++
-		return r.connectFailures <= maxUnreachable, reason // nothing was sent
 	case ResultFull, ResultMisdirected:
 		if r.sends >= r.in.Route.MaxAttempts+maxRefusals || !r.in.Route.Idempotent() && r.sends >= maxRefusals+1 {
 			return false, reason
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -67,7 +67,7 @@
 	cancelled        bool              // the current attempt is cancelled
 	provenNotRun     int               // attempts of which a byte was sent and that the endpoint proved not to have run
 	mayHaveRun       int               // attempts that may have run
-	connectFailures  int               // attempts that got no connection
+	unsentAttempts   int               // attempts of which nothing was sent
 	failureHeld      bool              // the shell holds an endpoint's failure answer that may be passed on
 	predictedFirstAt time.Duration     // predicted time of the first event
 	divisible        bool              // several engines may prefill its prompt
