Reword and split what a newcomer would ask about

Cause: a reading of the change as a whole. No behaviour is changed. Measured: go test of the packages touched passes.

--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -74,7 +74,7 @@
 		}
 	case ResultSilent:
 		r.mayHaveRun++
-		c.doubt(r.work)
+		c.suspect(r.work)
 		c.eject(e, "silent", 0)
 	case ResultUnreachable:
 		c.eject(e, "unreachable", 0)
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -13,11 +13,12 @@
 	// queried by one gateway, which sends the result to the others.
 	probeInterval     = time.Second
 	calmProbeInterval = 4 * time.Second
-	// doubtDuration is how long an engine is queried every probeInterval after an attempt
+	// suspectDuration is how long an engine is queried every probeInterval after an attempt
 	// there was late or failed.
-	doubtDuration = 3 * time.Second
+	suspectDuration = 3 * time.Second
 	// lateFirstEventRatio times the predicted time, plus onTimeTolerance, is how late a
-	// first event may be without its engines being in doubt. Waits for a pass vary by less.
+	// first event may be without its engines being suspected to be slow. Waits for a pass
+	// vary by less.
 	lateFirstEventRatio = 1.5
 	// maxPaceAge is how long a report is used without a newer one.
 	maxPaceAge = 3500 * time.Millisecond
@@ -49,8 +50,8 @@
 
 // probeDue reports whether the engine is to be queried again.
 func (c *Core) probeDue(e *endpoint) bool {
-	inDoubt := e.reportedPaceAt == 0 || e.reportedPace > 1 || c.now < e.doubtUntil
-	return inDoubt || c.now-e.probedAt >= calmProbeInterval
+	suspected := e.reportedPaceAt == 0 || e.reportedPace > 1 || c.now < e.suspectUntil
+	return suspected || c.now-e.probedAt >= calmProbeInterval
 }
 
 // sendProbe queries an engine for its report.
@@ -59,27 +60,27 @@
 	c.emit(Output{Probe: &Probe{Endpoint: e.registration.ID, Addr: e.registration.Addr}})
 }
 
-// doubt queries the engines of an attempt that was late or failed, unless a report of
+// suspect queries the engines of an attempt that was late or failed, unless a report of
 // the last probeInterval is known, and has them queried more often for a while. Any
 // gateway does so, since the one that usually queries an engine may have no work there.
-func (c *Core) doubt(w *workItem) {
+func (c *Core) suspect(w *workItem) {
 	for _, e := range w.endpoints {
 		if e.engine == nil || e.unregistered {
 			continue
 		}
-		e.doubtUntil = c.now + doubtDuration
+		e.suspectUntil = c.now + suspectDuration
 		if c.now-max(e.probedAt, e.reportedPaceAt) >= probeInterval {
 			c.sendProbe(e)
 		}
 	}
 }
 
-// checkFirstEvent casts doubt on the engines of r's attempt if its first event has come
-// much later than predicted.
+// checkFirstEvent suspects the engines of r's attempt to be slow if its first event has
+// come much later than predicted.
 func (c *Core) checkFirstEvent(r *request) {
 	predicted := r.predictedFirstAt - r.work.dispatchedAt
 	if c.now-r.work.dispatchedAt > time.Duration(lateFirstEventRatio*float64(predicted))+onTimeTolerance {
-		c.doubt(r.work)
+		c.suspect(r.work)
 	}
 }
 
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -16,8 +16,8 @@
 	// endpoint changes: queued prefills are predicted to end without a message.
 	placeInterval = 10 * time.Millisecond
 	// minPlaceInterval is the shortest time between two placement attempts while requests
-	// wait and no new one has come. A plan of long prompts takes a small VM some tenths of a millisecond, and each
-	// message of another gateway may let one be placed.
+	// wait and no new one has come. A plan of long prompts takes a small VM about a
+	// millisecond, and each message of another gateway may let one be placed.
 	minPlaceInterval = 5 * time.Millisecond
 	// The larger of minForceWait and forceAfterRatio times its objective is how long a late
 	// request waits for an endpoint of a plain service with a free place before it is
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -44,8 +44,9 @@
 	c.comparePeerVersions(p, m)
 }
 
-// comparePeerVersions records whether the peer reaches the store and emits a Newer output if the peer's copy of the store's keys or
-// its configuration in force is newer than the own one.
+// comparePeerVersions records whether the peer reaches the store, and emits a Newer output
+// if the peer's copy of the store's keys or its configuration in force is newer than the
+// own one.
 func (c *Core) comparePeerVersions(p *peer, m *PeerMessage) {
 	if m.Versions == nil {
 		return
--- a/internal/gateway/shell/syncers.go
+++ b/internal/gateway/shell/syncers.go
@@ -22,6 +22,7 @@
 			FetchFailed: g.peerFailed,
 			Reachable: func(ok bool, status store.Status) {
 				g.log.Info().Str("event", "store-reachable").Str("prefix", prefix).Bool("ok", ok).Int("status", int(status)).Send()
+				// Both syncers call the same store, so that the later outcome counts.
 				g.publish(func(v *gateway.Versions) { v.StoreLost = !ok })
 			},
 		})
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -24,7 +24,7 @@
 	reportedPaceAt time.Duration // when this or another gateway received that report
 	ownReportAt    time.Duration // when this gateway received a report; 0: never
 	probedAt       time.Duration // when this gateway last queried it
-	doubtUntil     time.Duration // until which it is queried more often
+	suspectUntil   time.Duration // until which it is queried more often
 	fullUntil      time.Duration // until which it counts as full after a refusal
 	load           EndpointLoad  // latest report with an answer
 	loadAt         time.Duration
--- a/internal/storecopy/copy.go
+++ b/internal/storecopy/copy.go
@@ -207,10 +207,8 @@
 			changed = c.remove(now, key, l.Revision) || changed
 		}
 	}
-	for key, s := range c.stale {
-		if _, held := c.pairs[key]; !held && !present[key] && l.Stale == nil && s.version > 0 {
-			delete(c.stale, key)
-		}
+	if len(l.Stale) == 0 {
+		c.forgetDeleted(present)
 	}
 	if c.version.Revision == 0 {
 		c.deletedSince = l.Revision
--- a/internal/storecopy/era.go
+++ b/internal/storecopy/era.go
@@ -195,6 +195,15 @@
 	return changed
 }
 
+// forgetDeleted drops stale keys of deleted owners that the store no longer lists.
+func (c *Copy) forgetDeleted(listed map[string]bool) {
+	for key, s := range c.stale {
+		if _, held := c.pairs[key]; !held && !listed[key] && s.version > 0 {
+			delete(c.stale, key)
+		}
+	}
+}
+
 // restartConfirmation makes the confirmation of deleted keys that the store lists
 // begin anew, since leases may not expire during an outage.
 func (c *Copy) restartConfirmation(now time.Duration) {
