Name the cause of a failed relay

Change: relayEvents returns the error of the write or flush. Failing before: TestFailedRelayKeepsItsCause does not compile with the former result; its cause was not kept anywhere.

--- a/internal/gateway/shell/stream.go
+++ b/internal/gateway/shell/stream.go
@@ -50,10 +50,9 @@
 				x.notifyFirstEvent(d)
 				first = false
 			}
-			if !x.relayEvents(resp, buf[:whole]) {
+			if err := x.relayEvents(resp, buf[:whole]); err != nil {
 				conn.Close()
-				// io.ErrClosedPipe stands for the failed write to the caller.
-				return x.failAttempt(ctx, e, gateway.ResultBroken, io.ErrClosedPipe)
+				return x.failAttempt(ctx, e, gateway.ResultBroken, err)
 			}
 			buf = append(buf[:0], buf[whole:]...)
 		}
@@ -112,8 +111,8 @@
 	x.g.meters.firstEvent.Update((x.g.now() - x.arrived).Milliseconds())
 }
 
-// relayEvents sends complete events to the caller and reports whether that succeeded.
-func (x *exchange) relayEvents(resp *http.Response, events []byte) bool {
+// relayEvents sends complete events to the caller.
+func (x *exchange) relayEvents(resp *http.Response, events []byte) error {
 	if !x.responseStarted {
 		x.startResponse(resp)
 	} else {
@@ -123,15 +122,15 @@
 	}
 	x.lastEventAt = x.g.now()
 	if _, err := x.w.Write(events); err != nil {
-		return false
+		return errors.Wrap(err, "relay events")
 	}
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
-		return false
+		return errors.Wrap(err, "relay events")
 	}
 	if id := lastEventID(events); id != "" {
 		x.lastEventID = id
 	}
-	return true
+	return nil
 }
 
 // completeEventsLen returns the length in bytes of the complete events at the
