End silent attempts early enough for reserved memory to be free

Ruled out: the lease (renewed while the attempt runs, 3 s). Change: with reservations the silence is at most 3.6 s, or 1.2 s beyond the prediction if that is longer. Failing before: TestReservedMemoryIsFreeInTime.

--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -111,3 +111,25 @@
 		t.Errorf("verdict %+v after %d such attempts, want a refusal", f, maxUnreachable+1)
 	}
 }
+
+// TestReservedMemoryIsFreeInTime checks that an attempt whose answering engine falls silent
+// right after the dispatch ends early enough for the memory at its helpers to be free four
+// seconds later. Found by replicas-vanish on sanabil grown, --seed 1001849563053: memory was
+// set aside for 4,004 ms.
+func TestReservedMemoryIsFreeInTime(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	r := testRoutes()["long"]
+	d := dispatchOf(c.Tick(time.Second, Input{Arrive: &Arrival{
+		ID: 1, RequestID: "l", Route: r, Service: engineService, PromptTokens: 520_000, MaxOutputTokens: 500, Deadline: time.Second + r.Timeout,
+	}}))
+	if d == nil || !slices.ContainsFunc(d.Helpers, func(h Helper) bool { return h.Tokens > 0 }) {
+		t.Fatalf("dispatch %+v, want one with reservations", d)
+	}
+	const bound = 4 * time.Second
+	if d.SilenceTimeout <= 0 || d.SilenceTimeout > bound-200*time.Millisecond {
+		t.Errorf("the attempt ends after %v of silence, want 200 ms less than %v", d.SilenceTimeout, bound)
+	}
+	if least := c.requests.Get(1).predictedFirstAt - time.Second + minSilenceTimeout; d.SilenceTimeout < least {
+		t.Errorf("the attempt ends after %v of silence, want at least %v beyond the prediction", d.SilenceTimeout, minSilenceTimeout)
+	}
+}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -211,13 +211,23 @@
 		return 0
 	}
 	if r.in.Route.Kind == route.KindStream {
-		return minSilenceTimeout + 2*p.untilFirst
+		timeout := minSilenceTimeout + 2*p.untilFirst
+		if p.reserved != nil {
+			timeout = min(timeout, max(maxReservedSilence, minSilenceTimeout+p.untilFirst))
+		}
+		return timeout
 	}
 	return min(2*r.in.Route.Objective, (r.in.Deadline-c.now)/2)
 }
 
-// minSilenceTimeout is the shortest silence of an engine that counts as a failure.
-const minSilenceTimeout = 1200 * time.Millisecond
+const (
+	// minSilenceTimeout is the shortest silence of an engine that counts as a failure.
+	minSilenceTimeout = 1200 * time.Millisecond
+	// maxReservedSilence is the longest silence while other engines hold memory for the
+	// attempt: memory has to be free four seconds after its request has ended, which may be
+	// the moment at which the silent engine was lost.
+	maxReservedSilence = 3600 * time.Millisecond
+)
 
 // endUnserved ends a request that can't be served or retried. The caller is only told
 // that it has not run if each endpoint that it was sent to has proved that.
