Log how an answer was framed and what a stream left of an event

attempt-ended could not tell an engine's complete stream from one that ended with its connection inside an event: both were result=done. The framing and the number of truncated bytes are logged now, and streams_truncated counts such streams.

--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -136,7 +136,11 @@
 	Resumable       bool
 	PartlyDelivered bool
 	LongestGap      time.Duration // longest gap between two events of the stream so far
-	Detail          string
+	// EndsWithConnection is set if only the end of the connection ends the answer.
+	// TruncatedBytes is the size of what followed the last whole event of a stream that ended.
+	EndsWithConnection bool
+	TruncatedBytes     int
+	Detail             string
 }
 
 // Endpoints replaces the set of registered endpoints.
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -54,6 +54,12 @@
 	if end.LongestGap > 0 {
 		detail = " longest-pause=" + end.LongestGap.Round(time.Millisecond).String()
 	}
+	if end.EndsWithConnection {
+		detail += " framing=connection"
+	}
+	if end.TruncatedBytes > 0 {
+		detail += " truncated=" + itoa(end.TruncatedBytes)
+	}
 	if end.Detail != "" {
 		detail += " cause=" + strconv.Quote(end.Detail)
 	}
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -205,7 +205,7 @@
 		a.Load.Endpoint = d.Endpoint
 		x.g.tick(gateway.Input{Load: &a.Load})
 	}
-	e.Status = resp.StatusCode
+	e.Status, e.EndsWithConnection = resp.StatusCode, upstream.EndsWithConnection(resp)
 	if x.isStream(resp) {
 		return x.relayStream(ctx, conn, resp, d, e)
 	}
--- a/internal/gateway/shell/metrics.go
+++ b/internal/gateway/shell/metrics.go
@@ -24,7 +24,9 @@
 	storeCall  metrics.Histogram       // ms of a call to the store or a peer that changed a cached copy; 0 if keys were dropped after their grace period
 	statuses   map[int]metrics.Counter // responses by HTTP status
 	logDrops   metrics.Counter         // dropped log lines
-	storeEras  metrics.Counter         // restores of the store from a backup, one for each cached copy
+	// streamsTruncated counts streams that ended behind a part of an event.
+	streamsTruncated metrics.Counter
+	storeEras        metrics.Counter // restores of the store from a backup, one for each cached copy
 }
 
 func newMeters() *meters {
@@ -35,14 +37,15 @@
 		return h
 	}
 	m := &meters{
-		registry:   r,
-		firstEvent: histogram("first_event_ms"),
-		total:      histogram("answer_ms"),
-		eventGap:   histogram("event_pause_ms"),
-		storeCall:  histogram("store_call_ms"),
-		statuses:   make(map[int]metrics.Counter),
-		logDrops:   metrics.NewRegisteredCounter("log_lines_dropped", r),
-		storeEras:  metrics.NewRegisteredCounter("store_eras", r),
+		registry:         r,
+		firstEvent:       histogram("first_event_ms"),
+		total:            histogram("answer_ms"),
+		eventGap:         histogram("event_pause_ms"),
+		storeCall:        histogram("store_call_ms"),
+		statuses:         make(map[int]metrics.Counter),
+		logDrops:         metrics.NewRegisteredCounter("log_lines_dropped", r),
+		streamsTruncated: metrics.NewRegisteredCounter("streams_truncated", r),
+		storeEras:        metrics.NewRegisteredCounter("store_eras", r),
 	}
 	for _, status := range []int{200, 401, 404, 413, 429, 500, 502, 503, 504} {
 		m.statuses[status] = metrics.NewRegisteredCounter(fmt.Sprintf("answers_%d", status), r)
--- a/internal/gateway/shell/stream.go
+++ b/internal/gateway/shell/stream.go
@@ -88,6 +88,9 @@
 // after the last complete event; they are relayed too.
 func (x *exchange) endStream(conn *upstream.Conn, resp *http.Response, rest []byte, e *gateway.AttemptEnded) *gateway.AttemptEnded {
 	conn.Release(resp)
+	if e.TruncatedBytes = len(rest); len(rest) > 0 {
+		x.g.meters.streamsTruncated.Inc(1)
+	}
 	if !x.responseStarted {
 		x.startResponse(resp)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -154,8 +154,7 @@
 // Release returns the connection to the pool after the body of resp has been read
 // to its end. The connection is closed if it can't be reused.
 func (c *Conn) Release(resp *http.Response) {
-	if c.unusable || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 ||
-		c.r.Buffered() > 0 || !c.requestWritten() {
+	if c.unusable || resp.Close || EndsWithConnection(resp) || c.r.Buffered() > 0 || !c.requestWritten() {
 		c.Close()
 		return
 	}
@@ -171,6 +170,12 @@
 	c.pool.put(c)
 }
 
+// EndsWithConnection reports whether the body of resp has neither a length nor chunks, so
+// that only the end of the connection ends it (RFC 9112, section 6.3).
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // requestWritten reports whether the whole request has been sent.
 func (c *Conn) requestWritten() bool {
 	if c.writeResult == nil {
