Treat a stream that ends inside an event as broken off

Cause: relayStream took the end of the body for the end of the stream, relayed the part of an event that was left and ended the gateway's own chunked answer. With a length or chunks the end of the body proves completeness; an answer without either ends with its connection, also when the engine dies. Fix: the end of a stream is checked against its events. Inside an event, or without any event where only the connection ends the answer, the attempt is broken: it is resumed after the last whole event, or the caller's connection is aborted.

--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -137,7 +137,7 @@
 	PartlyDelivered bool
 	LongestGap      time.Duration // longest gap between two events of the stream so far
 	// EndsWithConnection is set if only the end of the connection ends the answer.
-	// TruncatedBytes is the size of what followed the last whole event of a stream that ended.
+	// TruncatedBytes is the size of the partial event at which a stream ended.
 	EndsWithConnection bool
 	TruncatedBytes     int
 	Detail             string
--- a/internal/gateway/shell/metrics.go
+++ b/internal/gateway/shell/metrics.go
@@ -24,7 +24,8 @@
 	storeCall  metrics.Histogram       // ms of a call to the store or a peer that changed a cached copy; 0 if keys were dropped after their grace period
 	statuses   map[int]metrics.Counter // responses by HTTP status
 	logDrops   metrics.Counter         // dropped log lines
-	// streamsTruncated counts streams that ended behind a part of an event.
+	// streamsTruncated counts streams that ended inside an event or, without a length and chunks,
+	// before the first.
 	streamsTruncated metrics.Counter
 	storeEras        metrics.Counter // restores of the store from a backup, one for each cached copy
 }
--- a/internal/gateway/shell/stream.go
+++ b/internal/gateway/shell/stream.go
@@ -25,7 +25,11 @@
 	minGapTimeout = 1200 * time.Millisecond
 )
 
-var errEventTooLarge = errors.Errorf("event is larger than %d bytes", maxEventBytes)
+var (
+	errEventTooLarge  = errors.Errorf("event is larger than %d bytes", maxEventBytes)
+	errTruncatedEvent = errors.New("the stream ended inside an event")
+	errNoEvent        = errors.New("the connection ended before the stream's first event")
+)
 
 // relayStream relays the events of a stream to the caller, each when it is complete.
 // An event that is truncated because the stream broke off is not relayed, so that
@@ -57,7 +61,11 @@
 			buf = append(buf[:0], buf[whole:]...)
 		}
 		if err == io.EOF {
-			return x.endStream(conn, resp, buf, e)
+			if err = checkStreamEnd(resp, buf, !first); err == nil {
+				return x.endStream(conn, resp, buf, e)
+			}
+			e.TruncatedBytes = len(buf)
+			x.g.meters.streamsTruncated.Inc(1)
 		}
 		if err == nil && len(buf) > maxEventBytes {
 			err = errEventTooLarge
@@ -84,13 +92,23 @@
 	return x.route.Resumable && x.lastEventID != "" && resp.StatusCode == http.StatusOK
 }
 
-// endStream completes the response after the proper end of a stream. rest are bytes
-// after the last complete event; they are relayed too.
+// checkStreamEnd returns an error if the body of a stream has ended and the stream is
+// incomplete, however the body was framed. rest are the bytes after the last complete event;
+// events tells whether there was one.
+func checkStreamEnd(resp *http.Response, rest []byte, events bool) error {
+	switch {
+	case len(bytes.Trim(rest, "\r\n")) > 0:
+		return errTruncatedEvent
+	case !events && upstream.EndsWithConnection(resp):
+		return errNoEvent
+	}
+	return nil
+}
+
+// endStream completes the response after the proper end of a stream. rest are line ends
+// after the last event; they are relayed too.
 func (x *exchange) endStream(conn *upstream.Conn, resp *http.Response, rest []byte, e *gateway.AttemptEnded) *gateway.AttemptEnded {
 	conn.Release(resp)
-	if e.TruncatedBytes = len(rest); len(rest) > 0 {
-		x.g.meters.streamsTruncated.Inc(1)
-	}
 	if !x.responseStarted {
 		x.startResponse(resp)
 	}
