Reuse a connection only after its answer has been read to the end

An answer to an order or report query beyond 64 KiB was cut without an error, and its connection went back to the pool with the rest unread, as did that of a refusal beyond 1 MiB; the next request there read the rest as its answer ('malformed HTTP response', in the test that fails before). Release now checks that the body has been read to its end, and a longer answer to an order or query is an error.

--- a/internal/gateway/shell/callendpoint.go
+++ b/internal/gateway/shell/callendpoint.go
@@ -41,12 +41,15 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxEndpointResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxEndpointResponseBytes+1))
 	if err != nil {
 		conn.Close()
 		return nil, errors.Wrap(err, "read answer")
 	}
 	conn.Release(resp)
+	if len(body) > maxEndpointResponseBytes {
+		return nil, errors.Errorf("answer is larger than %d bytes", maxEndpointResponseBytes)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("status %s", resp.Status)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -45,8 +45,9 @@
 	idleSince time.Time // when the connection was returned to the pool
 	expires   time.Time // when the endpoint closes it, by its Keep-Alive header; zero: unknown
 
-	writeResult chan error // receives the result of a write that runs while the response is read
-	unusable    bool       // the connection must not return to the pool
+	body        *trackedBody // of the latest response
+	writeResult chan error   // receives the result of a write that runs while the response is read
+	unusable    bool         // the connection must not return to the pool
 	closed      atomic.Bool
 }
 
@@ -123,6 +124,8 @@
 		}
 		echoed := resp.Header.Get(r.IDHeader)
 		if echoed == "" || echoed == r.ID {
+			c.body = &trackedBody{ReadCloser: resp.Body, ended: resp.Body == http.NoBody}
+			resp.Body = c.body
 			return resp, nil
 		}
 		c.unusable = true
@@ -151,10 +154,25 @@
 	}
 }
 
-// Release returns the connection to the pool after the body of resp has been read
-// to its end. The connection is closed if it can't be reused.
+// trackedBody is a response body that records whether it has been read to its end.
+type trackedBody struct {
+	io.ReadCloser
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.ended = true
+	}
+	return n, err
+}
+
+// Release returns the connection to the pool. The connection is closed if it can't be
+// reused, which includes that the body of resp has not been read to its end.
 func (c *Conn) Release(resp *http.Response) {
-	if c.unusable || resp.Close || EndsWithConnection(resp) || c.r.Buffered() > 0 || !c.requestWritten() {
+	if c.unusable || resp.Close || EndsWithConnection(resp) || !c.body.ended || c.r.Buffered() > 0 || !c.requestWritten() {
 		c.Close()
 		return
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -286,3 +286,32 @@
 		t.Error("the endpoint received the whole request after it was cancelled")
 	}
 }
+
+func TestConnectionWithAnUnreadBodyIsNotReused(t *testing.T) {
+	s := newServer(t, func(c net.Conn, n int64, r *http.Request) bool {
+		if n > 1 {
+			return reply(c, "a", "second", "")
+		}
+		// The rest of the body arrives after the release.
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: a\r\nContent-Length: 9\r\n\r\nfirs", testIDHeader)
+		time.Sleep(10 * time.Millisecond)
+		_, _ = io.WriteString(c, "t\nmore")
+		return true
+	})
+	p := NewPool()
+	c, err := p.Get(context.Background(), s.listener.Addr().String(), time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := c.Do(request("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(resp.Body, make([]byte, 4)); err != nil {
+		t.Fatal(err)
+	}
+	c.Release(resp)
+	if body, err := exchange(p, s, "a"); err != nil || body != "second" {
+		t.Errorf("the next response is %q, %v, want the second", body, err)
+	}
+}
