--- a/internal/fleetsoak/callers.go
+++ b/internal/fleetsoak/callers.go
@@ -34,6 +34,9 @@
 	err      error
 }
 
+// served reports whether the request got a complete, successful answer.
+func (o *outcome) served() bool { return o.err == nil && o.status == http.StatusOK }
+
 // call sends requests until ctx ends. Callers with an odd n reuse connections
 // until the gateway closes them; the others open one per request.
 func (s *run) call(ctx context.Context, n int, rng *rand.Rand) {
@@ -53,8 +56,13 @@
 
 // send makes one request.
 func (s *run) send(transport http.RoundTripper, p *gatewayProcess, kind, id string) *outcome {
+	return s.sendWith(context.Background(), transport, p, kind, id)
+}
+
+// sendWith makes one request with a context.
+func (s *run) sendWith(ctx context.Context, transport http.RoundTripper, p *gatewayProcess, kind, id string) *outcome {
 	o := &outcome{id: id, kind: kind, gateway: p, began: time.Now()}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout+answerSlack)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+answerSlack)
 	defer cancel()
 	req, err := standin.NewRequest(ctx, p.callerAddr(), kind, id, callTimeout)
 	if err != nil {
@@ -110,10 +118,8 @@
 
 // stopped reports whether the current process has exited.
 func (p *gatewayProcess) stopped() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	select {
-	case <-p.exited:
+	case <-p.currentExit():
 		return true
 	default:
 		return false
--- a/internal/fleetsoak/faults.go
+++ b/internal/fleetsoak/faults.go
@@ -154,7 +154,7 @@
 	if err := p.signal(syscall.SIGTERM); err != nil {
 		return err
 	}
-	inTime, err := p.waitExit(grace + time.Second)
+	inTime, err := p.waitExit(s.opts.Grace + time.Second)
 	if err != nil {
 		return err
 	}
--- a/internal/fleetsoak/fleet.go
+++ b/internal/fleetsoak/fleet.go
@@ -21,8 +21,8 @@
 	callerPort = 18080
 	readyPort  = 18081
 	peerPort   = 18082
-	// grace is the time limit of a gateway from SIGTERM to its exit.
-	grace = 4 * time.Second
+	// defaultGrace is the time limit of a gateway from SIGTERM to its exit in Run.
+	defaultGrace = 4 * time.Second
 	// retriesPerWindow is the number of retries that the fleet may make in each
 	// budgetWindow, in addition to standin.RetryRatio of the requests.
 	retriesPerWindow = 20
@@ -142,7 +142,7 @@
 	settings := filepath.Join(f.dir, p.name+".conf")
 	text := (&standin.GatewaySettings{
 		Name: p.name, IP: p.ip, CallerPort: callerPort, ReadyPort: readyPort, PeerPort: peerPort,
-		Seeds: seeds, StoreAddr: proxy.addr(), Grace: grace, MemoryMB: 200, RetryBudget: retriesPerWindow,
+		Seeds: seeds, StoreAddr: proxy.addr(), Grace: o.Grace, MemoryMB: 200, RetryBudget: retriesPerWindow,
 	}).Text()
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
@@ -179,6 +179,13 @@
 	return nil
 }
 
+// currentExit returns a channel that is closed when the current process has exited.
+func (p *gatewayProcess) currentExit() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exited
+}
+
 // signal sends a signal to the current process by its handle, so that no process
 // that this run did not start can receive it. An exited process is no error.
 func (p *gatewayProcess) signal(s syscall.Signal) error {
@@ -194,9 +201,7 @@
 
 // waitExit waits until the current process exits, and kills it after timeout.
 func (p *gatewayProcess) waitExit(timeout time.Duration) (inTime bool, err error) {
-	p.mu.Lock()
-	exited := p.exited
-	p.mu.Unlock()
+	exited := p.currentExit()
 	select {
 	case <-exited:
 		return true, nil
--- a/internal/fleetsoak/run.go
+++ b/internal/fleetsoak/run.go
@@ -23,8 +23,9 @@
 	Replicas            int           // of each service
 	Callers             int
 	MaxConcurrentFaults int
-	Binary              string // program whose platform-gateway command is run
-	Dir                 string // for settings and logs
+	Grace               time.Duration // of a gateway, from SIGTERM to its exit; 0: defaultGrace
+	Binary              string        // program whose platform-gateway command is run
+	Dir                 string        // for settings and logs
 	Log                 io.Writer
 }
 
@@ -63,6 +64,9 @@
 // Run runs one seed. The error is a failure of the run itself; violations are in
 // the result.
 func Run(o Options) (res Result, err error) {
+	if o.Grace == 0 {
+		o.Grace = defaultGrace
+	}
 	f, err := startFleet(o, o.Dir)
 	defer func() {
 		if closeErr := f.close(); err == nil {
@@ -195,7 +199,7 @@
 	res := Result{Requests: len(s.outcomes), Violations: s.violations}
 	faultFreeRequests, faultFreeServed := 0, 0
 	for _, o := range s.outcomes {
-		served := o.err == nil && o.status == 200
+		served := o.served()
 		if served {
 			res.Served++
 		}
--- a/internal/fleetsoak/soak_test.go
+++ b/internal/fleetsoak/soak_test.go
@@ -82,6 +82,20 @@
 
 // runAndReport runs a seed and returns its result and the directory of its logs.
 func runAndReport(t *testing.T, seed uint64) (Result, string) {
+	t.Helper()
+	o := soakOptions(t, seed)
+	o.Duration, o.Gateways, o.Replicas, o.Callers, o.MaxConcurrentFaults = *faultTime, *fleets, 3, 12, 2
+	res, err := Run(o)
+	if err != nil {
+		t.Fatalf("seed %d: %v (logs in %s)", seed, err, o.Dir)
+	}
+	t.Logf("seed %d: %d requests, %d served, %.3f in the fault-free phase", seed, res.Requests, res.Served, res.FaultFreeServed)
+	return res, o.Dir
+}
+
+// soakOptions returns the options of a run of this binary, with a new directory and a log
+// that is closed at the end of the test.
+func soakOptions(t *testing.T, seed uint64) Options {
 	t.Helper()
 	binary, err := os.Executable()
 	if err != nil {
@@ -95,13 +109,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer log.Close()
-	res, err := Run(Options{
-		Seed: seed, Duration: *faultTime, Gateways: *fleets, Replicas: 3, Callers: 12, MaxConcurrentFaults: 2, Binary: binary, Dir: dir, Log: log,
-	})
-	if err != nil {
-		t.Fatalf("seed %d: %v (logs in %s)", seed, err, dir)
-	}
-	t.Logf("seed %d: %d requests, %d served, %.3f in the fault-free phase", seed, res.Requests, res.Served, res.FaultFreeServed)
-	return res, dir
+	t.Cleanup(func() { log.Close() })
+	return Options{Seed: seed, Binary: binary, Dir: dir, Log: log}
 }
