Answer every request that is read until the process exits

Cause: http.Server.Shutdown. A server that is shutting down closes a connection from which it has just read a request, without a response; connections that had not carried a request yet, which it leaves open, lost their first one so. The 2.6 s before it hide this from callers that follow readiness. Fix: the gateway drains by itself and closes the servers last. After the lag it refuses what ends later than the process, with Connection: close, and closes only idle connections on which nothing has arrived. It exits once no connection has carried a request for 100 ms. What remains at the end of the grace gets a final answer from the core; a refusal is given only if nothing was sent, for which an attempt that the core has ended no longer starts to write. SIGTERM and SIGHUP are handled from the start of Run, so that neither ends a process that is just starting.

--- a/internal/fleetsoak/shutdown.go
+++ b/internal/fleetsoak/shutdown.go
@@ -170,7 +170,7 @@
 		s.run.mu.Lock()
 		s.outcomes = append(s.outcomes, o)
 		s.run.mu.Unlock()
-		if o.err != nil {
+		if !o.served() {
 			p = s.rotation.pick(rng)
 		}
 		time.Sleep(time.Duration(rng.IntN(60)) * time.Millisecond)
@@ -264,7 +264,7 @@
 		}
 	}
 	for _, o := range s.outcomes {
-		if !o.served() {
+		if !o.served() { // explains the number served, also if nothing was lost
 			s.logf("unserved kind=%s request=%s gateway=%s began=%v took=%v status=%d runs=%d error=%q",
 				o.kind, o.id, o.gateway.name, o.began.Sub(s.start), o.took, o.status, len(runs[o.id]), fmt.Sprint(o.err))
 		}
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -434,3 +434,31 @@
 		}
 	}
 }
+
+// TestExitEndsAllRequests checks what callers are told of the requests that remain when the
+// process exits: that they have not run only if nothing of them was sent.
+func TestExitEndsAllRequests(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	c.Tick(0, Input{Endpoints: testEndpoints(1, 0)})
+	sent := dispatchOf(submit(c, 0, 1, "short"))
+	c.Tick(0, Input{Sent: &Sent{ID: 1, Attempt: sent.Attempt}})
+	if dispatchOf(submit(c, 0, 2, "short")) == nil {
+		t.Fatal("the second request is not dispatched")
+	}
+	for id := RequestID(3); ; id++ {
+		if dispatchOf(submit(c, 0, id, "long")) == nil {
+			break
+		}
+	}
+	want := map[RequestID]Verdict{1: VerdictUnknown, 2: VerdictRefused}
+	for _, out := range c.Tick(time.Millisecond, Input{Exit: &Exit{}}) {
+		if f := out.Finish; f != nil {
+			if v, known := want[f.ID]; known && f.Verdict != v || !known && f.Verdict != VerdictRefused || f.Reason != ReasonExit {
+				t.Errorf("request %d: %+v", f.ID, f)
+			}
+		}
+	}
+	if n := c.InFlight(); n != 0 {
+		t.Errorf("%d requests in flight after the exit, want 0", n)
+	}
+}
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -33,6 +33,8 @@
 	case in.Shutdown != nil:
 		c.leaving = true
 		c.outbox.fullDue = true
+	case in.Exit != nil:
+		c.exit()
 	}
 }
 
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -58,6 +58,7 @@
 	Versions  *Versions
 	Seeds     []netip.AddrPort // from the settings, read again
 	Shutdown  *Shutdown
+	Exit      *Exit
 }
 
 // Arrival is a caller's request that its route and account permit.
@@ -161,6 +162,9 @@
 // Shutdown starts a graceful shutdown.
 type Shutdown struct{}
 
+// Exit ends all requests, since the process is about to exit.
+type Exit struct{}
+
 // Output is one output of the core. Exactly one field is set.
 type Output struct {
 	Dispatch *Dispatch
@@ -242,6 +246,7 @@
 	ReasonSilent      Reason = "silent"       // an endpoint did not answer
 	ReasonBudget      Reason = "retry-budget" // a retry is possible, but the fleet's retry budget is spent
 	ReasonDeadline    Reason = "deadline"
+	ReasonExit        Reason = "exit" // the process is about to exit
 )
 
 // ToPeer is a message to another gateway.
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -136,6 +136,17 @@
 	c.finish(r, VerdictTimeout, ReasonDeadline)
 }
 
+// exit ends all requests. A running one may have run, unless nothing of it was sent.
+func (c *Core) exit() {
+	for r := range c.requests.Values() {
+		if r.phase == phaseRunning && r.sent && !r.failureHeld {
+			c.finish(r, VerdictUnknown, ReasonExit)
+		} else {
+			c.endUnserved(r, ReasonExit)
+		}
+	}
+}
+
 // callerGone removes a request whose caller has disconnected.
 func (c *Core) callerGone(id RequestID) {
 	r := c.requests.Get(id)
--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -41,6 +41,11 @@
 	if !x.admit(table) || !x.readBody(table.Limits()) {
 		return
 	}
+	if !g.endsBeforeExit(x.deadline) {
+		x.logLocal("refuse", "shutting-down")
+		x.refuse(shutdownRetryAfter, "not run: shutting down")
+		return
+	}
 	g.register(x)
 	g.tick(gateway.Input{Arrive: x.arrival()})
 	x.run()
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -165,6 +165,10 @@
 	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
 	x.g.tick(gateway.Input{Sent: &gateway.Sent{ID: x.id, Attempt: d.Attempt}})
+	if err := ctx.Err(); err != nil { // the core has ended the attempt, perhaps as one that has not run
+		conn.Close()
+		return x.failAttempt(ctx, e, gateway.ResultFull, err)
+	}
 	resp, err := conn.Do(x.request(d))
 	if err != nil {
 		return x.failAttempt(ctx, e, gateway.ResultBroken, err)
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -48,7 +48,8 @@
 	registrationSyncer *storecopy.Syncer
 	table              atomic.Pointer[route.Table] // active configuration; nil: none yet
 	ready              atomic.Bool
-	leaving            atomic.Bool // shutting down
+	leaving            atomic.Bool  // shutting down
+	exitAt             atomic.Int64 // time on the gateway's clock at which the process exits at the latest, set once it only takes requests that end before; 0: not so
 	lastRequestID      atomic.Uint64
 	copyServing        chan struct{} // holds an element for each copy that is being sent to a peer
 
--- a/internal/gateway/shell/run.go
+++ b/internal/gateway/shell/run.go
@@ -27,13 +27,6 @@
 	idleTimeout   = 20 * time.Second
 	// memoryLimitFraction of the process's memory is the garbage collector's limit.
 	memoryLimitFraction = 0.6
-	// balancerLag is how long callers still arrive after this process has become
-	// unready: two readiness checks of the balancer, one per second, and a request on
-	// a connection that was forwarded just before.
-	balancerLag = 2600 * time.Millisecond
-	// graceMargin is how long before the end of Settings.Grace the remaining requests
-	// are cut off.
-	graceMargin = 400 * time.Millisecond
 	// housekeepingInterval is how often housekeep runs.
 	housekeepingInterval = 250 * time.Millisecond
 	// suspensionThreshold is the growth of suspendedTime from which on the VM counts
@@ -45,6 +38,10 @@
 // waits for the requests in flight, at most until Settings.Grace is over. It returns
 // an error if the gateway can't start or can't continue.
 func (g *Gateway) Run(ctx context.Context) error {
+	// Before anything else: either signal ends a process that doesn't handle it.
+	stop, hup := notify(syscall.SIGTERM, os.Interrupt), notify(syscall.SIGHUP)
+	defer signal.Stop(stop)
+	defer signal.Stop(hup)
 	s := &g.cfg.Settings
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
@@ -64,10 +61,11 @@
 		return err
 	}
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){g.runTimers, g.receive, g.configSyncer.Run, g.registrationSyncer.Run, g.housekeep, g.reloadOnSignal} {
+	for _, loop := range []func(context.Context){g.runTimers, g.receive, g.configSyncer.Run, g.registrationSyncer.Run, g.housekeep} {
 		wg.Go(func() { loop(ctx) })
 	}
-	err = g.untilStopped(ctx, servers)
+	wg.Go(func() { g.reloadOnSignal(ctx, hup) })
+	err = g.untilStopped(ctx, stop, servers)
 	cancel()
 	g.peers.conn.Close()
 	wg.Wait()
@@ -75,6 +73,14 @@
 	return err
 }
 
+// notify returns a channel that receives the signals. One that arrives while another waits
+// there is dropped.
+func notify(signals ...os.Signal) chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, signals...)
+	return c
+}
+
 // listen opens the ports of the process and starts serving them. The first server is
 // that for callers.
 func (g *Gateway) listen() ([]*http.Server, error) {
@@ -129,40 +135,14 @@
 
 // untilStopped waits for the end of ctx, SIGTERM or an interrupt, and shuts down. A
 // fatal error is returned at once, without a shutdown.
-func (g *Gateway) untilStopped(ctx context.Context, servers []*http.Server) error {
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(stop)
+func (g *Gateway) untilStopped(ctx context.Context, stop <-chan os.Signal, servers []*http.Server) error {
 	select {
 	case <-ctx.Done():
-		return g.shutDown(servers, 0)
+		g.shutDown(servers, 0)
 	case err := <-g.fatal:
 		return err
 	case <-stop:
-	}
-	return g.shutDown(servers, min(balancerLag, g.cfg.Settings.Grace/3))
-}
-
-// shutDown fails readiness, serves requests that still arrive for the duration lag,
-// in which the balancer notices, then closes the callers' port and idle connections
-// and waits for the requests in flight until graceMargin before the end of
-// Settings.Grace. The other ports close last.
-func (g *Gateway) shutDown(servers []*http.Server, lag time.Duration) error {
-	began := time.Now()
-	g.leaving.Store(true)
-	g.tick(gateway.Input{Shutdown: &gateway.Shutdown{}})
-	g.log.Info().Str("event", "stopping").Int("in_flight", g.inFlight()).Send()
-	time.Sleep(lag)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.cfg.Settings.Grace-graceMargin))
-	defer cancel()
-	err := servers[0].Shutdown(ctx)
-	if err != nil {
-		g.log.Warn().Str("event", "grace-over").Int("in_flight", g.inFlight()).Send()
-	}
-	for _, s := range servers[1:] {
-		if err := s.Close(); err != nil {
-			g.log.Warn().Str("event", "close-failed").Err(err).Send()
-		}
+		g.shutDown(servers, min(balancerLag, g.cfg.Settings.Grace/3))
 	}
 	return nil
 }
@@ -235,10 +215,7 @@
 
 // reloadOnSignal reloads the settings on SIGHUP, without interrupting requests.
 // housekeep reloads them when the file has changed.
-func (g *Gateway) reloadOnSignal(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func (g *Gateway) reloadOnSignal(ctx context.Context, hup <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -227,19 +227,22 @@
 	c.Close()
 }
 
-// openAndSilent reports whether the endpoint has neither closed the idle
-// connection nor sent data on it.
-func (c *Conn) openAndSilent() bool {
-	raw, err := c.net.(*net.TCPConn).SyscallConn()
+// OpenAndSilent reports whether the other side of an idle TCP connection has neither closed
+// it nor sent data that has not been read.
+func OpenAndSilent(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
 	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = err == syscall.EAGAIN
-		return true
 	})
 	return err == nil && quiet
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -78,7 +78,7 @@
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
-		if c.openAndSilent() {
+		if OpenAndSilent(c.net) {
 			return c, nil
 		}
 		c.Close()
