Follow what endpoints announce in their answers

The gateway knew leaving only from registrations, which lag, may still say ready, or lapse and return while the store is disturbed; Retry-After was not read. An announcement now belongs to one life of an endpoint (ID, address, start) and outlasts its registration; it holds with or without the store. The program asserts that nothing is dispatched to an endpoint that does not accept requests. If all endpoints ask to wait, a request waits if one returns before it must be placed, and is refused at once otherwise, with the end of the shortest wait as Retry-After; waiting requests of a service without any endpoint left are refused at once too.

--- a/internal/gateway/configure.go
+++ b/internal/gateway/configure.go
@@ -61,6 +61,7 @@
 		}
 	}
 	c.endpoints.Compact()
+	c.expireAnnouncements()
 	c.sortEndpoints()
 	c.placementDue = true
 }
@@ -80,7 +81,9 @@
 	if e != nil {
 		c.removeEndpoint(e) // a restarted endpoint has none of the earlier requests
 	}
-	e = c.endpoints.Put(reg.ID, endpoint{registration: reg, observedPace: 1, idHash: xxhash.Sum64String(string(reg.ID))})
+	e = c.endpoints.Put(reg.ID, endpoint{
+		registration: reg, announced: c.announcementOf(&reg), observedPace: 1, idHash: xxhash.Sum64String(string(reg.ID)),
+	})
 	c.endpointsByHash[e.idHash] = e
 	c.applyEngineParams(e)
 	c.log(Event{Name: "endpoint-registered", Endpoint: string(reg.ID), Detail: "addr=" + reg.Addr + " service=" + reg.Service})
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -21,6 +21,7 @@
 	routing         *route.Table // active configuration; nil: none yet
 	endpoints       *table.Table[wire.EndpointID, endpoint]
 	endpointsByHash map[uint64]*endpoint // by hash of the ID
+	announcements   *table.Table[instance, announcement]
 	services        *table.Table[string, service]
 	requests        *table.Table[RequestID, request]
 	peers           *table.Table[netip.AddrPort, peer]
@@ -68,6 +69,7 @@
 		addrHash:        hashAddr(cfg.Addr),
 		endpoints:       table.New[wire.EndpointID, endpoint](),
 		endpointsByHash: make(map[uint64]*endpoint),
+		announcements:   table.New[instance, announcement](),
 		services:        table.New[string, service](),
 		requests:        table.New[RequestID, request](),
 		peers:           table.New[netip.AddrPort, peer](),
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -17,6 +17,8 @@
 		c.ended(in.Ended)
 	case in.Load != nil:
 		c.loadReported(in.Load)
+	case in.Announced != nil:
+		c.endpointAnnounced(in.Announced)
 	case in.Report != nil:
 		c.reportReceived(in.Report)
 	case in.Config != nil:
@@ -47,12 +49,17 @@
 	c.enqueue(r)
 }
 
-// sent records that the first byte of the attempt is about to be written.
+// sent records that the first byte of the attempt is about to be written. It cancels an
+// attempt whose endpoint has meanwhile asked to be left alone; nothing is written then.
 func (c *Core) sent(in *Sent) {
 	r := c.running(in.ID, in.Attempt)
 	if r == nil || r.sent {
 		return
 	}
+	if c.now < r.work.answering().announced.backoffUntil {
+		c.emit(Output{Cancel: &Cancel{ID: in.ID, Attempt: in.Attempt}})
+		return
+	}
 	r.sent = true
 	r.sends++
 }
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -51,6 +51,7 @@
 	First     *FirstEvent
 	Ended     *AttemptEnded
 	Load      *EndpointLoad
+	Announced *EndpointAnnouncement
 	Report    *EngineReport
 	Config    *route.Table
 	Endpoints *Endpoints
@@ -77,8 +78,9 @@
 // CallerGone reports that the caller has disconnected.
 type CallerGone struct{ ID RequestID }
 
-// Sent reports that the first byte of an attempt is about to be written. From
-// then on only the endpoint can prove that the request did not run.
+// Sent reports that the first byte of an attempt is about to be written, unless the core
+// cancels the attempt in the same tick. From then on only the endpoint can prove that the
+// request did not run.
 type Sent struct {
 	ID      RequestID
 	Attempt int
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -54,8 +54,11 @@
 	return suspected || c.now-e.probedAt >= calmProbeInterval
 }
 
-// sendProbe queries an engine for its report.
+// sendProbe queries an engine for its report, unless it has asked to be left alone.
 func (c *Core) sendProbe(e *endpoint) {
+	if c.now < e.announced.backoffUntil {
+		return
+	}
 	e.probedAt = c.now
 	c.emit(Output{Probe: &Probe{Endpoint: e.registration.ID, Addr: e.registration.Addr}})
 }
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -64,7 +64,7 @@
 // ReasonNone.
 func (c *Core) unservable(r *request) Reason {
 	s := c.service(r.in.Service)
-	if len(c.usable(s, r)) == 0 {
+	if len(c.usable(s, r)) == 0 && !c.returnsInTime(s, r) {
 		return ReasonNoEndpoint
 	}
 	engine := s.engine()
@@ -93,6 +93,7 @@
 		if len(s.waiting) == 0 {
 			continue
 		}
+		c.endUnservable(s)
 		slices.SortStableFunc(s.waiting, c.byUrgency)
 		s.waiting = slices.DeleteFunc(s.waiting, func(r *request) bool { return c.tryPlace(s, r) })
 		c.placeLong(s)
@@ -106,22 +107,43 @@
 	}
 }
 
+// endUnservable ends the waiting requests of a service of which no endpoint is left that can
+// serve them in time.
+func (c *Core) endUnservable(s *service) {
+	if len(c.usable(s, nil)) > 0 {
+		return
+	}
+	for _, r := range s.waiting {
+		if reason := c.unservable(r); reason != ReasonNone && r.phase == phaseWaiting {
+			c.endUnserved(r, reason)
+		}
+	}
+}
+
+// placedBefore returns the time until which r may wait to be placed. A request that was
+// never dispatched is refused early enough for its caller to try again.
+func (r *request) placedBefore() time.Duration {
+	latest := r.in.Deadline - minAttemptTime
+	if r.attempt == 0 {
+		latest = min(latest, r.arrived+time.Duration(maxWaitRatio*float64(r.in.Deadline-r.arrived)))
+	}
+	return latest
+}
+
 // tryPlace dispatches or refuses r if possible, and reports whether r no longer waits.
 func (c *Core) tryPlace(s *service, r *request) bool {
 	if r.phase != phaseWaiting {
 		return true
 	}
-	left := r.in.Deadline - c.now
-	if left < minAttemptTime {
+	if r.in.Deadline-c.now < minAttemptTime {
 		c.endUnserved(r, ReasonOverload)
 		return true
 	}
-	waited := c.now - r.arrived
-	if p, ok := c.choosePlacement(s, r, waited); ok {
+	if p, ok := c.choosePlacement(s, r, c.now-r.arrived); ok {
 		c.dispatch(s, r, p)
 		return true
 	}
-	if r.attempt == 0 && waited > time.Duration(maxWaitRatio*float64(r.in.Deadline-r.arrived)) {
+	if c.now > r.placedBefore() {
 		c.endUnserved(r, ReasonOverload)
 		return true
 	}
@@ -143,6 +165,11 @@
 	r.attempt++
 	r.sent, r.cancelled = false, false
 	r.predictedFirstAt = c.now + p.untilFirst
+	for _, e := range p.endpoints {
+		if !e.accepts(c.now) {
+			invariant.Fail("dispatch-only-to-accepting", "request", r.in.RequestID, "endpoint", e.registration.ID)
+		}
+	}
 	e := p.endpoints[0]
 	w := &workItem{
 		key: workKey{c.cfg.Addr, rowID(r)}, phase: workPrefilling, endpoints: p.endpoints, reserved: p.reserved,
@@ -282,6 +309,9 @@
 	if reason == ReasonNoEndpoint {
 		after += minRetryAfter // an endpoint must register or return first
 	}
+	if until, ok := c.earliestReturn(s, r); ok && len(c.usable(s, r)) == 0 {
+		after = max(after, until-c.now)
+	}
 	jitter := time.Duration(uint64(r.in.ID)%8) * minRetryAfter / 8
 	return min(after+jitter, maxRetryAfter)
 }
@@ -315,13 +345,13 @@
 }
 
 // usable returns the endpoints of s that r, or any request if r is nil, may be sent to:
-// those in the own cell that are registered, not draining, not ejected, and not
+// those in the own cell that accept requests, are not ejected, and not
 // among those that r avoids. If there are none, it returns those of other cells, and if
 // there are none either, ejected ones.
 func (c *Core) usable(s *service, r *request) []*endpoint {
 	var healthy, otherCells, ejected []*endpoint
 	for _, e := range s.endpoints {
-		if e.unregistered || e.registration.Leaving || r != nil && slices.Contains(r.avoid, e.registration.ID) {
+		if !e.accepts(c.now) || r != nil && r.avoids(e.registration.ID) {
 			continue
 		}
 		if e.health.ejected(c.now) {
@@ -343,9 +373,12 @@
 	return ejected
 }
 
+// avoids reports whether an endpoint gets no further attempt of r.
+func (r *request) avoids(id wire.EndpointID) bool { return slices.Contains(r.avoid, id) }
+
 // avoidEndpoint excludes an endpoint from further attempts of r.
 func (r *request) avoidEndpoint(id wire.EndpointID) {
-	if !slices.Contains(r.avoid, id) {
+	if !r.avoids(id) {
 		r.avoid = append(r.avoid, id)
 	}
 }
--- a/internal/gateway/shell/callendpoint.go
+++ b/internal/gateway/shell/callendpoint.go
@@ -9,6 +9,7 @@
 
 	"trefoilpath.org/trefoilpath/internal/gateway"
 	"trefoilpath.org/trefoilpath/internal/upstream"
+	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
 // maxEndpointResponseBytes bounds the response body in callEndpoint.
@@ -41,6 +42,8 @@
 	if err != nil {
 		return nil, err
 	}
+	a := g.cfg.Translator.Response(resp.StatusCode, resp.Header)
+	g.passAnnouncement(wire.EndpointID(r.endpoint), r.addr, &a)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxEndpointResponseBytes+1))
 	if err != nil {
 		conn.Close()
@@ -56,6 +59,17 @@
 	return body, nil
 }
 
+// passAnnouncement passes what an endpoint says of itself in a response to the core. Another
+// endpoint at its address says nothing of it.
+func (g *Gateway) passAnnouncement(id wire.EndpointID, addr string, h *ResponseHeaders) {
+	if h.Malformed != "" {
+		g.log.Warn().Str("event", "header-unusable").Str("endpoint", string(id)).Str("detail", h.Malformed).Send()
+	}
+	if !h.OtherEndpoint && (h.Leaving || h.Backoff > 0) {
+		g.tick(gateway.Input{Announced: &gateway.EndpointAnnouncement{Endpoint: id, Addr: addr, Leaving: h.Leaving, Backoff: h.Backoff}})
+	}
+}
+
 // probe queries an engine's report and passes the result to the core.
 func (g *Gateway) probe(p gateway.Probe) {
 	report := &gateway.EngineReport{Endpoint: p.Endpoint}
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -205,6 +205,7 @@
 // and returns e.
 func (x *exchange) handleResponse(ctx context.Context, conn *upstream.Conn, resp *http.Response, d *gateway.Dispatch, e *gateway.AttemptEnded) *gateway.AttemptEnded {
 	a := x.g.cfg.Translator.Response(resp.StatusCode, resp.Header)
+	x.g.passAnnouncement(d.Endpoint, d.Addr, &a)
 	if a.HasLoad {
 		a.Load.Endpoint = d.Endpoint
 		x.g.tick(gateway.Input{Load: &a.Load})
--- a/internal/gateway/shell/translate.go
+++ b/internal/gateway/shell/translate.go
@@ -84,4 +84,7 @@
 	Fault         string // address or ID (the core accepts both) of the endpoint that caused the failure; empty: the one that responded
 	HasLoad       bool   // Load is set
 	Load          gateway.EndpointLoad
+	Leaving       bool          // the endpoint that responded is draining
+	Backoff       time.Duration // how long it wants no request from this gateway; 0: no such wish
+	Malformed     string        // a header that can't be parsed and is ignored; empty: none
 }
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -19,6 +19,7 @@
 	unregistered   bool               // no longer registered; the row stays while own requests run
 	inCell         bool               // in the own cell, or used by all cells
 	health         health
+	announced      *announcement // of its instance
 	observedPace   float64       // moving ratio of measured to predicted time to first event; 1: as published, and always for a plain service
 	reportedPace   float64       // from its latest report; 0: none
 	reportedPaceAt time.Duration // when this or another gateway received that report
