Close the entry's servers without dropping requests that they have read

Found while looking elsewhere for the cause of the requests lost around SIGTERM: the product's own entry ended with http.Server.Shutdown too. While it waits for a caller that still reads, a request that another caller has sent is read and dropped. The tracker of callers' connections moves from the gateway's shell to httpconn, with CloseServer, which waits until no connection is busy and then closes.

--- a/internal/entry/shell/run.go
+++ b/internal/entry/shell/run.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 	"trefoilpath.org/trefoilpath/internal/incarnation"
 	"trefoilpath.org/trefoilpath/internal/settings"
 	"trefoilpath.org/trefoilpath/internal/transport"
@@ -89,8 +90,8 @@
 	e.cfg.Log.Info().Str("event", "start").Str("callers", l.Callers.Addr().String()).Str("peers", l.Peers.Addr().String()).Send()
 	err = e.Run(run)
 	var g errgroup.Group
-	g.Go(func() error { return stopServer(callers) })
-	g.Go(func() error { return stopServer(operators) })
+	g.Go(callers.stop)
+	g.Go(operators.stop)
 	_ = g.Wait() // a caller that still reads after stopTimeout is disconnected
 	e.servers.Wait()
 	peers.Close()
@@ -98,28 +99,32 @@
 	return err
 }
 
+// server is an HTTP server and the tracker of its connections; nil: no server.
+type server struct {
+	http  *http.Server
+	conns *httpconn.Tracker
+}
+
 // serve starts an HTTP server on l. It returns nil if l is nil.
-func (e *Entry) serve(l net.Listener, h http.Handler) *http.Server {
+func (e *Entry) serve(l net.Listener, h http.Handler) *server {
 	if l == nil {
 		return nil
 	}
-	srv := &http.Server{
+	s := &server{conns: httpconn.NewTracker(), http: &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: time.Duration(e.cfg.Limits.ReadHeaderTimeoutMS) * time.Millisecond,
 		MaxHeaderBytes:    int(e.cfg.Limits.MaxHeaderBytes),
-	}
-	e.servers.Go(func() { _ = srv.Serve(l) }) // returns only after Shutdown, or with the listener's error
-	return srv
+	}}
+	s.http.ConnState = s.conns.OnStateChange
+	e.servers.Go(func() { _ = s.http.Serve(l) }) // returns only after Close, or with the listener's error
+	return s
 }
 
-func stopServer(srv *http.Server) error {
-	if srv == nil {
+func (s *server) stop() error {
+	if s == nil {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	if err := srv.Shutdown(ctx); err != nil {
-		return srv.Close()
-	}
-	return nil
+	return s.conns.CloseServer(ctx, s.http)
 }
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"trefoilpath.org/trefoilpath/internal/gateway"
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 	"trefoilpath.org/trefoilpath/internal/invariant"
 	"trefoilpath.org/trefoilpath/internal/retrybudget"
 	"trefoilpath.org/trefoilpath/internal/route"
@@ -42,7 +43,7 @@
 	logLines           *boundedWriter
 	meters             *meters
 	pool               *upstream.Pool
-	conns              *callerConns
+	conns              *httpconn.Tracker // of callers
 	peers              *peerSocket
 	configSyncer       *storecopy.Syncer
 	registrationSyncer *storecopy.Syncer
@@ -69,7 +70,7 @@
 func New(cfg Config) *Gateway {
 	s := &cfg.Settings
 	g := &Gateway{
-		cfg: cfg, start: time.Now(), meters: newMeters(), pool: upstream.NewPool(), conns: newCallerConns(),
+		cfg: cfg, start: time.Now(), meters: newMeters(), pool: upstream.NewPool(), conns: httpconn.NewTracker(),
 		logLines:  newBoundedWriter(cfg.Log),
 		exchanges: make(map[gateway.RequestID]*exchange),
 		fatal:     make(chan error, 1),
--- a/internal/gateway/shell/run.go
+++ b/internal/gateway/shell/run.go
@@ -114,7 +114,7 @@
 		}
 		server := g.newServer(p.handler)
 		if len(servers) == 0 {
-			server.ConnState = g.conns.onStateChange // the server for callers
+			server.ConnState = g.conns.OnStateChange // the server for callers
 		}
 		servers = append(servers, server)
 		go func() {
@@ -189,7 +189,7 @@
 	if table == nil {
 		return
 	}
-	if n := g.conns.sweep(now, table.Limits()); n > 0 {
+	if n := g.conns.Sweep(now, table.Limits().HeaderTimeout, table.Limits().IdleTimeout); n > 0 {
 		g.log.Info().Str("event", "caller-connections-closed").Int("count", n).
 			Str("detail", "no request within the configuration's limits").Send()
 	}
--- a/internal/gateway/shell/shutdown.go
+++ b/internal/gateway/shell/shutdown.go
@@ -1,6 +1,7 @@
 package shell
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -21,8 +22,6 @@
 	// drainedTime is how long no request must have been in flight before the process exits:
 	// a caller may send its next one as soon as it has an answer.
 	drainedTime = 100 * time.Millisecond
-	// drainPollInterval is the time between two checks for requests in flight.
-	drainPollInterval = 10 * time.Millisecond
 	// shutdownRetryAfter is the Retry-After of responses of a process that is about to exit:
 	// other gateways serve the callers.
 	shutdownRetryAfter = 50 * time.Millisecond
@@ -43,13 +42,13 @@
 	g.log.Info().Str("event", "stopping").Int("in_flight", g.inFlight()).Send()
 	time.Sleep(lag)
 	g.exitAt.Store(int64(exitAt))
-	closed := g.conns.closeIdle()
+	closed := g.conns.CloseIdle()
 	g.log.Info().Str("event", "draining").Int("in_flight", g.inFlight()).Int("connections_closed", closed).Send()
 	if !g.awaitDrained(exitAt, drainedTime) {
 		g.log.Warn().Str("event", "grace-over").Int("in_flight", g.inFlight()).Send()
 		g.tick(gateway.Input{Exit: &gateway.Exit{}})
 		if !g.awaitDrained(exitAt+finalAnswerTime, 0) {
-			g.log.Warn().Str("event", "answers-cut").Int("connections", g.conns.busy()).Send()
+			g.log.Warn().Str("event", "answers-cut").Int("connections", g.conns.Busy()).Send()
 		}
 	}
 	for _, s := range servers {
@@ -62,17 +61,9 @@
 // awaitDrained waits until no connection of a caller has carried a request for a duration,
 // and returns false if that is not so by a time on the gateway's clock.
 func (g *Gateway) awaitDrained(until, duration time.Duration) bool {
-	for busyAt := g.now(); ; time.Sleep(drainPollInterval) {
-		now := g.now()
-		if g.conns.busy() > 0 {
-			busyAt = now
-		} else if now-busyAt >= duration {
-			return true
-		}
-		if now >= until {
-			return false
-		}
-	}
+	ctx, cancel := context.WithDeadline(context.Background(), g.start.Add(until))
+	defer cancel()
+	return g.conns.AwaitQuiet(ctx, duration)
 }
 
 // endsBeforeExit reports whether a request with a deadline ends before the process does.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,6 +12,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 )
 
 const (
@@ -78,7 +80,7 @@
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
-		if OpenAndSilent(c.net) {
+		if httpconn.OpenAndSilent(c.net) {
 			return c, nil
 		}
 		c.Close()
