Restart a gateway that a second signal ends while it starts, in the shutdown soak

A run of 80 gateways, 400 callers and 24 series failed with 'g-47 is not ready within 15s': another series had sent SIGTERM to the process that had just been started, which ended gracefully, and nobody started it again. The soak now starts another one, and keeps the first SIGTERM of each process.

--- a/internal/fleetsoak/fleet.go
+++ b/internal/fleetsoak/fleet.go
@@ -245,6 +245,9 @@
 		if p.ready() {
 			return nil
 		}
+		if p.stopped() {
+			return errors.Errorf("%s has exited before it was ready", p.name)
+		}
 	}
 	return errors.Errorf("%s is not ready within %v", p.name, startTimeout)
 }
--- a/internal/fleetsoak/shutdown.go
+++ b/internal/fleetsoak/shutdown.go
@@ -46,10 +46,16 @@
 	rotation *rotation
 
 	mu       sync.Mutex
-	sigterms map[*gatewayProcess][]time.Time
+	sigterms map[*gatewayProcess][]sigterm
 	sent     map[string]time.Time // when the last byte of each request was written, by ID
 }
 
+// sigterm is the first SIGTERM of one process of a gateway.
+type sigterm struct {
+	at     time.Time
+	exited <-chan struct{} // identifies the process
+}
+
 // RunShutdowns sends SIGTERM and SIGHUP to gateways, and changes the configuration, in
 // series that overlap, and checks that each request that a gateway took is answered.
 func RunShutdowns(o Options) (res Result, err error) {
@@ -68,7 +74,7 @@
 	}
 	s := &shutdownRun{
 		run: &run{opts: o, fleet: f, start: time.Now(), events: f.replicas[0].Events}, rotation: newRotation(f),
-		sigterms: make(map[*gatewayProcess][]time.Time), sent: make(map[string]time.Time),
+		sigterms: make(map[*gatewayProcess][]sigterm), sent: make(map[string]time.Time),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
@@ -130,14 +136,14 @@
 		s.changeConfig()
 		return nil
 	}
-	if !p.restartMu.TryLock() { // it shuts down already: once more
-		return p.signal([]syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}[rng.IntN(2)])
+	if !p.restartMu.TryLock() { // it shuts down or starts
+		if rng.IntN(2) == 0 {
+			return p.signal(syscall.SIGHUP)
+		}
+		return s.terminate(p)
 	}
 	defer p.restartMu.Unlock()
-	s.mu.Lock()
-	s.sigterms[p] = append(s.sigterms[p], time.Now())
-	s.mu.Unlock()
-	if err := p.signal(syscall.SIGTERM); err != nil {
+	if err := s.terminate(p); err != nil {
 		return err
 	}
 	inTime, err := p.waitExit(s.opts.Grace)
@@ -147,7 +153,27 @@
 	if !inTime {
 		s.recordViolation("grace", p.name+" runs on after its grace")
 	}
-	return s.restart(p)
+	return s.restartUntilReady(p)
+}
+
+// terminate sends SIGTERM to the current process of a gateway.
+func (s *shutdownRun) terminate(p *gatewayProcess) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	exited := p.currentExit()
+	if list := s.sigterms[p]; len(list) == 0 || list[len(list)-1].exited != exited {
+		s.sigterms[p] = append(list, sigterm{time.Now(), exited})
+	}
+	return p.signal(syscall.SIGTERM)
+}
+
+// restartUntilReady starts a gateway, again if a signal of another series ends it meanwhile.
+func (s *shutdownRun) restartUntilReady(p *gatewayProcess) error {
+	for {
+		if err := s.restart(p); err == nil || !p.stopped() {
+			return err
+		}
+	}
 }
 
 // callOnOpenConnections sends requests until ctx ends. Callers with an odd n stay with their
@@ -291,8 +317,8 @@
 func (s *shutdownRun) sigtermBefore(p *gatewayProcess, at time.Time) (time.Time, bool) {
 	var last time.Time
 	for _, t := range s.sigterms[p] {
-		if !t.After(at) {
-			last = t
+		if !t.at.After(at) {
+			last = t.at
 		}
 	}
 	return last, !last.IsZero() && at.Sub(last) <= s.opts.Grace+time.Second
