Let callers of the shutdown soak wait longer than the grace

Its streams lasted 3 s at most, since only every second replica is an engine, and its callers waited 4 s, so that no request remained at the end of the grace. Streams last up to 7.8 s now and callers wait 10 s.

--- a/internal/fleetsoak/callers.go
+++ b/internal/fleetsoak/callers.go
@@ -56,15 +56,15 @@
 
 // send makes one request.
 func (s *run) send(transport http.RoundTripper, p *gatewayProcess, kind, id string) *outcome {
-	return s.sendWith(context.Background(), transport, p, kind, id)
+	return s.sendWith(context.Background(), transport, p, kind, id, callTimeout)
 }
 
-// sendWith makes one request with a context.
-func (s *run) sendWith(ctx context.Context, transport http.RoundTripper, p *gatewayProcess, kind, id string) *outcome {
+// sendWith makes one request with a context, whose caller waits for timeout.
+func (s *run) sendWith(ctx context.Context, transport http.RoundTripper, p *gatewayProcess, kind, id string, timeout time.Duration) *outcome {
 	o := &outcome{id: id, kind: kind, gateway: p, began: time.Now()}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+answerSlack)
+	ctx, cancel := context.WithTimeout(ctx, timeout+answerSlack)
 	defer cancel()
-	req, err := standin.NewRequest(ctx, p.callerAddr(), kind, id, callTimeout)
+	req, err := standin.NewRequest(ctx, p.callerAddr(), kind, id, timeout)
 	if err != nil {
 		o.err = err
 		return o
--- a/internal/fleetsoak/shutdown.go
+++ b/internal/fleetsoak/shutdown.go
@@ -20,6 +20,9 @@
 )
 
 const (
+	// patientTimeout is how long callers wait. It is above the grace, so that some streams
+	// still run at its end.
+	patientTimeout = 10 * time.Second
 	// lossSlack is how long after the last byte of a request its connection may end
 	// without an answer if no replica got the request.
 	lossSlack = 200 * time.Millisecond
@@ -70,7 +73,8 @@
 	}
 	for i, r := range f.replicas {
 		r.Events = 20
-		r.Pause = []time.Duration{5, 40, 150, 350}[i%4] * time.Millisecond // streams of 0.1 to 7 s
+		// Streams of 0.1 to 7.8 s; replicas of the services alternate.
+		r.Pause = []time.Duration{5, 40, 150, 390}[i/len(standin.Services)%4] * time.Millisecond
 	}
 	s := &shutdownRun{
 		run: &run{opts: o, fleet: f, start: time.Now(), events: f.replicas[0].Events}, rotation: newRotation(f),
@@ -192,7 +196,7 @@
 		traced := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{
 			WroteRequest: func(httptrace.WroteRequestInfo) { s.noteSent(id) },
 		})
-		o := s.sendWith(traced, transport, p, kind, id)
+		o := s.sendWith(traced, transport, p, kind, id, patientTimeout)
 		s.run.mu.Lock()
 		s.outcomes = append(s.outcomes, o)
 		s.run.mu.Unlock()
@@ -229,7 +233,7 @@
 		select {
 		case <-exited:
 		case <-time.After(exitSlack):
-			if o.err != nil && o.took < callTimeout {
+			if o.err != nil && o.took < patientTimeout {
 				s.recordViolation("answered", fmt.Sprintf("%s %s at %s on an unused connection, ended without an answer after %v: %v", kind, o.id, p.name, o.took, o.err))
 			}
 		}
@@ -253,12 +257,12 @@
 func (s *shutdownRun) exchangeOn(conn net.Conn, p *gatewayProcess, kind, id string) *outcome {
 	o := &outcome{id: id, kind: kind, gateway: p, began: time.Now()}
 	defer func() { o.took = time.Since(o.began) }()
-	req, err := standin.NewRequest(context.Background(), p.callerAddr(), kind, id, callTimeout)
+	req, err := standin.NewRequest(context.Background(), p.callerAddr(), kind, id, patientTimeout)
 	if err != nil {
 		o.err = err
 		return o
 	}
-	_ = conn.SetDeadline(time.Now().Add(callTimeout + answerSlack)) // fails only on a closed connection
+	_ = conn.SetDeadline(time.Now().Add(patientTimeout + answerSlack)) // fails only on a closed connection
 	if o.err = req.Write(conn); o.err != nil {
 		return o
 	}
@@ -294,7 +298,7 @@
 			s.logf("unserved kind=%s request=%s gateway=%s began=%v took=%v status=%d runs=%d error=%q",
 				o.kind, o.id, o.gateway.name, o.began.Sub(s.start), o.took, o.status, len(runs[o.id]), fmt.Sprint(o.err))
 		}
-		if o.err == nil || o.took >= callTimeout {
+		if o.err == nil || o.took >= patientTimeout {
 			continue
 		}
 		sent, wrote := s.sent[o.id]
--- a/internal/fleetsoak/shutdown_test.go
+++ b/internal/fleetsoak/shutdown_test.go
@@ -13,6 +13,7 @@
 	shutdownFor     = flag.Duration("shutdown.for", 12*time.Second, "length of a run of the shutdown soak")
 	shutdownFleet   = flag.Int("shutdown.gateways", 3, "number of gateways in the shutdown soak")
 	shutdownCallers = flag.Int("shutdown.callers", 60, "number of callers in the shutdown soak")
+	shutdownKeep    = flag.Bool("shutdown.keep", false, "keep the logs of runs without a violation")
 	shutdownSeries  = flag.Int("shutdown.series", 3, "number of overlapping series of signals")
 )
 
@@ -40,7 +41,7 @@
 	for _, v := range res.Violations {
 		t.Errorf("seed %d: %s at %v: %s (logs in %s)", seed, v.Promise, v.At, v.Detail, o.Dir)
 	}
-	if len(res.Violations) == 0 {
+	if len(res.Violations) == 0 && !*shutdownKeep {
 		os.RemoveAll(o.Dir)
 	}
 }
