--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -203,7 +203,7 @@
 func (f *fleet) peerStatus() []PeerStatus {
 	var list []PeerStatus
 	for _, p := range f.spread.PeerStatuses(f.c.now) {
-		row := PeerStatus{Node: p.Node, Revision: p.Revision, Ready: p.Ready, Leaving: p.Leaving, SilentMS: noMessageYet}
+		row := PeerStatus{Node: p.Node, Revision: p.Revision, Ready: p.Ready, Leaving: p.Leaving, SilentMS: NoMessageYet}
 		if p.SinceLastMessage >= 0 {
 			row.SilentMS = p.SinceLastMessage.Milliseconds()
 		}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -27,11 +27,11 @@
 	Revision uint64      `json:"revision"`
 	Ready    bool        `json:"ready"`
 	Leaving  bool        `json:"leaving"`
-	SilentMS int64       `json:"silent_ms"` // milliseconds since the last message; noMessageYet: none so far
+	SilentMS int64       `json:"silent_ms"` // milliseconds since the last message; NoMessageYet: none so far
 }
 
-// noMessageYet is PeerStatus.SilentMS of a peer that has sent no message.
-const noMessageYet = -1
+// NoMessageYet is PeerStatus.SilentMS of a peer that has sent no message.
+const NoMessageYet = -1
 
 // Status returns a summary of the entry and the last known status of its peers.
 func (c *Core) Status() Status {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -12,8 +12,7 @@
 	"trefoilpath.org/trefoilpath/internal/entry"
 )
 
-// maxResponseBytes bounds how much of a response is read; the rest is dropped
-// without an error.
+// maxResponseBytes bounds a response.
 const maxResponseBytes = 256 << 20
 
 // maxShownErrorBytes bounds the part of an error response that an error quotes.
@@ -25,12 +24,14 @@
 	url  string
 	key  string
 	http *http.Client
+
+	maxResponseBytes int64 // a longer response is an error
 }
 
 // NewClient returns a client for the process at baseURL. Key is the operators'
 // bearer key.
 func NewClient(baseURL, key string, hc *http.Client) *Client {
-	return &Client{url: strings.TrimRight(baseURL, "/"), key: key, http: hc}
+	return &Client{url: strings.TrimRight(baseURL, "/"), key: key, http: hc, maxResponseBytes: maxResponseBytes}
 }
 
 // URL returns the base URL of the process.
@@ -68,10 +69,13 @@
 		return nil, errors.Wrap(err, "send request")
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxResponseBytes+1))
 	if err != nil {
 		return nil, errors.Wrapf(err, "read response of %s", c.url)
 	}
+	if int64(len(body)) > c.maxResponseBytes {
+		return nil, errors.Errorf("response of %s is larger than %d bytes", c.url, c.maxResponseBytes)
+	}
 	if resp.StatusCode/100 != 2 {
 		text := strings.TrimSpace(string(body[:min(len(body), maxShownErrorBytes)]))
 		return nil, errors.Errorf("%s answered %s: %s", c.url, resp.Status, text)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -53,7 +53,7 @@
 	c := serve(t, func(int64) entry.Status {
 		return entry.Status{
 			Node: "a", Revision: 7, Lagging: []wire.EndpointID{"luthier-01"},
-			Peers: []entry.PeerStatus{{Node: "b", Revision: 6, SilentMS: 2000}},
+			Peers: []entry.PeerStatus{{Node: "b", Revision: 6, SilentMS: 2000}, {Node: "new", SilentMS: entry.NoMessageYet}},
 		}
 	})
 	dead := NewClient("http://127.0.0.1:1", "secret", http.DefaultClient)
@@ -61,8 +61,9 @@
 	defer cancel()
 	want := []Lagging{
 		{Name: "b", Revision: 6, Reason: "last heard 2s ago"},
-		{Name: "http://127.0.0.1:1", Reason: "gives no status"},
+		{Name: "http://127.0.0.1:1", Reason: "gives no status: send request: Get \"http://127.0.0.1:1/v1/operator/status\": dial tcp 127.0.0.1:1: connect: connection refused"},
 		{Name: "luthier-01", Reason: "agent of a has an older revision"},
+		{Name: "new", Reason: "not heard yet"},
 	}
 	if diff := cmp.Diff(want, Wait(ctx, []*Client{c, dead}, 7)); diff != "" {
 		t.Errorf("lagging differ (-want +got):\n%s", diff)
@@ -81,3 +82,11 @@
 		t.Error("Dump succeeded with the wrong key")
 	}
 }
+
+func TestDumpBeyondTheLimitIsAnError(t *testing.T) {
+	c := serve(t, func(int64) entry.Status { return entry.Status{Node: "a name longer than the limit of this test"} })
+	c.maxResponseBytes = 16
+	if dump, err := c.Dump(context.Background()); err == nil {
+		t.Errorf("Dump returned %q without an error, want one for a response beyond 16 bytes", dump)
+	}
+}
--- a/internal/operator/wait.go
+++ b/internal/operator/wait.go
@@ -54,7 +54,7 @@
 	for _, c := range entries {
 		s, err := statusWithTimeout(ctx, c)
 		if err != nil {
-			v.lagging = append(v.lagging, Lagging{Name: c.URL(), Reason: "gives no status"})
+			v.lagging = append(v.lagging, Lagging{Name: c.URL(), Reason: "gives no status: " + err.Error()})
 			continue
 		}
 		v.add(s)
@@ -115,7 +115,10 @@
 func (v *statusView) result() []Lagging {
 	for _, p := range v.newest {
 		if p.Revision < v.revision && !p.Leaving {
-			reason := fmt.Sprintf("last heard %v ago", time.Duration(p.SilentMS)*time.Millisecond)
+			reason := "not heard yet"
+			if p.SilentMS != entry.NoMessageYet {
+				reason = fmt.Sprintf("last heard %v ago", time.Duration(p.SilentMS)*time.Millisecond)
+			}
 			v.lagging = append(v.lagging, Lagging{Name: string(p.Node), Revision: p.Revision, Reason: reason})
 		}
 	}
