Check the deadline timer of the entry's oldest request

The invariant 'a request in flight has a timer' held whenever any timer was set, and the heartbeat always is. The oldest request now must have the timer of its deadline: one without it would never end and so become the oldest.

--- a/internal/entry/invariants.go
+++ b/internal/entry/invariants.go
@@ -8,11 +8,9 @@
 )
 
 // check asserts the invariants that hold after every tick. It reads only
-// totals, so that its cost does not grow with the number of requests.
+// totals and the oldest request, so that its cost does not grow with the number of requests.
 func (c *Core) check() {
-	if c.requests.Len() > 0 && c.timers.Len() == 0 {
-		invariant.Fail("a request in flight has a timer", "requests", c.requests.Len())
-	}
+	c.checkOldestDeadline()
 	if len(c.toRoute) != 0 {
 		invariant.Fail("the routing queue is empty after routing", "left", len(c.toRoute))
 	}
@@ -21,6 +19,20 @@
 	}
 }
 
+// checkOldestDeadline asserts that the oldest request has the timer of its deadline. One
+// without it never ends, so that it becomes the oldest.
+func (c *Core) checkOldestDeadline() {
+	if c.cfg.disabled(mechanismDeadline) {
+		return
+	}
+	for r := range c.requests.Values() {
+		if !c.timers.Has(timerKey{kind: timerDeadline, id: uint64(r.id)}) {
+			invariant.Fail("a request in flight has a deadline timer", "request", r.id)
+		}
+		return
+	}
+}
+
 // checkAnswer asserts that the state of a request agrees with the outcome of
 // its answer.
 func (c *Core) checkAnswer(r *request, o wire.Outcome) {
--- a/internal/timer/timer.go
+++ b/internal/timer/timer.go
@@ -34,6 +34,12 @@
 // Len returns the number of timers.
 func (q *Queue[K]) Len() int { return len(q.items) }
 
+// Has reports whether the timer of key is set.
+func (q *Queue[K]) Has(key K) bool {
+	_, ok := q.byKey[key]
+	return ok
+}
+
 // Set starts the timer of key, or changes its time.
 func (q *Queue[K]) Set(key K, at time.Duration) {
 	q.order++
