Compare what the controller's and the load generator's tests count

The number of orders refused as stale and that of writes without an idempotency key were counted and never compared. Fault-free placements must have none of the former, a pause of the holder just those of the test; writes are all keyed or all unkeyed as the mix says.

--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -21,6 +21,9 @@
 	d := newDomain(t, engines, 2, snapshotOf(luthier, mostrador))
 	d.demand = []ModelDemand{{Model: luthier.Name, TokensPerSecond: 4000}, {Model: mostrador.Name, TokensPerSecond: 1000}}
 	d.run(2 * time.Minute)
+	if n := d.refused(); n != 0 {
+		t.Fatalf("%d orders refused as stale without a fault", n)
+	}
 	return d
 }
 
@@ -231,6 +234,9 @@
 	if old.orders != before {
 		t.Fatalf("%d orders after the pause", old.orders-before)
 	}
+	if refused := d.refused(); refused != len(d.agents) {
+		t.Fatalf("%d orders refused as stale, want the %d of this test alone", refused, len(d.agents))
+	}
 	if got := len(d.served()); got != 2 {
 		t.Fatalf("not every model is served after the pause: %v", d.served())
 	}
--- a/internal/controller/harness_test.go
+++ b/internal/controller/harness_test.go
@@ -243,6 +243,14 @@
 	return n
 }
 
+// refused returns the number of orders that agents refused as stale.
+func (d *domain) refused() (n int) {
+	for _, a := range d.agents {
+		n += a.refused
+	}
+	return n
+}
+
 func (d *domain) totalOrders() (n int) {
 	for _, c := range d.candidates {
 		n += c.orders
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -29,7 +29,8 @@
 	cut          atomic.Bool // leave out the end of answers
 	splice       atomic.Bool // answer with another request's text
 	calls        atomic.Int64
-	unkeyed      atomic.Int64 // POST calls without an idempotency key; no test checks it
+	unkeyed      atomic.Int64 // POST calls without an idempotency key
+	keyed        atomic.Int64 // POST calls with one
 	unauthorized atomic.Int64 // requests without a bearer key of the configuration
 }
 
@@ -45,8 +46,12 @@
 		return
 	}
 	if strings.HasPrefix(r.URL.Path, "/services/") {
-		if r.Method == http.MethodPost && r.Header.Get("Idempotency-Key") == "" {
+		switch {
+		case r.Method != http.MethodPost:
+		case r.Header.Get("Idempotency-Key") == "":
 			f.unkeyed.Add(1)
+		default:
+			f.keyed.Add(1)
 		}
 		w.Header().Set(headerOutcome, "completed")
 		return
@@ -69,8 +74,12 @@
 	fmt.Fprintf(w, "data: {\"choices\":[],\"usage\":{\"completion_tokens\":%d}}\n\ndata: [DONE]\n\n", req.MaxTokens)
 }
 
-// offer sends 60 requests to f and returns the result of the run.
-func offer(t *testing.T, f *fakeEntry) *Result {
+// offer sends 60 requests to f, whose writes have idempotency keys, and returns the result of
+// the run.
+func offer(t *testing.T, f *fakeEntry) *Result { return offerUnkeyed(t, f, 0) }
+
+// offerUnkeyed sends 60 requests to f, of which a share of the writes has no idempotency key.
+func offerUnkeyed(t *testing.T, f *fakeEntry, share float64) *Result {
 	t.Helper()
 	srv := httptest.NewServer(f)
 	defer srv.Close()
@@ -78,6 +87,7 @@
 	mix := workload.DefaultMix()
 	mix.Service = 0.3
 	mix.OmitLong = true
+	mix.Unkeyed = share
 	res, err := Run(context.Background(), Config{
 		Targets:     []string{srv.URL},
 		Keys:        map[wire.AccountID]string{"a": "key-of-a", "b": "key-of-b"},
@@ -97,6 +107,13 @@
 	if res.Sent != 60 || res.Completed != 60 || res.Wrong != 0 || f.calls.Load() != 60 || f.unauthorized.Load() != 0 {
 		t.Errorf("result %+v after %d requests, %d of them without a bearer key; want 60 sent, completed and received, 0 wrong and 0 without a key", res, f.calls.Load(), f.unauthorized.Load())
 	}
+	if f.unkeyed.Load() != 0 || f.keyed.Load() == 0 {
+		t.Errorf("%d POST calls without and %d with an idempotency key, want none without", f.unkeyed.Load(), f.keyed.Load())
+	}
+	unkeyed := &fakeEntry{}
+	if offerUnkeyed(t, unkeyed, 1); unkeyed.keyed.Load() != 0 || unkeyed.unkeyed.Load() == 0 {
+		t.Errorf("%d POST calls without and %d with an idempotency key, want none with", unkeyed.unkeyed.Load(), unkeyed.keyed.Load())
+	}
 	requests := 0
 	for _, row := range res.Rows {
 		requests += row.Requests
