Record which revision each nonce of the root belongs to

An operator whose answer was lost finds out by the nonces in the root whether the update was accepted. The record now holds the revisions too; one of an earlier build is read as before. The test fails before with a gap of one revision and of many.

--- a/internal/declaration/accept.go
+++ b/internal/declaration/accept.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -90,7 +91,7 @@
 // compare-and-swap; the update is accepted once that write takes effect. If the
 // response to it is lost, Accept repeats the write and, if that conflicts, reads
 // back whether the first took effect. The update may have been accepted after
-// *UnknownOutcomeError, but not after any other error, with the exception given at nonceOf.
+// *UnknownOutcomeError, but not after any other error.
 func Accept(ctx context.Context, d StoreClient, u Update) (*Receipt, error) {
 	if u.Nonce == 0 {
 		return nil, errors.New("an update needs a nonce")
@@ -264,12 +265,13 @@
 }
 
 func (w *writer) record() *Record {
-	r := &Record{Root: w.next.root, Nonces: []uint64{w.update.Nonce}}
+	r := &Record{Root: w.next.root, Nonces: []uint64{w.update.Nonce}, Revisions: []uint64{w.next.root.Revision}}
 	if w.base.State == nil {
 		return r
 	}
-	r.Nonces = append(r.Nonces, w.base.Record.Nonces...)
-	r.Nonces = r.Nonces[:min(len(r.Nonces), maxRecordNonces)]
+	kept := min(len(w.base.Record.Nonces), maxRecordNonces-1)
+	r.Nonces = append(r.Nonces, w.base.Record.Nonces[:kept]...)
+	r.Revisions = append(r.Revisions, w.base.Record.revisions()[:kept]...)
 	known := digestSet(w.next.Digests())
 	for _, digest := range w.base.State.Digests() {
 		if !known[digest] {
@@ -283,17 +285,25 @@
 	return r
 }
 
-// nonceOf returns the nonce of a revision, or 0 if the record does not hold it. It
-// assumes consecutive revisions: after Update.AboveRevision skipped some, it can return the
-// nonce of another revision, and readBack then reports a conflict for an accepted
-// update.
+// revisions returns the revisions of r's nonces.
+func (r *Record) revisions() []uint64 {
+	if len(r.Revisions) == len(r.Nonces) {
+		return r.Revisions
+	}
+	out := make([]uint64, len(r.Nonces))
+	for i := range out {
+		out[i] = r.Root.Revision - uint64(i)
+	}
+	return out
+}
+
+// nonceOf returns the nonce of a revision, or 0 if the record does not hold it.
 func (r *Record) nonceOf(revision uint64) uint64 {
-	if r == nil || revision > r.Root.Revision {
+	if r == nil {
 		return 0
 	}
-	back := r.Root.Revision - revision
-	if back >= uint64(len(r.Nonces)) {
-		return 0
+	if i := slices.Index(r.revisions(), revision); i >= 0 {
+		return r.Nonces[i]
 	}
-	return r.Nonces[back]
+	return 0
 }
--- a/internal/declaration/accept_test.go
+++ b/internal/declaration/accept_test.go
@@ -157,6 +157,34 @@
 	}
 }
 
+// TestAcceptedUpdateIsFoundBehindSkippedRevisions loses the answer to an accepted update,
+// which another operator follows at a revision above the next one.
+func TestAcceptedUpdateIsFoundBehindSkippedRevisions(t *testing.T) {
+	for _, above := range []uint64{3, 40} {
+		f := newFakeStore()
+		mustAccept(t, f, withConcurrency(t, 10), 0, 1)
+		lost, followed := false, false
+		f.fault = func(op store.Op) fault {
+			if op.Key == RootKey && op.Writes() && !lost {
+				lost = true
+				return faultResponseLost
+			}
+			return faultNone
+		}
+		f.before = func(store.Op) {
+			if lost && !followed {
+				followed = true
+				if _, err := Accept(context.Background(), f, Update{Lists: withConcurrency(t, 30), Expect: 2, AboveRevision: above, Nonce: 9}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		if r, err := accept(f, withConcurrency(t, 20), 1, 3); err != nil || r.Revision != 2 {
+			t.Errorf("followed above revision %d: %+v, %v, want revision 2 accepted", above, r, err)
+		}
+	}
+}
+
 func TestStoreDownAfterLostAnswerLeavesOutcomeUnknown(t *testing.T) {
 	f := newFakeStore()
 	mustAccept(t, f, withConcurrency(t, 10), 0, 1)
--- a/internal/declaration/root.go
+++ b/internal/declaration/root.go
@@ -42,6 +42,9 @@
 	// Nonces holds the nonces of the latest revisions, newest first, so that a
 	// writer whose response was lost finds its revision after others followed.
 	Nonces []uint64 `cbor:"4,keyasint,omitempty"`
+	// Revisions holds the revisions of Nonces. A record of an earlier build has none; its
+	// revisions are taken as consecutive.
+	Revisions []uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 const (
