--- a/internal/fleetsoak/run.go
+++ b/internal/fleetsoak/run.go
@@ -82,7 +82,7 @@
 	for n := range o.Callers {
 		callers.Go(func() { s.call(ctx, n, rand.New(rand.NewPCG(o.Seed, uint64(n)+100))) })
 	}
-	failed := s.faults()
+	failed := s.inSeries(maxFaultPause, s.injectFault)
 	if failed == nil {
 		failed = s.settle()
 	}
@@ -94,9 +94,13 @@
 	return s.result(faultFreeFrom), failed
 }
 
-// faults injects faults for opts.Duration in opts.MaxConcurrentFaults goroutines, and returns
-// the first error.
-func (s *run) faults() error {
+// maxFaultPause is the longest time between two faults of a series.
+const maxFaultPause = 400 * time.Millisecond
+
+// inSeries calls step again and again for opts.Duration, with random pauses of up to
+// maxPause, in opts.MaxConcurrentFaults goroutines, each with its own random numbers. It
+// returns the first error.
+func (s *run) inSeries(maxPause time.Duration, step func(*rand.Rand) error) error {
 	end := s.start.Add(s.opts.Duration)
 	failed := make(chan error, s.opts.MaxConcurrentFaults)
 	var wg sync.WaitGroup
@@ -104,11 +108,11 @@
 		wg.Go(func() {
 			rng := rand.New(rand.NewPCG(s.opts.Seed, uint64(n)))
 			for time.Now().Before(end) {
-				if err := s.injectFault(rng); err != nil {
+				if err := step(rng); err != nil {
 					failed <- err
 					return
 				}
-				time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
+				time.Sleep(time.Duration(rng.IntN(int(maxPause.Milliseconds()))) * time.Millisecond)
 			}
 		})
 	}
--- a/internal/fleetsoak/shutdown.go
+++ b/internal/fleetsoak/shutdown.go
@@ -30,8 +30,8 @@
 	// on in the last part of the grace, one lastPart of it.
 	lateSend = 3 * time.Second
 	lastPart = 6
-	// restartPause is the longest time between two signals of a shutdown run.
-	restartPause = 2 * time.Second
+	// maxSignalPause is the longest time between two signals of a series.
+	maxSignalPause = 2 * time.Second
 	// maxUnusedTime is the longest time from opening a connection to its first request, which
 	// is below the gateways' limit. exitSlack is how long before the end of its process a
 	// connection may be closed.
@@ -89,7 +89,7 @@
 	for n := range o.Callers / 2 {
 		callers.Go(func() { s.callOnUnusedConnections(ctx, n, rand.New(rand.NewPCG(o.Seed, uint64(n)+10_000))) })
 	}
-	failed := s.signalInSeries()
+	failed := s.inSeries(maxSignalPause, s.signalOnce)
 	cancel()
 	callers.Wait()
 	s.checkLost()
@@ -102,32 +102,6 @@
 	return res, failed
 }
 
-// signalInSeries signals gateways in MaxConcurrentFaults overlapping series.
-func (s *shutdownRun) signalInSeries() error {
-	end := s.start.Add(s.opts.Duration)
-	failed := make(chan error, s.opts.MaxConcurrentFaults)
-	var series sync.WaitGroup
-	for n := range s.opts.MaxConcurrentFaults {
-		series.Go(func() {
-			rng := rand.New(rand.NewPCG(s.opts.Seed, uint64(n)))
-			for time.Now().Before(end) {
-				if err := s.signalOnce(rng); err != nil {
-					failed <- err
-					return
-				}
-				time.Sleep(time.Duration(rng.Int64N(int64(restartPause))))
-			}
-		})
-	}
-	series.Wait()
-	select {
-	case err := <-failed:
-		return err
-	default:
-		return nil
-	}
-}
-
 // signalOnce carries out one planned disturbance.
 func (s *shutdownRun) signalOnce(rng *rand.Rand) error {
 	p := s.fleet.gateways[rng.IntN(len(s.fleet.gateways))]
--- a/internal/gateway/announcement.go
+++ b/internal/gateway/announcement.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// maxBackoff bounds the time for which an endpoint can ask to be left alone.
+	// maxBackoff bounds the time for which an endpoint can turn this gateway away.
 	maxBackoff = time.Hour
 	// announcementTTL is how long an announcement is kept after its instance was last
 	// registered. An instance that leaves exits well before.
@@ -19,7 +19,7 @@
 	Endpoint wire.EndpointID
 	Addr     string        // where the answer came from
 	Leaving  bool          // the endpoint is draining
-	Backoff  time.Duration // how long the endpoint wants no request from this gateway; 0: no such wish
+	Backoff  time.Duration // how long it accepts no request from this gateway; 0: not stated
 }
 
 // instance identifies one life of an endpoint.
--- a/internal/gateway/announcement_test.go
+++ b/internal/gateway/announcement_test.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// TestNothingIsSentDuringABackoff plays a service under load of which all endpoints ask to be
-// left alone, one after the other, for times that overlap.
+// TestNothingIsSentDuringABackoff plays a service under load of which all endpoints ask this
+// gateway to wait, one after the other, for times that overlap.
 func TestNothingIsSentDuringABackoff(t *testing.T) {
 	c := newTestCore(t, 0, 1)
 	rows := testEndpoints(3, 0)
@@ -89,14 +89,14 @@
 		out := slices.Clone(submit(c, now, id, "short"))
 		for _, o := range out {
 			if o.Probe != nil && now < backoffUntil[o.Probe.Endpoint] {
-				t.Errorf("%v: %s is queried although it asked to be left alone", now, o.Probe.Endpoint)
+				t.Errorf("%v: %s is queried although it asked to wait", now, o.Probe.Endpoint)
 			}
 			if o.Dispatch == nil {
 				continue
 			}
 			sent++
 			if now < backoffUntil[o.Dispatch.Endpoint] {
-				t.Errorf("%v: a request for %s, which asked to be left alone until %v", now, o.Dispatch.Endpoint, backoffUntil[o.Dispatch.Endpoint])
+				t.Errorf("%v: a request for %s, which asked to wait until %v", now, o.Dispatch.Endpoint, backoffUntil[o.Dispatch.Endpoint])
 			}
 			answer(c, now, o.Dispatch.ID, o.Dispatch, ResultDone, 200)
 		}
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -50,7 +50,7 @@
 }
 
 // sent records that the first byte of the attempt is about to be written. It cancels an
-// attempt whose endpoint has meanwhile asked to be left alone; nothing is written then.
+// attempt whose endpoint has meanwhile asked this gateway to wait; nothing is written then.
 func (c *Core) sent(in *Sent) {
 	r := c.running(in.ID, in.Attempt)
 	if r == nil || r.sent {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -54,7 +54,7 @@
 	return suspected || c.now-e.probedAt >= calmProbeInterval
 }
 
-// sendProbe queries an engine for its report, unless it has asked to be left alone.
+// sendProbe queries an engine for its report, unless it has asked this gateway to wait.
 func (c *Core) sendProbe(e *endpoint) {
 	if c.now < e.announced.backoffUntil {
 		return
--- a/internal/gateway/shell/translate.go
+++ b/internal/gateway/shell/translate.go
@@ -85,6 +85,6 @@
 	HasLoad       bool   // Load is set
 	Load          gateway.EndpointLoad
 	Leaving       bool          // the endpoint that responded is draining
-	Backoff       time.Duration // how long it wants no request from this gateway; 0: no such wish
+	Backoff       time.Duration // how long it accepts no request from this gateway; 0: not stated
 	Malformed     string        // a header that can't be parsed and is ignored; empty: none
 }
