Let the soak without reconciliation break the promise that it rests on

What they break is config-in-force, a check that came later: after a watch that missed changes and a compacted history no version comes into force any more. The test waits for that promise now, as strict as before, and runs 24 s for each seed.

--- a/internal/fleetsoak/mechanisms_test.go
+++ b/internal/fleetsoak/mechanisms_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"trefoilpath.org/trefoilpath/internal/gateway"
 	"trefoilpath.org/trefoilpath/internal/gateway/shell"
@@ -24,6 +25,10 @@
 	maxSeeds    = flag.Int("soak.tries", 5, "maximum number of seeds to run without a mechanism until its promise breaks")
 )
 
+// detectionTime is the shortest fault phase of a run without a mechanism. Some mechanisms
+// matter only after two faults in a certain order.
+const detectionTime = 24 * time.Second
+
 // mechanism is a part of the gateway whose removal the soak must detect.
 type mechanism struct {
 	remove  func(*shell.Config)
@@ -34,7 +39,7 @@
 	"not-run-proof":  {func(c *shell.Config) { c.Translator = unproven{} }, "at-most-once"},
 	"identity":       {func(c *shell.Config) { c.Translator = anyInstance{} }, "proper-failure"},
 	"drain":          {func(c *shell.Config) { c.Decoder = neverLeaving{} }, "drain"},
-	"reconciliation": {func(c *shell.Config) { c.Store = &listsOnce{Client: c.Store} }, "drain"},
+	"reconciliation": {func(c *shell.Config) { c.Store = &listsOnce{Client: c.Store} }, "config-in-force"},
 	"retry-budget":   {func(c *shell.Config) { c.Settings.RetryRatio, c.Settings.RetrySlack = 100, 100_000 }, "retry-budget"},
 }
 
@@ -96,7 +101,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Setenv(withoutEnv, name)
 			for n := range uint64(*maxSeeds) {
-				res, dir := runAndReport(t, *firstSeed+n)
+				res, dir := runAndReport(t, *firstSeed+n, max(*faultTime, detectionTime))
 				os.RemoveAll(dir)
 				for _, v := range res.Violations {
 					t.Logf("seed %d: %s: %s", *firstSeed+n, v.Promise, v.Detail)
--- a/internal/fleetsoak/soak_test.go
+++ b/internal/fleetsoak/soak_test.go
@@ -71,7 +71,7 @@
 
 func runSeed(t *testing.T, seed uint64) {
 	t.Helper()
-	res, dir := runAndReport(t, seed)
+	res, dir := runAndReport(t, seed, *faultTime)
 	for _, v := range res.Violations {
 		t.Errorf("seed %d: %s at %v: %s (logs in %s)", seed, v.Promise, v.At, v.Detail, dir)
 	}
@@ -80,11 +80,11 @@
 	}
 }
 
-// runAndReport runs a seed and returns its result and the directory of its logs.
-func runAndReport(t *testing.T, seed uint64) (Result, string) {
+// runAndReport runs a seed with a fault phase of the given length and returns its result and the directory of its logs.
+func runAndReport(t *testing.T, seed uint64, duration time.Duration) (Result, string) {
 	t.Helper()
 	o := soakOptions(t, seed)
-	o.Duration, o.Gateways, o.Replicas, o.Callers, o.MaxConcurrentFaults = *faultTime, *fleets, 3, 12, 2
+	o.Duration, o.Gateways, o.Replicas, o.Callers, o.MaxConcurrentFaults = duration, *fleets, 3, 12, 2
 	res, err := Run(o)
 	if err != nil {
 		t.Fatalf("seed %d: %v (logs in %s)", seed, err, o.Dir)
