--- a/internal/fleetsoak/shutdown.go
+++ b/internal/fleetsoak/shutdown.go
@@ -33,10 +33,8 @@
 	// maxSignalPause is the longest time between two signals of a series.
 	maxSignalPause = 2 * time.Second
 	// maxUnusedTime is the longest time from opening a connection to its first request, which
-	// is below the gateways' limit. exitSlack is how long before the end of its process a
-	// connection may be closed.
+	// is below the gateways' limit.
 	maxUnusedTime = 5 * time.Second
-	exitSlack     = 100 * time.Millisecond
 	// readyInterval is how often callers' balancer checks readiness; unreadyAfter misses in a
 	// row take a gateway out.
 	readyInterval = time.Second
@@ -206,7 +204,7 @@
 		conn.Close()
 		select {
 		case <-exited:
-		case <-time.After(exitSlack):
+		case <-time.After(lossSlack): // the process was not about to exit
 			if o.err != nil && o.took < patientTimeout {
 				s.recordViolation("answered", fmt.Sprintf("%s %s at %s on an unused connection, ended without an answer after %v: %v", kind, o.id, p.name, o.took, o.err))
 			}
