--- a/internal/fleetsoak/shutdown.go
+++ b/internal/fleetsoak/shutdown.go
@@ -26,8 +26,8 @@
 	// lossSlack is how long after the last byte of a request its connection may end
 	// without an answer if no replica got the request.
 	lossSlack = 200 * time.Millisecond
-	// lateSend is how long after SIGTERM a request may be sent that a replica may still work
-	// on in the last part of the grace, one lastPart of it.
+	// A request that was sent up to lateSend after SIGTERM may be cut at the end of the grace,
+	// if a replica still works on it in the last 1/lastPart of the grace.
 	lateSend = 3 * time.Second
 	lastPart = 6
 	// maxSignalPause is the longest time between two signals of a series.
