--- a/internal/fleetsoak/shutdown.go
+++ b/internal/fleetsoak/shutdown.go
@@ -256,8 +256,8 @@
 	s.sent[id] = time.Now()
 }
 
-// checkLost records a violation for each request that a gateway took around a SIGTERM and
-// whose connection ended without a complete answer.
+// checkLost records a violation for each request that a gateway took and whose connection
+// ended without a complete answer, whatever signal or change was under way.
 func (s *shutdownRun) checkLost() {
 	runs := make(map[string][]standin.Run)
 	for _, r := range s.fleet.replicas {
@@ -274,13 +274,15 @@
 			continue
 		}
 		sent, wrote := s.sent[o.id]
-		ended := o.began.Add(o.took)
-		sigterm, planned := s.sigtermBefore(o.gateway, ended)
-		if !wrote || !planned {
+		if !wrote {
 			continue
 		}
+		ended := o.began.Add(o.took)
+		sigterm, stopping := s.sigtermBefore(o.gateway, ended)
 		passedOn := len(runs[o.id]) > 0
-		if !passedOn && ended.Sub(sent) <= lossSlack || s.workedAtEnd(runs[o.id], sigterm) && sent.Before(sigterm.Add(lateSend)) {
+		crossed := !passedOn && ended.Sub(sent) <= lossSlack
+		cutAtEnd := stopping && s.workedAtEnd(runs[o.id], sigterm) && sent.Before(sigterm.Add(lateSend))
+		if crossed || cutAtEnd {
 			continue
 		}
 		s.recordViolation("answered", fmt.Sprintf("%s %s at %s, sent %v after SIGTERM, passed on: %v, ended without an answer after %v: %v",
