--- a/internal/fleetsoak/shutdown.go
+++ b/internal/fleetsoak/shutdown.go
@@ -26,17 +26,15 @@
 	// lossSlack is how long after the last byte of a request its connection may end
 	// without an answer if no replica got the request.
 	lossSlack = 200 * time.Millisecond
-	// lateSend is how long after SIGTERM a request may be sent that a replica may still work
-	// on in the last part of the grace, one lastPart of it.
+	// A request that was sent up to lateSend after SIGTERM may be cut at the end of the grace,
+	// if a replica still works on it in the last 1/lastPart of the grace.
 	lateSend = 3 * time.Second
 	lastPart = 6
 	// maxSignalPause is the longest time between two signals of a series.
 	maxSignalPause = 2 * time.Second
 	// maxUnusedTime is the longest time from opening a connection to its first request, which
-	// is below the gateways' limit. exitSlack is how long before the end of its process a
-	// connection may be closed.
+	// is below the gateways' limit.
 	maxUnusedTime = 5 * time.Second
-	exitSlack     = 100 * time.Millisecond
 	// readyInterval is how often callers' balancer checks readiness; unreadyAfter misses in a
 	// row take a gateway out.
 	readyInterval = time.Second
@@ -206,7 +204,7 @@
 		conn.Close()
 		select {
 		case <-exited:
-		case <-time.After(exitSlack):
+		case <-time.After(lossSlack): // the process was not about to exit
 			if o.err != nil && o.took < patientTimeout {
 				s.recordViolation("answered", fmt.Sprintf("%s %s at %s on an unused connection, ended without an answer after %v: %v", kind, o.id, p.name, o.took, o.err))
 			}
@@ -258,8 +256,8 @@
 	s.sent[id] = time.Now()
 }
 
-// checkLost records a violation for each request that a gateway took around a SIGTERM and
-// whose connection ended without a complete answer.
+// checkLost records a violation for each request that a gateway took and whose connection
+// ended without a complete answer, whatever signal or change was under way.
 func (s *shutdownRun) checkLost() {
 	runs := make(map[string][]standin.Run)
 	for _, r := range s.fleet.replicas {
@@ -276,13 +274,15 @@
 			continue
 		}
 		sent, wrote := s.sent[o.id]
-		ended := o.began.Add(o.took)
-		sigterm, planned := s.sigtermBefore(o.gateway, ended)
-		if !wrote || !planned {
+		if !wrote {
 			continue
 		}
+		ended := o.began.Add(o.took)
+		sigterm, stopping := s.sigtermBefore(o.gateway, ended)
 		passedOn := len(runs[o.id]) > 0
-		if !passedOn && ended.Sub(sent) <= lossSlack || s.workedAtEnd(runs[o.id], sigterm) && sent.Before(sigterm.Add(lateSend)) {
+		crossed := !passedOn && ended.Sub(sent) <= lossSlack
+		cutAtEnd := stopping && s.workedAtEnd(runs[o.id], sigterm) && sent.Before(sigterm.Add(lateSend))
+		if crossed || cutAtEnd {
 			continue
 		}
 		s.recordViolation("answered", fmt.Sprintf("%s %s at %s, sent %v after SIGTERM, passed on: %v, ended without an answer after %v: %v",
