Let gateways of the soaks exit without the race detector's pause

Its log has event=stop 7.61 s after SIGTERM, and the process was killed at 8 s: a program built with -race sleeps for a second before it exits (GORACE, atexit_sleep_ms). The check is as it was; the gateways of both soaks get atexit_sleep_ms=0.

--- a/internal/fleetsoak/fleet.go
+++ b/internal/fleetsoak/fleet.go
@@ -151,7 +151,8 @@
 		return errors.Wrap(err, "create log")
 	}
 	p.args = append([]string{o.Binary}, "platform-gateway", "--settings", settings)
-	p.env = append(os.Environ(), "GOMAXPROCS=2")
+	// A program built with the race detector sleeps for a second before it exits.
+	p.env = append(os.Environ(), "GOMAXPROCS=2", "GORACE=atexit_sleep_ms=0")
 	f.gateways = append(f.gateways, p)
 	return p.start()
 }
