Don't count streams that reached their route's timeout as lost

The logs of each that was looked at say 'failed detail=deadline waited_ms=8001': the streams last up to 7.8 s, waited some 0.2 s for an engine and reached the route's timeout of 8 s, which the rule doesn't count. The check compared with the callers' 10 s.

--- a/internal/fleetsoak/shutdown.go
+++ b/internal/fleetsoak/shutdown.go
@@ -20,8 +20,7 @@
 )
 
 const (
-	// patientTimeout is how long callers wait. It is above the grace, so that some streams
-	// still run at its end.
+	// patientTimeout is how long callers wait. It is above the grace and the routes' timeouts.
 	patientTimeout = 10 * time.Second
 	// lossSlack is how long after the last byte of a request its connection may end
 	// without an answer if no replica got the request.
@@ -205,7 +204,7 @@
 		select {
 		case <-exited:
 		case <-time.After(lossSlack): // the process was not about to exit
-			if o.err != nil && o.took < patientTimeout {
+			if o.err != nil && !o.timedOut() {
 				s.recordViolation("answered", fmt.Sprintf("%s %s at %s on an unused connection, ended without an answer after %v: %v", kind, o.id, p.name, o.took, o.err))
 			}
 		}
@@ -270,7 +269,7 @@
 			s.logf("unserved kind=%s request=%s gateway=%s began=%v took=%v status=%d runs=%d error=%q",
 				o.kind, o.id, o.gateway.name, o.began.Sub(s.start), o.took, o.status, len(runs[o.id]), fmt.Sprint(o.err))
 		}
-		if o.err == nil || o.took >= patientTimeout {
+		if o.err == nil || o.timedOut() {
 			continue
 		}
 		sent, wrote := s.sent[o.id]
@@ -290,6 +289,9 @@
 	}
 }
 
+// timedOut reports whether the request had reached its route's timeout when it ended.
+func (o *outcome) timedOut() bool { return o.took >= standin.Timeout(o.kind) }
+
 // sigtermBefore returns the last SIGTERM of p at or before a time, if its grace had not
 // been over for a second by then.
 func (s *shutdownRun) sigtermBefore(p *gatewayProcess, at time.Time) (time.Time, bool) {
