--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -446,16 +446,18 @@
 	if dispatchOf(submit(c, 0, 2, "short")) == nil {
 		t.Fatal("the second request is not dispatched")
 	}
+	want := map[RequestID]Verdict{1: VerdictUnknown, 2: VerdictUnknown}
 	for id := RequestID(3); ; id++ {
 		if dispatchOf(submit(c, 0, id, "long")) == nil {
+			want[id] = VerdictRefused
 			break
 		}
+		want[id] = VerdictUnknown
 	}
-	want := map[RequestID]Verdict{1: VerdictUnknown, 2: VerdictUnknown}
 	for _, out := range c.Tick(time.Millisecond, Input{Exit: &Exit{}}) {
 		if f := out.Finish; f != nil {
-			if v, known := want[f.ID]; known && f.Verdict != v || !known && f.Verdict != VerdictRefused || f.Reason != ReasonExit {
-				t.Errorf("request %d: %+v", f.ID, f)
+			if f.Verdict != want[f.ID] || f.Reason != ReasonExit {
+				t.Errorf("request %d: %+v, want verdict %d", f.ID, f, want[f.ID])
 			}
 		}
 	}
