Log how long an answer was silent when it failed, and each aborted response

Change: attempt-ended says silence=, the event response-aborted and the counter responses_aborted name each response that was begun and is not completed. Measured: go vet and the tests of platform pass; no decision is changed.

--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -139,6 +139,8 @@
 	Resumable       bool
 	PartlyDelivered bool
 	LongestGap      time.Duration // longest gap between two events of the stream so far
+	// Silence is how long nothing of the answer had come when it ended otherwise than done.
+	Silence time.Duration
 	// EndsWithConnection is set if only the end of the connection ends the answer.
 	// TruncatedBytes is the size of the partial event at which a stream ended.
 	EndsWithConnection bool
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -54,6 +54,9 @@
 	if end.LongestGap > 0 {
 		detail = " longest-pause=" + end.LongestGap.Round(time.Millisecond).String()
 	}
+	if end.Silence > 0 {
+		detail += " silence=" + end.Silence.Round(time.Millisecond).String()
+	}
 	if end.EndsWithConnection {
 		detail += " framing=connection"
 	}
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -49,6 +49,7 @@
 	lastEventID      string        // of the last event with an ID that was sent to the caller
 	lastEventAt      time.Duration // when events were last sent to the caller
 	longestGap       time.Duration // between events sent to the caller
+	heardAt          time.Duration // when the current attempt was sent or last received a part of its response
 	held             *heldResponse // the first failure response, sent if no attempt succeeds
 	responseComplete bool          // the whole response was sent to the caller
 
@@ -110,6 +111,8 @@
 	switch {
 	case x.responseComplete:
 	case x.responseStarted:
+		x.logLocal("response-aborted", string(f.Reason))
+		x.g.meters.responsesAborted.Inc(1)
 		panic(http.ErrAbortHandler) // a partial response must not look complete
 	case f.Verdict == gateway.VerdictDone && x.held != nil:
 		x.deliver(x.held.status, x.held.header, x.held.body)
@@ -164,6 +167,7 @@
 	}
 	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
+	x.heardAt = x.g.now()
 	x.g.tick(gateway.Input{Sent: &gateway.Sent{ID: x.id, Attempt: d.Attempt}})
 	if err := ctx.Err(); err != nil { // the core has cancelled the attempt
 		conn.Close()
@@ -180,6 +184,9 @@
 // ResultBroken becomes ResultSilent if the attempt was cancelled.
 func (x *exchange) failAttempt(ctx context.Context, e *gateway.AttemptEnded, result gateway.Result, err error) *gateway.AttemptEnded {
 	e.Result, e.Detail = result, err.Error()
+	if result == gateway.ResultBroken {
+		e.Silence = x.g.now() - x.heardAt
+	}
 	if ctx.Err() != nil && result == gateway.ResultBroken {
 		e.Result = gateway.ResultSilent
 	}
@@ -204,6 +211,7 @@
 // handleResponse reads or relays a response whose head has been read and fills in
 // and returns e.
 func (x *exchange) handleResponse(ctx context.Context, conn *upstream.Conn, resp *http.Response, d *gateway.Dispatch, e *gateway.AttemptEnded) *gateway.AttemptEnded {
+	x.heardAt = x.g.now()
 	a := x.g.cfg.Translator.Response(resp.StatusCode, resp.Header)
 	x.g.passAnnouncement(d.Endpoint, d.Addr, &a)
 	if a.HasLoad {
--- a/internal/gateway/shell/metrics.go
+++ b/internal/gateway/shell/metrics.go
@@ -27,6 +27,7 @@
 	// streamsTruncated counts streams that ended inside an event or, without a length and chunks,
 	// before the first.
 	streamsTruncated metrics.Counter
+	responsesAborted metrics.Counter // responses that were begun and not completed, other than those whose caller left
 	storeEras        metrics.Counter // restores of the store from a backup, one for each cached copy
 }
 
@@ -46,6 +47,7 @@
 		statuses:         make(map[int]metrics.Counter),
 		logDrops:         metrics.NewRegisteredCounter("log_lines_dropped", r),
 		streamsTruncated: metrics.NewRegisteredCounter("streams_truncated", r),
+		responsesAborted: metrics.NewRegisteredCounter("responses_aborted", r),
 		storeEras:        metrics.NewRegisteredCounter("store_eras", r),
 	}
 	for _, status := range []int{200, 401, 404, 413, 429, 500, 502, 503, 504} {
--- a/internal/gateway/shell/stream.go
+++ b/internal/gateway/shell/stream.go
@@ -48,6 +48,9 @@
 		}
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
+		if n > 0 {
+			x.heardAt = x.g.now()
+		}
 		whole := completeEventsLen(buf)
 		if whole > 0 {
 			if first {
