Keep a silent attempt until another one has begun to answer

Cause: the silent attempt was cancelled before another one had begun. A retry and an endpoint that accepts requests don't secure an answer. Change: a silent attempt stays on standby while another is made, and whichever answers first goes on: an attempt may pass its response on only if it goes on exactly where the response stands. Attempts run in goroutines of their own.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -141,6 +141,8 @@
 			c.probe()
 		case timerSilence:
 			c.checkSilence(key.request)
+		case timerStandby:
+			c.releaseStandby(key.request)
 		}
 	}
 }
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -50,9 +50,11 @@
 
 func (h *health) ejected(now time.Duration) bool { return now < h.ejectedUntil }
 
-// recordOutcome updates, from the end of an attempt, the endpoint's health and the
-// request's counts of attempts that may have run and that are proven not to have run.
-func (c *Core) recordOutcome(r *request, e *endpoint, end *AttemptEnded) {
+// recordOutcome updates, from the end of the attempt w, the endpoint's health and the
+// request's counts of attempts that may have run and that are proven not to have run. sent
+// tells whether a byte of the attempt was sent.
+func (c *Core) recordOutcome(r *request, w *workItem, sent bool, end *AttemptEnded) {
+	e := w.answering()
 	e.endedAttempts++
 	switch end.Result {
 	case ResultDone:
@@ -74,24 +76,25 @@
 		}
 	case ResultSilent:
 		r.mayHaveRun++
-		c.suspect(r.work)
-		c.eject(e, "silent", 0)
+		c.endpointSilent(w)
+	case ResultSuperseded:
+		r.mayHaveRun++
 	case ResultUnreachable:
 		c.eject(e, "unreachable", 0)
 	case ResultMisdirected:
-		r.recordNotRun()
+		r.recordNotRun(sent)
 		c.eject(e, "another instance answers", misdirectedEjection)
 	case ResultFull:
-		r.recordNotRun()
+		r.recordNotRun(sent)
 		e.fullUntil = c.now + fullEngineBackoff
 		c.ejectNamedHelper(e, end)
 	}
 }
 
-// recordNotRun counts the current attempt as proven not to have run. An attempt of which
-// no byte was sent is in neither provenNotRun nor sends.
-func (r *request) recordNotRun() {
-	if r.sent {
+// recordNotRun counts an attempt as proven not to have run. An attempt of which no byte was
+// sent is in neither provenNotRun nor sends.
+func (r *request) recordNotRun(sent bool) {
+	if sent {
 		r.provenNotRun++
 	}
 }
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -15,6 +15,8 @@
 		c.firstEvent(in.First)
 	case in.Stalled != nil:
 		c.stalled(in.Stalled)
+	case in.Resumed != nil:
+		c.resumed(in.Resumed)
 	case in.Ended != nil:
 		c.ended(in.Ended)
 	case in.Load != nil:
@@ -55,8 +57,8 @@
 // attempt whose endpoint has meanwhile asked this gateway to wait; nothing is written then.
 func (c *Core) sent(in *Sent) {
 	r := c.running(in.ID, in.Attempt)
-	if r == nil || r.sent {
-		return
+	if r == nil || r.sent || r.cancelled {
+		return // nothing is written for a cancelled attempt
 	}
 	if c.now < r.work.answering().announced.backoffUntil {
 		c.emit(Output{Cancel: &Cancel{ID: in.ID, Attempt: in.Attempt}})
@@ -67,10 +69,14 @@
 }
 
 func (c *Core) firstEvent(in *FirstEvent) {
+	c.standbyAnswers(in.ID, in.Attempt)
 	r := c.running(in.ID, in.Attempt)
 	if r == nil || r.work == nil || r.work.phase == workDecoding {
 		return
 	}
+	if r.standby != nil {
+		c.dropStandby(r)
+	}
 	w := r.work
 	w.startDecode()
 	e := w.answering()
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -50,6 +50,7 @@
 	Sent      *Sent
 	First     *FirstEvent
 	Stalled   *Stalled
+	Resumed   *Resumed
 	Ended     *AttemptEnded
 	Load      *EndpointLoad
 	Announced *EndpointAnnouncement
@@ -119,9 +120,10 @@
 	ResultFailed      Result = 5 // the endpoint's own failure answer, which the shell holds back
 	ResultBroken      Result = 6 // the connection broke or the answer was malformed; the request may have run
 	ResultSilent      Result = 7 // cancelled because the endpoint was silent for long; the request may have run
+	ResultSuperseded  Result = 8 // another attempt of the request has answered before; the request may have run
 )
 
-var resultNames = [...]string{"", "done", "full", "misdirected", "unreachable", "failed", "broken", "silent"}
+var resultNames = [...]string{"", "done", "full", "misdirected", "unreachable", "failed", "broken", "silent", "superseded"}
 
 func (r Result) String() string { return resultNames[r] }
 
@@ -189,8 +191,8 @@
 	Endpoint wire.EndpointID
 	Addr     string
 	Helpers  []Helper // engines that prefill parts of the prompt
-	// SilenceTimeout is how long the endpoint may take to begin its answer before the
-	// attempt may be given up; 0: until the deadline.
+	// SilenceTimeout is how long the endpoint may take to begin its answer until another one
+	// is tried; 0: until the deadline.
 	SilenceTimeout time.Duration
 	// GapTimeout is how long a stream may pause between two events until it is reported as
 	// stalled; 0: until the deadline.
@@ -208,7 +210,7 @@
 	Tokens      int64
 }
 
-// Cancel ends a running attempt with ResultSilent.
+// Cancel ends a running attempt. It ends with ResultSilent, unless nothing of it was sent.
 type Cancel struct {
 	ID      RequestID
 	Attempt int
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -20,13 +20,17 @@
 
 // ended handles the end of an attempt: the request is done, is retried, or fails.
 func (c *Core) ended(end *AttemptEnded) {
+	if r := c.requests.Get(end.ID); r != nil && r.standby != nil && r.standby.attempt == end.Attempt {
+		c.standbyEnded(r, end)
+		return
+	}
 	r := c.running(end.ID, end.Attempt)
 	if r == nil {
 		return
 	}
 	c.timers.Stop(timerKey{kind: timerSilence, request: r.in.ID})
 	e := r.work.answering()
-	c.recordOutcome(r, e, end)
+	c.recordOutcome(r, r.work, r.sent, end)
 	c.logRequest("attempt-ended", r, Event{
 		Endpoint: string(e.registration.ID), Took: c.now - r.work.dispatchedAt, Count: end.Status,
 		Detail: "result=" + end.Result.String() + attemptDetail(end),
@@ -38,12 +42,16 @@
 	}
 	r.partlyDelivered = end.PartlyDelivered
 	r.failureHeld = r.failureHeld || end.Result == ResultFailed
+	if end.Result == ResultSuperseded && r.standby != nil {
+		c.returnToStandby(r)
+		return
+	}
 	if again, reason := c.retryAllowed(r, end); !again {
 		c.endUnserved(r, reason)
 		return
 	}
 	r.avoidEndpoint(e.registration.ID)
-	if len(c.usable(c.service(r.in.Service), r)) == 0 {
+	if r.standby == nil && len(c.usable(c.service(r.in.Service), r)) == 0 {
 		r.avoid = nil // without another endpoint, those that failed may be tried again
 	}
 	c.enqueue(r)
@@ -91,10 +99,10 @@
 			return false, reason
 		}
 	}
-	if !r.retryTaken && !c.takeRetry(r) {
+	r.retryTaken = r.retryTaken || c.takeRetry(r)
+	if !r.retryTaken {
 		return false, ReasonBudget
 	}
-	r.retryTaken = false
 	return true, ReasonNone
 }
 
@@ -138,20 +146,21 @@
 	if r == nil {
 		return
 	}
-	if r.phase == phaseWaiting {
+	if r.phase == phaseWaiting && r.standby == nil {
 		c.endUnserved(r, ReasonDeadline)
 		return
 	}
 	c.finish(r, VerdictTimeout, ReasonDeadline)
 }
 
-// exit ends all requests. A running one is not refused, even if nothing of it was sent: the
+// exit ends all requests. One with a running attempt is not refused, even if nothing of it was sent: the
 // shell may just begin its attempt.
 func (c *Core) exit() {
 	for r := range c.requests.Values() {
-		if r.phase == phaseRunning && !r.failureHeld {
+		if (r.phase == phaseRunning || r.standby != nil) && !r.failureHeld {
 			c.finish(r, VerdictUnknown, ReasonExit)
 		} else {
+			c.removeStandby(r)
 			c.endUnserved(r, ReasonExit)
 		}
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -102,15 +102,18 @@
 	o.schedule(c)
 }
 
-// waitEnded schedules a message that a request no longer waits.
+// waitEnded schedules a message that a request no longer waits. Its row ID is that of no
+// attempt so far.
 func (o *peerOutbox) waitEnded(c *Core, r *request) {
-	o.endedRows = append(o.endedRows, rowID(r))
+	o.endedRows = append(o.endedRows, attemptRowID(r, r.attempts+1))
 	o.schedule(c)
 }
 
 // rowID identifies the current attempt of a request in messages: the request's ID,
 // followed by eight bits of the attempt's number.
-func rowID(r *request) uint64 { return uint64(r.in.ID)<<8 | uint64(r.attempt&0xff) }
+func rowID(r *request) uint64 { return attemptRowID(r, r.attempt) }
+
+func attemptRowID(r *request, attempt int) uint64 { return uint64(r.in.ID)<<8 | uint64(attempt&0xff) }
 
 // versionsChanged makes a full message with the new versions due.
 func (o *peerOutbox) versionsChanged(c *Core) {
@@ -239,6 +242,9 @@
 		if r.work != nil {
 			out = append(out, r.work)
 		}
+		if r.standby != nil {
+			out = append(out, r.standby.work)
+		}
 	}
 	return out
 }
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -96,7 +96,7 @@
 		if c.refuseIfTooLate(j, &placed) {
 			continue
 		}
-		if j.request != nil && placed.untilStart == 0 && c.now >= j.request.holdUntil {
+		if j.request != nil && placed.untilStart == 0 && c.now >= j.request.holdUntil && !placed.usesStandby(j.request, engines) {
 			c.dispatch(s, j.request, placed.placement(engines))
 		}
 		placed.occupy(j, engines)
@@ -106,6 +106,11 @@
 	}
 }
 
+// usesStandby reports whether the placement uses the engine of r's silent attempt.
+func (p *jobPlacement) usesStandby(r *request, engines []planEngine) bool {
+	return r.standby != nil && slices.ContainsFunc(p.engines, func(i int) bool { return engines[i].endpoint == r.standby.work.answering() })
+}
+
 // refuseIfTooLate refuses this gateway's own job if its first event would come after its
 // deadline, and reports whether it did.
 func (c *Core) refuseIfTooLate(j *job, p *jobPlacement) bool {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -45,7 +45,9 @@
 	}
 	s := c.service(r.in.Service)
 	r.orderPenalty = s.orderPenalty(r)
-	s.waiting = append(s.waiting, r)
+	if !slices.Contains(s.waiting, r) { // it may have waited before in this tick
+		s.waiting = append(s.waiting, r)
+	}
 	c.placementDue, c.newWaiting = true, true
 	if r.divisible = c.divisible(s, r); r.divisible {
 		c.announce(r)
@@ -161,8 +163,9 @@
 // dispatch sends r to the endpoints of p.
 func (c *Core) dispatch(s *service, r *request, p placement) {
 	r.phase = phaseRunning
-	r.attempt++
-	r.sent, r.cancelled = false, false
+	r.attempts++
+	r.attempt = r.attempts
+	r.sent, r.cancelled, r.retryTaken = false, false, false
 	r.predictedFirstAt = c.now + p.untilFirst
 	for _, e := range p.endpoints {
 		if !e.accepts(c.now) {
@@ -199,7 +202,7 @@
 	}
 	c.emit(Output{Dispatch: d})
 	if d.SilenceTimeout > 0 {
-		c.timers.Set(timerKey{kind: timerSilence, request: r.in.ID}, c.now+d.SilenceTimeout)
+		c.checkSilenceAfter(r, d.SilenceTimeout)
 	}
 	c.logRequest("dispatch", r, Event{Endpoint: string(e.registration.ID), Took: p.untilFirst, Count: len(p.endpoints), Detail: c.dispatchDetail(r, e, p)})
 }
@@ -230,10 +233,14 @@
 	return b.String()
 }
 
-// endUnserved ends a request that can't be served or retried. The caller is only told
-// that it has not run if each endpoint that it was sent to has proved that.
+// endUnserved ends a request that can't be served or retried, unless a silent attempt of it is
+// kept that may still answer. The caller is only told that it has not run if each endpoint that
+// it was sent to has proved that.
 func (c *Core) endUnserved(r *request, reason Reason) {
 	switch {
+	case r.standby != nil:
+		c.returnToStandby(r)
+		r.replaceAfter = c.now + replacePause
 	case r.failureHeld:
 		c.finish(r, VerdictDone, reason) // passes on the endpoint's own failure answer
 	case r.mayHaveRun > 0 || r.partlyDelivered:
@@ -292,12 +299,13 @@
 
 // removeRequest removes a request that has ended.
 func (c *Core) removeRequest(r *request) {
-	r.phase = 0 // neither waiting nor running
+	c.removeStandby(r)
 	if r.work != nil {
 		c.endWork(r)
 	} else if r.divisible {
 		c.outbox.waitEnded(c, r)
 	}
+	r.phase = 0 // neither waiting nor running
 	c.timers.Stop(timerKey{kind: timerDeadline, request: r.in.ID})
 	c.timers.Stop(timerKey{kind: timerSilence, request: r.in.ID})
 	c.requests.Delete(r.in.ID)
@@ -307,6 +315,11 @@
 func (c *Core) endWork(r *request) {
 	w := r.work
 	r.work = nil
+	c.endWorkItem(w)
+}
+
+// endWorkItem removes a work item of this gateway.
+func (c *Core) endWorkItem(w *workItem) {
 	c.removeWork(w)
 	c.outbox.workEnded(c, w)
 	if e := w.answering(); e.unregistered && !c.ownWork(e) {
@@ -314,6 +327,7 @@
 	}
 }
 
+// ownWork reports whether e runs work of this gateway.
 func (c *Core) ownWork(e *endpoint) bool {
 	return slices.ContainsFunc(e.workItems, func(w *workItem) bool { return w.key.gateway == c.cfg.Addr })
 }
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"trefoilpath.org/trefoilpath/internal/gateway"
 	"trefoilpath.org/trefoilpath/internal/route"
 	"trefoilpath.org/trefoilpath/internal/upstream"
@@ -26,8 +28,8 @@
 	maxIdleAgeUnsafe = 300 * time.Millisecond
 )
 
-// exchange is a caller's request and its response. Its methods run in the goroutine
-// that serves the request, except cancelAttempt.
+// exchange is a caller's request and its response. Each attempt runs in a goroutine of its
+// own; two run at once while a silent one is on standby.
 type exchange struct {
 	g        *Gateway
 	w        http.ResponseWriter
@@ -40,24 +42,38 @@
 	account  string
 	priority int // of the account if it has one, else of the route; 0 is the most urgent
 	body     []byte
-
 	deadline time.Duration // time on the gateway's clock
-	dispatch chan *gateway.Dispatch
 	finish   chan *gateway.Finish
 
+	running sync.WaitGroup // attempts
+
+	mu       sync.Mutex // guards attempts
+	attempts map[int]context.CancelFunc
+
+	delivery sync.Mutex // held while the response is passed on; guards the fields below
+	// owner is the attempt whose response is passed on; 0: none yet. A later attempt becomes
+	// the owner only if it goes on exactly where the response stands.
+	owner            int
 	responseStarted  bool          // the head of a response was sent to the caller
+	responseComplete bool          // the whole response was sent to the caller
 	lastEventID      string        // of the last event with an ID that was sent to the caller
 	lastEventAt      time.Duration // when events were last sent to the caller
 	longestGap       time.Duration // between events sent to the caller
-	heardAt          time.Duration // when the current attempt was sent or last received a part of its response
 	held             *heldResponse // the first failure response, sent if no attempt succeeds
-	responseComplete bool          // the whole response was sent to the caller
+}
 
-	mu      sync.Mutex // guards the fields below
-	attempt int        // number of the current attempt
-	cancel  context.CancelFunc
+// attempt is one attempt of an exchange.
+type attempt struct {
+	*gateway.Dispatch
+	ctx         context.Context
+	resumeAfter string        // ID of the event after which a stream resumes; empty: from its beginning
+	heardAt     time.Duration // when it was sent or last received a part of its response
+	begun       bool          // its first event has been relayed
 }
 
+// errSuperseded ends an attempt whose request is answered by another one.
+var errSuperseded = errors.New("another attempt answers the request")
+
 // heldResponse is a complete response of an endpoint that has not been sent to the
 // caller.
 type heldResponse struct {
@@ -69,8 +85,8 @@
 func (g *Gateway) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
 	return &exchange{
 		g: g, w: w, r: r, arrived: g.now(), caller: g.cfg.Translator.Request(r.Header),
-		dispatch: make(chan *gateway.Dispatch, 1),
 		finish:   make(chan *gateway.Finish, 1),
+		attempts: make(map[int]context.CancelFunc),
 	}
 }
 
@@ -83,25 +99,19 @@
 	}
 }
 
-// run executes the core's decisions until it has the verdict or the caller
-// disconnects.
+// run waits until the core has the verdict or the caller disconnects. It returns when no
+// attempt runs any more.
 func (x *exchange) run() {
-	callerGone := x.r.Context().Done()
-	for {
-		select {
-		case f := <-x.finish:
-			x.applyVerdict(f)
-			return
-		case d := <-x.dispatch:
-			ended := x.runAttempt(d)
-			if x.r.Context().Err() == nil {
-				x.g.tick(gateway.Input{Ended: ended})
-			}
-		case <-callerGone:
-			x.g.unregister(x)
-			x.g.tick(gateway.Input{Gone: &gateway.CallerGone{ID: x.id}})
-			panic(http.ErrAbortHandler)
-		}
+	select {
+	case f := <-x.finish:
+		x.running.Wait()
+		x.applyVerdict(f)
+	case <-x.r.Context().Done():
+		x.g.unregister(x)
+		x.g.tick(gateway.Input{Gone: &gateway.CallerGone{ID: x.id}})
+		x.cancelAttempts()
+		x.running.Wait()
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -115,7 +125,7 @@
 		x.g.meters.responsesAborted.Inc(1)
 		panic(http.ErrAbortHandler) // a partial response must not look complete
 	case f.Verdict == gateway.VerdictDone && x.held != nil:
-		x.deliver(x.held.status, x.held.header, x.held.body)
+		x.send(x.held.status, x.held.header, x.held.body)
 	case f.Verdict == gateway.VerdictRefused:
 		x.refuse(f.RetryAfter, "not run: "+string(f.Reason))
 	case f.Verdict == gateway.VerdictTimeout:
@@ -125,82 +135,129 @@
 	}
 }
 
-// startAttempt makes attempt the current one and returns its context, which
-// cancelAttempt cancels.
-func (x *exchange) startAttempt(attempt int) (context.Context, context.CancelFunc) {
+// startAttempt runs an attempt in a goroutine and reports its end to the core. It is called
+// for a registered exchange with the gateway's lock held.
+func (x *exchange) startAttempt(d *gateway.Dispatch) {
 	ctx, cancel := context.WithCancel(x.r.Context())
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.attempt, x.cancel = attempt, cancel
-	return ctx, cancel
+	x.attempts[d.Attempt] = cancel
+	x.mu.Unlock()
+	x.running.Go(func() {
+		ended := x.runAttempt(&attempt{Dispatch: d, ctx: ctx})
+		x.cancelAttempt(d.Attempt)
+		if x.r.Context().Err() == nil {
+			x.g.tick(gateway.Input{Ended: ended})
+		}
+	})
 }
 
-// cancelAttempt cancels the attempt if it is the current one. An attempt of 0
-// means the current one. It is safe for concurrent use.
+// cancelAttempt cancels an attempt that may still run. It is safe for concurrent use.
 func (x *exchange) cancelAttempt(attempt int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.cancel != nil && (attempt == 0 || attempt == x.attempt) {
-		x.cancel()
+	if cancel := x.attempts[attempt]; cancel != nil {
+		cancel()
+		delete(x.attempts, attempt)
+	}
+}
+
+// cancelAttempts cancels all attempts. It is safe for concurrent use.
+func (x *exchange) cancelAttempts() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, cancel := range x.attempts {
+		cancel()
 	}
+	clear(x.attempts)
+}
+
+// claim lets an attempt pass its response on and reports whether it may. It is called with
+// delivery held.
+func (x *exchange) claim(a *attempt) bool {
+	if x.owner == a.Attempt {
+		return true
+	}
+	goesOn := x.lastEventID != "" && x.lastEventID == a.resumeAfter
+	if a.ctx.Err() != nil || a.Attempt < x.owner || x.owner != 0 && !goesOn {
+		return false
+	}
+	x.owner = a.Attempt
+	return true
 }
 
 // runAttempt sends the request to the endpoint of a dispatch, relays the response to
 // the caller and returns how the attempt ended.
-func (x *exchange) runAttempt(d *gateway.Dispatch) *gateway.AttemptEnded {
-	ctx, cancel := x.startAttempt(d.Attempt)
-	defer cancel()
-	e := &gateway.AttemptEnded{ID: x.id, Attempt: d.Attempt}
-	defer func() { e.LongestGap = x.longestGap }()
+func (x *exchange) runAttempt(a *attempt) *gateway.AttemptEnded {
+	e := &gateway.AttemptEnded{ID: x.id, Attempt: a.Attempt}
 	maxAge := maxIdleAge
 	if !x.route.Idempotent() {
 		maxAge = maxIdleAgeUnsafe
 	}
-	release, err := x.g.reserve(ctx, d)
+	release, err := x.g.reserve(a.ctx, a.Dispatch)
 	if err != nil {
-		return x.failAttempt(ctx, e, gateway.ResultFull, err)
+		return x.failAttempt(a, e, gateway.ResultFull, err)
 	}
 	defer release()
-	conn, err := x.g.pool.Get(ctx, d.Addr, maxAge)
+	conn, err := x.g.pool.Get(a.ctx, a.Addr, maxAge)
 	if err != nil {
-		return x.failAttempt(ctx, e, gateway.ResultUnreachable, err)
+		return x.failAttempt(a, e, gateway.ResultUnreachable, err)
 	}
-	stop := context.AfterFunc(ctx, conn.Abort)
+	stop := context.AfterFunc(a.ctx, conn.Abort)
 	defer stop()
-	x.heardAt = x.g.now()
-	x.g.tick(gateway.Input{Sent: &gateway.Sent{ID: x.id, Attempt: d.Attempt}})
-	if err := ctx.Err(); err != nil { // the core has cancelled the attempt
+	a.heardAt = x.g.now()
+	x.g.tick(gateway.Input{Sent: &gateway.Sent{ID: x.id, Attempt: a.Attempt}})
+	if err := a.ctx.Err(); err != nil { // the core has cancelled the attempt
 		conn.Close()
-		return x.failAttempt(ctx, e, gateway.ResultFull, err)
+		return x.failAttempt(a, e, gateway.ResultFull, err)
 	}
-	resp, err := conn.Do(x.request(d))
+	resp, err := conn.Do(x.request(a))
 	if err != nil {
-		return x.failAttempt(ctx, e, gateway.ResultBroken, err)
+		return x.failAttempt(a, e, gateway.ResultBroken, err)
 	}
-	return x.handleResponse(ctx, conn, resp, d, e)
+	return x.handleResponse(conn, resp, a, e)
 }
 
 // failAttempt fills in and returns e for an attempt without a complete response.
-// ResultBroken becomes ResultSilent if the attempt was cancelled.
-func (x *exchange) failAttempt(ctx context.Context, e *gateway.AttemptEnded, result gateway.Result, err error) *gateway.AttemptEnded {
+// ResultBroken becomes ResultSilent if the attempt was cancelled, and ResultSuperseded if
+// another one answers the request.
+func (x *exchange) failAttempt(a *attempt, e *gateway.AttemptEnded, result gateway.Result, err error) *gateway.AttemptEnded {
 	e.Result, e.Detail = result, err.Error()
 	if result == gateway.ResultBroken {
-		e.Silence = x.g.now() - x.heardAt
+		e.Silence = x.g.now() - a.heardAt
 	}
-	if ctx.Err() != nil && result == gateway.ResultBroken {
+	switch {
+	case err == errSuperseded:
+		e.Result = gateway.ResultSuperseded
+	case a.ctx.Err() != nil && result == gateway.ResultBroken:
 		e.Result = gateway.ResultSilent
 	}
-	e.PartlyDelivered = x.responseStarted
-	e.Resumable = x.route.Resumable
+	return x.deliveryState(e)
+}
+
+// deliveryState fills in and returns what the caller has received of a stream.
+func (x *exchange) deliveryState(e *gateway.AttemptEnded) *gateway.AttemptEnded {
+	x.delivery.Lock()
+	defer x.delivery.Unlock()
+	e.PartlyDelivered, e.Resumable, e.LongestGap = x.responseStarted, x.route.Resumable, x.longestGap
 	return e
 }
 
-// request builds the request to the endpoint of a dispatch.
-func (x *exchange) request(d *gateway.Dispatch) *upstream.Request {
+// started reports whether a response to the caller has begun.
+func (x *exchange) started() bool {
+	x.delivery.Lock()
+	defer x.delivery.Unlock()
+	return x.responseStarted
+}
+
+// request builds the request to the endpoint of an attempt.
+func (x *exchange) request(a *attempt) *upstream.Request {
+	x.delivery.Lock()
+	a.resumeAfter = x.lastEventID
+	x.delivery.Unlock()
 	h := forwardedHeaders(x.r.Header)
 	x.g.cfg.Translator.Forward(h, ForwardHeaders{
-		TimeLeft: x.deadline - x.g.now(), EndpointID: string(d.Endpoint), Account: x.account, Helpers: d.Helpers,
-		LastEventID: x.lastEventID, Priority: x.priority,
+		TimeLeft: x.deadline - x.g.now(), EndpointID: string(a.Endpoint), Account: x.account, Helpers: a.Helpers,
+		LastEventID: a.resumeAfter, Priority: x.priority,
 	})
 	return &upstream.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
@@ -210,54 +267,53 @@
 
 // handleResponse reads or relays a response whose head has been read and fills in
 // and returns e.
-func (x *exchange) handleResponse(ctx context.Context, conn *upstream.Conn, resp *http.Response, d *gateway.Dispatch, e *gateway.AttemptEnded) *gateway.AttemptEnded {
-	x.heardAt = x.g.now()
-	a := x.g.cfg.Translator.Response(resp.StatusCode, resp.Header)
-	x.g.passAnnouncement(d.Endpoint, d.Addr, &a)
-	if a.HasLoad {
-		a.Load.Endpoint = d.Endpoint
-		x.g.tick(gateway.Input{Load: &a.Load})
+func (x *exchange) handleResponse(conn *upstream.Conn, resp *http.Response, a *attempt, e *gateway.AttemptEnded) *gateway.AttemptEnded {
+	a.heardAt = x.g.now()
+	h := x.g.cfg.Translator.Response(resp.StatusCode, resp.Header)
+	x.g.passAnnouncement(a.Endpoint, a.Addr, &h)
+	if h.HasLoad {
+		h.Load.Endpoint = a.Endpoint
+		x.g.tick(gateway.Input{Load: &h.Load})
 	}
 	e.Status, e.EndsWithConnection = resp.StatusCode, upstream.EndsWithConnection(resp)
 	if x.isStream(resp) {
-		return x.relayStream(ctx, conn, resp, d, e)
+		return x.relayStream(conn, resp, a, e)
 	}
-	if resp.ContentLength > maxHeldBytes && !a.NotRun {
-		// The core must not cancel the attempt as silent while a long body arrives.
-		x.notifyFirstEvent(d)
+	if resp.ContentLength > maxHeldBytes && !h.NotRun {
+		// The core must not take the attempt as silent while a long body arrives.
+		x.notifyFirstEvent(a)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldBytes+1))
 	if err != nil {
 		conn.Close()
-		return x.failAttempt(ctx, e, gateway.ResultBroken, err)
+		return x.failAttempt(a, e, gateway.ResultBroken, err)
 	}
-	if len(body) > maxHeldBytes && !x.responseStarted && !a.NotRun {
-		return x.relayLarge(ctx, conn, resp, body, d, e)
+	if len(body) > maxHeldBytes && !x.started() && !h.NotRun {
+		return x.relayLarge(conn, resp, body, a, e)
 	}
 	conn.Release(resp)
-	e.PartlyDelivered, e.Resumable = x.responseStarted, x.route.Resumable
 	switch {
-	case a.OtherEndpoint:
+	case h.OtherEndpoint:
 		e.Result = gateway.ResultMisdirected
-		e.FailedEndpoint = a.Fault
-	case a.NotRun && resp.StatusCode != http.StatusBadRequest:
+		e.FailedEndpoint = h.Fault
+	case h.NotRun && resp.StatusCode != http.StatusBadRequest:
 		e.Result = gateway.ResultFull
-		e.FailedEndpoint = a.Fault
+		e.FailedEndpoint = h.Fault
 		e.Detail = "status " + strconv.Itoa(resp.StatusCode)
-	case resp.StatusCode >= 500 || x.responseStarted:
+	case resp.StatusCode < 500 && x.deliver(a, resp, body):
+		e.Result = gateway.ResultDone
+	case a.ctx.Err() != nil:
+		return x.failAttempt(a, e, gateway.ResultBroken, a.ctx.Err())
+	default:
 		x.holdFailure(resp, body)
 		e.Result = gateway.ResultFailed
-	default:
-		x.notifyFirstEvent(d)
-		x.deliver(resp.StatusCode, resp.Header, body)
-		e.Result = gateway.ResultDone
 	}
-	return e
+	return x.deliveryState(e)
 }
 
 // notifyFirstEvent notifies the core that the attempt's response has begun.
-func (x *exchange) notifyFirstEvent(d *gateway.Dispatch) {
-	x.g.tick(gateway.Input{First: &gateway.FirstEvent{ID: x.id, Attempt: d.Attempt}})
+func (x *exchange) notifyFirstEvent(a *attempt) {
+	x.g.tick(gateway.Input{First: &gateway.FirstEvent{ID: x.id, Attempt: a.Attempt}})
 }
 
 // isStream reports whether the response is a stream, whose events are relayed as
@@ -269,13 +325,28 @@
 // holdFailure keeps the first failure response, which the caller gets if no other
 // attempt succeeds.
 func (x *exchange) holdFailure(resp *http.Response, body []byte) {
+	x.delivery.Lock()
+	defer x.delivery.Unlock()
 	if x.held == nil && !x.responseStarted {
 		x.held = &heldResponse{status: resp.StatusCode, header: resp.Header, body: body}
 	}
 }
 
-// deliver sends a complete response of an endpoint to the caller.
-func (x *exchange) deliver(status int, header http.Header, body []byte) {
+// deliver passes on a complete response of an attempt, and reports whether it may: no other
+// response has begun.
+func (x *exchange) deliver(a *attempt, resp *http.Response, body []byte) bool {
+	x.delivery.Lock()
+	defer x.delivery.Unlock()
+	if x.responseStarted || !x.claim(a) {
+		return false
+	}
+	x.notifyFirstEvent(a)
+	x.send(resp.StatusCode, resp.Header, body)
+	return true
+}
+
+// send sends a complete response of an endpoint to the caller.
+func (x *exchange) send(status int, header http.Header, body []byte) {
 	copyHeader(x.w.Header(), header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.setConnectionHeaders()
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -121,13 +121,13 @@
 	switch {
 	case out.Dispatch != nil:
 		if x := g.exchanges[out.Dispatch.ID]; x != nil {
-			x.dispatch <- out.Dispatch
+			x.startAttempt(out.Dispatch)
 		}
 	case out.Finish != nil:
 		if x := g.exchanges[out.Finish.ID]; x != nil {
 			delete(g.exchanges, out.Finish.ID)
 			x.finish <- out.Finish
-			x.cancelAttempt(0)
+			x.cancelAttempts()
 		}
 	case out.Cancel != nil:
 		if x := g.exchanges[out.Cancel.ID]; x != nil {
--- a/internal/gateway/shell/relaylarge.go
+++ b/internal/gateway/shell/relaylarge.go
@@ -1,7 +1,6 @@
 package shell
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -14,28 +13,42 @@
 // part of the body that has been read, then the rest as it arrives. If it breaks
 // off, the caller's connection is closed, so that the response does not look
 // complete.
-func (x *exchange) relayLarge(ctx context.Context, conn *upstream.Conn, resp *http.Response, read []byte, d *gateway.Dispatch, e *gateway.AttemptEnded) *gateway.AttemptEnded {
-	x.notifyFirstEvent(d)
-	if err := ctx.Err(); err != nil { // cancelled before anything was sent to the caller
+func (x *exchange) relayLarge(conn *upstream.Conn, resp *http.Response, read []byte, a *attempt, e *gateway.AttemptEnded) *gateway.AttemptEnded {
+	if !x.startLarge(a, resp) {
 		conn.Close()
-		return x.failAttempt(ctx, e, gateway.ResultBroken, err)
+		return x.failAttempt(a, e, gateway.ResultBroken, errSuperseded)
 	}
-	if resp.ContentLength >= 0 {
-		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
-	}
-	x.startResponse(resp)
 	_, err := x.w.Write(read)
 	if err == nil {
 		_, err = io.Copy(x.w, resp.Body)
 	}
 	if err != nil {
 		conn.Close()
-		ended := x.failAttempt(ctx, e, gateway.ResultBroken, err)
+		ended := x.failAttempt(a, e, gateway.ResultBroken, err)
 		ended.Resumable = false
 		return ended
 	}
 	conn.Release(resp)
+	x.delivery.Lock()
 	x.markComplete(resp.StatusCode)
+	x.delivery.Unlock()
 	e.Result = gateway.ResultDone
-	return e
+	return x.deliveryState(e)
+}
+
+// startLarge sends the head of a response that is relayed as it arrives, and reports whether a
+// is the attempt that may. No other attempt can claim the response after that, as it has no
+// event at which another could go on.
+func (x *exchange) startLarge(a *attempt, resp *http.Response) bool {
+	x.delivery.Lock()
+	defer x.delivery.Unlock()
+	if !x.claim(a) {
+		return false
+	}
+	x.notifyFirstEvent(a)
+	if resp.ContentLength >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	x.startResponse(resp)
+	return true
 }
--- a/internal/gateway/shell/stall.go
+++ b/internal/gateway/shell/stall.go
@@ -17,19 +17,34 @@
 
 // stallWatch reports that a stream has paused for longer than a timeout.
 type stallWatch struct {
-	now     func() time.Duration
-	timeout time.Duration // 0: nothing is reported
-	report  func(silence time.Duration)
-	lastAt  atomic.Int64 // when an event was relayed last; 0: none yet
-	stopped atomic.Bool
+	now      func() time.Duration
+	timeout  time.Duration // 0: nothing is reported
+	report   func(silence time.Duration)
+	lastAt   atomic.Int64 // when an event was relayed last; 0: none yet
+	reading  atomic.Bool  // the stream is read; false: events are relayed, and the caller may be slow
+	reported atomic.Bool  // a pause was reported, and no event has come since
+	stopped  atomic.Bool
 }
 
 // watchStalls returns a watch that reports pauses of an attempt's stream to the core, from its
-// first event on.
-func (x *exchange) watchStalls(d *gateway.Dispatch) *stallWatch {
-	return &stallWatch{now: x.g.now, timeout: d.GapTimeout, report: func(silence time.Duration) {
-		x.g.tick(gateway.Input{Stalled: &gateway.Stalled{ID: x.id, Attempt: d.Attempt, Silence: silence}})
-	}}
+// first event on. A stream whose events have no IDs can't be resumed, so that its pauses are
+// not reported.
+func (x *exchange) watchStalls(a *attempt) *stallWatch {
+	w := &stallWatch{now: x.g.now, timeout: a.GapTimeout}
+	w.report = func(silence time.Duration) {
+		if x.resumable() {
+			w.reported.Store(true)
+			x.g.tick(gateway.Input{Stalled: &gateway.Stalled{ID: x.id, Attempt: a.Attempt, Silence: silence}})
+		}
+	}
+	return w
+}
+
+// resumable reports whether another attempt can go on after the last event.
+func (x *exchange) resumable() bool {
+	x.delivery.Lock()
+	defer x.delivery.Unlock()
+	return x.lastEventID != ""
 }
 
 // eventRelayed records that an event has been relayed now.
@@ -57,6 +72,8 @@
 	switch {
 	case silence < w.timeout:
 		w.checkAfter(w.timeout - silence)
+	case !w.reading.Load():
+		w.checkAfter(stallReportInterval)
 	case now-due > lateTimer:
 		time.AfterFunc(lateTimer, func() { w.check(w.now()) }) // not late again
 	default:
--- a/internal/gateway/shell/stall_test.go
+++ b/internal/gateway/shell/stall_test.go
@@ -20,6 +20,7 @@
 		},
 	}
 	defer w.stop()
+	w.reading.Store(true)
 	w.lastAt.Store(int64(w.now()))
 	time.Sleep(20 * time.Millisecond)
 	w.check(w.now() - 2*lateTimer)
@@ -41,6 +42,7 @@
 func TestEventsEndAStall(t *testing.T) {
 	clock, reports := time.Second, 0
 	w := &stallWatch{now: func() time.Duration { return clock }, timeout: time.Hour, report: func(time.Duration) { reports++ }}
+	w.reading.Store(true)
 	w.eventRelayed()
 	for range 3 {
 		clock += 50 * time.Minute
@@ -58,3 +60,24 @@
 		t.Errorf("%d reports of a pause of an hour, want one, before the watch was stopped", reports)
 	}
 }
+
+// TestSlowCallerIsNoSilenceOfTheEndpoint checks that nothing is reported while events are
+// relayed to a caller that is slow to read them.
+func TestSlowCallerIsNoSilenceOfTheEndpoint(t *testing.T) {
+	clock, reports := time.Second, 0
+	w := &stallWatch{now: func() time.Duration { return clock }, timeout: time.Hour, report: func(time.Duration) { reports++ }}
+	defer w.stop()
+	w.eventRelayed()
+	clock += 3 * time.Hour
+	w.check(clock)
+	if reports > 0 {
+		t.Errorf("%d reports while events are relayed", reports)
+	}
+	w.eventRelayed()
+	w.reading.Store(true)
+	clock += time.Minute
+	w.check(clock)
+	if reports > 0 {
+		t.Errorf("%d reports a minute after an event was relayed, with a timeout of an hour", reports)
+	}
+}
--- a/internal/gateway/shell/stream.go
+++ b/internal/gateway/shell/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 
@@ -28,38 +27,31 @@
 // relayStream relays the events of a stream to the caller, each when it is complete.
 // An event that is truncated because the stream broke off is not relayed, so that
 // another endpoint can resume after the last complete one.
-func (x *exchange) relayStream(ctx context.Context, conn *upstream.Conn, resp *http.Response, d *gateway.Dispatch, e *gateway.AttemptEnded) *gateway.AttemptEnded {
-	if x.responseStarted && !x.canResume(resp) {
-		conn.Close()
-		e.Result, e.PartlyDelivered, e.Resumable, e.Detail = gateway.ResultFailed, true, x.route.Resumable, "the stream can't go on here"
-		return e
+func (x *exchange) relayStream(conn *upstream.Conn, resp *http.Response, a *attempt, e *gateway.AttemptEnded) *gateway.AttemptEnded {
+	if ended := x.checkResumption(conn, resp, a, e); ended != nil {
+		return ended
 	}
 	buf := make([]byte, 0, eventBuffer)
-	first := true
-	watch := x.watchStalls(d)
+	watch := x.watchStalls(a)
 	defer watch.stop()
 	for {
+		watch.reading.Store(true)
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
+		watch.reading.Store(false)
 		buf = buf[:len(buf)+n]
 		if n > 0 {
-			x.heardAt = x.g.now()
+			a.heardAt = x.g.now()
 		}
-		whole := completeEventsLen(buf)
-		if whole > 0 {
-			if first {
-				x.notifyFirstEvent(d)
-				first = false
-			}
-			if err := x.relayEvents(resp, buf[:whole]); err != nil {
+		if whole := completeEventsLen(buf); whole > 0 {
+			if err := x.relayEvents(a, resp, buf[:whole], watch); err != nil {
 				conn.Close()
-				return x.failAttempt(ctx, e, gateway.ResultBroken, err)
+				return x.failAttempt(a, e, gateway.ResultBroken, err)
 			}
-			watch.eventRelayed()
 			buf = append(buf[:0], buf[whole:]...)
 		}
 		if err == io.EOF {
-			if err = checkStreamEnd(resp, buf, !first); err == nil {
-				return x.endStream(conn, resp, buf, e)
+			if err = checkStreamEnd(resp, buf, a.begun); err == nil {
+				return x.endStream(conn, resp, buf, a, e)
 			}
 			e.TruncatedBytes = len(buf)
 			x.g.meters.streamsTruncated.Inc(1)
@@ -69,7 +61,7 @@
 		}
 		if err != nil {
 			conn.Close()
-			return x.failAttempt(ctx, e, gateway.ResultBroken, err)
+			return x.failAttempt(a, e, gateway.ResultBroken, err)
 		}
 		if len(buf) == cap(buf) {
 			buf = append(buf, 0)[:len(buf)]
@@ -77,10 +69,22 @@
 	}
 }
 
-// canResume reports whether a response can continue the stream that another
-// endpoint has begun.
-func (x *exchange) canResume(resp *http.Response) bool {
-	return x.route.Resumable && x.lastEventID != "" && resp.StatusCode == http.StatusOK
+// checkResumption ends an attempt whose response can't go on where the caller's stands: the
+// attempt on standby has gone on meanwhile, or the response is not the rest of the stream.
+func (x *exchange) checkResumption(conn *upstream.Conn, resp *http.Response, a *attempt, e *gateway.AttemptEnded) *gateway.AttemptEnded {
+	x.delivery.Lock()
+	started, goesOn := x.responseStarted, x.lastEventID == a.resumeAfter
+	x.delivery.Unlock()
+	switch {
+	case started && !goesOn:
+		conn.Close()
+		return x.failAttempt(a, e, gateway.ResultBroken, errSuperseded)
+	case started && (!x.route.Resumable || a.resumeAfter == "" || resp.StatusCode != http.StatusOK):
+		conn.Close()
+		e.Result, e.Detail = gateway.ResultFailed, "the stream can't go on here"
+		return x.deliveryState(e)
+	}
+	return nil
 }
 
 // checkStreamEnd returns an error if the body of a stream has ended and the stream is
@@ -98,8 +102,22 @@
 
 // endStream completes the response after the proper end of a stream. rest are line ends
 // after the last event; they are relayed too.
-func (x *exchange) endStream(conn *upstream.Conn, resp *http.Response, rest []byte, e *gateway.AttemptEnded) *gateway.AttemptEnded {
+func (x *exchange) endStream(conn *upstream.Conn, resp *http.Response, rest []byte, a *attempt, e *gateway.AttemptEnded) *gateway.AttemptEnded {
 	conn.Release(resp)
+	if !x.completeStream(resp, rest, a) {
+		return x.failAttempt(a, e, gateway.ResultBroken, errSuperseded)
+	}
+	e.Result = gateway.ResultDone
+	return x.deliveryState(e)
+}
+
+// completeStream sends the rest of a stream, and reports whether a is the attempt that may.
+func (x *exchange) completeStream(resp *http.Response, rest []byte, a *attempt) bool {
+	x.delivery.Lock()
+	defer x.delivery.Unlock()
+	if !x.claim(a) {
+		return false
+	}
 	if !x.responseStarted {
 		x.startResponse(resp)
 	}
@@ -109,8 +127,7 @@
 		}
 	}
 	x.markComplete(resp.StatusCode)
-	e.Result = gateway.ResultDone
-	return e
+	return true
 }
 
 // startResponse sends the status and headers of a relayed response. A stream that
@@ -123,8 +140,27 @@
 	x.g.meters.firstEvent.Update((x.g.now() - x.arrived).Milliseconds())
 }
 
-// relayEvents sends complete events to the caller.
-func (x *exchange) relayEvents(resp *http.Response, events []byte) error {
+// relayEvents sends complete events of an attempt to the caller, and tells the core if they
+// are its first or the first after a silence. The error is errSuperseded if another attempt
+// answers the request.
+func (x *exchange) relayEvents(a *attempt, resp *http.Response, events []byte, watch *stallWatch) error {
+	x.delivery.Lock()
+	defer x.delivery.Unlock()
+	if !x.claim(a) {
+		return errSuperseded
+	}
+	if !a.begun {
+		a.begun = true
+		x.notifyFirstEvent(a)
+	}
+	if watch.reported.Swap(false) {
+		x.g.tick(gateway.Input{Resumed: &gateway.Resumed{ID: x.id, Attempt: a.Attempt}})
+	}
+	defer watch.eventRelayed()
+	return x.sendEvents(resp, events)
+}
+
+func (x *exchange) sendEvents(resp *http.Response, events []byte) error {
 	if !x.responseStarted {
 		x.startResponse(resp)
 	} else {
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -59,7 +59,8 @@
 	in               Arrival
 	arrived          time.Duration
 	phase            phase
-	attempt          int               // number of the current or last attempt
+	attempt          int               // number of the current attempt; while the request waits, of an earlier one
+	attempts         int               // attempts so far
 	sends            int               // attempts of which a byte was sent
 	sent             bool              // a byte of the current attempt was sent
 	work             *workItem         // current attempt; nil while the request waits
@@ -67,6 +68,9 @@
 	partlyDelivered  bool              // the caller has received a part of the stream
 	cancelled        bool              // the current attempt is cancelled
 	retryTaken       bool              // its next retry is taken from the budget already
+	standby          *standby          // a silent attempt that is kept until another has begun to answer; nil: none
+	replaceAfter     time.Duration     // a silent attempt is not replaced before
+	silenceDue       time.Duration     // when timerSilence is due
 	provenNotRun     int               // attempts of which a byte was sent and that the endpoint proved not to have run
 	mayHaveRun       int               // attempts that may have run
 	unsentAttempts   int               // attempts of which nothing was sent
@@ -164,6 +168,7 @@
 	timerReturn      timerKind = 5
 	timerSilence     timerKind = 6
 	timerProbe       timerKind = 7
+	timerStandby     timerKind = 9
 )
 
 // timerKey identifies a timer; fields that do not apply to its kind are zero.
