Bound the bytes of interim responses before an answer

Cause: each interim 1xx response renewed the 64 KiB that a response's head may take, so that an endpoint that sends them without an end kept its attempt, and a processor, busy until the deadline. Change: all heads up to the final one share the 64 KiB, which is room for some 2,400 short interim responses. No time limit is added.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -17,7 +17,8 @@
 	// readBufferSize is the size in bytes of a connection's read buffer. Events and
 	// response heads are usually smaller.
 	readBufferSize = 4 << 10
-	// maxHeadBytes bounds the status line and headers of a response.
+	// maxHeadBytes bounds the status line and headers of a response together with those of
+	// the interim responses before it.
 	maxHeadBytes = 64 << 10
 	// maxInlineRequest is the size in bytes up to which a request is written before
 	// its response is read. A connection's TCP window holds at least as much.
@@ -140,14 +141,14 @@
 
 // readHead reads the next response head; interim 1xx responses are skipped.
 func (c *Conn) readHead(r *Request) (*http.Response, error) {
+	c.limited.N = maxHeadBytes
 	for {
-		c.limited.N = maxHeadBytes
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
-		c.limited.N = unlimited
 		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+			c.limited.N = unlimited
 			return resp, nil
 		}
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -315,3 +316,35 @@
 		t.Errorf("the next response is %q, %v, want the second", body, err)
 	}
 }
+
+func TestInterimResponsesThatHideOrDelayTheAnswer(t *testing.T) {
+	const interim = "HTTP/1.1 102 Processing\r\n\r\n"
+	s := newServer(t, func(c net.Conn, n int64, r *http.Request) bool {
+		if n == 1 {
+			_, _ = io.WriteString(c, strings.Repeat(interim, 100))
+			return reply(c, "a", "body", "")
+		}
+		for {
+			if _, err := io.WriteString(c, interim); err != nil {
+				return false
+			}
+		}
+	})
+	p := NewPool()
+	if body, err := exchange(p, s, "a"); err != nil || body != "body" {
+		t.Errorf("%q, %v after interim responses, want the answer", body, err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := exchange(p, s, "a")
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("no error for interim responses without an end")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("still reading interim responses after 5 s")
+	}
+}
