Search only the new bytes of a stream for the end of an event

Cause: after each read the whole buffered part of an event was searched again, so that an event without an end cost time by the square of its size, all the more in small reads. Change: the search begins three bytes before the new ones.

--- a/internal/gateway/shell/stream.go
+++ b/internal/gateway/shell/stream.go
@@ -39,12 +39,13 @@
 	watch := x.watchStalls(d)
 	defer watch.stop()
 	for {
-		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
+		searched := len(buf) // there is no end of an event before
+		n, err := resp.Body.Read(buf[searched:cap(buf)])
+		buf = buf[:searched+n]
 		if n > 0 {
 			x.heardAt = x.g.now()
 		}
-		whole := completeEventsLen(buf)
+		whole := completeEventsLen(buf, searched)
 		if whole > 0 {
 			if first {
 				x.notifyFirstEvent(d)
@@ -146,14 +147,15 @@
 }
 
 // completeEventsLen returns the length in bytes of the complete events at the
-// beginning of buf.
-func completeEventsLen(buf []byte) int {
+// beginning of buf. The first searched bytes hold no end of an event.
+func completeEventsLen(buf []byte, searched int) int {
+	from := max(searched-len("\r\n\r\n")+1, 0)
 	whole := 0
-	if i := bytes.LastIndex(buf, []byte("\n\n")); i >= 0 {
-		whole = i + 2
+	if i := bytes.LastIndex(buf[from:], []byte("\n\n")); i >= 0 {
+		whole = from + i + 2
 	}
-	if i := bytes.LastIndex(buf, []byte("\r\n\r\n")); i >= 0 {
-		whole = max(whole, i+4)
+	if i := bytes.LastIndex(buf[from:], []byte("\r\n\r\n")); i >= 0 {
+		whole = max(whole, from+i+4)
 	}
 	return whole
 }
--- a/internal/gateway/shell/stream_test.go
+++ b/internal/gateway/shell/stream_test.go
@@ -27,3 +27,18 @@
 		t.Errorf("error %v, want the one of the connection", err)
 	}
 }
+
+// TestEventEndInTwoReads checks that the end of an event is found wherever it is split.
+func TestEventEndInTwoReads(t *testing.T) {
+	for _, text := range []string{"data: x\n\nid: ", "data: x\r\n\r\nid: ", "\n\n", "\r\n\r\n", "x\r\n\n\r\n\r\nx"} {
+		whole := completeEventsLen([]byte(text), 0)
+		for read := range len(text) {
+			if completeEventsLen([]byte(text[:read]), 0) > 0 {
+				break
+			}
+			if n := completeEventsLen([]byte(text), read); n != whole || n == 0 {
+				t.Errorf("%q after %d bytes: %d bytes are whole, want %d", text, read, n, whole)
+			}
+		}
+	}
+}
