--- a/internal/gateway/shell/stream.go
+++ b/internal/gateway/shell/stream.go
@@ -35,14 +35,15 @@
 	watch := x.watchStalls(a)
 	defer watch.stop()
 	for {
+		searched := len(buf) // there is no end of an event before
 		watch.reading.Store(true)
-		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
+		n, err := resp.Body.Read(buf[searched:cap(buf)])
 		watch.reading.Store(false)
-		buf = buf[:len(buf)+n]
+		buf = buf[:searched+n]
 		if n > 0 {
 			a.heardAt = x.g.now()
 		}
-		if whole := completeEventsLen(buf); whole > 0 {
+		if whole := completeEventsLen(buf, searched); whole > 0 {
 			if err := x.relayEvents(a, resp, buf[:whole], watch); err != nil {
 				conn.Close()
 				return x.failAttempt(a, e, gateway.ResultBroken, err)
@@ -182,14 +183,15 @@
 }
 
 // completeEventsLen returns the length in bytes of the complete events at the
-// beginning of buf.
-func completeEventsLen(buf []byte) int {
+// beginning of buf. The first searched bytes hold no end of an event.
+func completeEventsLen(buf []byte, searched int) int {
+	from := max(searched-len("\r\n\r\n")+1, 0)
 	whole := 0
-	if i := bytes.LastIndex(buf, []byte("\n\n")); i >= 0 {
-		whole = i + 2
+	if i := bytes.LastIndex(buf[from:], []byte("\n\n")); i >= 0 {
+		whole = from + i + 2
 	}
-	if i := bytes.LastIndex(buf, []byte("\r\n\r\n")); i >= 0 {
-		whole = max(whole, i+4)
+	if i := bytes.LastIndex(buf[from:], []byte("\r\n\r\n")); i >= 0 {
+		whole = max(whole, from+i+4)
 	}
 	return whole
 }
