--- a/internal/httpconn/tracker_test.go
+++ b/internal/httpconn/tracker_test.go
@@ -12,13 +12,23 @@
 
 // startServer serves requests that wait for release, and returns the server's address.
 func startServer(t *testing.T, release <-chan struct{}) (*http.Server, *Tracker, string) {
+	t.Helper()
+	return startTracked(t, func(http.ResponseWriter, *http.Request) { <-release }, func(*Tracker, http.ConnState) {})
+}
+
+// startTracked starts a server whose changes of state are passed to before and then to a
+// tracker, and returns its address.
+func startTracked(t *testing.T, h http.HandlerFunc, before func(*Tracker, http.ConnState)) (*http.Server, *Tracker, string) {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	tracker := NewTracker()
-	srv := &http.Server{ConnState: tracker.OnStateChange, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { <-release })}
+	srv := &http.Server{Handler: h, ConnState: func(c net.Conn, s http.ConnState) {
+		before(tracker, s)
+		tracker.OnStateChange(c, s)
+	}}
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { srv.Close() })
 	return srv, tracker, l.Addr().String()
