Close a waiting connection only while its server lacks a part of the head

What callers saw: a request that a gateway had read, or even passed on, ended with a closed connection, most likely when a changed configuration lowered the limits of connections. A head that the server had read and not yet reported, or one waiting for the tracker's lock, is in neither. The class: a decision on a connection's state is taken outside of the goroutine that changes it. Change: the tracker wraps the listener's TCP connections. One is closed only while the server is blocked in a read and has not reported it as active, which means that a part of a head is missing; a read that receives bytes at the moment of the close fails, so that the server never runs a request whose connection is closed. On a kept connection the header limit counts from the first byte of a head, the idle limit no longer cuts one in two segments. The test of CloseIdle used connections that no server reads. It now reads as a server does, with the same cases and three more (request read, half of a head read, silent one reads nothing).

--- a/internal/gateway/shell/run.go
+++ b/internal/gateway/shell/run.go
@@ -113,8 +113,9 @@
 			return nil, errors.Wrap(err, "listen")
 		}
 		server := g.newServer(p.handler)
-		if len(servers) == 0 {
-			server.ConnState = g.conns.OnStateChange // the server for callers
+		if len(servers) == 0 { // the server for callers
+			server.ConnState = g.conns.OnStateChange
+			l = g.conns.Listener(l)
 		}
 		servers = append(servers, server)
 		go func() {
--- /dev/null
+++ b/internal/httpconn/conn.go
@@ -0,0 +1,95 @@
+package httpconn
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Listener returns a listener whose plain TCP connections the tracker can close while they
+// wait for a request. Other connections are never closed by it.
+func (t *Tracker) Listener(l net.Listener) net.Listener {
+	return listener{l}
+}
+
+type listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if tcp, ok := c.(*net.TCPConn); ok && err == nil {
+		return &trackedConn{TCPConn: tcp}, nil
+	}
+	return c, err
+}
+
+// trackedConn is a server's connection that can be closed without losing a request. A server
+// that is blocked in Read and has not reported the connection as active lacks at least a part
+// of a request's head. A close at that moment makes this Read fail, also if it has just
+// received the missing part: the server never sees a request whose connection is closed.
+type trackedConn struct {
+	*net.TCPConn
+	mu      sync.Mutex
+	waits   bool     // new or idle: no request's head has been read
+	wait    connWait // if waits
+	reading bool     // the server is in Read
+	ended   bool     // closed by end
+}
+
+// connWait describes a connection that waits for a request.
+type connWait struct {
+	since time.Time // for the first request since the connection was accepted, for others since the first byte of the head
+	idle  bool      // it has carried a request before, and no byte of the next one has been read
+}
+
+// Read implements net.Conn. After end it returns no data.
+func (c *trackedConn) Read(b []byte) (int, error) {
+	if !c.startRead() {
+		return 0, net.ErrClosed
+	}
+	n, err := c.TCPConn.Read(b)
+	if !c.finishRead(n) {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *trackedConn) startRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+	return !c.ended
+}
+
+// finishRead records that n bytes were read, and reports whether the server may have them.
+func (c *trackedConn) finishRead(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if n > 0 && c.waits && c.wait.idle {
+		c.wait = connWait{since: time.Now()}
+	}
+	return !c.ended
+}
+
+// onStateChange records a state that an http.Server has reported.
+func (c *trackedConn) onStateChange(s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waits = s == http.StateNew || s == http.StateIdle
+	c.wait = connWait{since: time.Now(), idle: s == http.StateIdle}
+}
+
+// end closes the connection if it waits for a request, the wait meets a condition and nothing
+// has arrived that was not read, and reports whether it did.
+func (c *trackedConn) end(condition func(connWait) bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended || !c.waits || !c.reading || !condition(c.wait) || !OpenAndSilent(c.TCPConn) {
+		return false
+	}
+	c.ended = true
+	_ = c.TCPConn.Close() // the connection is dropped either way
+	return true
+}
--- a/internal/httpconn/sweep_test.go
+++ b/internal/httpconn/sweep_test.go
@@ -110,3 +110,84 @@
 	done.Wait()
 	return int(starts.Load()), int(answers.Load()), closed
 }
+
+// TestHalfAHeadKeepsItsConnectionOpen checks that a connection on which a part of a head has
+// arrived is closed at the header limit, and not sooner by the idle limit.
+func TestHalfAHeadKeepsItsConnectionOpen(t *testing.T) {
+	const headerLimit = 300 * time.Millisecond
+	for name, before := range map[string]int{"first request": 0, "kept connection": 1} {
+		t.Run(name, func(t *testing.T) {
+			_, tracker, addr := startTracked(t, func(http.ResponseWriter, *http.Request) {}, noState)
+			c := dial(t, addr)
+			r := bufio.NewReader(c)
+			for range before {
+				if !exchange(c, r) {
+					t.Fatal("the request before was not answered")
+				}
+			}
+			sent := time.Now()
+			if _, err := io.WriteString(c, "GET / HTTP/1.1\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(headerLimit / 10) // lets it arrive
+			for tracker.Sweep(time.Now(), headerLimit, time.Nanosecond) == 0 {
+				if time.Since(sent) > 3*headerLimit {
+					t.Fatalf("not closed %v after half a head, limit %v", time.Since(sent), headerLimit)
+				}
+				time.Sleep(time.Millisecond)
+			}
+			if open := time.Since(sent); open < headerLimit*9/10 {
+				t.Errorf("closed %v after half a head, limit %v", open, headerLimit)
+			}
+			if _, err := r.ReadByte(); err == nil {
+				t.Error("half of a head was answered")
+			}
+		})
+	}
+}
+
+// TestHeadInTwoSegmentsIsCutByTheIdleLimit sweeps between two segments of a head on a kept
+// connection that has been idle beyond the limit.
+func TestHeadInTwoSegmentsIsCutByTheIdleLimit(t *testing.T) {
+	_, tracker, addr := startTracked(t, func(http.ResponseWriter, *http.Request) {}, noState)
+	c := dial(t, addr)
+	r := bufio.NewReader(c)
+	for round := range 20 {
+		if !exchange(c, r) {
+			t.Fatalf("request %d on the connection was not answered", 2*round)
+		}
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHo"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond) // lets it arrive
+		if n := tracker.Sweep(time.Now(), time.Minute, time.Nanosecond); n != 0 {
+			t.Fatal("the connection was closed in the middle of a head")
+		}
+		if _, err := io.WriteString(c, "st: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("head in two segments: %v, want a response", err)
+		}
+	}
+}
+
+// TestPipelinedRequestIsLostInASweep sweeps before and after each change of state while two
+// requests of one segment are served.
+func TestPipelinedRequestIsLostInASweep(t *testing.T) {
+	swept := func(tracker *Tracker, _ http.ConnState) { sweepAll(tracker) }
+	for range 50 {
+		_, _, addr := startTracked(t, func(http.ResponseWriter, *http.Request) {}, swept)
+		c := dial(t, addr)
+		request := "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+		if _, err := io.WriteString(c, request+request); err != nil {
+			t.Fatal(err)
+		}
+		r := bufio.NewReader(c)
+		for i := range 2 {
+			if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("request %d of two in one segment: %v, want a response", i, err)
+			}
+		}
+	}
+}
--- a/internal/httpconn/tracker.go
+++ b/internal/httpconn/tracker.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -11,35 +13,37 @@
 // pollInterval is the time between two checks of AwaitQuiet.
 const pollInterval = 10 * time.Millisecond
 
-// Tracker tracks the connections of an http.Server, of which it is the ConnState hook.
+// Tracker tracks the connections of an http.Server, of which it is the ConnState hook and
+// wraps the listener.
 type Tracker struct {
-	mu      sync.Mutex
-	waiting map[net.Conn]connWait
-	active  map[net.Conn]bool // a request has been read, and its response is not yet written
-}
-
-// connWait describes a connection that waits for a request.
-type connWait struct {
-	since time.Time
-	idle  bool // it has carried a request before; false: it waits for the head of its first
+	mu     sync.Mutex
+	conns  map[*trackedConn]bool // all that are open
+	active map[net.Conn]bool     // a request has been read, and its response is not yet written
 }
 
 // NewTracker returns a tracker without connections.
 func NewTracker() *Tracker {
-	return &Tracker{waiting: make(map[net.Conn]connWait), active: make(map[net.Conn]bool)}
+	return &Tracker{conns: make(map[*trackedConn]bool), active: make(map[net.Conn]bool)}
 }
 
 // OnStateChange is an http.Server.ConnState hook.
 func (t *Tracker) OnStateChange(conn net.Conn, s http.ConnState) {
+	c, tracked := conn.(*trackedConn)
+	if tracked {
+		c.onStateChange(s)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.waiting, conn)
 	delete(t.active, conn)
 	switch s {
-	case http.StateNew, http.StateIdle:
-		t.waiting[conn] = connWait{since: time.Now(), idle: s == http.StateIdle}
+	case http.StateNew:
+		if tracked {
+			t.conns[c] = true
+		}
 	case http.StateActive:
 		t.active[conn] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(t.conns, c)
 	}
 }
 
@@ -71,12 +75,13 @@
 
 // CloseIdle closes the connections that have carried a request and wait for another, and
 // returns how many. Those that have not carried one stay open, since their clients may
-// have sent it, as do those on which one has arrived and those that are not plain TCP.
+// have sent it, as do those on which a part of one has arrived and those that are not plain
+// TCP.
 func (t *Tracker) CloseIdle() int {
 	return t.closeWaiting(func(w connWait) bool { return w.idle })
 }
 
-// Sweep closes the connections that have waited longer than a timeout, one for the first
+// Sweep closes the connections that have waited longer than a timeout, one for the head of a
 // request and one between requests, and returns how many. A timeout of 0 closes none.
 func (t *Tracker) Sweep(now time.Time, headerTimeout, idleTimeout time.Duration) int {
 	return t.closeWaiting(func(w connWait) bool {
@@ -88,22 +93,26 @@
 	})
 }
 
-// closeWaiting closes the waiting connections that meet a condition, but no idle one whose
-// next request has arrived, and returns how many.
+// closeWaiting closes the connections that wait for a request, if their wait meets a
+// condition, and returns how many.
 func (t *Tracker) closeWaiting(condition func(connWait) bool) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	closed := 0
-	for conn, w := range t.waiting {
-		if condition(w) && !(w.idle && !OpenAndSilent(conn)) {
-			_ = conn.Close() // the connection is dropped either way
-			delete(t.waiting, conn)
+	for _, c := range t.open() {
+		if c.end(condition) {
 			closed++
 		}
 	}
 	return closed
 }
 
+// open returns the open connections. They are closed without the tracker's lock, for which a
+// server that has read a request waits.
+func (t *Tracker) open() []*trackedConn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Keys(t.conns))
+}
+
 // quietTime is how long no connection must have been busy before CloseServer closes a server:
 // a client may send its next request as soon as it has a response.
 const quietTime = 100 * time.Millisecond
--- a/internal/httpconn/tracker_test.go
+++ b/internal/httpconn/tracker_test.go
@@ -29,7 +29,7 @@
 		before(tracker, s)
 		tracker.OnStateChange(c, s)
 	}}
-	go func() { _ = srv.Serve(l) }()
+	go func() { _ = srv.Serve(tracker.Listener(l)) }()
 	t.Cleanup(func() { srv.Close() })
 	return srv, tracker, l.Addr().String()
 }
@@ -95,34 +95,101 @@
 	}
 }
 
+// acceptTracked returns a connection accepted by a tracker's listener and its other side.
+func acceptTracked(t *testing.T, tracker *Tracker) (server *trackedConn, client net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client = dial(t, l.Addr().String())
+	c, err := tracker.Listener(l).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	tracker.OnStateChange(c, http.StateNew)
+	tracker.OnStateChange(c, http.StateIdle)
+	return c.(*trackedConn), client
+}
+
+// readInBackground reads once from a connection, and returns when the read has begun. The
+// channel receives the result.
+func readInBackground(t *testing.T, c *trackedConn) <-chan int {
+	t.Helper()
+	result := make(chan int, 1)
+	go func() {
+		n, _ := c.Read(make([]byte, 100))
+		result <- n
+	}()
+	for begun := false; !begun; time.Sleep(time.Millisecond) {
+		c.mu.Lock()
+		begun = c.reading
+		c.mu.Unlock()
+	}
+	return result
+}
+
 func TestCloseIdleSparesAConnectionOnWhichARequestHasArrived(t *testing.T) {
+	tracker := NewTracker()
+	expect := func(name string, want int) {
+		t.Helper()
+		if n := tracker.CloseIdle(); n != want {
+			t.Errorf("%s: %d connections closed, want %d", name, n, want)
+		}
+	}
 	client, server := net.Pipe()
 	defer client.Close()
-	tracker := NewTracker()
 	tracker.OnStateChange(server, http.StateIdle) // not plain TCP: what has arrived can't be told
-	if n := tracker.CloseIdle(); n != 0 {
-		t.Errorf("%d connections closed, want 0", n)
+	expect("not plain TCP", 0)
+
+	_, c := acceptTracked(t, tracker)
+	sendRequest(t, c)
+	time.Sleep(20 * time.Millisecond) // lets it arrive
+	expect("request not read", 0)
+
+	s, c := acceptTracked(t, tracker)
+	result := readInBackground(t, s)
+	sendRequest(t, c)
+	if n := <-result; n == 0 {
+		t.Error("the request was not read")
 	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
+	expect("request read", 0)
+
+	s, c = acceptTracked(t, tracker)
+	result = readInBackground(t, s)
+	if _, err := io.WriteString(c, "GET / HT"); err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	for name, send := range map[string]bool{"with a request": true, "silent": false} {
-		c := dial(t, l.Addr().String())
-		s, err := l.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer s.Close()
-		if send {
-			sendRequest(t, c)
-			time.Sleep(20 * time.Millisecond) // lets it arrive
-		}
-		tracker.OnStateChange(s, http.StateIdle)
-		if n := tracker.CloseIdle(); (n == 0) != send {
-			t.Errorf("%s: %d connections closed", name, n)
-		}
-		tracker.OnStateChange(s, http.StateClosed)
+	<-result
+	readInBackground(t, s) // for the rest of the head
+	expect("half of a head read", 0)
+
+	s, _ = acceptTracked(t, tracker)
+	result = readInBackground(t, s)
+	expect("silent", 1)
+	if n := <-result; n != 0 {
+		t.Errorf("%d bytes read from a closed connection", n)
+	}
+}
+
+// TestServerRunsARequestOfAConnectionThatWasClosed checks that bytes which reach a read
+// together with the close are not passed to the server.
+func TestServerRunsARequestOfAConnectionThatWasClosed(t *testing.T) {
+	tracker := NewTracker()
+	s, c := acceptTracked(t, tracker)
+	if !s.startRead() {
+		t.Fatal("an open connection can't be read")
+	}
+	if n := tracker.CloseIdle(); n != 1 {
+		t.Fatalf("%d connections closed, want 1", n)
+	}
+	sendRequest(t, c)
+	if s.finishRead(10) {
+		t.Error("bytes that were read while the connection was closed reach the server")
+	}
+	if n, err := s.Read(make([]byte, 10)); n > 0 || err == nil {
+		t.Errorf("%d bytes and error %v from a closed connection", n, err)
 	}
 }
