Keep connections to a VM that stands still for up to 3 s

Cause: TCP_USER_TIMEOUT of 1.5 s ended a connection whose VM acknowledged nothing for so long, sent data as well as keep-alive probes, though a sound endpoint may be silent for a second or more and go on. The probes' interval of 0.5 s had no effect: the kernel takes whole seconds and Go rounds up. Change: user timeout 4.5 s; probes after 1 s, each second, 4 of them. A VM that stops up to 1 s after its last sign and stands still for 3 s keeps its connections; one that has vanished is noticed after 4.5 to 5 s. Measured: the new test reads the options of a dialed connection. It found 1.5 s and 4 s before, and 4.5 s and 5 s now, bounds over 4 s and at most 5 s. That a standstill ends a connection was read, in the code and the options' definition, and not brought about: a frozen peer can't be played on loopback here. internal/upstream passes with -race.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -26,13 +26,15 @@
 	idleLimit    = 2500 * time.Millisecond
 	expiryMargin = 700 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure TCP keep-alive
-	// probes, which detect that a peer has vanished while a response is awaited.
+	// probes, which detect that a peer has vanished while a response is awaited. A VM
+	// that stands still for up to 3 s acknowledges nothing meanwhile and then continues.
+	// The kernel takes whole seconds.
 	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
-	keepAliveCount    = 3
-	// userTimeout is TCP_USER_TIMEOUT: how long sent data may stay unacknowledged
-	// before the connection fails.
-	userTimeout = 1500 * time.Millisecond
+	keepAliveInterval = time.Second
+	keepAliveCount    = 4
+	// userTimeout is TCP_USER_TIMEOUT: how long sent data may stay unacknowledged, and how
+	// long nothing may arrive in spite of probes, before the connection fails.
+	userTimeout = 4500 * time.Millisecond
 	// maxIdle is the number of idle connections kept for each endpoint.
 	maxIdle = 12
 )
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // server is a TCP server that counts connections and the requests it has read.
@@ -315,3 +317,46 @@
 		t.Errorf("the next response is %q, %v, want the second", body, err)
 	}
 }
+
+// TestConnectionToAFrozenVMIsEnded checks by the socket options of a dialed connection that
+// it outlasts a VM that stands still, and ends soon after one has vanished.
+func TestConnectionToAFrozenVMIsEnded(t *testing.T) {
+	const standstill, vanished = 3 * time.Second, 5 * time.Second
+	s := newServer(t, func(net.Conn, int64, *http.Request) bool { return true })
+	c, err := NewPool().Get(context.Background(), s.listener.Addr().String(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if tcpOption(t, c.net, unix.SOL_SOCKET, unix.SO_KEEPALIVE) == 0 {
+		t.Fatal("no keep-alive probes")
+	}
+	seconds := func(option int) time.Duration {
+		return time.Duration(tcpOption(t, c.net, unix.IPPROTO_TCP, option)) * time.Second
+	}
+	idle, interval := seconds(unix.TCP_KEEPIDLE), seconds(unix.TCP_KEEPINTVL)
+	count := tcpOption(t, c.net, unix.IPPROTO_TCP, unix.TCP_KEEPCNT)
+	// The last sign of a VM may be as old as idle when it stops.
+	for name, end := range map[string]time.Duration{
+		"data unacknowledged": time.Duration(tcpOption(t, c.net, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)) * time.Millisecond,
+		"probes unanswered":   idle + time.Duration(count)*interval,
+	} {
+		if end <= standstill+idle || end > vanished {
+			t.Errorf("%s: the connection ends after %v, want more than %v and at most %v", name, end, standstill+idle, vanished)
+		}
+	}
+}
+
+func tcpOption(t *testing.T, c net.Conn, level, option int) int {
+	t.Helper()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var value int
+	var failed error
+	if err := raw.Control(func(fd uintptr) { value, failed = unix.GetsockoptInt(int(fd), level, option) }); err != nil || failed != nil {
+		t.Fatalf("read option %d: %v, %v", option, err, failed)
+	}
+	return value
+}
