--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -83,7 +83,9 @@
 		c.eject(e, "another instance answers", misdirectedEjection)
 	case ResultFull:
 		r.recordNotRun()
-		e.fullUntil = c.now + fullEngineBackoff
+		if !r.helperFailed {
+			e.fullUntil = c.now + fullEngineBackoff
+		}
 		c.ejectNamedHelper(e, end)
 	}
 }
@@ -121,12 +123,29 @@
 	}
 	for _, other := range c.service(e.registration.Service).endpoints {
 		if other.registration.Addr == end.FailedEndpoint || string(other.registration.ID) == end.FailedEndpoint {
-			c.eject(other, "could not help", ejectionTime(other.health.helpFailures))
-			other.health.helpFailures++
+			c.ejectHelper(other)
 		}
 	}
 }
 
+// helperFailed ejects a helper that did not carry out an order to reserve memory. Several
+// helpers of one attempt may fail.
+func (c *Core) helperFailed(in *HelperFailed) {
+	r := c.running(in.ID, in.Attempt)
+	if r == nil || r.sent {
+		return
+	}
+	r.helperFailed = true
+	if e := c.endpoints.Get(in.Helper); e != nil {
+		c.ejectHelper(e)
+	}
+}
+
+func (c *Core) ejectHelper(e *endpoint) {
+	c.eject(e, "could not help", ejectionTime(e.health.helpFailures))
+	e.health.helpFailures++
+}
+
 // canEject reports whether another endpoint of s may be ejected because of its failure
 // ratio: such ejections leave half of a service in use.
 func (c *Core) canEject(s *service) bool {
--- a/internal/gateway/helpers_test.go
+++ b/internal/gateway/helpers_test.go
@@ -112,6 +112,39 @@
 	}
 }
 
+// TestSilentHelperIsNotBlamedOnTheAnsweringEngine checks that after an attempt whose helper
+// did not answer the order to reserve memory, the helper is left out and the engine that was
+// to answer is neither avoided nor taken for full.
+func TestSilentHelperIsNotBlamedOnTheAnsweringEngine(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	r := testRoutes()["long"]
+	d := dispatchOf(c.Tick(time.Second, Input{Arrive: &Arrival{
+		ID: 1, RequestID: "l", Route: r, Service: engineService, PromptTokens: 520_000, MaxOutputTokens: 500, Deadline: time.Second + r.Timeout,
+	}}))
+	silent := d.Helpers[slices.IndexFunc(d.Helpers, func(h Helper) bool { return h.Tokens > 0 })].Endpoint
+	d = dispatchOf(c.Tick(1400*time.Millisecond,
+		Input{HelperFailed: &HelperFailed{ID: 1, Attempt: d.Attempt, Helper: silent}},
+		Input{Ended: &AttemptEnded{ID: 1, Attempt: d.Attempt, Result: ResultFull, Detail: "order: no answer"}},
+	))
+	if d == nil || d.Attempt != 2 {
+		t.Fatalf("dispatch %+v, want a second attempt", d)
+	}
+	if d.Endpoint == silent || slices.ContainsFunc(d.Helpers, func(h Helper) bool { return h.Endpoint == silent }) {
+		t.Errorf("the second attempt asks %s again: %+v", silent, d)
+	}
+	if avoid := c.requests.Get(1).avoid; len(avoid) > 0 {
+		t.Errorf("%v is avoided, want no engine", avoid)
+	}
+	for e := range c.endpoints.Values() {
+		if e.fullUntil > 0 {
+			t.Errorf("%s counts as full", e.registration.ID)
+		}
+		if ejected := e.health.ejected(c.now); ejected != (e.registration.ID == silent) {
+			t.Errorf("%s: ejected %v, want the silent helper only", e.registration.ID, ejected)
+		}
+	}
+}
+
 // TestReservedMemoryIsFreeInTime checks that an attempt whose answering engine falls silent
 // right after the dispatch ends early enough for the memory at its helpers to be free four
 // seconds later. Found by replicas-vanish on sanabil grown, --seed 1001849563053: memory was
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -15,6 +15,8 @@
 		c.firstEvent(in.First)
 	case in.Stalled != nil:
 		c.stalled(in.Stalled)
+	case in.HelperFailed != nil:
+		c.helperFailed(in.HelperFailed)
 	case in.Ended != nil:
 		c.ended(in.Ended)
 	case in.Load != nil:
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -45,22 +45,23 @@
 
 // Input is one input of the core. Exactly one field is set.
 type Input struct {
-	Arrive    *Arrival
-	Gone      *CallerGone
-	Sent      *Sent
-	First     *FirstEvent
-	Stalled   *Stalled
-	Ended     *AttemptEnded
-	Load      *EndpointLoad
-	Announced *EndpointAnnouncement
-	Report    *EngineReport
-	Config    *route.Table
-	Endpoints *Endpoints
-	Peer      *PeerMessage
-	Versions  *Versions
-	Seeds     []netip.AddrPort // from the settings, read again
-	Shutdown  *Shutdown
-	Exit      *Exit
+	Arrive       *Arrival
+	Gone         *CallerGone
+	Sent         *Sent
+	First        *FirstEvent
+	Stalled      *Stalled
+	HelperFailed *HelperFailed
+	Ended        *AttemptEnded
+	Load         *EndpointLoad
+	Announced    *EndpointAnnouncement
+	Report       *EngineReport
+	Config       *route.Table
+	Endpoints    *Endpoints
+	Peer         *PeerMessage
+	Versions     *Versions
+	Seeds        []netip.AddrPort // from the settings, read again
+	Shutdown     *Shutdown
+	Exit         *Exit
 }
 
 // Arrival is a caller's request that its route and account permit.
@@ -107,6 +108,14 @@
 	Slowdown float64 // factor by which it is slower than its published constants; 1: as published
 }
 
+// HelperFailed reports, before the end of an attempt of which nothing was sent, that a helper
+// did not carry out the order to reserve memory, and not for lack of memory.
+type HelperFailed struct {
+	ID      RequestID
+	Attempt int
+	Helper  wire.EndpointID
+}
+
 // Result says how an attempt ended.
 type Result uint8
 
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -42,7 +42,9 @@
 		c.endUnserved(r, reason)
 		return
 	}
-	r.avoidEndpoint(e.registration.ID)
+	if !r.helperFailed {
+		r.avoidEndpoint(e.registration.ID)
+	}
 	if len(c.usable(c.service(r.in.Service), r)) == 0 {
 		r.avoid = nil // without another endpoint, those that failed may be tried again
 	}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -162,7 +162,7 @@
 func (c *Core) dispatch(s *service, r *request, p placement) {
 	r.phase = phaseRunning
 	r.attempt++
-	r.sent, r.cancelled = false, false
+	r.sent, r.cancelled, r.helperFailed = false, false, false
 	r.predictedFirstAt = c.now + p.untilFirst
 	for _, e := range p.endpoints {
 		if !e.accepts(c.now) {
--- a/internal/gateway/shell/callendpoint.go
+++ b/internal/gateway/shell/callendpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -25,6 +26,11 @@
 	addr           string // address of the endpoint
 }
 
+// statusError is the error of callEndpoint for a response with another status than 200.
+type statusError struct{ code int }
+
+func (e *statusError) Error() string { return "status " + strconv.Itoa(e.code) }
+
 // callEndpoint sends a request once, bounded by orderTimeout, and returns the
 // response body. Any status but 200 is an error.
 func (g *Gateway) callEndpoint(ctx context.Context, r endpointRequest) ([]byte, error) {
@@ -54,7 +60,7 @@
 		return nil, errors.Errorf("answer is larger than %d bytes", maxEndpointResponseBytes)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("status %s", resp.Status)
+		return nil, &statusError{resp.StatusCode}
 	}
 	return body, nil
 }
--- a/internal/gateway/shell/reserve.go
+++ b/internal/gateway/shell/reserve.go
@@ -35,6 +35,9 @@
 		}
 		reserved = append(reserved, h) // before the order, which may take effect although its response is lost
 		if err := g.sendOrder(ctx, h, g.cfg.Translator.Reserve(h.Reservation, h.Tokens, reservationTTL)); err != nil {
+			if ctx.Err() == nil && !isClientError(err) {
+				g.tick(gateway.Input{HelperFailed: &gateway.HelperFailed{ID: d.ID, Attempt: d.Attempt, Helper: h.Endpoint}})
+			}
 			g.releaseAll(reserved)
 			return nil, err
 		}
@@ -88,11 +91,18 @@
 }
 
 // sendOrder sends an order to a helper. The error is nil only if the helper has
-// carried it out; it does not name the helper.
+// carried it out, and names the helper otherwise.
 func (g *Gateway) sendOrder(ctx context.Context, h gateway.Helper, o Order) error {
 	_, err := g.callEndpoint(ctx, endpointRequest{
 		method: http.MethodPost, target: o.Target, header: o.Header, body: o.Body,
 		endpoint: string(h.Endpoint), addr: h.Addr,
 	})
-	return errors.Wrap(err, "order")
+	return errors.Wrapf(err, "order to %s", h.Endpoint)
+}
+
+// isClientError reports whether an order failed because the helper itself has refused it, as
+// for lack of memory, which is no fault of the helper.
+func isClientError(err error) bool {
+	var s *statusError
+	return errors.As(err, &s) && s.code < http.StatusInternalServerError && s.code != http.StatusMisdirectedRequest
 }
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -66,6 +66,7 @@
 	avoid            []wire.EndpointID // endpoints that get no further attempt
 	partlyDelivered  bool              // the caller has received a part of the stream
 	cancelled        bool              // the current attempt is cancelled
+	helperFailed     bool              // a helper of the current attempt has failed before anything was sent
 	retryTaken       bool              // its next retry is taken from the budget already
 	provenNotRun     int               // attempts of which a byte was sent and that the endpoint proved not to have run
 	mayHaveRun       int               // attempts that may have run
