--- a/internal/gateway/shell/reserve.go
+++ b/internal/gateway/shell/reserve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,35 +29,42 @@
 // which are those with a ticket, at all of them or none. It renews the reservations
 // until release is called.
 func (g *Gateway) reserve(ctx context.Context, d *gateway.Dispatch) (release func(), err error) {
-	var reserved []gateway.Helper
-	for _, h := range d.Helpers {
-		if h.Reservation == "" {
-			continue
-		}
-		reserved = append(reserved, h) // before the order, which may take effect although its response is lost
-		if err := g.sendOrder(ctx, h, g.cfg.Translator.Reserve(h.Reservation, h.Tokens, reservationTTL)); err != nil {
-			if ctx.Err() == nil && !isClientError(err) {
-				g.tick(gateway.Input{HelperFailed: &gateway.HelperFailed{ID: d.ID, Attempt: d.Attempt, Helper: h.Endpoint}})
-			}
-			g.releaseAll(reserved)
-			return nil, err
-		}
-	}
-	if len(reserved) == 0 {
+	holders := slices.DeleteFunc(slices.Clone(d.Helpers), func(h gateway.Helper) bool { return h.Reservation == "" })
+	if len(holders) == 0 {
 		return func() {}, nil
 	}
+	if err := g.reserveAll(ctx, d, holders); err != nil {
+		g.releaseAll(holders) // all of them, since an order may take effect although its response is lost
+		return nil, err
+	}
 	renewing, stop := context.WithCancel(ctx)
 	var wg sync.WaitGroup
-	wg.Go(func() { g.renew(renewing, reserved) })
+	wg.Go(func() { g.renew(renewing, holders) })
 	return func() {
 		stop()
 		wg.Wait()
-		g.releaseAll(reserved)
+		g.releaseAll(holders)
 	}, nil
 }
 
+// reserveAll reserves memory at all holders and returns the error of one that failed. It
+// reports to the core which of them did not answer.
+func (g *Gateway) reserveAll(ctx context.Context, d *gateway.Dispatch, holders []gateway.Helper) error {
+	var failed error
+	for i, err := range g.sendOrders(ctx, holders, g.reserveOrder) {
+		if err == nil {
+			continue
+		}
+		failed = err
+		if ctx.Err() == nil && !isClientError(err) {
+			g.tick(gateway.Input{HelperFailed: &gateway.HelperFailed{ID: d.ID, Attempt: d.Attempt, Helper: holders[i].Endpoint}})
+		}
+	}
+	return failed
+}
+
 // renew renews reservations until ctx ends.
-func (g *Gateway) renew(ctx context.Context, reserved []gateway.Helper) {
+func (g *Gateway) renew(ctx context.Context, holders []gateway.Helper) {
 	ticker := time.NewTicker(reservationRenewInterval)
 	defer ticker.Stop()
 	for {
@@ -65,9 +73,9 @@
 			return
 		case <-ticker.C:
 		}
-		for _, h := range reserved {
-			if err := g.sendOrder(ctx, h, g.cfg.Translator.Reserve(h.Reservation, h.Tokens, reservationTTL)); err != nil && ctx.Err() == nil {
-				g.logOrder("reservation-not-renewed", h, err)
+		for i, err := range g.sendOrders(ctx, holders, g.reserveOrder) {
+			if err != nil && ctx.Err() == nil {
+				g.logOrder("reservation-not-renewed", holders[i], err)
 			}
 		}
 	}
@@ -75,21 +83,39 @@
 
 // releaseAll releases reservations. If a release is lost, the reservation expires
 // after reservationTTL.
-func (g *Gateway) releaseAll(reserved []gateway.Helper) {
-	for _, h := range reserved {
-		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-		if err := g.sendOrder(ctx, h, g.cfg.Translator.Release(h.Reservation)); err != nil {
-			g.logOrder("reservation-not-released", h, err)
+func (g *Gateway) releaseAll(holders []gateway.Helper) {
+	for i, err := range g.sendOrders(context.Background(), holders, g.releaseOrder) {
+		if err != nil {
+			g.logOrder("reservation-not-released", holders[i], err)
 		}
-		cancel()
 	}
 }
 
+func (g *Gateway) reserveOrder(h gateway.Helper) Order {
+	return g.cfg.Translator.Reserve(h.Reservation, h.Tokens, reservationTTL)
+}
+
+func (g *Gateway) releaseOrder(h gateway.Helper) Order {
+	return g.cfg.Translator.Release(h.Reservation)
+}
+
 // logOrder logs a failed order to a helper.
 func (g *Gateway) logOrder(event string, h gateway.Helper, err error) {
 	g.log.Warn().Str("event", event).Str("endpoint", string(h.Endpoint)).Str("ticket", h.Reservation).Err(err).Send()
 }
 
+// sendOrders sends an order to each helper, to all at the same time, and returns the errors
+// of sendOrder in the order of the helpers.
+func (g *Gateway) sendOrders(ctx context.Context, helpers []gateway.Helper, order func(gateway.Helper) Order) []error {
+	errs := make([]error, len(helpers))
+	var wg sync.WaitGroup
+	for i, h := range helpers {
+		wg.Go(func() { errs[i] = g.sendOrder(ctx, h, order(h)) })
+	}
+	wg.Wait()
+	return errs
+}
+
 // sendOrder sends an order to a helper. The error is nil only if the helper has
 // carried it out, and names the helper otherwise.
 func (g *Gateway) sendOrder(ctx context.Context, h gateway.Helper, o Order) error {
