Release reservations without holding up the end of an answer

Change: the renewals stop at once and the releases go out in the background. The exit waits for those on their way, at most until the last answers may have been written. What is not released expires after reservationTTL.

--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -52,6 +52,7 @@
 	leaving            atomic.Bool  // shutting down
 	exitAt             atomic.Int64 // time on the gateway's clock at which the process exits at the latest, set once it only takes requests that end before; 0: not so
 	lastRequestID      atomic.Uint64
+	releasing          atomic.Int64  // attempts whose reservations are being released
 	copyServing        chan struct{} // holds an element for each copy that is being sent to a peer
 
 	versionsMu sync.Mutex
--- a/internal/gateway/shell/reserve.go
+++ b/internal/gateway/shell/reserve.go
@@ -23,18 +23,20 @@
 	// orderTimeout bounds a call to an endpoint in callEndpoint. Engines respond to
 	// orders and report queries without queueing them.
 	orderTimeout = 400 * time.Millisecond
+	// releasePollInterval is the time between two looks at the releases that are on their way.
+	releasePollInterval = 5 * time.Millisecond
 )
 
 // reserve reserves memory at the helpers that are to hold a part of the prompt,
 // which are those with a ticket, at all of them or none. It renews the reservations
-// until release is called.
+// until release is called, which does not wait for the helpers.
 func (g *Gateway) reserve(ctx context.Context, d *gateway.Dispatch) (release func(), err error) {
 	holders := slices.DeleteFunc(slices.Clone(d.Helpers), func(h gateway.Helper) bool { return h.Reservation == "" })
 	if len(holders) == 0 {
 		return func() {}, nil
 	}
 	if err := g.reserveAll(ctx, d, holders); err != nil {
-		g.releaseAll(holders) // all of them, since an order may take effect although its response is lost
+		g.releaseLater(holders, func() {}) // all of them, since an order may take effect although its response is lost
 		return nil, err
 	}
 	renewing, stop := context.WithCancel(ctx)
@@ -42,8 +44,7 @@
 	wg.Go(func() { g.renew(renewing, holders) })
 	return func() {
 		stop()
-		wg.Wait()
-		g.releaseAll(holders)
+		g.releaseLater(holders, wg.Wait)
 	}, nil
 }
 
@@ -81,6 +82,24 @@
 	}
 }
 
+// releaseLater releases reservations in the background, once renewed has returned.
+func (g *Gateway) releaseLater(holders []gateway.Helper, renewed func()) {
+	g.releasing.Add(1)
+	go func() {
+		defer g.releasing.Add(-1)
+		renewed()
+		g.releaseAll(holders)
+	}()
+}
+
+// awaitReleases waits until no release is on its way, at most until a time on the gateway's
+// clock.
+func (g *Gateway) awaitReleases(until time.Duration) {
+	for g.releasing.Load() > 0 && g.now() < until {
+		time.Sleep(releasePollInterval)
+	}
+}
+
 // releaseAll releases reservations. If a release is lost, the reservation expires
 // after reservationTTL.
 func (g *Gateway) releaseAll(holders []gateway.Helper) {
--- a/internal/gateway/shell/shutdown.go
+++ b/internal/gateway/shell/shutdown.go
@@ -51,6 +51,7 @@
 			g.log.Warn().Str("event", "answers-cut").Int("connections", g.conns.Busy()).Send()
 		}
 	}
+	g.awaitReleases(exitAt + finalAnswerTime)
 	for _, s := range servers {
 		if err := s.Close(); err != nil {
 			g.log.Warn().Str("event", "close-failed").Err(err).Send()
