--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -17,6 +17,8 @@
 		c.stalled(in.Stalled)
 	case in.Resumed != nil:
 		c.resumed(in.Resumed)
+	case in.HelperFailed != nil:
+		c.helperFailed(in.HelperFailed)
 	case in.Ended != nil:
 		c.ended(in.Ended)
 	case in.Load != nil:
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -50,7 +50,9 @@
 		c.endUnserved(r, reason)
 		return
 	}
-	r.avoidEndpoint(e.registration.ID)
+	if !r.helperFailed {
+		r.avoidEndpoint(e.registration.ID)
+	}
 	if r.standby == nil && len(c.usable(c.service(r.in.Service), r)) == 0 {
 		r.avoid = nil // without another endpoint, those that failed may be tried again
 	}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -165,7 +165,7 @@
 	r.phase = phaseRunning
 	r.attempts++
 	r.attempt = r.attempts
-	r.sent, r.cancelled, r.retryTaken = false, false, false
+	r.sent, r.cancelled, r.retryTaken, r.helperFailed = false, false, false, false
 	r.predictedFirstAt = c.now + p.untilFirst
 	for _, e := range p.endpoints {
 		if !e.accepts(c.now) {
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -67,6 +67,7 @@
 	avoid            []wire.EndpointID // endpoints that get no further attempt
 	partlyDelivered  bool              // the caller has received a part of the stream
 	cancelled        bool              // the current attempt is cancelled
+	helperFailed     bool              // a helper of the current attempt has failed before anything was sent
 	retryTaken       bool              // its next retry is taken from the budget already
 	standby          *standby          // a silent attempt that is kept until another has begun to answer; nil: none
 	replaceAfter     time.Duration     // a silent attempt is not replaced before
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -350,6 +350,7 @@
 		t.Error("still reading interim responses after 5 s")
 	}
 }
+
 // TestConnectionToAFrozenVMIsEnded checks by the socket options of a dialed connection that
 // it outlasts a VM that stands still, and ends soon after one has vanished.
 func TestConnectionToAFrozenVMIsEnded(t *testing.T) {
