Ask every gateway that has a copy before a busy one again

Cause: a fetch picked a random one of the announced gateways at each of its 8 tries, so that it could end with a busy one although another that has the copy had not been asked. Change: the gateways asked the fewest times in this fetch come first, in random order.

--- a/internal/gateway/shell/peers.go
+++ b/internal/gateway/shell/peers.go
@@ -106,15 +106,18 @@
 	n.peers = slices.Delete(n.peers, 0, max(len(n.peers)-maxNewestPeers, 0))
 }
 
-// pick returns a random one of the gateways, so that not all fetch from the first that
-// has a new version.
-func (n *newestPeers) pick() (netip.AddrPort, bool) {
+// pick returns a random one of the gateways that have been asked the fewest times, so that
+// not all fetch from the first that has a new version, and none is asked again before each
+// other one.
+func (n *newestPeers) pick(asked map[netip.AddrPort]int) (netip.AddrPort, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if len(n.peers) == 0 {
 		return netip.AddrPort{}, false
 	}
-	return n.peers[rand.IntN(len(n.peers))].addr, true
+	fewest := slices.MinFunc(n.peers, func(a, b newestPeer) int { return cmp.Compare(asked[a.addr], asked[b.addr]) })
+	next := slices.DeleteFunc(slices.Clone(n.peers), func(p newestPeer) bool { return asked[p.addr] > asked[fewest.addr] })
+	return next[rand.IntN(len(next))].addr, true
 }
 
 // remove forgets a gateway from which nothing can be fetched.
@@ -202,11 +205,13 @@
 // such a gateway the listing is zero.
 func (g *Gateway) fetchCopy(ctx context.Context, prefix string, since storecopy.Version) (storecopy.Listing, error) {
 	var failed error
+	asked := make(map[netip.AddrPort]int)
 	for range maxCopyTries {
-		addr, ok := g.newest.pick()
+		addr, ok := g.newest.pick(asked)
 		if !ok {
 			break
 		}
+		asked[addr]++
 		l, err := g.fetchCopyFrom(ctx, addr, prefix, since)
 		if err == nil {
 			return l, nil
--- a/internal/gateway/shell/peers_test.go
+++ b/internal/gateway/shell/peers_test.go
@@ -6,9 +6,11 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
 
 	"trefoilpath.org/trefoilpath/internal/gateway"
 	"trefoilpath.org/trefoilpath/internal/storecopy"
@@ -25,9 +27,9 @@
 // TestFetchGoesOnToAnotherGateway checks that a copy is fetched from another gateway that
 // has it if one is gone or is sending other copies.
 func TestFetchGoesOnToAnotherGateway(t *testing.T) {
-	busy := 0
+	var busy atomic.Int64
 	unwilling := peerAt(t, func(w http.ResponseWriter, _ *http.Request) {
-		busy++
+		busy.Add(1)
 		w.WriteHeader(http.StatusTooManyRequests)
 	})
 	gone := netip.MustParseAddrPort("127.0.0.1:1")
@@ -39,18 +41,52 @@
 			t.Error(err)
 		}
 	})
-	for range 20 { // the order of the tries is random
-		g := &Gateway{}
-		for _, addr := range []netip.AddrPort{gone, unwilling, willing} {
-			g.newest.add(addr, gateway.Versions{})
+	const fetches = 200 // the order of the tries is random
+	var group errgroup.Group
+	group.SetLimit(8)
+	for range fetches {
+		group.Go(func() error {
+			g := &Gateway{}
+			for _, addr := range []netip.AddrPort{gone, unwilling, willing} {
+				g.newest.add(addr, gateway.Versions{})
+			}
+			l, err := g.fetchCopy(context.Background(), "p", storecopy.Version{Revision: 5, Era: 2})
+			if err != nil || l.Revision != 9 {
+				t.Errorf("listing %+v and error %v, want the copy of the one gateway that sends it", l, err)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // the errors are reported above
+	if n := busy.Load(); n == 0 || n >= fetches {
+		t.Errorf("the busy gateway was asked %d times in %d fetches, want in some of them", n, fetches)
+	}
+}
+
+// TestBusyGatewayIsAskedAgainBeforeAnotherOne checks the order in which the gateways that
+// have a copy are asked.
+func TestBusyGatewayIsAskedAgainBeforeAnotherOne(t *testing.T) {
+	const rounds = 3
+	first := make(map[netip.AddrPort]bool)
+	for range 200 {
+		var n newestPeers
+		for i := range maxNewestPeers {
+			n.add(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1), gateway.Versions{})
 		}
-		l, err := g.fetchCopy(context.Background(), "p", storecopy.Version{Revision: 5, Era: 2})
-		if err != nil || l.Revision != 9 {
-			t.Fatalf("listing %+v and error %v, want the copy of the one gateway that sends it", l, err)
+		asked := make(map[netip.AddrPort]int)
+		for i := range rounds * maxNewestPeers {
+			addr, ok := n.pick(asked)
+			if !ok || asked[addr] != i/maxNewestPeers {
+				t.Fatalf("try %d: picked %v, which was asked %d times, want one asked the fewest times", i, addr, asked[addr])
+			}
+			if i == 0 {
+				first[addr] = true
+			}
+			asked[addr]++
 		}
 	}
-	if busy == 0 {
-		t.Error("the busy gateway was never asked in 20 fetches")
+	if len(first) != maxNewestPeers {
+		t.Errorf("%d gateways were asked first in 200 fetches, want each of %d in some", len(first), maxNewestPeers)
 	}
 }
 
@@ -66,13 +102,13 @@
 	n.add(addr(2), versions(2))
 	n.add(addr(3), versions(2))
 	for range 20 {
-		if got, ok := n.pick(); !ok || got == addr(1) {
+		if got, ok := n.pick(nil); !ok || got == addr(1) {
 			t.Fatalf("picked %v, want a gateway with the newest version", got)
 		}
 	}
 	n.remove(addr(2))
 	n.remove(addr(3))
-	if got, ok := n.pick(); ok {
+	if got, ok := n.pick(nil); ok {
 		t.Errorf("picked %v after all were removed", got)
 	}
 }
