--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -50,9 +50,11 @@
 
 func (h *health) ejected(now time.Duration) bool { return now < h.ejectedUntil }
 
-// recordOutcome updates, from the end of an attempt, the endpoint's health and the
-// request's counts of attempts that may have run and that are proven not to have run.
-func (c *Core) recordOutcome(r *request, e *endpoint, end *AttemptEnded) {
+// recordOutcome updates, from the end of the attempt w, the endpoint's health and the
+// request's counts of attempts that may have run and that are proven not to have run. sent
+// tells whether a byte of the attempt was sent.
+func (c *Core) recordOutcome(r *request, w *workItem, sent bool, end *AttemptEnded) {
+	e := w.answering()
 	e.endedAttempts++
 	switch end.Result {
 	case ResultDone:
@@ -74,24 +76,27 @@
 		}
 	case ResultSilent:
 		r.mayHaveRun++
-		c.suspect(r.work)
-		c.eject(e, "silent", 0)
+		c.endpointSilent(w)
+	case ResultSuperseded:
+		r.mayHaveRun++
 	case ResultUnreachable:
 		c.eject(e, "unreachable", 0)
 	case ResultMisdirected:
-		r.recordNotRun()
+		r.recordNotRun(sent)
 		c.eject(e, "another instance answers", misdirectedEjection)
 	case ResultFull:
-		r.recordNotRun()
-		e.fullUntil = c.now + fullEngineBackoff
+		r.recordNotRun(sent)
+		if sent || !r.helperFailed {
+			e.fullUntil = c.now + fullEngineBackoff
+		}
 		c.ejectNamedHelper(e, end)
 	}
 }
 
-// recordNotRun counts the current attempt as proven not to have run. An attempt of which
-// no byte was sent is in neither provenNotRun nor sends.
-func (r *request) recordNotRun() {
-	if r.sent {
+// recordNotRun counts an attempt as proven not to have run. An attempt of which no byte was
+// sent is in neither provenNotRun nor sends.
+func (r *request) recordNotRun(sent bool) {
+	if sent {
 		r.provenNotRun++
 	}
 }
@@ -121,12 +126,29 @@
 	}
 	for _, other := range c.service(e.registration.Service).endpoints {
 		if other.registration.Addr == end.FailedEndpoint || string(other.registration.ID) == end.FailedEndpoint {
-			c.eject(other, "could not help", ejectionTime(other.health.helpFailures))
-			other.health.helpFailures++
+			c.ejectHelper(other)
 		}
 	}
 }
 
+// helperFailed ejects a helper that did not carry out an order to reserve memory. Several
+// helpers of one attempt may fail.
+func (c *Core) helperFailed(in *HelperFailed) {
+	r := c.running(in.ID, in.Attempt)
+	if r == nil || r.sent {
+		return
+	}
+	r.helperFailed = true
+	if e := c.endpoints.Get(in.Helper); e != nil {
+		c.ejectHelper(e)
+	}
+}
+
+func (c *Core) ejectHelper(e *endpoint) {
+	c.eject(e, "could not help", ejectionTime(e.health.helpFailures))
+	e.health.helpFailures++
+}
+
 // canEject reports whether another endpoint of s may be ejected because of its failure
 // ratio: such ejections leave half of a service in use.
 func (c *Core) canEject(s *service) bool {
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -52,6 +52,7 @@
 	leaving            atomic.Bool  // shutting down
 	exitAt             atomic.Int64 // time on the gateway's clock at which the process exits at the latest, set once it only takes requests that end before; 0: not so
 	lastRequestID      atomic.Uint64
+	releasing          atomic.Int64  // attempts whose reservations are being released
 	copyServing        chan struct{} // holds an element for each copy that is being sent to a peer
 
 	versionsMu sync.Mutex
@@ -121,13 +122,13 @@
 	switch {
 	case out.Dispatch != nil:
 		if x := g.exchanges[out.Dispatch.ID]; x != nil {
-			x.dispatch <- out.Dispatch
+			x.startAttempt(out.Dispatch)
 		}
 	case out.Finish != nil:
 		if x := g.exchanges[out.Finish.ID]; x != nil {
 			delete(g.exchanges, out.Finish.ID)
 			x.finish <- out.Finish
-			x.cancelAttempt(0)
+			x.cancelAttempts()
 		}
 	case out.Cancel != nil:
 		if x := g.exchanges[out.Cancel.ID]; x != nil {
