Hold a response in one buffer of at most 1 MB

Cause: io.ReadAll gathers pieces that grow by half and copies them together at the end, so that a response held up to maxHeldBytes took more than 2 MB for a moment. Change: readHeld doubles one buffer up to the limit.

--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -226,7 +225,7 @@
 		// The core must not cancel the attempt as silent while a long body arrives.
 		x.notifyFirstEvent(d)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldBytes+1))
+	body, err := readHeld(resp.Body)
 	if err != nil {
 		conn.Close()
 		return x.failAttempt(ctx, e, gateway.ResultBroken, err)
--- a/internal/gateway/shell/relaylarge.go
+++ b/internal/gateway/shell/relaylarge.go
@@ -10,6 +10,30 @@
 	"trefoilpath.org/trefoilpath/internal/upstream"
 )
 
+// minHeldBuffer is the initial size in bytes of the buffer for a response.
+const minHeldBuffer = 1 << 10
+
+// readHeld reads a body up to one byte more than maxHeldBytes.
+func readHeld(body io.Reader) ([]byte, error) {
+	buf := make([]byte, 0, minHeldBuffer)
+	for len(buf) <= maxHeldBytes {
+		if len(buf) == cap(buf) {
+			grown := make([]byte, len(buf), min(2*cap(buf), maxHeldBytes+1))
+			copy(grown, buf)
+			buf = grown
+		}
+		n, err := body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return buf, nil
+}
+
 // relayLarge relays a response that is too large to be buffered: first read, the
 // part of the body that has been read, then the rest as it arrives. If it breaks
 // off, the caller's connection is closed, so that the response does not look
