Drop log lines after the end of a gateway

Cause: a report or order that fails after its gateway has ended, up to 400 ms later, was logged to a closed channel, which panicked and ended the process. Change: the log drops lines after its close.

--- a/internal/gateway/shell/log.go
+++ b/internal/gateway/shell/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,9 @@
 	allowance atomic.Int64
 	dropped   atomic.Uint64
 	done      chan struct{}
+
+	mu     sync.RWMutex // guards closed, and lines against being closed during a Write
+	closed bool
 }
 
 // newBoundedWriter returns a boundedWriter over w and starts its goroutine.
@@ -48,6 +52,11 @@
 		return len(p), nil
 	}
 	line := append([]byte(nil), p...)
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if b.closed {
+		return len(p), nil
+	}
 	select {
 	case b.lines <- line:
 	default:
@@ -72,9 +81,13 @@
 	return b.dropped.Swap(0)
 }
 
-// close writes the waiting lines. Write must not be called afterwards.
+// close writes the waiting lines. Lines that are written afterwards, by calls that outlive the
+// gateway, are dropped.
 func (b *boundedWriter) close() {
+	b.mu.Lock()
+	b.closed = true
 	close(b.lines)
+	b.mu.Unlock()
 	<-b.done
 }
 
