--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -283,7 +282,7 @@
 		// The core must not take the attempt as silent while a long body arrives.
 		x.notifyFirstEvent(a)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxHeldBytes+1))
+	body, err := readHeld(resp.Body)
 	if err != nil {
 		conn.Close()
 		return x.failAttempt(a, e, gateway.ResultBroken, err)
