Tell engines that have ended from broken connections, and log the parts of prompts

Change: an engine whose answer broke off after it had begun is asked for its report, up to four times: refused, or answered by another instance, it has ended, as it has if its registration lapses. The event endpoint-ended names it with the shared parts of the prompts that it answered, attempt-ended those of a prompt whose answer broke off. An ended engine is ejected at once.

--- a/internal/gateway/configure.go
+++ b/internal/gateway/configure.go
@@ -79,6 +79,7 @@
 		return
 	}
 	if e != nil {
+		c.registrationEnded(&e.registration)
 		c.removeEndpoint(e) // a restarted endpoint has none of the earlier requests
 	}
 	e = c.endpoints.Put(reg.ID, endpoint{
@@ -95,6 +96,7 @@
 	if !e.unregistered {
 		e.unregistered = true
 		c.log(Event{Name: "endpoint-gone", Endpoint: string(e.registration.ID), Detail: "addr=" + e.registration.Addr})
+		c.registrationEnded(&e.registration)
 	}
 	if !c.ownWork(e) {
 		c.removeEndpoint(e)
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -22,6 +22,7 @@
 	endpoints       *table.Table[wire.EndpointID, endpoint]
 	endpointsByHash map[uint64]*endpoint // by hash of the ID
 	announcements   *table.Table[instance, announcement]
+	broken          *table.Table[wire.EndpointID, brokenInstance]
 	services        *table.Table[string, service]
 	requests        *table.Table[RequestID, request]
 	peers           *table.Table[netip.AddrPort, peer]
@@ -70,6 +71,7 @@
 		endpoints:       table.New[wire.EndpointID, endpoint](),
 		endpointsByHash: make(map[uint64]*endpoint),
 		announcements:   table.New[instance, announcement](),
+		broken:          table.New[wire.EndpointID, brokenInstance](),
 		services:        table.New[string, service](),
 		requests:        table.New[RequestID, request](),
 		peers:           table.New[netip.AddrPort, peer](),
@@ -139,6 +141,8 @@
 			c.returnEndpoint(key.endpoint)
 		case timerProbe:
 			c.probe()
+		case timerCheck:
+			c.checkInstance(key.endpoint)
 		case timerSilence:
 			c.checkSilence(key.request)
 		}
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -18,6 +18,7 @@
 //	outcome.go   what follows an attempt: done, a retry, or an error
 //	silence.go   endpoints that fall silent before or inside an answer
 //	health.go    ejection and return of endpoints
+//	crash.go     engines that end while they answer
 //	probe.go     reports of engines on their pace
 //	peers.go     messages to other gateways
 //	receive.go   messages from other gateways, and removal of silent ones
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -23,6 +23,8 @@
 		c.endpointAnnounced(in.Announced)
 	case in.Report != nil:
 		c.reportReceived(in.Report)
+	case in.Instance != nil:
+		c.instanceChecked(in.Instance)
 	case in.Config != nil:
 		c.configure(in.Config)
 	case in.Endpoints != nil:
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -54,6 +54,7 @@
 	Load      *EndpointLoad
 	Announced *EndpointAnnouncement
 	Report    *EngineReport
+	Instance  *InstanceState
 	Config    *route.Table
 	Endpoints *Endpoints
 	Peer      *PeerMessage
@@ -73,6 +74,7 @@
 	Priority        int           // from the account, else from the route; 0 is the most urgent
 	PromptTokens    int64         // prompt tokens
 	MaxOutputTokens int64         // maximum number of output tokens
+	SharedParts     []string      // IDs of the parts of the prompt that other prompts may have too
 	Deadline        time.Duration // when the caller or the route's timeout ends the wait
 }
 
@@ -176,6 +178,7 @@
 	Finish   *Finish
 	Cancel   *Cancel
 	Probe    *Probe
+	Check    *InstanceCheck
 	ToPeer   *ToPeer
 	Newer    *PeerHasNewer
 	Ready    *Ready
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -27,9 +28,13 @@
 	c.timers.Stop(timerKey{kind: timerSilence, request: r.in.ID})
 	e := r.work.answering()
 	c.recordOutcome(r, e, end)
+	detail := "result=" + end.Result.String() + attemptDetail(end)
+	if end.brokeOff() && len(r.in.SharedParts) > 0 {
+		c.answerBroken(r, e)
+		detail += " parts=" + partList(r.in.SharedParts)
+	}
 	c.logRequest("attempt-ended", r, Event{
-		Endpoint: string(e.registration.ID), Took: c.now - r.work.dispatchedAt, Count: end.Status,
-		Detail: "result=" + end.Result.String() + attemptDetail(end),
+		Endpoint: string(e.registration.ID), Took: c.now - r.work.dispatchedAt, Count: end.Status, Detail: detail,
 	})
 	c.endWork(r)
 	if end.Result == ResultDone {
@@ -49,6 +54,19 @@
 	c.enqueue(r)
 }
 
+// brokeOff reports whether a successful answer had begun and was lost with its connection.
+func (end *AttemptEnded) brokeOff() bool {
+	return end.Result == ResultBroken && end.Status >= 200 && end.Status < 300
+}
+
+// maxLoggedParts bounds the parts of prompts in a log line.
+const maxLoggedParts = 16
+
+// partList returns IDs of parts of prompts for the log.
+func partList(ids []string) string {
+	return strings.Join(ids[:min(len(ids), maxLoggedParts)], "/")
+}
+
 func attemptDetail(end *AttemptEnded) string {
 	detail := ""
 	if end.LongestGap > 0 {
--- a/internal/gateway/shell/callendpoint.go
+++ b/internal/gateway/shell/callendpoint.go
@@ -54,11 +54,20 @@
 		return nil, errors.Errorf("answer is larger than %d bytes", maxEndpointResponseBytes)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("status %s", resp.Status)
+		return nil, &statusError{status: resp.Status, otherInstance: a.OtherEndpoint}
 	}
 	return body, nil
 }
 
+// statusError is the error of callEndpoint for an answer with another status than 200.
+type statusError struct {
+	status        string
+	otherInstance bool // another instance than the expected one answered
+}
+
+// Error implements error.
+func (e *statusError) Error() string { return "status " + e.status }
+
 // passAnnouncement passes what an endpoint says of itself in a response to the core. Another
 // endpoint at its address says nothing of it.
 func (g *Gateway) passAnnouncement(id wire.EndpointID, addr string, h *ResponseHeaders) {
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -79,7 +79,8 @@
 	return &gateway.Arrival{
 		ID: x.id, RequestID: x.caller.RequestID, Route: x.route, Service: x.service,
 		Account: x.account, Priority: x.priority,
-		PromptTokens: x.caller.Prompt, MaxOutputTokens: x.caller.Output, Deadline: x.deadline,
+		PromptTokens: x.caller.Prompt, MaxOutputTokens: x.caller.Output, SharedParts: x.caller.SharedParts,
+		Deadline: x.deadline,
 	}
 }
 
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -135,6 +135,8 @@
 		}
 	case out.Probe != nil:
 		go g.probe(*out.Probe)
+	case out.Check != nil:
+		go g.checkInstance(*out.Check)
 	case out.ToPeer != nil:
 		g.peers.send(out.ToPeer)
 	case out.Newer != nil:
--- a/internal/gateway/shell/translate.go
+++ b/internal/gateway/shell/translate.go
@@ -65,6 +65,7 @@
 	HasTimeLeft bool          // the caller has sent TimeLeft
 	Prompt      int64         // prompt tokens; 0: unknown
 	Output      int64         // maximum number of output tokens; 0: unknown
+	SharedParts []string      // IDs of the parts of the prompt that other prompts may have too
 }
 
 // ForwardHeaders holds the values of headers that the gateway sends to an endpoint.
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -164,6 +164,7 @@
 	timerReturn      timerKind = 5
 	timerSilence     timerKind = 6
 	timerProbe       timerKind = 7
+	timerCheck       timerKind = 8
 )
 
 // timerKey identifies a timer; fields that do not apply to its kind are zero.
