Find parts of prompts that crash engines

Cause: nothing at a gateway remembers what ran at an engine when it ended, so each request with such a part crashes one more.

Change: a table of crashes by part, shared by rows, holds, refuses and tries requests with such parts. Not wired in yet.

--- /dev/null
+++ b/internal/poison/crashes.go
@@ -0,0 +1,171 @@
+package poison
+
+import (
+	"cmp"
+	"iter"
+	"slices"
+	"time"
+)
+
+const (
+	// eventSpacing is the time after a counted crash within which further ones belong to
+	// the same event, as when a failure domain is lost.
+	eventSpacing = 250 * time.Millisecond
+	// detectionSpread is the difference between the times at which gateways notice a crash.
+	detectionSpread = 100 * time.Millisecond
+	// maxGap is the time over which the crashes of a burst that are not kept are taken as
+	// those of the part.
+	maxGap = time.Second
+	// maxCrashesPerPart and maxLives bound the crashes kept of a part and of all engines.
+	maxCrashesPerPart = 16
+	maxLives          = 64
+)
+
+// crash is the end of one life.
+type crash struct {
+	at   time.Duration
+	life Life
+}
+
+// crashes are ends of different lives, in order of time, those at the same time in order
+// of life.
+type crashes []crash
+
+// bounds says how many of the earliest and of the latest crashes are kept.
+type bounds struct{ first, last int }
+
+// The latest crashes are kept as well as the earliest: a burst that fills the list is one
+// event, and later events must still be counted.
+var (
+	partBounds = bounds{first: maxCrashesPerPart / 2, last: maxCrashesPerPart / 2}
+	lifeBounds = bounds{last: maxLives}
+)
+
+func compareCrashes(a, b crash) int {
+	return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.life, b.life))
+}
+
+// add returns cs with c, and whether that is different. Of two times of one life the
+// earlier is kept, since a message can only make it later.
+func (cs crashes) add(c crash, b bounds) (crashes, bool) {
+	if i := cs.index(c.life); i >= 0 {
+		if cs[i].at <= c.at {
+			return cs, false
+		}
+		cs = slices.Delete(cs, i, i+1)
+	}
+	i, _ := slices.BinarySearchFunc(cs, c, compareCrashes)
+	if len(cs) == b.first+b.last && i == b.first {
+		return cs, false // it would be the one that is left out
+	}
+	cs = slices.Insert(cs, i, c)
+	if len(cs) > b.first+b.last {
+		cs = slices.Delete(cs, b.first, b.first+1)
+	}
+	return cs, true
+}
+
+func (cs crashes) index(life Life) int {
+	return slices.IndexFunc(cs, func(c crash) bool { return c.life == life })
+}
+
+func (cs crashes) has(life Life) bool { return cs.index(life) >= 0 }
+
+// after returns the crashes later than at.
+func (cs crashes) after(at time.Duration) crashes {
+	i := 0
+	for i < len(cs) && cs[i].at <= at {
+		i++
+	}
+	return slices.Clone(cs[i:])
+}
+
+// last returns the time of the latest crash.
+func (cs crashes) last() time.Duration { return cs[len(cs)-1].at }
+
+// contain reports whether all lives of other are in cs, without regard to the life except.
+func (cs crashes) contain(other crashes, except Life) bool {
+	for _, c := range other {
+		if c.life != except && !cs.has(c.life) {
+			return false
+		}
+	}
+	return true
+}
+
+// times returns the times by life.
+func (cs crashes) times() map[Life]time.Duration {
+	times := make(map[Life]time.Duration, len(cs))
+	for _, c := range cs {
+		times[c.life] = c.at
+	}
+	return times
+}
+
+// at returns the crashes at the times of their lives, if these are earlier.
+func (cs crashes) at(times map[Life]time.Duration) crashes {
+	moved := slices.Clone(cs)
+	for i := range moved {
+		if at, ok := times[moved[i].life]; ok {
+			moved[i].at = min(moved[i].at, at)
+		}
+	}
+	slices.SortFunc(moved, compareCrashes)
+	return moved
+}
+
+// explain reports whether a crash is one of cs, or may be one that cs has no room for.
+func (cs crashes) explain(c crash) bool {
+	if len(cs) == partBounds.first+partBounds.last {
+		from, to := cs[partBounds.first-1].at, cs[partBounds.first].at
+		if to-from < maxGap && c.at > from-detectionSpread && c.at < to+detectionSpread {
+			return true
+		}
+	}
+	return cs.has(c.life)
+}
+
+// explainAll reports whether cs explain each crash of other.
+func (cs crashes) explainAll(other crashes) bool {
+	return !slices.ContainsFunc(other, func(c crash) bool { return !cs.explain(c) })
+}
+
+// unexplained returns the crashes that none of explaining explains.
+func (cs crashes) unexplained(explaining []crashes) crashes {
+	return slices.DeleteFunc(slices.Clone(cs), func(c crash) bool {
+		return slices.ContainsFunc(explaining, func(x crashes) bool { return x.explain(c) })
+	})
+}
+
+// between returns the crashes from one time to another, both included.
+func (cs crashes) between(from, to time.Duration) crashes {
+	return slices.DeleteFunc(slices.Clone(cs), func(c crash) bool { return c.at < from || c.at > to })
+}
+
+// byEvent iterates over the events: a crash that is at least eventSpacing after the first
+// one of an event begins another.
+func (cs crashes) byEvent() iter.Seq[crashes] {
+	return func(yield func(crashes) bool) {
+		first := 0
+		for i := range cs {
+			if cs[i].at >= cs[first].at+eventSpacing {
+				if !yield(cs[first:i]) {
+					return
+				}
+				first = i
+			}
+		}
+		if len(cs) > 0 {
+			yield(cs[first:])
+		}
+	}
+}
+
+// events returns the number of events.
+func (cs crashes) events() int {
+	n := 0
+	for range cs.byEvent() {
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/internal/poison/poison.go
@@ -0,0 +1,194 @@
+// Package poison finds the parts of prompts that crash engines (a query of death) and
+// decides which requests with such parts may be sent. Each gateway has one Table; the
+// tables exchange rows, whose merge is commutative and idempotent, so that rows may be
+// lost, repeated and reordered. The package has no clock and no I/O.
+package poison
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/table"
+)
+
+// Part is the hash of the ID of a part of a prompt. Zero stands for no part.
+type Part uint64
+
+// Life identifies one life of an engine, from start to end, by the same hash at all
+// gateways.
+type Life uint64
+
+const (
+	// maxParts bounds the parts in a table, maxPartsRead those that are read of a request.
+	maxParts     = 1024
+	maxPartsRead = 64
+	// evictedAtOnce is the number of parts that leave a full table together, so that the
+	// search for them is shared by as many insertions.
+	evictedAtOnce = maxParts / 8
+	// crashRetention is how long crashes of parts that are not quarantined are kept.
+	crashRetention = 10 * time.Minute
+	// quarantineRetention is how long a quarantine lasts without a request for the part.
+	quarantineRetention = time.Hour
+	// expireInterval is the time between two searches for what has become too old.
+	expireInterval = 5 * time.Second
+	// clockSlack is the time after a completed answer in which crashes are taken as
+	// earlier: times from other gateways are late by the delay of the message.
+	clockSlack = 50 * time.Millisecond
+	// never is a time before all others.
+	never = time.Duration(math.MinInt64)
+	// forever is a time after all others.
+	forever = time.Duration(math.MaxInt64)
+)
+
+// Config is what a table must know of its gateway.
+type Config struct {
+	Gateway uint64 // hash of the own gateway, as in the parameter live of Decide
+}
+
+// Table holds the crashes of parts and the quarantines of one gateway. It is not safe
+// for concurrent use.
+type Table struct {
+	cfg         Config
+	parts       *table.Table[Part, entry]
+	completions completions
+	lives       crashes       // of engines, whatever ran there
+	dirty       bool          // the evidence has changed since the last evaluation
+	nextSettled time.Duration // when the evaluation changes without new evidence
+	nextExpire  time.Duration
+	changed     []Part // whose rows are to be sent, in order of their change
+	rotation    int    // of the rows that don't fit into a message
+	events      []Event
+}
+
+// entry is what is known of one part.
+type entry struct {
+	part        Part
+	crashes     crashes       // since the last completed answer
+	cleared     time.Duration // when an answer was completed last at any gateway; or never
+	ownCleared  time.Duration // the same at this gateway, which is what its rows say
+	changedAt   time.Duration // when evidence was last added or removed
+	listed      bool          // in Table.changed
+	quarantined bool
+	quarantine  quarantine
+	suspect     bool          // held, since its crashes are no coincidence but too close to tell more
+	lastSent    time.Duration // when this gateway last let a request with the held part pass
+	rivals      []Part        // without all of which a request is not refused, in order
+}
+
+// quarantine is the lasting state of a guilty part.
+type quarantine struct {
+	since  time.Duration // of the crash that led to it
+	trials int           // started so far
+	next   time.Duration // when the next trial is due
+	asked  time.Duration // when a request for the part last came
+}
+
+// New returns an empty table.
+func New(cfg Config) *Table {
+	return &Table{cfg: cfg, parts: table.New[Part, entry](), completions: newCompletions(), nextSettled: forever, nextExpire: never}
+}
+
+// Crashed records that a life has ended for certain while requests with these parts,
+// whose answers had begun, ran there at this gateway. It may be called again for a life,
+// with the same or other parts, and without parts if none ran: such crashes tell that
+// engines end for other reasons.
+func (t *Table) Crashed(now time.Duration, life Life, parts []Part) {
+	t.expire(now)
+	c := crash{at: now, life: life}
+	t.addLife(c)
+	for _, p := range read(parts) {
+		if p == 0 {
+			continue
+		}
+		e := t.entry(now, p)
+		if c.at <= e.clearedUntil() || e.crashes.has(life) {
+			continue
+		}
+		e.crashes, _ = e.crashes.add(c, partBounds)
+		t.evidenceChanged(now, e)
+	}
+}
+
+// Completed records that an answer on a prompt with these parts was complete.
+func (t *Table) Completed(now time.Duration, parts []Part) {
+	t.expire(now)
+	for _, p := range read(parts) {
+		t.completions.add(now, p)
+		if e := t.parts.Get(p); e != nil {
+			e.ownCleared = max(e.ownCleared, now)
+			t.clear(now, e, now)
+		}
+	}
+}
+
+// clear removes what a completed answer at the time at disproves.
+func (t *Table) clear(now time.Duration, e *entry, at time.Duration) {
+	if at <= e.cleared {
+		return
+	}
+	e.cleared = at
+	kept := e.crashes.after(e.clearedUntil())
+	released := e.quarantined && e.quarantine.since <= e.clearedUntil()
+	if len(kept) == len(e.crashes) && !released {
+		return
+	}
+	if released {
+		t.report(EventCleared, e)
+		e.quarantined, e.quarantine = false, quarantine{}
+	}
+	e.crashes = kept
+	t.evidenceChanged(now, e)
+}
+
+func (e *entry) clearedUntil() time.Duration {
+	if e.cleared == never {
+		return never
+	}
+	return e.cleared + clockSlack
+}
+
+// good reports whether an answer with the part was completed shortly before its first crash.
+func (e *entry) good() bool {
+	return e.cleared != never && len(e.crashes) > 0 && e.crashes[0].at-e.cleared < goodFor
+}
+
+func (t *Table) evidenceChanged(now time.Duration, e *entry) {
+	t.dirty = true
+	e.changedAt = now
+	t.list(e)
+}
+
+// list adds the row of e to those of the next small message.
+func (t *Table) list(e *entry) {
+	if !e.listed {
+		e.listed = true
+		t.changed = append(t.changed, e.part)
+	}
+}
+
+// addLife records the end of an engine and lists it for the next small message.
+func (t *Table) addLife(c crash) {
+	var added bool
+	if t.lives, added = t.lives.add(c, lifeBounds); added {
+		t.dirty = true
+		if !slices.Contains(t.changed, 0) {
+			t.changed = append(t.changed, 0)
+		}
+	}
+}
+
+// entry returns the entry of a part and creates it on first use.
+func (t *Table) entry(now time.Duration, p Part) *entry {
+	if e := t.parts.Get(p); e != nil {
+		return e
+	}
+	if t.parts.Len() >= maxParts {
+		t.evict()
+	}
+	cleared := t.completions.last(p)
+	return t.parts.Put(p, entry{part: p, cleared: cleared, ownCleared: cleared, changedAt: now, lastSent: never})
+}
+
+// read returns the parts of a request that are read.
+func read(parts []Part) []Part { return parts[:min(len(parts), maxPartsRead)] }
--- /dev/null
+++ b/internal/poison/verdict.go
@@ -0,0 +1,155 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// guiltyEvents is the number of events that make a part guilty when the engines that
+	// crashed meanwhile ran it. Each other event but one needs one more, up to
+	// maxGuiltyEvents.
+	guiltyEvents    = 3
+	maxGuiltyEvents = 8
+	// seriesWindow is the time before a part's first crash in which other events count.
+	seriesWindow = 10 * time.Second
+	// suspectLives is the number of lives from which a part is held until it is known
+	// whether it is guilty.
+	suspectLives = 3
+	// settleTime is the age from which a crash counts for a verdict: all gateways have
+	// heard by then what else ran there.
+	settleTime = 500 * time.Millisecond
+	// firstPause is the time from the crash that led to a quarantine to the first trial.
+	// Each trial doubles it, up to maxDoublings.
+	firstPause   = 90 * time.Second
+	maxDoublings = 10
+)
+
+// candidate is a part that may be guilty.
+type candidate struct {
+	e       *entry
+	crashes crashes // at the earliest times known of the lives
+	settled crashes // those that are older than settleTime
+	events  int     // of these
+}
+
+// evaluate finds the guilty and the held parts, if the evidence has changed or settled.
+func (t *Table) evaluate(now time.Duration) {
+	if !t.dirty && now < t.nextSettled {
+		return
+	}
+	t.dirty, t.nextSettled = false, forever
+	cs := t.candidates(now)
+	suspects, known := findSuspects(cs)
+	for _, c := range suspects {
+		if t.guilty(c, suspects, known) {
+			t.startQuarantine(c.e)
+		}
+	}
+	findRivals(cs)
+}
+
+// findSuspects marks as held those candidates that have enough crashes which no earlier
+// quarantined or held part explains. It returns them, and the crashes of the parts in
+// quarantine.
+func findSuspects(cs []candidate) (suspects []candidate, known []crashes) {
+	var explaining []crashes
+	for _, c := range cs {
+		remaining := c.crashes.unexplained(explaining)
+		c.settled = c.settled.unexplained(explaining)
+		c.e.suspect = !c.e.quarantined && len(remaining) >= suspectLives
+		if c.e.suspect {
+			suspects = append(suspects, c)
+		}
+		if c.e.quarantined {
+			known = append(known, c.crashes)
+		}
+		if len(remaining) > 0 && (c.e.quarantined || c.e.suspect) {
+			explaining = append(explaining, c.crashes)
+		}
+	}
+	return suspects, known
+}
+
+// candidates returns the parts with several crashes and those in quarantine: first those
+// without a completed answer shortly before, and of these the ones with the most events.
+// It ends the suspicion of all parts.
+func (t *Table) candidates(now time.Duration) []candidate {
+	var cs []candidate
+	times := t.lives.times()
+	for e := range t.parts.Values() {
+		e.suspect, e.rivals = false, nil
+		if len(e.crashes) < 2 && !e.quarantined {
+			continue
+		}
+		all := e.crashes.at(times)
+		settled := all.between(never, now-settleTime)
+		if len(settled) < len(all) {
+			t.nextSettled = min(t.nextSettled, all[len(settled)].at+settleTime)
+		}
+		cs = append(cs, candidate{e: e, crashes: all, settled: settled, events: settled.events()})
+	}
+	slices.SortFunc(cs, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(bit(a.e.good()), bit(b.e.good())), cmp.Compare(b.events, a.events), cmp.Compare(len(b.settled), len(a.settled)),
+			cmp.Compare(len(b.e.crashes), len(a.e.crashes)), cmp.Compare(a.e.part, b.e.part))
+	})
+	return cs
+}
+
+// guilty reports whether the crashes of a suspect are no coincidence. They are compared
+// with all ends of engines in that time and shortly before, except those under parts in
+// quarantine and under the first other suspect: the more events there are without the
+// part, or in which at most half of the engines ran it, the more must be with it.
+func (t *Table) guilty(c candidate, suspects []candidate, known []crashes) bool {
+	if c.settled.events() < guiltyEvents {
+		return false
+	}
+	if i := slices.IndexFunc(suspects, func(s candidate) bool { return s.e != c.e }); i >= 0 {
+		known = append(known[:len(known):len(known)], suspects[i].crashes)
+	}
+	with, without := 0, 0
+	for event := range t.lives.unexplained(known).between(c.settled[0].at-seriesWindow, c.settled.last()).byEvent() {
+		ran := 0
+		for _, x := range event {
+			ran += bit(c.crashes.explain(x))
+		}
+		if 2*ran > len(event) {
+			with++
+		} else {
+			without++
+		}
+	}
+	return with >= min(guiltyEvents+max(without-1, 0), maxGuiltyEvents)
+}
+
+func bit(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (t *Table) startQuarantine(e *entry) {
+	e.suspect = false
+	since := e.crashes.last()
+	e.quarantined = true
+	e.quarantine = quarantine{since: since, next: since + firstPause, asked: since}
+	t.list(e)
+	t.report(EventQuarantined, e)
+}
+
+// findRivals sets the rivals of quarantined and held parts: the parts that ran on all
+// the engines that crashed under them, and are no less likely the cause.
+func findRivals(cs []candidate) {
+	for _, c := range cs {
+		if !c.e.quarantined && !c.e.suspect || len(c.crashes) == 0 {
+			continue
+		}
+		for _, x := range cs {
+			if x.e != c.e && (c.e.good() || !x.e.good()) && x.crashes.explainAll(c.crashes) {
+				c.e.rivals = append(c.e.rivals, x.e.part)
+			}
+		}
+	}
+}
