Keep parts of prompts that crash engines from them

Nothing at a gateway remembered what ran at an endpoint when it ended, so that each request with the part crashed one more engine, and its repeat another one. Change: the gateways give the table of internal/poison each ended engine with the parts whose answers broke off there, and each complete answer, and exchange its rows: changes at once, the rest with full messages, a new quarantine to all cells. Prompts are decided on before each dispatch: they wait, are refused as crashes-engines with the time of the next trial, or go out as the trial; a request whose part may have crashed its engine is not repeated. A gateway that has just started holds prompts until its seeds have told their parts, 300 ms at most, and one that restarts is told at once.

--- a/internal/gateway/cells.go
+++ b/internal/gateway/cells.go
@@ -119,6 +119,9 @@
 		return
 	}
 	m := c.versionMessage(otherCellAddresses)
+	if c.partsKnown {
+		m.Parts = c.poison.Rows(c.now, maxPartRowsPerMessage)
+	}
 	for range min(count, len(others)) {
 		c.otherCellCursor = (c.otherCellCursor + 1) % len(others)
 		others[c.otherCellCursor].sendPending = true
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/poison"
 	"trefoilpath.org/trefoilpath/internal/route"
 	"trefoilpath.org/trefoilpath/internal/table"
 	"trefoilpath.org/trefoilpath/internal/timer"
@@ -46,6 +47,9 @@
 	counts            Counts
 	candidateBuf      []candidate // reused by candidates
 	plan              planBuffers
+	poison            *poison.Table
+	partsKnown        bool                              // the table poison has been given evidence
+	partIDs           *table.Table[poison.Part, string] // of parts that were logged
 }
 
 // Counts are totals since the start of the process.
@@ -78,6 +82,8 @@
 		timers:          timer.New[timerKey](),
 		ready:           Ready{Reason: "starting"},
 	}
+	c.partIDs = table.New[poison.Part, string]()
+	c.poison = poison.New(poison.Config{Gateway: c.addrHash})
 	c.addSeeds(cfg.Seeds)
 	c.timers.Set(timerKey{kind: timerFullMessage}, 0)
 	c.timers.Set(timerKey{kind: timerProbe}, probeInterval)
@@ -95,6 +101,7 @@
 	c.expire()
 	c.placeWaiting()
 	c.updateReady()
+	c.reportParts()
 	c.flushOutbox()
 	c.requests.Compact()
 	c.peers.Compact()
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -52,6 +52,7 @@
 // answerBroken records that the answer of r's attempt at e has broken off after it had begun.
 // An instance that leaves is expected to end.
 func (c *Core) answerBroken(r *request, e *endpoint) {
+	r.life = lifeOf(instanceOf(&e.registration))
 	if e.engine == nil || e.registration.Leaving || e.announced.leaving {
 		return
 	}
@@ -129,6 +130,7 @@
 			c.eject(e, "ended", 0)
 		}
 	}
+	c.recordCrash(b)
 	c.log(Event{Name: "endpoint-ended", Endpoint: string(b.instance.id), Count: b.attempts,
-		Detail: "addr=" + b.instance.addr + " parts=" + partList(b.parts)})
+		Detail: "addr=" + b.instance.addr + partDetail(b.parts)})
 }
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -19,6 +19,7 @@
 //	silence.go   endpoints that fall silent before or inside an answer
 //	health.go    ejection and return of endpoints
 //	crash.go     engines that end while they answer
+//	poison.go    prompts with parts that crash engines
 //	probe.go     reports of engines on their pace
 //	peers.go     messages to other gateways
 //	receive.go   messages from other gateways, and removal of silent ones
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -12,6 +12,7 @@
 	Waiting   map[string]int // waiting requests by service
 	InFlight  int
 	Gateways  []GatewayDump
+	Parts     []PartDump // of prompts
 }
 
 // EndpointDump is the state of one endpoint.
@@ -57,5 +58,6 @@
 	for p := range c.peers.Values() {
 		d.Gateways = append(d.Gateways, GatewayDump{Addr: p.addr.String(), Known: p.live, Heard: c.now - p.lastSeen, Works: len(p.workItems)})
 	}
+	d.Parts = c.dumpParts()
 	return d
 }
--- a/internal/gateway/invariants.go
+++ b/internal/gateway/invariants.go
@@ -20,3 +20,11 @@
 		}
 	}
 }
+
+// checkPermitted stops the process if r is about to be dispatched though the parts of its prompt
+// don't permit it now.
+func (c *Core) checkPermitted(r *request) {
+	if len(r.parts) > 0 && (r.held || r.screenedAt != c.now) {
+		invariant.Fail("dispatch-only-permitted-parts", "request", r.in.RequestID, "held", r.held, "permitted", r.screenedAt)
+	}
+}
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -258,6 +258,8 @@
 	ReasonBudget      Reason = "retry-budget" // a retry is possible, but the fleet's retry budget is spent
 	ReasonDeadline    Reason = "deadline"
 	ReasonExit        Reason = "exit" // the process is about to exit
+
+	ReasonCrashesEngines Reason = "crashes-engines" // engines crash on a part of the prompt, or may do so
 )
 
 // ToPeer is a message to another gateway.
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -30,7 +30,7 @@
 func (s *service) orderPenalty(r *request) time.Duration {
 	accountWaiting := 0
 	for _, other := range s.waiting {
-		if other.phase == phaseWaiting && other.in.Account == r.in.Account {
+		if other.phase == phaseWaiting && !other.held && other.in.Account == r.in.Account {
 			accountWaiting++
 		}
 	}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -29,15 +29,16 @@
 	e := r.work.answering()
 	c.recordOutcome(r, e, end)
 	detail := "result=" + end.Result.String() + attemptDetail(end)
-	if end.brokeOff() && len(r.in.SharedParts) > 0 {
+	if end.brokeOff() {
 		c.answerBroken(r, e)
-		detail += " parts=" + partList(r.in.SharedParts)
+		detail += partDetail(r.in.SharedParts)
 	}
 	c.logRequest("attempt-ended", r, Event{
 		Endpoint: string(e.registration.ID), Took: c.now - r.work.dispatchedAt, Count: end.Status, Detail: detail,
 	})
 	c.endWork(r)
 	if end.Result == ResultDone {
+		c.recordAnswer(r, end)
 		c.finish(r, VerdictDone, ReasonNone)
 		return
 	}
@@ -62,9 +63,12 @@
 // maxLoggedParts bounds the parts of prompts in a log line.
 const maxLoggedParts = 16
 
-// partList returns IDs of parts of prompts for the log.
-func partList(ids []string) string {
-	return strings.Join(ids[:min(len(ids), maxLoggedParts)], "/")
+// partDetail returns IDs of parts of prompts for the log.
+func partDetail(ids []string) string {
+	if len(ids) == 0 {
+		return ""
+	}
+	return " parts=" + strings.Join(ids[:min(len(ids), maxLoggedParts)], "/")
 }
 
 func attemptDetail(end *AttemptEnded) string {
@@ -108,6 +112,9 @@
 		if end.PartlyDelivered && !end.Resumable {
 			return false, reason
 		}
+		if !c.mayRepeat(r, end) {
+			return false, ReasonCrashesEngines
+		}
 	}
 	if !r.retryTaken && !c.takeRetry(r) {
 		return false, ReasonBudget
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"trefoilpath.org/trefoilpath/internal/poison"
 )
 
 const (
@@ -46,6 +48,7 @@
 	Versions    *Versions        `cbor:"4,keyasint,omitempty"` // only in a full message or one to another cell
 	Known       []netip.AddrPort `cbor:"5,keyasint,omitempty"` // live gateways
 	Paces       []PaceRow        `cbor:"8,keyasint,omitempty"` // only in a full message
+	Parts       []poison.Row     `cbor:"9,keyasint,omitempty"` // of prompts that crash engines; in messages of their own and to other cells
 	Leaving     bool             `cbor:"6,keyasint,omitempty"` // the sender is shutting down
 }
 
@@ -156,6 +159,7 @@
 			Prompt: r.in.PromptTokens, Output: r.in.MaxOutputTokens, OrderPenaltyMS: r.orderPenalty.Milliseconds(),
 		})
 	}
+	c.sendParts(o.fullDue) // before the full message, from which on a new gateway sends prompts on
 	c.sendRows(m, workItems, ended, o.fullDue)
 	o.waiting = o.waiting[:0]
 	o.batchScheduled, o.batchDue, o.fullDue = false, false, false
@@ -208,11 +212,7 @@
 			m.Rows = append(m.Rows, c.row(w))
 		}
 		workItems = workItems[n:]
-		for p := range c.peers.Values() {
-			if p.inCell && (p.live || full || c.cells == 1) {
-				c.emit(Output{ToPeer: &ToPeer{Addr: p.addr, Msg: m}})
-			}
-		}
+		c.sendToCell(m, full)
 		if len(workItems) == 0 && len(ended) == 0 {
 			return
 		}
@@ -221,6 +221,15 @@
 	}
 }
 
+// sendToCell sends m to the live gateways of the cell, and with full to those that may be in it.
+func (c *Core) sendToCell(m *PeerMessage, full bool) {
+	for p := range c.peers.Values() {
+		if p.inCell && (p.live || full || c.cells == 1) {
+			c.emit(Output{ToPeer: &ToPeer{Addr: p.addr, Msg: m}})
+		}
+	}
+}
+
 func (c *Core) row(w *workItem) PeerRow {
 	row := PeerRow{
 		Request: w.key.request, Decoding: w.phase == workDecoding, Prompt: w.prompt, Output: w.output,
@@ -247,7 +256,7 @@
 func (c *Core) ownWaiting() []*request {
 	var out []*request
 	for r := range c.requests.Values() {
-		if r.phase == phaseWaiting && r.divisible {
+		if r.phase == phaseWaiting && r.divisible && !r.held {
 			out = append(out, r)
 		}
 	}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -144,7 +144,7 @@
 	}
 	var out []job
 	for _, r := range s.waiting {
-		if r.divisible && r.phase == phaseWaiting {
+		if r.divisible && r.phase == phaseWaiting && !r.held {
 			out = append(out, c.job(engine, c.orderKey(r), r.due(), r, r.in.PromptTokens, r.in.MaxOutputTokens))
 		}
 	}
--- /dev/null
+++ b/internal/gateway/poison.go
@@ -0,0 +1,293 @@
+package gateway
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"trefoilpath.org/trefoilpath/internal/poison"
+)
+
+const (
+	// maxPartRowsPerMessage bounds the rows of parts in a message, maxFullPartRows those that
+	// are sent with a full message.
+	maxPartRowsPerMessage = 8
+	maxFullPartRows       = 24
+	// maxPartsPerCrash is the number of parts that the table reads at once.
+	maxPartsPerCrash = 64
+	// maxDumpedParts bounds the parts in a dump, maxPartIDs the IDs of parts that are kept for
+	// logs and dumps.
+	maxDumpedParts = 100
+	maxPartIDs     = 256
+	// crashCellFanout is the number of gateways of other cells that are sent the parts with
+	// the next full message after an engine has ended.
+	crashCellFanout = 24
+	// learnTimeout is the time from the start of the process in which prompts wait until the
+	// seeds have told which parts are in quarantine.
+	learnTimeout = 300 * time.Millisecond
+	// turnValidity is how long a request may wait for an engine with the permission to be the
+	// next one with a part under suspicion.
+	turnValidity = time.Second
+)
+
+// A part of a prompt may crash each engine that begins an answer. The package poison finds
+// such parts; here it learns of answers and ended engines, and decides on prompts before they
+// are dispatched.
+
+// suspicion is what is known of a request because of the parts of its prompt.
+type suspicion struct {
+	parts      []poison.Part   // hashes of the IDs of its shared parts; nil: not the prompt of an engine
+	held       bool            // it waits because of a part under suspicion
+	trial      bool            // it is the trial of a part in quarantine and is never repeated
+	turnAt     time.Duration   // when it was permitted as the next one with a part under suspicion
+	screenedAt time.Duration   // when it was last permitted to be dispatched
+	refusal    poison.Decision // why it is refused
+	life       poison.Life     // of the engine at which its last answer broke off
+}
+
+// partHashes returns the hashes of the shared parts of a prompt for an engine.
+func (c *Core) partHashes(a *Arrival) []poison.Part {
+	if len(a.SharedParts) == 0 || c.routing == nil {
+		return nil
+	}
+	if s := c.routing.Service(a.Service); s == nil || s.Engine == nil {
+		return nil
+	}
+	return hashParts(a.SharedParts)
+}
+
+func hashParts(ids []string) []poison.Part {
+	parts := make([]poison.Part, len(ids))
+	for i, id := range ids {
+		parts[i] = poison.Part(xxhash.Sum64String(id))
+	}
+	return parts
+}
+
+// lifeOf returns the hash of an instance that all gateways share.
+func lifeOf(i instance) poison.Life {
+	return poison.Life(rendezvousHash(xxhash.Sum64String(string(i.id)), uint64(i.born)))
+}
+
+// recordCrash records the end of an instance with the parts of the prompts that it answered,
+// and tells the other gateways.
+func (c *Core) recordCrash(b *brokenInstance) {
+	life, parts := lifeOf(b.instance), hashParts(b.parts)
+	c.poison.Crashed(b.brokenAt, life, parts[:min(len(parts), maxPartsPerCrash)])
+	for len(parts) > maxPartsPerCrash {
+		parts = parts[maxPartsPerCrash:]
+		c.poison.Crashed(b.brokenAt, life, parts[:min(len(parts), maxPartsPerCrash)])
+	}
+	c.partsKnown, c.placementDue = true, true
+	c.outbox.batchDue = true
+	c.outbox.otherCellSends = max(c.outbox.otherCellSends, crashCellFanout)
+}
+
+// recordAnswer records a complete answer to r.
+func (c *Core) recordAnswer(r *request, end *AttemptEnded) {
+	if end.Status >= 200 && end.Status < 300 && len(r.parts) > 0 {
+		c.poison.Completed(c.now, r.parts)
+	}
+}
+
+// mergeParts adds what another gateway knows of parts.
+func (c *Core) mergeParts(rows []poison.Row) {
+	if len(rows) > 0 {
+		c.poison.Merge(c.now, rows)
+		c.partsKnown, c.placementDue = true, true
+	}
+}
+
+// screenWaiting decides on the waiting requests of a service by the parts of their prompts.
+func (c *Core) screenWaiting(s *service) {
+	var live []uint64
+	for _, r := range s.waiting {
+		if r.phase != phaseWaiting || len(r.parts) == 0 {
+			continue
+		}
+		if c.partsKnown && live == nil {
+			live = c.liveGateways()
+		}
+		c.screen(r, c.decide(r, live))
+	}
+}
+
+// liveGateways returns the hashes of the live gateways, the own one included.
+func (c *Core) liveGateways() []uint64 {
+	live := []uint64{c.addrHash}
+	for p := range c.peers.Values() {
+		if p.live && !p.leaving {
+			live = append(live, p.addrHash)
+		}
+	}
+	return live
+}
+
+// decide says whether a waiting request may be dispatched.
+func (c *Core) decide(r *request, live []uint64) poison.Decision {
+	if c.learning() {
+		return poison.Decision{Verdict: poison.Held}
+	}
+	if !c.partsKnown || r.trial {
+		return poison.Decision{}
+	}
+	d := c.poison.Decide(c.now, r.parts, live)
+	switch {
+	case d.Verdict == poison.Allowed && d.Part != 0:
+		r.turnAt = c.now
+	case d.Verdict == poison.Held && r.turnAt > 0 && c.now < r.turnAt+turnValidity:
+		d.Verdict = poison.Allowed // its own permission is what the others wait for
+	}
+	return d
+}
+
+// learning reports whether this gateway has just started and may not know yet which parts are
+// in quarantine.
+func (c *Core) learning() bool {
+	if c.now >= learnTimeout {
+		return false
+	}
+	for p := range c.peers.Values() {
+		if p.seed && !p.heardFull {
+			return true
+		}
+	}
+	return false
+}
+
+// screen applies a decision on a waiting request.
+func (c *Core) screen(r *request, d poison.Decision) {
+	switch {
+	case d.Verdict == poison.Refused, d.Verdict == poison.Held && c.now+d.RetryAfter > r.placedBefore():
+		r.refusal = d
+		c.endUnserved(r, ReasonCrashesEngines)
+		return
+	case d.Verdict == poison.Held:
+		c.hold(r)
+		return
+	case d.Verdict == poison.Trial:
+		r.trial = true
+	}
+	r.screenedAt = c.now
+	if r.held {
+		r.held = false
+		if r.divisible {
+			c.announce(r)
+		}
+	}
+}
+
+// hold keeps a waiting request from being dispatched. Other gateways leave it out of their
+// plans.
+func (c *Core) hold(r *request) {
+	if r.held {
+		return
+	}
+	r.held = true
+	if r.divisible {
+		c.outbox.waiting = slices.DeleteFunc(c.outbox.waiting, func(x *request) bool { return x == r })
+		c.outbox.waitEnded(c, r)
+	}
+}
+
+// mayRepeat reports whether the parts of its prompt allow that r is sent to another engine
+// after an attempt that may have run.
+func (c *Core) mayRepeat(r *request, end *AttemptEnded) bool {
+	if r.trial {
+		return false
+	}
+	return !end.brokeOff() || len(r.parts) == 0 || c.poison.MayRepeat(c.now, r.parts, r.life)
+}
+
+// sendParts sends what has changed of parts to the gateways of the cell, and with a full
+// message the most important of what is known.
+func (c *Core) sendParts(full bool) {
+	if !c.partsKnown {
+		return
+	}
+	c.sendPartRows(c.poison.Changed(c.now), full)
+	if full {
+		for rows := range slices.Chunk(c.poison.Rows(c.now, maxFullPartRows), maxPartRowsPerMessage) {
+			c.sendPartRows(rows, true)
+		}
+	}
+}
+
+func (c *Core) sendPartRows(rows []poison.Row, full bool) {
+	if len(rows) > 0 {
+		m := c.message()
+		m.Parts = rows
+		c.sendToCell(m, full)
+	}
+}
+
+// reportParts logs what has happened to parts. A new quarantine is sent to all cells at once.
+func (c *Core) reportParts() {
+	if !c.partsKnown {
+		return
+	}
+	for _, e := range c.poison.Events() {
+		c.log(Event{Name: "prompt-" + string(e.Kind), Count: e.Crashes, Detail: "part=" + c.partName(e.Part) + " trials=" + itoa(e.Trials)})
+		if e.Kind == poison.EventQuarantined {
+			c.outbox.versionsChanged(c)
+		}
+	}
+}
+
+// partName returns the ID of a part if it is known, else its hash.
+func (c *Core) partName(p poison.Part) string {
+	if id := c.partIDs.Get(p); id != nil {
+		return *id
+	}
+	for r := range c.requests.Values() {
+		if i := slices.Index(r.parts, p); i >= 0 {
+			return c.rememberPart(p, r.in.SharedParts[i])
+		}
+	}
+	for b := range c.broken.Values() {
+		if i := slices.Index(hashParts(b.parts), p); i >= 0 {
+			return c.rememberPart(p, b.parts[i])
+		}
+	}
+	return "#" + strconv.FormatUint(uint64(p), 16)
+}
+
+// rememberPart keeps the ID of a part for logs and dumps, and returns it.
+func (c *Core) rememberPart(p poison.Part, id string) string {
+	if c.partIDs.Len() >= maxPartIDs {
+		c.partIDs.Delete(c.partIDs.Keys()[0])
+		c.partIDs.Compact()
+	}
+	c.partIDs.Put(p, id)
+	return id
+}
+
+// PartDump is the state of one part of prompts under suspicion or in quarantine.
+type PartDump struct {
+	Part        string // ID, or a hash after #
+	Quarantined bool
+	Held        bool
+	Crashes     int // of engines, without a complete answer since
+	Events      int // of these, those apart in time
+	LastCrash   time.Duration
+	Trials      int
+	NextTrial   time.Duration // negative once overdue
+	Rivals      []string      // parts without which a prompt is not refused
+}
+
+func (c *Core) dumpParts() []PartDump {
+	var out []PartDump
+	for _, s := range c.poison.Dump(c.now, maxDumpedParts) {
+		d := PartDump{
+			Part: c.partName(s.Part), Quarantined: s.Quarantined, Held: s.Held, Crashes: s.Crashes, Events: s.Events,
+			LastCrash: s.LastCrash, Trials: s.Trials, NextTrial: s.NextTrial,
+		}
+		for _, rival := range s.Rivals {
+			d.Rivals = append(d.Rivals, c.partName(rival))
+		}
+		out = append(out, d)
+	}
+	return out
+}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -93,6 +93,7 @@
 			continue
 		}
 		c.endUnservable(s)
+		c.screenWaiting(s)
 		slices.SortStableFunc(s.waiting, c.byUrgency)
 		s.waiting = slices.DeleteFunc(s.waiting, func(r *request) bool { return c.tryPlace(s, r) })
 		c.placeLong(s)
@@ -138,6 +139,9 @@
 		c.endUnserved(r, ReasonOverload)
 		return true
 	}
+	if r.held {
+		return false
+	}
 	if p, ok := c.choosePlacement(s, r, c.now-r.arrived); ok {
 		c.dispatch(s, r, p)
 		return true
@@ -169,6 +173,7 @@
 			invariant.Fail("dispatch-only-to-accepting", "request", r.in.RequestID, "endpoint", e.registration.ID)
 		}
 	}
+	c.checkPermitted(r)
 	e := p.endpoints[0]
 	w := &workItem{
 		key: workKey{c.cfg.Addr, rowID(r)}, phase: workPrefilling, endpoints: p.endpoints, reserved: p.reserved,
@@ -254,6 +259,9 @@
 	s := c.service(r.in.Service)
 	detail := string(reason) + " prompt=" + itoa(int(r.in.PromptTokens)) + " usable=" + itoa(len(c.usable(s, r))) +
 		" registered=" + itoa(len(s.endpoints)) + " view=" + c.viewAge().Round(time.Millisecond).String()
+	if reason == ReasonCrashesEngines {
+		detail += " part=" + c.partName(r.refusal.Part)
+	}
 	c.logRequest("refuse", r, Event{Detail: detail, Took: retryAfter, Count: len(s.waiting)})
 	c.removeRequest(r)
 }
@@ -261,6 +269,9 @@
 // retryAfter returns when a caller may find free capacity: when the prefills that are
 // queued or waiting now are done, with some jitter by the request's ID.
 func (c *Core) retryAfter(r *request, reason Reason) time.Duration {
+	if reason == ReasonCrashesEngines {
+		return max(r.refusal.RetryAfter, minRetryAfter)
+	}
 	s := c.service(r.in.Service)
 	backlog := time.Duration(0)
 	engines := 0
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -10,7 +10,8 @@
 	p := c.peer(m.From)
 	if p.incarnation != m.Incarnation {
 		c.removePeerWork(p)
-		p.incarnation = m.Incarnation
+		p.incarnation, p.heardFull = m.Incarnation, false
+		c.outbox.peerJoined(c)
 	}
 	if !p.live {
 		p.live, p.sendPending = true, true
@@ -41,6 +42,8 @@
 		}
 	}
 	c.applyPeerPaces(m.Paces)
+	c.mergeParts(m.Parts)
+	p.heardFull = p.heardFull || m.Versions != nil
 	c.comparePeerVersions(p, m)
 }
 
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -95,7 +95,7 @@
 // there is one that accepts requests. It takes the retry from the budget, so that r is certain
 // to get it when the current attempt has ended.
 func (c *Core) takeReplacement(r *request) bool {
-	if !r.in.Route.Idempotent() || !c.hasAlternative(r) {
+	if !r.in.Route.Idempotent() || r.trial || !c.hasAlternative(r) {
 		return false
 	}
 	if !r.sent {
--- a/internal/gateway/sim_test.go
+++ b/internal/gateway/sim_test.go
@@ -201,6 +201,7 @@
 	peerDelay       time.Duration           // of a message between gateways
 	dropMessage     func(from, to int) bool // reports whether a message between two gateways is lost
 	onPeerMessage   func(*PeerMessage)      // called for each message sent
+	onOutput        func(int, Output) bool  // called first for each output; reports whether that is all to be done
 	notifiedOfNewer map[int]bool            // gateways that were notified of a newer version
 	prompts         map[*simJob]int64       // prompt tokens; no test reads it
 	lastID          RequestID
@@ -280,6 +281,7 @@
 func (s *simulation) tick(i int, in ...Input) {
 	for _, out := range slices.Clone(s.cores[i].Tick(s.now, in...)) {
 		switch {
+		case s.onOutput != nil && s.onOutput(i, out):
 		case out.Dispatch != nil:
 			s.dispatch(i, out.Dispatch)
 		case out.Finish != nil:
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -75,6 +75,8 @@
 	divisible        bool              // several engines may prefill its prompt
 	orderPenalty     time.Duration     // added to the due time in the order of waiting requests
 	holdUntil        time.Duration     // no dispatch before, so that other gateways learn that it waits
+
+	suspicion
 }
 
 // workPhase is the state of a request at its engine.
@@ -133,6 +135,7 @@
 	incarnation uint64
 	lastSeen    time.Duration // when its last message was received; 0: never
 	live        bool          // messages arrive from it
+	heardFull   bool          // a full message has arrived from its incarnation
 	leaving     bool          // it is shutting down
 	storeLost   bool          // the store does not answer it
 	addedAt     time.Duration
