Merge crashes of one engine at the earliest time known

Cause: a life's time differed between the parts that ran on it, so that rows of different order left different tables, and times moved when rows were passed on.

--- a/internal/poison/bounds.go
+++ b/internal/poison/bounds.go
@@ -60,9 +60,6 @@
 }
 
 func (t *Table) remove(e *entry) {
-	if e.listed {
-		t.changed = slices.DeleteFunc(t.changed, func(p Part) bool { return p == e.part })
-	}
 	if len(e.crashes) > 1 || e.quarantined {
 		t.dirty = true
 	}
--- a/internal/poison/crashes.go
+++ b/internal/poison/crashes.go
@@ -93,27 +93,6 @@
 	return true
 }
 
-// times returns the times by life.
-func (cs crashes) times() map[Life]time.Duration {
-	times := make(map[Life]time.Duration, len(cs))
-	for _, c := range cs {
-		times[c.life] = c.at
-	}
-	return times
-}
-
-// at returns the crashes at the times of their lives, if these are earlier.
-func (cs crashes) at(times map[Life]time.Duration) crashes {
-	moved := slices.Clone(cs)
-	for i := range moved {
-		if at, ok := times[moved[i].life]; ok {
-			moved[i].at = min(moved[i].at, at)
-		}
-	}
-	slices.SortFunc(moved, compareCrashes)
-	return moved
-}
-
 // explain reports whether a crash is one of cs, or may be one that cs has no room for.
 func (cs crashes) explain(c crash) bool {
 	if len(cs) == partBounds.first+partBounds.last {
@@ -137,9 +116,16 @@
 	})
 }
 
-// between returns the crashes from one time to another, both included.
+// between returns the crashes from one time to another, both included, in place.
 func (cs crashes) between(from, to time.Duration) crashes {
-	return slices.DeleteFunc(slices.Clone(cs), func(c crash) bool { return c.at < from || c.at > to })
+	first, last := 0, len(cs)
+	for first < last && cs[first].at < from {
+		first++
+	}
+	for last > first && cs[last-1].at > to {
+		last--
+	}
+	return cs[first:last:last]
 }
 
 // byEvent iterates over the events: a crash that is at least eventSpacing after the first
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -25,7 +25,7 @@
 	maxPartsRead = 64
 	// evictedAtOnce is the number of parts that leave a full table together, so that the
 	// search for them is shared by as many insertions.
-	evictedAtOnce = maxParts / 8
+	evictedAtOnce = maxParts / 4
 	// crashRetention is how long crashes of parts that are not quarantined are kept.
 	crashRetention = 10 * time.Minute
 	// quarantineRetention is how long a quarantine lasts without a request for the part.
@@ -49,16 +49,17 @@
 // Table holds the crashes of parts and the quarantines of one gateway. It is not safe
 // for concurrent use.
 type Table struct {
-	cfg         Config
-	parts       *table.Table[Part, entry]
-	completions completions
-	lives       crashes       // of engines, whatever ran there
-	dirty       bool          // the evidence has changed since the last evaluation
-	nextSettled time.Duration // when the evaluation changes without new evidence
-	nextExpire  time.Duration
-	changed     []Part // whose rows are to be sent, in order of their change
-	rotation    int    // of the rows that don't fit into a message
-	events      []Event
+	cfg          Config
+	parts        *table.Table[Part, entry]
+	completions  completions
+	lives        crashes       // of engines, whatever ran there
+	dirty        bool          // the evidence has changed since the last evaluation
+	nextSettled  time.Duration // when the evaluation changes without new evidence
+	nextExpire   time.Duration
+	changed      []Part // whose rows are to be sent, in order of their change
+	livesChanged bool   // the row of the engines is to be sent
+	rotation     int    // of the rows that don't fit into a message
+	events       []Event
 }
 
 // entry is what is known of one part.
@@ -95,18 +96,26 @@
 // engines end for other reasons.
 func (t *Table) Crashed(now time.Duration, life Life, parts []Part) {
 	t.expire(now)
-	c := crash{at: now, life: life}
-	t.addLife(c)
+	at := t.lifeEnded(crash{at: now, life: life}, true)
 	for _, p := range read(parts) {
-		if p == 0 {
-			continue
+		if p != 0 {
+			t.addCrash(now, t.entry(now, p), crash{at: at, life: life}, true)
 		}
-		e := t.entry(now, p)
-		if c.at <= e.clearedUntil() || e.crashes.has(life) {
-			continue
-		}
-		e.crashes, _ = e.crashes.add(c, partBounds)
-		t.evidenceChanged(now, e)
+	}
+}
+
+// addCrash adds a crash to those of a part, and lists its row if asked to.
+func (t *Table) addCrash(now time.Duration, e *entry, c crash, list bool) {
+	if c.at <= e.clearedUntil() {
+		return
+	}
+	var added bool
+	if e.crashes, added = e.crashes.add(c, partBounds); !added {
+		return
+	}
+	t.dirty, e.changedAt = true, now
+	if list {
+		t.list(e)
 	}
 }
 
@@ -161,21 +170,40 @@
 
 // list adds the row of e to those of the next small message.
 func (t *Table) list(e *entry) {
-	if !e.listed {
+	if !e.listed && len(t.changed) < maxParts {
 		e.listed = true
 		t.changed = append(t.changed, e.part)
 	}
 }
 
-// addLife records the end of an engine and lists it for the next small message.
-func (t *Table) addLife(c crash) {
-	var added bool
-	if t.lives, added = t.lives.add(c, lifeBounds); added {
-		t.dirty = true
-		if !slices.Contains(t.changed, 0) {
-			t.changed = append(t.changed, 0)
+// lifeEnded records the end of an engine, and lists it for the next small message if asked
+// to. It returns the earliest time known of it, to which it moves the crashes of all parts.
+func (t *Table) lifeEnded(c crash, list bool) time.Duration {
+	i := t.lives.index(c.life)
+	if i >= 0 && t.lives[i].at <= c.at {
+		return t.lives[i].at
+	}
+	t.lives, _ = t.lives.add(c, lifeBounds)
+	t.dirty = true
+	t.livesChanged = t.livesChanged || list
+	if i >= 0 {
+		for e := range t.parts.Values() {
+			e.move(c)
 		}
 	}
+	return c.at
+}
+
+// move changes the time of a crash to an earlier one.
+func (e *entry) move(c crash) {
+	i := e.crashes.index(c.life)
+	if i < 0 || e.crashes[i].at <= c.at {
+		return
+	}
+	e.crashes = slices.Delete(e.crashes, i, i+1)
+	if c.at > e.clearedUntil() {
+		e.crashes, _ = e.crashes.add(c, partBounds)
+	}
 }
 
 // entry returns the entry of a part and creates it on first use.
--- a/internal/poison/rows.go
+++ b/internal/poison/rows.go
@@ -8,7 +8,7 @@
 
 const (
 	// maxChangedRows bounds the rows of a small message.
-	maxChangedRows = 8
+	maxChangedRows = 4
 	// maxAge bounds the ages and pauses that are read from rows.
 	maxAge = 48 * time.Hour
 	// maxTrials bounds the trials that are read from rows.
@@ -25,7 +25,7 @@
 	Quarantined bool       `cbor:"5,keyasint,omitempty"`
 	SinceMS     int64      `cbor:"6,keyasint,omitempty"` // since the crash that led to the quarantine
 	Trials      int        `cbor:"7,keyasint,omitempty"` // started so far
-	NextMS      int64      `cbor:"8,keyasint,omitempty"` // until the next trial; negative once overdue
+	NextMS      int64      `cbor:"8,keyasint,omitempty"` // until the next trial
 	AskedMS     int64      `cbor:"9,keyasint,omitempty"` // since a request for the part last came
 }
 
@@ -41,12 +41,14 @@
 func (t *Table) Changed(now time.Duration) []Row {
 	t.expire(now)
 	t.evaluate(now)
-	n := min(len(t.changed), maxChangedRows)
 	var rows []Row
+	if t.livesChanged {
+		t.livesChanged = false
+		rows = append(rows, t.livesRow(now))
+	}
+	n := min(len(t.changed), maxChangedRows-len(rows))
 	for _, p := range t.changed[:n] {
-		if p == 0 {
-			rows = append(rows, t.livesRow(now))
-		} else if e := t.parts.Get(p); e != nil {
+		if e := t.parts.Get(p); e != nil {
 			e.listed = false
 			rows = append(rows, e.row(now))
 		}
@@ -111,8 +113,8 @@
 	}
 	if q := e.quarantine; e.quarantined {
 		r.Quarantined, r.SinceMS, r.Trials = true, age(now, q.since), q.trials
-		r.NextMS = (q.next - now).Milliseconds()
-		// Rounded up, since the latest time wins and must not grow by being passed on.
+		// Rounded up, so that being passed on doesn't move these times in the direction that wins.
+		r.NextMS = (max(q.next-now, 0) + time.Millisecond - 1).Milliseconds()
 		r.AskedMS = age(now+time.Millisecond-1, q.asked)
 	}
 	return r
@@ -131,55 +133,35 @@
 	return rows
 }
 
-// Merge adds the rows of another gateway. The result doesn't depend on the order of the
-// rows, or on how often they come.
+// Merge adds the rows of another gateway. As long as no more crashes of a part are known
+// than are kept, and all rows agree when its quarantine began, the result doesn't depend on
+// the order of the rows, or on how often they come.
 func (t *Table) Merge(now time.Duration, rows []Row) {
 	t.expire(now)
 	for i := range rows {
-		r := &rows[i]
-		t.mergeLives(now, r)
-		if r.Part != 0 {
-			t.mergeRow(now, r)
-		}
-	}
-}
-
-func (t *Table) mergeLives(now time.Duration, r *Row) {
-	for _, c := range r.Crashes[:min(len(r.Crashes), maxCrashesPerPart)] {
-		if at := timeAgo(now, c.AgeMS); now-at < crashRetention {
-			var added bool
-			t.lives, added = t.lives.add(crash{at: at, life: Life(c.Life)}, lifeBounds)
-			t.dirty = t.dirty || added
-		}
+		t.mergeRow(now, &rows[i])
 	}
 }
 
 func (t *Table) mergeRow(now time.Duration, r *Row) {
-	e := t.parts.Get(Part(r.Part))
-	if e == nil && len(r.Crashes) == 0 && !r.Quarantined {
-		return // a completed answer of a part without crashes
-	}
-	e = t.entry(now, Part(r.Part))
-	if r.Cleared {
-		t.clear(now, e, timeAgo(now, r.ClearedMS))
+	var e *entry
+	if r.Part != 0 {
+		e = t.entry(now, Part(r.Part))
+		if r.Cleared {
+			t.clear(now, e, timeAgo(now, r.ClearedMS))
+		}
+		t.mergeQuarantine(now, e, r)
 	}
-	t.mergeQuarantine(now, e, r)
 	for _, c := range r.Crashes[:min(len(r.Crashes), maxCrashesPerPart)] {
-		at := timeAgo(now, c.AgeMS)
-		if at <= e.clearedUntil() {
-			if e.ownCleared == e.cleared {
-				t.list(e) // the sender hasn't heard of the completed answer
-			}
-			continue
-		}
-		if now-at >= crashRetention && !e.quarantined {
+		sent := timeAgo(now, c.AgeMS)
+		at := t.lifeEnded(crash{at: sent, life: Life(c.Life)}, false)
+		if e == nil || now-sent >= crashRetention && !r.Quarantined {
 			continue
 		}
-		var added bool
-		if e.crashes, added = e.crashes.add(crash{at: at, life: Life(c.Life)}, partBounds); added {
-			e.changedAt = now
-			t.dirty = true
+		if at <= e.clearedUntil() && e.ownCleared == e.cleared {
+			t.list(e) // the sender hasn't heard of the completed answer
 		}
+		t.addCrash(now, e, crash{at: at, life: Life(c.Life)}, false)
 	}
 }
 
--- a/internal/poison/sim_test.go
+++ b/internal/poison/sim_test.go
@@ -90,6 +90,7 @@
 	simEngines  = 18
 	simShared   = 60
 	simLoss     = 0.1
+	simRows     = 4 // in a full message
 )
 
 const (
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -29,7 +29,6 @@
 // candidate is a part that may be guilty.
 type candidate struct {
 	e       *entry
-	crashes crashes // at the earliest times known of the lives
 	settled crashes // those that are older than settleTime
 	events  int     // of these
 }
@@ -56,17 +55,17 @@
 func findSuspects(cs []candidate) (suspects []candidate, known []crashes) {
 	var explaining []crashes
 	for _, c := range cs {
-		remaining := c.crashes.unexplained(explaining)
+		remaining := c.e.crashes.unexplained(explaining)
 		c.settled = c.settled.unexplained(explaining)
 		c.e.suspect = !c.e.quarantined && len(remaining) >= suspectLives
 		if c.e.suspect {
 			suspects = append(suspects, c)
 		}
 		if c.e.quarantined {
-			known = append(known, c.crashes)
+			known = append(known, c.e.crashes)
 		}
 		if len(remaining) > 0 && (c.e.quarantined || c.e.suspect) {
-			explaining = append(explaining, c.crashes)
+			explaining = append(explaining, c.e.crashes)
 		}
 	}
 	return suspects, known
@@ -77,18 +76,16 @@
 // It ends the suspicion of all parts.
 func (t *Table) candidates(now time.Duration) []candidate {
 	var cs []candidate
-	times := t.lives.times()
 	for e := range t.parts.Values() {
 		e.suspect, e.rivals = false, nil
 		if len(e.crashes) < 2 && !e.quarantined {
 			continue
 		}
-		all := e.crashes.at(times)
-		settled := all.between(never, now-settleTime)
-		if len(settled) < len(all) {
-			t.nextSettled = min(t.nextSettled, all[len(settled)].at+settleTime)
+		settled := e.crashes.between(never, now-settleTime)
+		if len(settled) < len(e.crashes) {
+			t.nextSettled = min(t.nextSettled, e.crashes[len(settled)].at+settleTime)
 		}
-		cs = append(cs, candidate{e: e, crashes: all, settled: settled, events: settled.events()})
+		cs = append(cs, candidate{e: e, settled: settled, events: settled.events()})
 	}
 	slices.SortFunc(cs, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(bit(a.e.good()), bit(b.e.good())), cmp.Compare(b.events, a.events), cmp.Compare(len(b.settled), len(a.settled)),
@@ -106,13 +103,13 @@
 		return false
 	}
 	if i := slices.IndexFunc(suspects, func(s candidate) bool { return s.e != c.e }); i >= 0 {
-		known = append(known[:len(known):len(known)], suspects[i].crashes)
+		known = append(known[:len(known):len(known)], suspects[i].e.crashes)
 	}
 	with, without := 0, 0
 	for event := range t.lives.unexplained(known).between(c.settled[0].at-seriesWindow, c.settled.last()).byEvent() {
 		ran := 0
 		for _, x := range event {
-			ran += bit(c.crashes.explain(x))
+			ran += bit(c.e.crashes.explain(x))
 		}
 		if 2*ran > len(event) {
 			with++
@@ -143,11 +140,11 @@
 // the engines that crashed under them, and are no less likely the cause.
 func findRivals(cs []candidate) {
 	for _, c := range cs {
-		if !c.e.quarantined && !c.e.suspect || len(c.crashes) == 0 {
+		if !c.e.quarantined && !c.e.suspect || len(c.e.crashes) == 0 {
 			continue
 		}
 		for _, x := range cs {
-			if x.e != c.e && (c.e.good() || !x.e.good()) && x.crashes.explainAll(c.crashes) {
+			if x.e != c.e && (c.e.good() || !x.e.good()) && x.e.crashes.explainAll(c.e.crashes) {
 				c.e.rivals = append(c.e.rivals, x.e.part)
 			}
 		}
