Check that held prompts block no other, and what a lost failure domain leaves

Cause: the test of a lost failure domain had no evidence at the moment of its check, since answers of the other engines had cleared the parts. Change: all engines that run such prompts end, and the evidence is checked; a test of held prompts.

--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -79,16 +79,25 @@
 		s.prompt(n%3, rare(n)...)
 	}
 	s.run(s.now + 20*time.Millisecond)
-	lost := 0
-	for _, r := range slices.Clone(s.rows[:9]) {
-		e := s.engines[r.ID]
-		lost += len(e.running)
-		s.crash(e)
+	lost, ended := 0, 0
+	for _, r := range slices.Clone(s.rows) {
+		if e := s.engines[r.ID]; len(e.running) > 0 {
+			lost += len(e.running)
+			ended++
+			s.crash(e)
+		}
+	}
+	if lost < 40 || ended < 3 {
+		t.Fatalf("%d answers fell with %d engines, want at least 40 with 3", lost, ended)
 	}
-	if lost < 8 {
-		t.Fatalf("%d answers fell with the domain, want at least 8", lost)
+	s.run(s.now + 5*time.Millisecond)
+	most := 0
+	for _, d := range s.cores[0].Dump().Parts {
+		most = max(most, d.Crashes)
+	}
+	if most < 3 {
+		t.Fatalf("at most %d ended engines are known of a part, want at least 3", most)
 	}
-	s.run(s.now + 50*time.Millisecond)
 	var later []*crashPrompt
 	for n := range 40 {
 		later = append(later, s.prompt(n%3, rare(n)...))
@@ -234,6 +243,51 @@
 	}
 }
 
+// TestHeldPromptBlocksNoOther checks that a prompt that waits because its part is under suspicion
+// is in no plan, delays no other prompt of its account, and goes on once the part is cleared.
+func TestHeldPromptBlocksNoOther(t *testing.T) {
+	c := newTestCore(t, 0, 2)
+	row := poison.Row{Part: uint64(hashParts([]string{"bad"})[0])}
+	for life := range uint64(4) {
+		row.Crashes = append(row.Crashes, poison.CrashRow{Life: life + 1, AgeMS: 100})
+	}
+	c.Tick(time.Second, tellParts(1, row))
+	long := testRoutes()["long"]
+	arrive := func(id RequestID, parts ...string) []Output {
+		return slices.Clone(c.Tick(time.Second, Input{Arrive: &Arrival{
+			ID: id, RequestID: "r", Route: long, Service: engineService, PromptTokens: 100_000, MaxOutputTokens: 500,
+			SharedParts: parts, Deadline: time.Second + long.Timeout,
+		}}))
+	}
+	held := 0
+	for id := RequestID(1); id <= 8; id++ {
+		for _, o := range arrive(id, "bad", "aa") {
+			if o.ToPeer != nil && len(o.ToPeer.Msg.Waiting) > 0 && c.requests.Get(id).held {
+				t.Errorf("prompt %d is announced, want it in no plan", id)
+			}
+		}
+		held += bit(c.requests.Get(id) != nil && c.requests.Get(id).held)
+	}
+	if held < 7 {
+		t.Fatalf("%d of 8 prompts are held, want all but one", held)
+	}
+	s := c.service(engineService)
+	if n := len(c.jobs(s)); n > 1 {
+		t.Errorf("%d prompts are in the plan, want at most the one that is not held", n)
+	}
+	arrive(9, "aa")
+	if r := c.requests.Get(9); r.orderPenalty > 0 {
+		t.Errorf("a sound prompt is ordered %v later, want no penalty for those that are held", r.orderPenalty)
+	}
+	row = poison.Row{Part: row.Part, Cleared: true, Crashes: nil}
+	c.Tick(1010*time.Millisecond, tellParts(1, row))
+	for id := RequestID(1); id <= 8; id++ {
+		if r := c.requests.Get(id); r == nil || r.held {
+			t.Errorf("prompt %d is held or has ended after the part was cleared", id)
+		}
+	}
+}
+
 // TestTrialOfAPartIsNotRepeated checks that one prompt tries a part in quarantine once its pause
 // is over, that it is not repeated, and that others are refused.
 func TestTrialOfAPartIsNotRepeated(t *testing.T) {
