--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -38,7 +38,7 @@
 // enqueue lets r wait for placement in this tick or later, or ends it if no endpoint
 // can ever serve it.
 func (c *Core) enqueue(r *request) {
-	r.phase = phaseWaiting
+	r.phase, r.held = phaseWaiting, false
 	if reason := c.unservable(r); reason != ReasonNone {
 		c.endUnserved(r, reason)
 		return
