--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/poison"
 	"trefoilpath.org/trefoilpath/internal/route"
 	"trefoilpath.org/trefoilpath/internal/table"
 	"trefoilpath.org/trefoilpath/internal/timer"
@@ -22,6 +23,7 @@
 	endpoints       *table.Table[wire.EndpointID, endpoint]
 	endpointsByHash map[uint64]*endpoint // by hash of the ID
 	announcements   *table.Table[instance, announcement]
+	broken          *table.Table[wire.EndpointID, brokenInstance]
 	services        *table.Table[string, service]
 	requests        *table.Table[RequestID, request]
 	peers           *table.Table[netip.AddrPort, peer]
@@ -45,6 +47,9 @@
 	counts            Counts
 	candidateBuf      []candidate // reused by candidates
 	plan              planBuffers
+	poison            *poison.Table
+	partsKnown        bool                              // the table poison has been given evidence
+	partIDs           *table.Table[poison.Part, string] // of parts that were logged
 }
 
 // Counts are totals since the start of the process.
@@ -70,12 +75,15 @@
 		endpoints:       table.New[wire.EndpointID, endpoint](),
 		endpointsByHash: make(map[uint64]*endpoint),
 		announcements:   table.New[instance, announcement](),
+		broken:          table.New[wire.EndpointID, brokenInstance](),
 		services:        table.New[string, service](),
 		requests:        table.New[RequestID, request](),
 		peers:           table.New[netip.AddrPort, peer](),
 		timers:          timer.New[timerKey](),
 		ready:           Ready{Reason: "starting"},
 	}
+	c.partIDs = table.New[poison.Part, string]()
+	c.poison = poison.New(poison.Config{Gateway: c.addrHash})
 	c.addSeeds(cfg.Seeds)
 	c.timers.Set(timerKey{kind: timerFullMessage}, 0)
 	c.timers.Set(timerKey{kind: timerProbe}, probeInterval)
@@ -93,6 +101,7 @@
 	c.expire()
 	c.placeWaiting()
 	c.updateReady()
+	c.reportParts()
 	c.flushOutbox()
 	c.requests.Compact()
 	c.peers.Compact()
@@ -139,6 +148,8 @@
 			c.returnEndpoint(key.endpoint)
 		case timerProbe:
 			c.probe()
+		case timerCheck:
+			c.checkInstance(key.endpoint)
 		case timerSilence:
 			c.checkSilence(key.request)
 		case timerStandby:
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -27,6 +27,8 @@
 		c.endpointAnnounced(in.Announced)
 	case in.Report != nil:
 		c.reportReceived(in.Report)
+	case in.Instance != nil:
+		c.instanceChecked(in.Instance)
 	case in.Config != nil:
 		c.configure(in.Config)
 	case in.Endpoints != nil:
@@ -49,6 +51,7 @@
 func (c *Core) arrive(a *Arrival) {
 	c.counts.Arrived++
 	r := c.requests.Put(a.ID, request{in: *a, arrived: c.now, phase: phaseWaiting})
+	r.parts = c.partHashes(a)
 	s := c.service(a.Service)
 	s.budget.CountRequest(c.now)
 	c.timers.Set(timerKey{kind: timerDeadline, request: a.ID}, a.Deadline)
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -56,6 +56,7 @@
 	Load         *EndpointLoad
 	Announced    *EndpointAnnouncement
 	Report       *EngineReport
+	Instance     *InstanceState
 	Config       *route.Table
 	Endpoints    *Endpoints
 	Peer         *PeerMessage
@@ -75,6 +76,7 @@
 	Priority        int           // from the account, else from the route; 0 is the most urgent
 	PromptTokens    int64         // prompt tokens
 	MaxOutputTokens int64         // maximum number of output tokens
+	SharedParts     []string      // IDs of the parts of the prompt that other prompts may have too
 	Deadline        time.Duration // when the caller or the route's timeout ends the wait
 }
 
@@ -187,6 +189,7 @@
 	Finish   *Finish
 	Cancel   *Cancel
 	Probe    *Probe
+	Check    *InstanceCheck
 	ToPeer   *ToPeer
 	Newer    *PeerHasNewer
 	Ready    *Ready
@@ -266,6 +269,8 @@
 	ReasonBudget      Reason = "retry-budget" // a retry is possible, but the fleet's retry budget is spent
 	ReasonDeadline    Reason = "deadline"
 	ReasonExit        Reason = "exit" // the process is about to exit
+
+	ReasonCrashesEngines Reason = "crashes-engines" // engines crash on a part of the prompt, or may do so
 )
 
 // ToPeer is a message to another gateway.
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -31,12 +32,17 @@
 	c.timers.Stop(timerKey{kind: timerSilence, request: r.in.ID})
 	e := r.work.answering()
 	c.recordOutcome(r, r.work, r.sent, end)
+	detail := "result=" + end.Result.String() + attemptDetail(end)
+	if end.brokeOff() {
+		c.answerBroken(r, e)
+		detail += partDetail(r.in.SharedParts)
+	}
 	c.logRequest("attempt-ended", r, Event{
-		Endpoint: string(e.registration.ID), Took: c.now - r.work.dispatchedAt, Count: end.Status,
-		Detail: "result=" + end.Result.String() + attemptDetail(end),
+		Endpoint: string(e.registration.ID), Took: c.now - r.work.dispatchedAt, Count: end.Status, Detail: detail,
 	})
 	c.endWork(r)
 	if end.Result == ResultDone {
+		c.recordAnswer(r, end)
 		c.finish(r, VerdictDone, ReasonNone)
 		return
 	}
@@ -59,6 +65,22 @@
 	c.enqueue(r)
 }
 
+// brokeOff reports whether a successful answer had begun and was lost with its connection.
+func (end *AttemptEnded) brokeOff() bool {
+	return end.Result == ResultBroken && end.Status >= 200 && end.Status < 300
+}
+
+// maxLoggedParts bounds the parts of prompts in a log line.
+const maxLoggedParts = 16
+
+// partDetail returns IDs of parts of prompts for the log.
+func partDetail(ids []string) string {
+	if len(ids) == 0 {
+		return ""
+	}
+	return " parts=" + strings.Join(ids[:min(len(ids), maxLoggedParts)], "/")
+}
+
 func attemptDetail(end *AttemptEnded) string {
 	detail := ""
 	if end.LongestGap > 0 {
@@ -100,6 +122,9 @@
 		if end.PartlyDelivered && !end.Resumable {
 			return false, reason
 		}
+		if !c.mayRepeat(r, end) {
+			return false, ReasonCrashesEngines
+		}
 	}
 	r.retryTaken = r.retryTaken || c.takeRetry(r)
 	if !r.retryTaken {
--- a/internal/gateway/shell/callendpoint.go
+++ b/internal/gateway/shell/callendpoint.go
@@ -27,8 +27,12 @@
 }
 
 // statusError is the error of callEndpoint for a response with another status than 200.
-type statusError struct{ code int }
+type statusError struct {
+	code          int
+	otherInstance bool // another instance than the expected one responded
+}
 
+// Error implements error.
 func (e *statusError) Error() string { return "status " + strconv.Itoa(e.code) }
 
 // callEndpoint sends a request once, bounded by orderTimeout, and returns the
@@ -60,7 +64,7 @@
 		return nil, errors.Errorf("answer is larger than %d bytes", maxEndpointResponseBytes)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, &statusError{resp.StatusCode}
+		return nil, &statusError{code: resp.StatusCode, otherInstance: a.OtherEndpoint}
 	}
 	return body, nil
 }
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -139,7 +139,7 @@
 // there is one that accepts requests. It takes the retry from the budget, so that r is certain
 // to get it.
 func (c *Core) takeReplacement(r *request) bool {
-	if !r.in.Route.Idempotent() || !c.hasAlternative(r) {
+	if !r.in.Route.Idempotent() || r.trial || !c.hasAlternative(r) {
 		return false
 	}
 	if !r.sent {
@@ -253,12 +253,17 @@
 func (c *Core) standbyEnded(r *request, end *AttemptEnded) {
 	w := r.standby.work
 	c.recordOutcome(r, w, true, end)
+	detail := "standby result=" + end.Result.String() + attemptDetail(end)
+	if end.brokeOff() {
+		c.answerBroken(r, w.answering())
+		detail += partDetail(r.in.SharedParts)
+	}
 	c.logRequest("attempt-ended", r, Event{
-		Endpoint: string(w.answering().registration.ID), Took: c.now - w.dispatchedAt, Count: end.Status,
-		Detail: "standby result=" + end.Result.String() + attemptDetail(end),
+		Endpoint: string(w.answering().registration.ID), Took: c.now - w.dispatchedAt, Count: end.Status, Detail: detail,
 	})
 	c.removeStandby(r)
 	if end.Result == ResultDone {
+		c.recordAnswer(r, end)
 		c.finish(r, VerdictDone, ReasonNone)
 		return
 	}
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -80,6 +80,8 @@
 	divisible        bool              // several engines may prefill its prompt
 	orderPenalty     time.Duration     // added to the due time in the order of waiting requests
 	holdUntil        time.Duration     // no dispatch before, so that other gateways learn that it waits
+
+	suspicion
 }
 
 // workPhase is the state of a request at its engine.
@@ -138,6 +140,7 @@
 	incarnation uint64
 	lastSeen    time.Duration // when its last message was received; 0: never
 	live        bool          // messages arrive from it
+	heardFull   bool          // a full message has arrived from its incarnation
 	leaving     bool          // it is shutting down
 	storeLost   bool          // the store does not answer it
 	addedAt     time.Duration
@@ -169,6 +172,7 @@
 	timerReturn      timerKind = 5
 	timerSilence     timerKind = 6
 	timerProbe       timerKind = 7
+	timerCheck       timerKind = 8
 	timerStandby     timerKind = 9
 )
 
