Hold suspects apart and bound the evaluation

Evaluating a full table took 75 ms. Of two guilty parts, one that the other explained was not held.

Change: sending only in the first half of a turn, at most 128 parts compared, explained parts held unless they have proved good, two more events for parts that have.

--- a/internal/poison/completions.go
+++ b/internal/poison/completions.go
@@ -5,6 +5,8 @@
 const (
 	// goodFor is how long after a completed answer a part is an unlikely cause of crashes.
 	goodFor = time.Minute
+	// goodWithout is how long such a part may go on without another completed answer.
+	goodWithout = 6 * time.Second
 	// maxCompletions bounds the parts in each generation of completions.
 	maxCompletions = 4096
 )
--- a/internal/poison/decide.go
+++ b/internal/poison/decide.go
@@ -11,8 +11,10 @@
 
 const (
 	// turn is the time for which one gateway at a time may send a request with a held
-	// part. A crash under it is known at all gateways before the next turn begins.
-	turn = time.Second
+	// part, but in its last turnGuard: a crash under the request is known at all gateways
+	// before the next turn begins.
+	turn      = time.Second
+	turnGuard = 500 * time.Millisecond
 	// heldPause is the time after a crash in which no request with the held part is sent: a
 	// verdict may follow once the crash has settled.
 	heldPause = settleTime + 100*time.Millisecond
@@ -124,7 +126,7 @@
 	switch {
 	case now < start:
 		return Decision{Verdict: Held, RetryAfter: start - now, Part: e.part}
-	case now >= start+turn || e.lastSent >= start:
+	case now >= start+turn-turnGuard || e.lastSent >= start:
 		return Decision{Verdict: Held, RetryAfter: start + n*turn - now, Part: e.part}
 	}
 	e.lastSent = now
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -157,9 +157,13 @@
 	return e.cleared + clockSlack
 }
 
-// good reports whether an answer with the part was completed shortly before its first crash.
-func (e *entry) good() bool {
-	return e.cleared != never && len(e.crashes) > 0 && e.crashes[0].at-e.cleared < goodFor
+// goodUntil returns the time until which the part is an unlikely cause of its crashes,
+// since an answer with it was completed shortly before the first one.
+func (e *entry) goodUntil() time.Duration {
+	if e.cleared == never || len(e.crashes) == 0 || e.crashes[0].at-e.cleared >= goodFor {
+		return never
+	}
+	return e.crashes[0].at + goodWithout
 }
 
 func (t *Table) evidenceChanged(now time.Duration, e *entry) {
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -12,11 +12,17 @@
 	// maxGuiltyEvents.
 	guiltyEvents    = 3
 	maxGuiltyEvents = 8
+	// goodEvents is the number of further events for a part with a completed answer shortly
+	// before: a part of many requests may run on several engines that crash by chance.
+	goodEvents = 2
 	// seriesWindow is the time before a part's first crash in which other events count.
 	seriesWindow = 10 * time.Second
 	// suspectLives is the number of lives from which a part is held until it is known
 	// whether it is guilty.
 	suspectLives = 3
+	// maxCandidates bounds the parts that are compared with one another. Parts in quarantine
+	// beyond it keep their rivals.
+	maxCandidates = 128
 	// settleTime is the age from which a crash counts for a verdict: all gateways have
 	// heard by then what else ran there.
 	settleTime = 500 * time.Millisecond
@@ -31,6 +37,7 @@
 	e       *entry
 	settled crashes // those that are older than settleTime
 	events  int     // of these
+	good    bool    // an unlikely cause
 }
 
 // evaluate finds the guilty and the held parts, if the evidence has changed or settled.
@@ -49,22 +56,25 @@
 	findRivals(cs)
 }
 
-// findSuspects marks as held those candidates that have enough crashes which no earlier
-// quarantined or held part explains. It returns them, and the crashes of the parts in
-// quarantine.
+// findSuspects marks the held parts. It returns those with enough crashes that no part
+// before them explains, and the crashes of the parts in quarantine.
 func findSuspects(cs []candidate) (suspects []candidate, known []crashes) {
 	var explaining []crashes
 	for _, c := range cs {
 		remaining := c.e.crashes.unexplained(explaining)
 		c.settled = c.settled.unexplained(explaining)
-		c.e.suspect = !c.e.quarantined && len(remaining) >= suspectLives
-		if c.e.suspect {
-			suspects = append(suspects, c)
-		}
-		if c.e.quarantined {
+		switch {
+		case c.e.quarantined:
 			known = append(known, c.e.crashes)
+		case len(remaining) >= suspectLives:
+			c.e.suspect = true
+			suspects = append(suspects, c)
+		default:
+			// Other suspects may explain it by chance, unless it has proved good.
+			c.e.suspect = len(c.e.crashes) >= suspectLives && !c.good
+			continue
 		}
-		if len(remaining) > 0 && (c.e.quarantined || c.e.suspect) {
+		if len(remaining) > 0 {
 			explaining = append(explaining, c.e.crashes)
 		}
 	}
@@ -77,7 +87,7 @@
 func (t *Table) candidates(now time.Duration) []candidate {
 	var cs []candidate
 	for e := range t.parts.Values() {
-		e.suspect, e.rivals = false, nil
+		e.suspect = false
 		if len(e.crashes) < 2 && !e.quarantined {
 			continue
 		}
@@ -85,13 +95,17 @@
 		if len(settled) < len(e.crashes) {
 			t.nextSettled = min(t.nextSettled, e.crashes[len(settled)].at+settleTime)
 		}
-		cs = append(cs, candidate{e: e, settled: settled, events: settled.events()})
+		good := now < e.goodUntil()
+		if good {
+			t.nextSettled = min(t.nextSettled, e.goodUntil())
+		}
+		cs = append(cs, candidate{e: e, settled: settled, events: settled.events(), good: good})
 	}
 	slices.SortFunc(cs, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(bit(a.e.good()), bit(b.e.good())), cmp.Compare(b.events, a.events), cmp.Compare(len(b.settled), len(a.settled)),
+		return cmp.Or(cmp.Compare(bit(a.good), bit(b.good)), cmp.Compare(b.events, a.events), cmp.Compare(len(b.settled), len(a.settled)),
 			cmp.Compare(len(b.e.crashes), len(a.e.crashes)), cmp.Compare(a.e.part, b.e.part))
 	})
-	return cs
+	return cs[:min(len(cs), maxCandidates)]
 }
 
 // guilty reports whether the crashes of a suspect are no coincidence. They are compared
@@ -99,7 +113,8 @@
 // quarantine and under the first other suspect: the more events there are without the
 // part, or in which at most half of the engines ran it, the more must be with it.
 func (t *Table) guilty(c candidate, suspects []candidate, known []crashes) bool {
-	if c.settled.events() < guiltyEvents {
+	required := guiltyEvents + bit(c.good)*goodEvents
+	if c.settled.events() < required {
 		return false
 	}
 	if i := slices.IndexFunc(suspects, func(s candidate) bool { return s.e != c.e }); i >= 0 {
@@ -117,7 +132,7 @@
 			without++
 		}
 	}
-	return with >= min(guiltyEvents+max(without-1, 0), maxGuiltyEvents)
+	return with >= min(required+max(without-1, 0), maxGuiltyEvents)
 }
 
 func bit(b bool) int {
@@ -140,11 +155,12 @@
 // the engines that crashed under them, and are no less likely the cause.
 func findRivals(cs []candidate) {
 	for _, c := range cs {
+		c.e.rivals = nil
 		if !c.e.quarantined && !c.e.suspect || len(c.e.crashes) == 0 {
 			continue
 		}
 		for _, x := range cs {
-			if x.e != c.e && (c.e.good() || !x.e.good()) && x.e.crashes.explainAll(c.e.crashes) {
+			if x.e != c.e && (c.good || !x.good) && x.e.crashes.explainAll(c.e.crashes) {
 				c.e.rivals = append(c.e.rivals, x.e.part)
 			}
 		}
