Count each unrelated crash against a verdict

Cause: a rare part on three engines in a row of a rolling series was condemned, since one event without the part was left out of the count.

Change: each counts. TestOwnRowsComeBack records one crash more, since the cleared one is now an event without the part.

--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -8,7 +8,7 @@
 
 const (
 	// guiltyEvents is the number of events that make a part guilty when the engines that
-	// crashed meanwhile ran it. Each other event but one needs one more, up to
+	// crashed meanwhile ran it. Each other event needs one more, up to
 	// maxGuiltyEvents.
 	guiltyEvents    = 3
 	maxGuiltyEvents = 8
@@ -132,7 +132,7 @@
 			without++
 		}
 	}
-	return with >= min(required+max(without-1, 0), maxGuiltyEvents)
+	return with >= min(required+without, maxGuiltyEvents)
 }
 
 func bit(b bool) int {
