Count prompts that reach engines late by crashing part

Cause: the rule bounds the requests with one part by the fifth crash under that part. Change: arrivals and crashes are kept by part, each part has its own fifth crash, and the most of any part is compared with the same bound of 3.

--- a/internal/gateway/crashsim_test.go
+++ b/internal/gateway/crashsim_test.go
@@ -20,9 +20,13 @@
 	starts   int             // of engines
 	arrivals []time.Duration // at engines, of prompts that crash them
 	crashes  []time.Duration // under such prompts
-	events   []Event         // of all gateways, in order
+	byPart   map[string]*partHistory
+	events   []Event // of all gateways, in order
 }
 
+// partHistory is when prompts with a crashing part reached engines and crashed them.
+type partHistory struct{ arrivals, crashes []time.Duration }
+
 // crashEngine is one life of an engine.
 type crashEngine struct {
 	registration Registration
@@ -58,6 +62,7 @@
 	s := &crashSim{
 		simulation: newSimulationWith(t, gateways, engines),
 		crashOn:    make(map[string]bool), engines: make(map[wire.EndpointID]*crashEngine), prompts: make(map[RequestID]*crashPrompt),
+		byPart: make(map[string]*partHistory),
 	}
 	for _, p := range crashOn {
 		s.crashOn[p] = true
@@ -114,6 +119,9 @@
 	crashing := slices.ContainsFunc(p.parts, func(part string) bool { return s.crashOn[part] })
 	if crashing {
 		s.arrivals = append(s.arrivals, s.now)
+		for _, h := range s.histories(p) {
+			h.arrivals = append(h.arrivals, s.now)
+		}
 	}
 	s.tick(gateway, Input{Sent: &Sent{ID: d.ID, Attempt: d.Attempt}})
 	run := crashRun{gateway, d}
@@ -128,6 +136,9 @@
 			s.schedule(crashSimCrash, func() {
 				if !e.down {
 					s.crashes = append(s.crashes, s.now)
+					for _, h := range s.histories(p) {
+						h.crashes = append(h.crashes, s.now)
+					}
 				}
 				s.crash(e)
 			})
@@ -176,22 +187,41 @@
 	s.tick(gateway, Input{Instance: &InstanceState{Endpoint: c.Endpoint, Addr: c.Addr, Runs: !e.down, Ended: e.down}})
 }
 
-// arrivalsAfter returns how many prompts that crash engines reached one after a time.
-func (s *crashSim) arrivalsAfter(at time.Duration) int {
-	n := 0
-	for _, a := range s.arrivals {
-		n += bit(a > at)
+// histories returns those of the crashing parts of a prompt.
+func (s *crashSim) histories(p *crashPrompt) []*partHistory {
+	var out []*partHistory
+	for _, part := range p.parts {
+		if !s.crashOn[part] {
+			continue
+		}
+		if s.byPart[part] == nil {
+			s.byPart[part] = new(partHistory)
+		}
+		out = append(out, s.byPart[part])
 	}
-	return n
+	return out
 }
 
-// lateArrivals returns how many prompts that crash engines reached one later than three seconds
-// after the fifth crash under them, or after the last if there were fewer.
+// lateArrivals returns how many prompts with one crashing part reached an engine later than
+// three seconds after the fifth crash under it, or after the last if there were fewer: the most
+// of any part.
 func (s *crashSim) lateArrivals() int {
 	if len(s.crashes) == 0 {
 		s.t.Fatal("no engine has crashed")
 	}
-	return s.arrivalsAfter(s.crashes[min(len(s.crashes), 5)-1] + 3*time.Second)
+	most := 0
+	for _, h := range s.byPart {
+		if len(h.crashes) == 0 {
+			continue
+		}
+		from := h.crashes[min(len(h.crashes), 5)-1] + 3*time.Second
+		n := 0
+		for _, at := range h.arrivals {
+			n += bit(at > from)
+		}
+		most = max(most, n)
+	}
+	return most
 }
 
 // quarantined returns the parts that a gateway has in quarantine.
