--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -26,15 +26,17 @@
 
 // trackedConn is a server's connection that can be closed without losing a request. A server
 // that is blocked in Read and has not reported the connection as active lacks at least a part
-// of a request's head. A close at that moment makes this Read fail, also if it has just
-// received the missing part: the server never sees a request whose connection is closed.
+// of a request's head. Its Read is then made to time out, and closes the connection if it has
+// received nothing.
 type trackedConn struct {
 	*net.TCPConn
-	mu      sync.Mutex
-	waits   bool     // new or idle: no request's head has been read
-	wait    connWait // if waits
-	reading bool     // the server is in Read
-	ended   bool     // closed by end
+	mu       sync.Mutex
+	waits    bool      // new or idle: no request's head has been read
+	wait     connWait  // if waits
+	reading  bool      // the server is in Read
+	ending   bool      // to be closed by Read, unless it has received something
+	ended    bool      // closed by Read
+	deadline time.Time // of reads, as the server has set it
 }
 
 // connWait describes a connection that waits for a request.
@@ -43,7 +45,7 @@
 	idle  bool      // it has carried a request before, and no byte of the next one has been read
 }
 
-// Read implements net.Conn. After end it returns no data.
+// Read implements net.Conn. After the tracker has closed the connection it returns no data.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	if !c.startRead() {
 		return 0, net.ErrClosed
@@ -62,15 +64,43 @@
 	return !c.ended
 }
 
-// finishRead records that n bytes were read, and reports whether the server may have them.
+// finishRead records that n bytes were read, and reports whether the connection stays open.
 func (c *trackedConn) finishRead(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
+	if c.ending && n == 0 {
+		c.ended = true
+		_ = c.TCPConn.Close() // the connection is dropped either way
+		return false
+	}
+	if c.ending {
+		c.ending = false
+		_ = c.TCPConn.SetReadDeadline(c.deadline) // fails only on a closed connection, as does the next read
+	}
 	if n > 0 && c.waits && c.wait.idle {
 		c.wait = connWait{since: time.Now()}
 	}
-	return !c.ended
+	return true
+}
+
+// SetDeadline implements net.Conn.
+func (c *trackedConn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.ending {
+		return nil
+	}
+	return c.TCPConn.SetReadDeadline(t)
 }
 
 // onStateChange records a state that an http.Server has reported.
@@ -81,15 +111,18 @@
 	c.wait = connWait{since: time.Now(), idle: s == http.StateIdle}
 }
 
-// end closes the connection if it waits for a request, the wait meets a condition and nothing
-// has arrived that was not read, and reports whether it did.
+// pastDeadline is a deadline that has passed.
+var pastDeadline = time.Unix(1, 0)
+
+// end lets the server's Read close the connection if it waits for a request, the wait meets a
+// condition and nothing has arrived, and reports whether it does. The connection stays open if
+// something has been read at the same moment.
 func (c *trackedConn) end(condition func(connWait) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || !c.waits || !c.reading || !condition(c.wait) || !OpenAndSilent(c.TCPConn) {
+	if c.ended || c.ending || !c.waits || !c.reading || !condition(c.wait) || !OpenAndSilent(c.TCPConn) {
 		return false
 	}
-	c.ended = true
-	_ = c.TCPConn.Close() // the connection is dropped either way
-	return true
+	c.ending = c.TCPConn.SetReadDeadline(pastDeadline) == nil // else it is closed already
+	return c.ending
 }
