Say in comments what the bounds of a silence are for

Cause: the comments on the bounds of a silence and of ejections were those of before. Measured: go build and the tests of silence pass.

--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -150,7 +150,7 @@
 }
 
 // canEject reports whether another endpoint of s may be ejected because of its failure
-// ratio: such ejections leave half of a service in use.
+// ratio or its silence: such ejections leave half of a service in use.
 func (c *Core) canEject(s *service) bool {
 	ejected := 0
 	for _, e := range s.endpoints {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// minSilenceTimeout and maxSilenceTimeout bound how long a stream is silent until another
-	// engine is tried. A sound engine may be silent for a second or so.
+	// minSilenceTimeout and maxSilenceTimeout bound how long a stream is silent between two
+	// events until another engine is tried. Before the first event, minSilenceTimeout is added
+	// to twice the predicted time. A sound engine may be silent for a second or so.
 	minSilenceTimeout = 1200 * time.Millisecond
 	maxSilenceTimeout = 2500 * time.Millisecond
 	// maxReservedSilence is the longest silence while other engines hold memory for the
@@ -50,8 +51,8 @@
 	Attempt int
 }
 
-// silenceTimeout returns how long the endpoint may take to begin its answer, or 0 for no
-// limit. Only a request that may be retried is cancelled before its deadline.
+// silenceTimeout returns how long the endpoint may take to begin its answer until another one
+// is tried, or 0 if none may be.
 func (c *Core) silenceTimeout(r *request, p placement) time.Duration {
 	if !r.in.Route.Idempotent() || r.sends+1 >= r.in.Route.MaxAttempts {
 		return 0
