Entry: give up a silent attempt only for another that is certain to follow

Cause: startOverdue, reportOverdue and a stream that was down for StreamGrace detached the attempt first, and retryLater asked the retry budget afterwards, without asking whether another endpoint was there. With the budget spent, the caller got "unknown endpoint_lost" while the agent went on. Change: an orphaned attempt of a request that may be repeated stays while its agent is only silent, until another usable endpoint is there and its retry is taken from the budget. One whose agent has restarted or come back without it is given up as before.

--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -67,13 +67,13 @@
 	c.eachAttemptAt(e.id, func(a *attempt) {
 		switch {
 		case slices.Contains(e.hello.RunningAttempts, a.id):
-			a.orphaned = false
+			a.orphaned, a.disowned = false, false
 			c.timers.Stop(timerKey{kind: timerOrphan, id: a.id.Sequence})
 		case restarted:
-			a.orphaned = true
+			a.orphaned, a.disowned = true, true
 			c.timers.Set(timerKey{kind: timerOrphan, id: a.id.Sequence}, c.now)
 		default:
-			a.orphaned = true
+			a.orphaned, a.disowned = true, true
 			c.timers.Set(timerKey{kind: timerOrphan, id: a.id.Sequence}, c.now+c.cfg.StreamGrace)
 		}
 	})
@@ -114,7 +114,7 @@
 	c.timers.Set(timerKey{kind: timerReport, endpoint: e.id}, c.now+c.reportTimeout)
 }
 
-// reportOverdue gives up the attempts at an endpoint whose agent has stopped
+// reportOverdue takes the attempts at an endpoint for silent whose agent has stopped
 // reporting although its stream has not failed, as when its VM has vanished.
 func (c *Core) reportOverdue(e *endpoint) {
 	if e == nil || !e.up {
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -214,16 +214,21 @@
 
 // retryLater starts another attempt after a pause, within the retry budget.
 func (c *Core) retryLater(r *request, f failure) {
-	if r.attempts >= maxAttempts || !c.retryBudget.take() {
+	if !r.retryTaken && (r.attempts >= maxAttempts || !c.retryBudget.take()) {
 		f.retryAfter = minRefusalRetry
 		c.fail(r, f)
 		return
 	}
+	r.retryTaken = false
 	c.counts.Retried++
 	c.log(Event{Kind: EventRetried, Request: r.in.ExternalID, Account: r.in.Account, Code: f.code, Detail: f.detail})
 	r.failure = f
-	backoff := min(retryBackoff<<min(r.attempts, maxBackoffShift), maxRetryBackoff)
-	c.pauseThenRoute(r, c.jitter(backoff))
+	c.pauseThenRoute(r, c.jitter(r.retryPause()))
+}
+
+// retryPause returns the mean pause before the next retry.
+func (r *request) retryPause() time.Duration {
+	return min(retryBackoff<<min(r.attempts, maxBackoffShift), maxRetryBackoff)
 }
 
 // streamBroken cancels an attempt whose frames have a gap, a wrong digest or a
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -40,6 +40,7 @@
 	currentAttempt uint64         // sequence of the current attempt, or 0
 	attempts       int            // sent so far
 	refusals       int            // by agents
+	retryTaken     bool           // its next retry is taken from the budget already
 	limitsCharged  bool           // charged to its client account's limits
 	inWaitingList  bool           // of its model or service
 	mayHaveRun     bool           // an attempt has started or ended without proof that it has not run, or an earlier call with its key may have run; see unresolved
@@ -90,6 +91,7 @@
 	started        bool
 	cancelSent     bool
 	orphaned       bool // its agent's stream is lost or its reports are overdue, the agent came back without it, or it did not start in time
+	disowned       bool // its agent has restarted or has come back without it
 	abandoned      bool // its request no longer waits for it
 	sliceIndex     int  // of its group; -1: not in a group; or reservationSlice
 	band           wire.Band
--- a/internal/entry/timers.go
+++ b/internal/entry/timers.go
@@ -85,6 +85,7 @@
 }
 
 // orphanTimeout handles an orphaned attempt. A lost reservation fails its group.
+// An attempt that goes on, see mayGoOn, stays.
 // A connected agent is sent a Cancel; a call that must not run twice then waits
 // up to StreamGrace for the agent's answer. Otherwise the attempt counts as
 // lost, see attemptLost.
@@ -98,6 +99,9 @@
 	}
 	r := c.requests.Get(a.request)
 	e := c.endpoints.Get(a.endpoint)
+	if r != nil && c.mayGoOn(r, a, e) {
+		return
+	}
 	if r != nil && !r.repeatable && e != nil && e.up && !a.cancelSent {
 		r.failure = failure{code: CodeOutcomeUnknown, detail: "connection to the endpoint was lost"}
 		r.phase = phaseSettling
@@ -111,7 +115,7 @@
 	c.attemptLost(a, failure{code: CodeEndpointLost, detail: "connection to the endpoint was lost"})
 }
 
-// startOverdue gives up an attempt that its agent should have started or
+// startOverdue takes an attempt for silent that its agent should have started or
 // refused by now, but about which it has sent nothing.
 func (c *Core) startOverdue(a *attempt) {
 	if a == nil || a.started || a.cancelSent || a.orphaned {
