Log the request rates that endpoints ask for

Change: the adapter reads the header, and the core keeps what each instance has said last, whatever order the answers come in (internal/endpointlimit). endpoint-limit is logged on a change; dispatch and the dump show the limit. No decision uses it yet. Measured: unit tests of the order of answers; the tests of both packages pass.

--- a/internal/gateway/announcement.go
+++ b/internal/gateway/announcement.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/endpointlimit"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -37,6 +38,7 @@
 	instance     instance
 	leaving      bool
 	backoffUntil time.Duration
+	limit        endpointlimit.Belief
 	keptUntil    time.Duration
 }
 
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -24,7 +24,8 @@
 	Works        int           // attempts of all gateways that run there
 	Queue        time.Duration // prefill time that is queued
 	Streams      int
-	Memory       int64 // tokens in use
+	Memory       int64   // tokens in use
+	Limit        float64 // requests a second that it accepts from all gateways together; 0: none
 }
 
 // GatewayDump is the state of another gateway.
@@ -44,7 +45,7 @@
 	for e := range c.endpoints.Values() {
 		row := EndpointDump{
 			Registration: e.registration, Gone: e.unregistered, Slow: e.observedPace, Works: len(e.workItems),
-			Ejected: max(e.health.ejectedUntil-c.now, 0),
+			Ejected: max(e.health.ejectedUntil-c.now, 0), Limit: e.announced.limit.Limit(),
 		}
 		if e.engine != nil {
 			o := c.occupancy(e)
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -25,6 +25,8 @@
 		c.loadReported(in.Load)
 	case in.Announced != nil:
 		c.endpointAnnounced(in.Announced)
+	case in.Limit != nil:
+		c.limitStated(in.Limit)
 	case in.Report != nil:
 		c.reportReceived(in.Report)
 	case in.Instance != nil:
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -55,6 +55,7 @@
 	Ended        *AttemptEnded
 	Load         *EndpointLoad
 	Announced    *EndpointAnnouncement
+	Limit        *EndpointLimit
 	Report       *EngineReport
 	Instance     *InstanceState
 	Config       *route.Table
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -221,11 +221,15 @@
 
 // dispatchDetail returns the values that decided the placement, for the log.
 func (c *Core) dispatchDetail(r *request, e *endpoint, p placement) string {
+	var b strings.Builder
+	if limit := e.announced.limit.Limit(); limit > 0 {
+		b.WriteString("limit=" + formatLimit(limit) + " ")
+	}
 	if e.engine == nil {
-		return "in-flight=" + itoa(len(e.workItems))
+		b.WriteString("in-flight=" + itoa(len(e.workItems)))
+		return b.String()
 	}
 	o := c.occupancy(e)
-	var b strings.Builder
 	b.WriteString("prompt=" + itoa(int(r.in.PromptTokens)) + " part=" + p.partTime.Round(time.Millisecond).String())
 	b.WriteString(" queue=" + o.queuedPrefill.Round(time.Millisecond).String() + " streams=" + itoa(o.streams))
 	if r.orderPenalty > 0 {
--- a/internal/gateway/shell/callendpoint.go
+++ b/internal/gateway/shell/callendpoint.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -47,6 +48,7 @@
 	stop := context.AfterFunc(ctx, conn.Abort)
 	defer stop()
 	g.cfg.Translator.Forward(r.header, ForwardHeaders{TimeLeft: orderTimeout, EndpointID: r.endpoint})
+	sent := g.now()
 	req := &upstream.Request{Method: r.method, Target: r.target, Host: r.addr, Header: r.header, Body: r.body}
 	resp, err := conn.Do(req)
 	if err != nil {
@@ -54,6 +56,9 @@
 	}
 	a := g.cfg.Translator.Response(resp.StatusCode, resp.Header)
 	g.passAnnouncement(wire.EndpointID(r.endpoint), r.addr, &a)
+	if a.Limit > 0 { // only answers to requests need state a limit, so that others don't end it
+		g.tick(gateway.Input{Limit: g.limitInput(wire.EndpointID(r.endpoint), r.addr, &a, sent)})
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxEndpointResponseBytes+1))
 	if err != nil {
 		conn.Close()
@@ -80,6 +85,15 @@
 	}
 }
 
+// limitInput returns the input of the core for what a response to a request sent at a time says
+// of the endpoint's limit, or nil if it says nothing.
+func (g *Gateway) limitInput(id wire.EndpointID, addr string, h *ResponseHeaders, sent time.Duration) *gateway.EndpointLimit {
+	if h.OtherEndpoint || h.LimitUnknown {
+		return nil
+	}
+	return &gateway.EndpointLimit{Endpoint: id, Addr: addr, Limit: h.Limit, Sent: sent}
+}
+
 // probe queries an engine's report and passes the result to the core.
 func (g *Gateway) probe(p gateway.Probe) {
 	report := &gateway.EngineReport{Endpoint: p.Endpoint}
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -66,6 +66,7 @@
 	*gateway.Dispatch
 	ctx         context.Context
 	resumeAfter string        // ID of the event after which a stream resumes; empty: from its beginning
+	sentAt      time.Duration // when it was sent
 	heardAt     time.Duration // when it was sent or last received a part of its response
 	begun       bool          // its first event has been relayed
 }
@@ -204,7 +205,8 @@
 	}
 	stop := context.AfterFunc(a.ctx, conn.Abort)
 	defer stop()
-	a.heardAt = x.g.now()
+	a.sentAt = x.g.now()
+	a.heardAt = a.sentAt
 	x.g.tick(gateway.Input{Sent: &gateway.Sent{ID: x.id, Attempt: a.Attempt}})
 	if err := a.ctx.Err(); err != nil { // the core has cancelled the attempt
 		conn.Close()
@@ -271,10 +273,7 @@
 	a.heardAt = x.g.now()
 	h := x.g.cfg.Translator.Response(resp.StatusCode, resp.Header)
 	x.g.passAnnouncement(a.Endpoint, a.Addr, &h)
-	if h.HasLoad {
-		h.Load.Endpoint = a.Endpoint
-		x.g.tick(gateway.Input{Load: &h.Load})
-	}
+	x.passState(a, &h)
 	e.Status, e.EndsWithConnection = resp.StatusCode, upstream.EndsWithConnection(resp)
 	if x.isStream(resp) {
 		return x.relayStream(conn, resp, a, e)
@@ -311,6 +310,21 @@
 	return x.deliveryState(e)
 }
 
+// passState passes the load and the limit that the endpoint states in a response to the core.
+func (x *exchange) passState(a *attempt, h *ResponseHeaders) {
+	var in []gateway.Input
+	if limit := x.g.limitInput(a.Endpoint, a.Addr, h, a.sentAt); limit != nil {
+		in = append(in, gateway.Input{Limit: limit})
+	}
+	if h.HasLoad {
+		h.Load.Endpoint = a.Endpoint
+		in = append(in, gateway.Input{Load: &h.Load})
+	}
+	if len(in) > 0 {
+		x.g.tick(in...)
+	}
+}
+
 // notifyFirstEvent notifies the core that the attempt's response has begun.
 func (x *exchange) notifyFirstEvent(a *attempt) {
 	x.g.tick(gateway.Input{First: &gateway.FirstEvent{ID: x.id, Attempt: a.Attempt}})
--- a/internal/gateway/shell/translate.go
+++ b/internal/gateway/shell/translate.go
@@ -87,5 +87,7 @@
 	Load          gateway.EndpointLoad
 	Leaving       bool          // the endpoint that responded is draining
 	Backoff       time.Duration // how long it accepts no request from this gateway; 0: not stated
+	Limit         float64       // requests a second that it accepts from all gateways together; 0: not stated
+	LimitUnknown  bool          // a limit is stated that can't be parsed
 	Malformed     string        // a header that can't be parsed and is ignored; empty: none
 }
