Keep to the limits that endpoints name, over all gateways together

Cause: no code acted on Server-Limit. The class of fault: a condition that holds for the sum over the fleet, while each gateway decides by itself. Change: a gateway sends a request to a limited endpoint only with a permit. One gateway for each such endpoint gives these out, the most urgent demand first. Endpoints without a limit take the load first; if all have one, a request that would get no permit in time is refused at once, with a Retry-After that follows from the rates (docs/design/064). Why it works: the permits of one bucket bound the sum whatever the number of gateways, and a new keeper begins with an empty one.

--- a/internal/endpointlimit/belief.go
+++ b/internal/endpointlimit/belief.go
@@ -1,5 +1,6 @@
 // Package endpointlimit keeps the request rates that endpoints in need ask for, summed over
-// all gateways. A Belief is what a gateway knows of the limit of one endpoint. The package
+// all gateways. A Belief is what a gateway knows of the limit of one endpoint; a Keeper gives
+// out permits to send requests there. The package
 // has no clock and no I/O.
 package endpointlimit
 
--- a/internal/gateway/announcement.go
+++ b/internal/gateway/announcement.go
@@ -39,7 +39,10 @@
 	leaving      bool
 	backoffUntil time.Duration
 	limit        endpointlimit.Belief
+	permits      *permits // nil: it names no limit
 	keptUntil    time.Duration
+
+	limitChangedAt time.Duration // 0: it has never named one
 }
 
 // endpointAnnounced applies an endpoint's announcement. Requests that wait for it are tried
--- a/internal/gateway/cells.go
+++ b/internal/gateway/cells.go
@@ -122,6 +122,8 @@
 	if c.partsKnown {
 		m.Parts = c.poison.Rows(c.now, maxPartRowsPerMessage)
 	}
+	rows := c.limitRows()
+	m.Limits = rows[:min(len(rows), maxLimitRows)]
 	for range min(count, len(others)) {
 		c.otherCellCursor = (c.otherCellCursor + 1) % len(others)
 		others[c.otherCellCursor].sendPending = true
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -50,6 +50,7 @@
 	candidateBuf      []candidate // reused by candidates
 	plan              planBuffers
 	poison            *poison.Table
+	limitsKnown       bool                              // an endpoint has named a limit
 	partsKnown        bool                              // the table poison has been given evidence
 	partIDs           *table.Table[poison.Part, string] // of parts that were logged
 }
@@ -154,6 +155,8 @@
 			c.checkInstance(key.endpoint)
 		case timerSilence:
 			c.checkSilence(key.request)
+		case timerPermits:
+			c.grantByTimer(c.endpoints.Get(key.endpoint))
 		case timerStandby:
 			c.releaseStandby(key.request)
 		}
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -20,6 +20,8 @@
 //	health.go    ejection and return of endpoints
 //	crash.go     engines that end while they answer
 //	poison.go    prompts with parts that crash engines
+//	limit.go     endpoints that name a limit of requests a second
+//	permits.go   permits to send requests to these, which one gateway gives out
 //	probe.go     reports of engines on their pace
 //	peers.go     messages to other gateways
 //	receive.go   messages from other gateways, and removal of silent ones
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -61,13 +61,18 @@
 }
 
 // sent records that the first byte of the attempt is about to be written. It cancels an
-// attempt whose endpoint has meanwhile asked this gateway to wait; nothing is written then.
+// attempt whose endpoint has meanwhile asked this gateway to wait or named a limit that leaves
+// no room for it; nothing is written then.
 func (c *Core) sent(in *Sent) {
 	r := c.running(in.ID, in.Attempt)
 	if r == nil || r.sent || r.cancelled {
 		return // nothing is written for a cancelled attempt
 	}
-	if c.now < r.work.answering().announced.backoffUntil {
+	e := r.work.answering()
+	if !r.work.permitted {
+		r.work.permitted = c.takePermit(e) // the limit was not known when r was dispatched
+	}
+	if c.now < e.announced.backoffUntil || !r.work.permitted {
 		c.emit(Output{Cancel: &Cancel{ID: in.ID, Attempt: in.Attempt}})
 		return
 	}
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -269,7 +269,8 @@
 	ReasonSilent      Reason = "silent"       // an endpoint did not answer
 	ReasonBudget      Reason = "retry-budget" // a retry is possible, but the fleet's retry budget is spent
 	ReasonDeadline    Reason = "deadline"
-	ReasonExit        Reason = "exit" // the process is about to exit
+	ReasonLimit       Reason = "endpoint-limit" // all endpoints name limits that leave it no place in time
+	ReasonExit        Reason = "exit"           // the process is about to exit
 
 	ReasonCrashesEngines Reason = "crashes-engines" // engines crash on a part of the prompt, or may do so
 )
--- a/internal/gateway/limitsim_test.go
+++ b/internal/gateway/limitsim_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -34,7 +33,8 @@
 	refusals  []time.Duration // waits until refusals
 	served    int
 	sent      int
-	lost      int // ended in another way
+	lost      int  // ended in another way
+	cancelled bool // the attempt that was last sent
 	onFinish  func(Finish)
 }
 
@@ -95,6 +95,8 @@
 		}
 	case out.Finish != nil:
 		s.finished(gateway, out.Finish)
+	case out.Cancel != nil:
+		s.cancelled = true
 	case out.Check != nil, out.Log != nil, out.Probe != nil:
 	default:
 		return false
@@ -125,11 +127,11 @@
 	if s.cores[gateway] != core {
 		return
 	}
-	for _, out := range slices.Clone(core.Tick(s.now, Input{Sent: &Sent{ID: d.ID, Attempt: d.Attempt}})) {
-		if out.Cancel != nil && out.Cancel.ID == d.ID {
-			s.tick(gateway, Input{Ended: &AttemptEnded{ID: d.ID, Attempt: d.Attempt, Result: ResultFull}})
-			return
-		}
+	s.cancelled = false
+	s.tick(gateway, Input{Sent: &Sent{ID: d.ID, Attempt: d.Attempt}})
+	if s.cancelled {
+		s.tick(gateway, Input{Ended: &AttemptEnded{ID: d.ID, Attempt: d.Attempt, Result: ResultFull}})
+		return
 	}
 	e, sent := s.endpoints[d.Endpoint], s.now
 	told := e.told[gateway] > 0 && s.now >= e.told[gateway]+limitTold
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -50,6 +50,9 @@
 	Paces       []PaceRow        `cbor:"8,keyasint,omitempty"` // only in a full message
 	Parts       []poison.Row     `cbor:"9,keyasint,omitempty"` // of prompts that crash engines; in messages of their own and to other cells
 	Leaving     bool             `cbor:"6,keyasint,omitempty"` // the sender is shutting down
+	Limits      []LimitRow       `cbor:"10,keyasint,omitempty"`
+	Demands     []PermitDemand   `cbor:"11,keyasint,omitempty"`
+	Grants      []PermitGrant    `cbor:"12,keyasint,omitempty"`
 }
 
 // PeerRow is one work item of the sender.
@@ -77,8 +80,9 @@
 
 // peerOutbox holds the changes that are to be sent to the other gateways.
 type peerOutbox struct {
-	waiting           []*request    // that began to wait
-	changedWork       []*workItem   // new, or in a new phase
+	waiting           []*request  // that began to wait
+	changedWork       []*workItem // new, or in a new phase
+	changedLimits     []*endpoint
 	endedRows         []uint64      // row IDs, not sent yet
 	recentlyEndedRows []uint64      // row IDs, sent once; repeated in the next full message
 	batchScheduled    bool          // timerBatch is set
@@ -162,6 +166,7 @@
 			Prompt: r.in.PromptTokens, Output: r.in.MaxOutputTokens, OrderPenaltyMS: r.orderPenalty.Milliseconds(),
 		})
 	}
+	c.sendLimits(o.fullDue)
 	c.sendParts(o.fullDue) // before the full message, from which on a new gateway sends prompts on
 	c.sendRows(m, workItems, ended, o.fullDue)
 	o.waiting = o.waiting[:0]
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -12,6 +12,29 @@
 	occupancy        occupancy     // current work at the engine
 	freePrefill      time.Duration // prefill time that it can take without violating gap objectives
 	latencySensitive bool          // it runs latency-sensitive streams
+	rank             limitRank
+}
+
+// limitRank is the order in which endpoints are considered with regard to their limits.
+type limitRank uint8
+
+const (
+	rankRecheck   limitRank = iota // limited, but only a request can tell whether it still is
+	rankUnlimited                  // it names no limit
+	rankLimited                    // there is a permit for it
+	rankNoPermit                   // it gets no request
+)
+
+func (c *Core) limitRank(e *endpoint) limitRank {
+	switch {
+	case !e.limited():
+		return rankUnlimited
+	case c.permitsHeld(e) == 0:
+		return rankNoPermit
+	case c.recheckDue(e):
+		return rankRecheck
+	}
+	return rankLimited
 }
 
 // placement is a decision to send a request to endpoints.
@@ -47,10 +70,19 @@
 	if firstEventLimit < 0 {
 		firstEventLimit = time.Hour // late already: no limit
 	}
+	place := c.placeInterleaved
 	if prefillTime <= c.cfg.Placement.SmallPrefill && c.latencySensitive(r) {
-		return c.placeSmall(r, list, prefillTime, firstEventLimit)
+		place = c.placeSmall
+	}
+	for rank := rankRecheck; rank <= rankLimited; rank++ {
+		if !slices.ContainsFunc(list, func(k candidate) bool { return k.rank == rank }) {
+			continue
+		}
+		if p, ok := place(r, list, rank, prefillTime, firstEventLimit); ok {
+			return p, true
+		}
 	}
-	return c.placeInterleaved(r, list, prefillTime, firstEventLimit)
+	return placement{}, false
 }
 
 // latencySensitive reports whether r's gap objective is at most LatencySensitiveGap.
@@ -73,16 +105,17 @@
 		list = append(list, candidate{
 			endpoint: e, occupancy: occ,
 			freePrefill:      occ.freePrefill(c.cfg.Placement.GapMargin, c.cfg.Placement.IdlePrefill),
-			latencySensitive: c.hasLatencySensitive(&occ),
+			latencySensitive: c.hasLatencySensitive(&occ), rank: c.limitRank(e),
 		})
 	}
 	c.candidateBuf = list
 	return list
 }
 
-// canAnswer reports whether the engine has a free slot and free memory to answer r.
-func (c *Core) canAnswer(k *candidate, r *request) bool {
-	return k.occupancy.streams < k.endpoint.engine.Slots && c.memoryFree(k.endpoint, &k.occupancy) >= r.in.PromptTokens+r.in.MaxOutputTokens
+// canAnswer reports whether the engine is of a rank and has a free slot and free memory to
+// answer r.
+func (c *Core) canAnswer(k *candidate, r *request, rank limitRank) bool {
+	return k.rank == rank && k.occupancy.streams < k.endpoint.engine.Slots && c.memoryFree(k.endpoint, &k.occupancy) >= r.in.PromptTokens+r.in.MaxOutputTokens
 }
 
 // memoryFree returns the free memory of an engine in tokens.
@@ -91,12 +124,12 @@
 }
 
 // placeSmall selects one engine to prefill a whole short prompt.
-func (c *Core) placeSmall(r *request, list []candidate, prefillTime, firstEventLimit time.Duration) (placement, bool) {
+func (c *Core) placeSmall(r *request, list []candidate, rank limitRank, prefillTime, firstEventLimit time.Duration) (placement, bool) {
 	var best *candidate
 	late := c.late(r)
 	for i := range list {
 		k := &list[i]
-		if !c.canAnswer(k, r) {
+		if !c.canAnswer(k, r, rank) {
 			continue
 		}
 		fits := k.freePrefill >= k.endpoint.scaleByPace(prefillTime) && k.occupancy.untilFirst(k.endpoint, prefillTime) <= firstEventLimit
@@ -176,7 +209,7 @@
 // latency-sensitive streams can answer it and any engine can prefill a part between its
 // other work. The stream then makes no further engine latency-sensitive,
 // and the prompt need not wait until an engine has no prefill queued.
-func (c *Core) placeInterleaved(r *request, list []candidate, prefillTime, firstEventLimit time.Duration) (placement, bool) {
+func (c *Core) placeInterleaved(r *request, list []candidate, rank limitRank, prefillTime, firstEventLimit time.Duration) (placement, bool) {
 	parts := min(max(int((prefillTime+c.cfg.Placement.SmallPrefill-1)/c.cfg.Placement.SmallPrefill), 1), c.cfg.Placement.MaxInterleaved)
 	partTime := prefillTime / time.Duration(parts)
 	if partTime > c.cfg.Placement.MaxPart {
@@ -185,7 +218,7 @@
 	var answering *candidate
 	for i := range list {
 		k := &list[i]
-		if !k.latencySensitive || !c.canAnswer(k, r) || k.freePrefill < k.endpoint.scaleByPace(partTime) {
+		if !k.latencySensitive || !c.canAnswer(k, r, rank) || k.freePrefill < k.endpoint.scaleByPace(partTime) {
 			continue
 		}
 		if answering == nil || c.betterAnswering(k, answering) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -16,6 +16,19 @@
 // endpoints without a free place.
 func (c *Core) placePlain(s *service, r *request, force bool) (placement, bool) {
 	list := c.usable(s, r)
+	for rank := rankRecheck; rank <= rankLimited; rank++ {
+		if p, ok := c.placePlainAt(list, r, rank, false); ok {
+			return p, true
+		}
+	}
+	if force {
+		return c.placePlainAt(list, r, rankUnlimited, true)
+	}
+	return placement{}, false
+}
+
+// placePlainAt selects the endpoint with the fewest requests in flight among those of a rank.
+func (c *Core) placePlainAt(list []*endpoint, r *request, rank limitRank, force bool) (placement, bool) {
 	if len(list) == 0 {
 		return placement{}, false
 	}
@@ -24,6 +37,9 @@
 	bestScore := 0.0
 	for i := range list {
 		e := list[(i+offset)%len(list)]
+		if c.limitRank(e) != rank {
+			continue
+		}
 		inFlight := max(len(e.workItems), c.reportedInFlight(e))
 		if slots := e.registration.Slots; !force && slots > 0 && inFlight >= slots+plainQueueAllowance {
 			continue
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -190,6 +190,7 @@
 // planEngines returns the engines that long prompts may be placed on.
 func (c *Core) planEngines(s *service) []planEngine {
 	out := c.plan.engines[:0]
+	_, allLimited := c.limitedEndpoints(s)
 	for _, e := range c.usable(s, nil) {
 		if e.engine == nil {
 			continue
@@ -200,6 +201,9 @@
 			freePrefill:      occ.freePrefillAfterQueue(c.cfg.Placement.GapMargin, c.cfg.Placement.IdlePrefill),
 			latencySensitive: c.hasLatencySensitive(&occ), noStreams: occ.minGapLimit == 0,
 		}
+		if e.limited() { // it helps; it only answers if no engine without a limit does
+			k.freeSlots = min(k.freeSlots, bit(allLimited)*c.permitsHeld(e))
+		}
 		if k.latencySensitive {
 			k.freePrefill -= occ.queuedPrefill // beside latency-sensitive streams some prefill is nearly always queued
 			k.untilFree = 0
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -54,9 +54,10 @@
 	return suspected || c.now-e.probedAt >= calmProbeInterval
 }
 
-// sendProbe queries an engine for its report, unless it has asked this gateway to wait.
+// sendProbe queries an engine for its report, unless it has asked this gateway to wait or names
+// a limit.
 func (c *Core) sendProbe(e *endpoint) {
-	if c.now < e.announced.backoffUntil {
+	if c.now < e.announced.backoffUntil || e.limited() {
 		return
 	}
 	e.probedAt = c.now
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -29,6 +29,8 @@
 	// minRetryAfter and maxRetryAfter bound the retry delay that callers are told.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// maxLimitRetryAfter bounds it if all endpoints name limits.
+	maxLimitRetryAfter = 10 * time.Second
 	// maxWaitRatio is the part of the time from its arrival to its deadline that a request
 	// that was never dispatched may wait before it is refused, so that its caller has time
 	// to try again.
@@ -96,9 +98,12 @@
 		}
 		c.endUnservable(s)
 		c.screenWaiting(s)
+		c.demandRechecks(s)
 		slices.SortStableFunc(s.waiting, c.byUrgency)
-		s.waiting = slices.DeleteFunc(s.waiting, func(r *request) bool { return c.tryPlace(s, r) })
-		c.placeLong(s)
+		c.placeAll(s)
+		if c.demandForWaiting(s) {
+			c.placeAll(s)
+		}
 		s.waiting = slices.DeleteFunc(s.waiting, func(r *request) bool { return r.phase != phaseWaiting })
 		waiting = waiting || len(s.waiting) > 0
 	}
@@ -109,6 +114,12 @@
 	}
 }
 
+// placeAll tries to place each waiting request of a service.
+func (c *Core) placeAll(s *service) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(r *request) bool { return c.tryPlace(s, r) })
+	c.placeLong(s)
+}
+
 // endUnservable ends the waiting requests of a service of which no endpoint is left that can
 // serve them in time.
 func (c *Core) endUnservable(s *service) {
@@ -178,10 +189,14 @@
 	}
 	c.checkPermitted(r)
 	e := p.endpoints[0]
+	limited := e.limited()
+	if !c.takePermit(e) {
+		invariant.Fail("dispatch-only-with-permit", "request", r.in.RequestID, "endpoint", e.registration.ID)
+	}
 	w := &workItem{
 		key: workKey{c.cfg.Addr, rowID(r)}, phase: workPrefilling, endpoints: p.endpoints, reserved: p.reserved,
 		prompt: r.in.PromptTokens, output: r.in.MaxOutputTokens, partTime: p.partTime,
-		gapLimit: c.gapLimit(r), dispatchedAt: c.now,
+		gapLimit: c.gapLimit(r), dispatchedAt: c.now, permitted: limited,
 	}
 	r.work = w
 	c.addWork(w)
@@ -305,6 +320,10 @@
 	if reason == ReasonNoEndpoint {
 		after += minRetryAfter // an endpoint must register or return first
 	}
+	if reason == ReasonLimit {
+		after = max(r.permitWait, minRetryAfter)
+		return min(after+after*time.Duration(uint64(r.in.ID)%8)/8, maxLimitRetryAfter)
+	}
 	if until, ok := c.earliestReturn(s, r); ok && len(c.usable(s, r)) == 0 {
 		after = max(after, until-c.now)
 	}
@@ -349,8 +368,8 @@
 
 // usable returns the endpoints of s that r, or any request if r is nil, may be sent to:
 // those in the own cell that accept requests, are not ejected, and not
-// among those that r avoids. If there are none, it returns those of other cells, and if
-// there are none either, ejected ones.
+// among those that r avoids. If there are none, or all of them name a limit, it returns those
+// of other cells too, and if there are none either, ejected ones.
 func (c *Core) usable(s *service, r *request) []*endpoint {
 	var healthy, otherCells, ejected []*endpoint
 	for _, e := range s.endpoints {
@@ -367,6 +386,9 @@
 		}
 		healthy = append(healthy, e)
 	}
+	if c.limitsKnown && !slices.ContainsFunc(healthy, func(e *endpoint) bool { return !e.limited() }) {
+		healthy = append(healthy, otherCells...)
+	}
 	if len(healthy) > 0 {
 		return healthy
 	}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -43,6 +43,13 @@
 	}
 	c.applyPeerPaces(m.Paces)
 	c.mergeParts(m.Parts)
+	c.mergeLimits(m.Limits)
+	for i := range m.Demands {
+		c.permitsDemanded(p, &m.Demands[i])
+	}
+	for i := range m.Grants {
+		c.permitsGranted(p, &m.Grants[i])
+	}
 	p.heardFull = p.heardFull || m.Versions != nil
 	c.comparePeerVersions(p, m)
 }
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -80,6 +80,7 @@
 	divisible        bool              // several engines may prefill its prompt
 	orderPenalty     time.Duration     // added to the due time in the order of waiting requests
 	holdUntil        time.Duration     // no dispatch before, so that other gateways learn that it waits
+	permitWait       time.Duration     // if it is refused because of limits: until it may get a permit
 
 	suspicion
 }
@@ -111,6 +112,7 @@
 	overtakenBy    []time.Duration // prefill time, at each engine, of parts that were dispatched later and finished first; nil: none
 	gapLimit       time.Duration   // longest gap that its caller accepts
 	helpersMissing int             // of another gateway's item: helpers that are not registered here
+	permitted      bool            // a permit was used for it, or none was needed
 	dispatchedAt   time.Duration
 	lastSeen       time.Duration // if it runs at another gateway: last message that named it
 }
@@ -144,11 +146,15 @@
 	leaving     bool          // it is shutting down
 	storeLost   bool          // the store does not answer it
 	addedAt     time.Duration
-	seed        bool                      // named in the settings; never removed
-	inCell      bool                      // in the own cell, or not live, so that its cell is unknown
-	sendPending bool                      // if in another cell: it is sent versions and addresses with the next full message
-	workItems   map[uint64]*workItem      // by row ID
-	waiting     map[uint64]*remoteWaiting // by request ID
+	seed        bool                 // named in the settings; never removed
+	inCell      bool                 // in the own cell, or not live, so that its cell is unknown
+	sendPending bool                 // if in another cell: it is sent versions and addresses with the next full message
+	workItems   map[uint64]*workItem // by row ID
+
+	keeperSilent  bool          // it does not answer demands for permits
+	keeperAskedAt time.Duration // when it was last asked since
+
+	waiting map[uint64]*remoteWaiting // by request ID
 }
 
 // remoteWaiting is a long prompt that waits for engines at another gateway.
@@ -174,6 +180,7 @@
 	timerProbe       timerKind = 7
 	timerCheck       timerKind = 8
 	timerStandby     timerKind = 9
+	timerPermits     timerKind = 10
 )
 
 // timerKey identifies a timer; fields that do not apply to its kind are zero.
