Test how permits move between gateways, and more fleets with limits

Cause: the tests of the fix bound what endpoints get, not that what is allowed is used, nor what happens when keepers stop, freeze or are unknown.

--- a/internal/gateway/limitsim_test.go
+++ b/internal/gateway/limitsim_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +12,11 @@
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
+var (
+	limitSeeds     = flag.Int("limit.seeds", 3, "seeds of each simulated fleet with limited endpoints")
+	firstLimitSeed = flag.Uint64("limit.first", 0, "first of these seeds")
+)
+
 // What the users' rule on limits counts and allows.
 const (
 	limitStable  = 3 * time.Second        // from the first answer that names a limit
@@ -218,6 +225,33 @@
 	s.tick(gateway, Input{Endpoints: &Endpoints{Rows: s.rows, Revision: 2}})
 }
 
+// freeze lets a gateway stand still for a time. Messages and answers to it are lost meanwhile.
+func (s *limitSim) freeze(gateway int, duration time.Duration) {
+	core := s.cores[gateway]
+	s.stop(gateway)
+	s.schedule(duration, func() {
+		s.cores[gateway], s.up[gateway], s.startedAt[gateway] = core, true, s.now
+	})
+}
+
+// keeper returns the gateway that gives out the permits of an endpoint in the view of the first
+// gateway.
+func (s *limitSim) keeper(id wire.EndpointID) int {
+	if p := s.cores[0].keeperOf(s.cores[0].endpoints.Get(id), false); p != nil {
+		return s.gatewayIndex(p.addr)
+	}
+	return 0
+}
+
+// usedRate returns the requests a second that an endpoint got between two times.
+func (e *limitEndpoint) usedRate(from, until time.Duration) float64 {
+	n := 0
+	for _, a := range e.arrivals {
+		n += bit(a.at >= from && a.at < until)
+	}
+	return float64(n) / (until - from).Seconds()
+}
+
 // restartInTurn stops and starts each gateway after the other.
 func (s *limitSim) restartInTurn(first int, gap, down, until time.Duration) {
 	s.schedule(gap, func() {
@@ -280,7 +314,7 @@
 	{"68 gateways that restart, all endpoints limited", 68, 2, 5, "safe", 60, map[wire.EndpointID]float64{"p-00": 1.2, "p-01": 1, "p-02": 1, "p-03": 2, "p-04": 2.7}, func(s *limitSim, until time.Duration) {
 		s.restartInTurn(0, 250*time.Millisecond, 500*time.Millisecond, until)
 	}},
-	{"gateways that join", 34, 2, 5, "safe", 60, map[wire.EndpointID]float64{"p-00": 1.2, "p-01": 1, "p-02": 1, "p-03": 2, "p-04": 2.7}, func(s *limitSim, until time.Duration) {
+	{"gateways that join", 34, 2, 5, "safe", 200, map[wire.EndpointID]float64{"p-00": 1.2, "p-01": 10, "p-02": 8, "p-03": 12, "p-04": 6}, func(s *limitSim, until time.Duration) {
 		for i := range 34 {
 			s.schedule(time.Duration(i)*400*time.Millisecond, func() { s.start(34 + i) })
 		}
@@ -288,6 +322,25 @@
 	{"lost messages", 7, 2, 3, "safe", 40, map[wire.EndpointID]float64{"p-00": 1.2, "p-01": 2.7, "p-02": 0.5}, func(s *limitSim, _ time.Duration) {
 		s.dropMessage = func(from, to int) bool { return !s.up[from] || !s.up[to] || s.rng.IntN(10) == 0 }
 	}},
+	{"keepers that freeze", 7, 2, 3, "safe", 60, map[wire.EndpointID]float64{"p-00": 1.2, "p-01": 8, "p-02": 0.5}, func(s *limitSim, until time.Duration) {
+		for at := time.Second; at < until-s.now; at += 1700 * time.Millisecond {
+			s.schedule(at, func() { s.freeze(s.keeper("p-01"), 700*time.Millisecond) })
+		}
+	}},
+	{"keepers that stop", 68, 2, 5, "safe", 60, map[wire.EndpointID]float64{"p-00": 1.2, "p-01": 1, "p-02": 1, "p-03": 2, "p-04": 4}, func(s *limitSim, until time.Duration) {
+		for at := time.Second; at < until-s.now; at += 2 * time.Second {
+			s.schedule(at, func() {
+				if i := s.keeper("p-04"); i != 0 {
+					s.stop(i)
+				}
+			})
+		}
+	}},
+	{"limits that change", 7, 2, 3, "safe", 40, map[wire.EndpointID]float64{"p-00": 3, "p-01": 2.7}, func(s *limitSim, until time.Duration) {
+		for i, limit := range []float64{1.2, 0.4, 3, 0.8, 2.4} {
+			s.schedule(time.Duration(i+1)*2500*time.Millisecond, func() { s.name("p-00", limit) })
+		}
+	}},
 	{"large limits", 5, 2, 3, "safe", 200, map[wire.EndpointID]float64{"p-00": 20, "p-01": 27, "p-02": 12.5}, nil},
 }
 
@@ -296,8 +349,11 @@
 	limitCaseEnd   = 20 * time.Second
 )
 
-func (c *limitCase) play(t *testing.T, seed uint64) *limitSim {
+func (c *limitCase) play(t *testing.T, seed uint64, onFinish ...func(Finish)) *limitSim {
 	s := newLimitSim(t, c.gateways, c.engines, c.plain, seed)
+	for _, f := range onFinish {
+		s.onFinish = f
+	}
 	s.traffic(c.kind, c.perSecond, limitCaseEnd)
 	s.run(limitCaseStart + time.Second)
 	for id, limit := range c.limits {
@@ -314,7 +370,7 @@
 	for _, c := range limitCases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(3) {
+			for seed := *firstLimitSeed; seed < *firstLimitSeed+uint64(*limitSeeds); seed++ {
 				s := c.play(t, seed)
 				for id, limit := range c.limits {
 					if n := s.endpoints[id].excess(limitCaseEnd); n > 0 {
@@ -339,3 +395,84 @@
 		})
 	}
 }
+
+func TestAllowedRateIsUsedIfAllEndpointsNameLimits(t *testing.T) {
+	for _, c := range limitCases {
+		if service := map[string]int{"safe": c.plain, "short": c.engines}[c.kind]; len(c.limits) != service || c.trouble != nil {
+			continue
+		}
+		t.Run(c.name, func(t *testing.T) {
+			var told []time.Duration
+			s := c.play(t, 1, func(f Finish) {
+				if f.Reason == ReasonLimit {
+					told = append(told, f.RetryAfter)
+				}
+			})
+			used, allowed := 0.0, 0.0
+			for id, limit := range c.limits {
+				used += s.endpoints[id].usedRate(6*time.Second, limitCaseEnd)
+				allowed += limit
+			}
+			if used < 0.9*allowed {
+				t.Errorf("%.2f requests a second were sent, want nine tenths of the %.2f that are allowed", used, allowed)
+			}
+			if s.lost > 0 || len(told) == 0 || slices.Min(told) < minRetryAfter {
+				t.Errorf("%d requests failed, %d were refused with at least %v, want all others refused with a time to come back", s.lost, len(told), slices.Min(told))
+			}
+		})
+	}
+}
+
+func TestLimitIsNotLeftUnusedByIdleGateways(t *testing.T) {
+	s := newLimitSim(t, 7, 2, 3, 1)
+	limits := map[wire.EndpointID]float64{"p-00": 1.2, "p-01": 2.7, "p-02": 0.5}
+	for id, limit := range limits {
+		s.name(id, limit)
+	}
+	for at := time.Duration(0); at < 18*time.Second; at += 40 * time.Millisecond {
+		s.schedule(at, func() { s.submit(3, "safe") })
+	}
+	s.run(20 * time.Second)
+	for id, limit := range limits {
+		if used := s.endpoints[id].usedRate(5*time.Second, 20*time.Second); used < 0.9*limit {
+			t.Errorf("%s got %.2f requests a second from the only busy gateway, want nine tenths of %g", id, used, limit)
+		}
+	}
+}
+
+func TestEndpointIsUsedAsBeforeOnceItNamesNoLimit(t *testing.T) {
+	for _, gateways := range []int{3, 68} {
+		s := newLimitSim(t, gateways, 2, 3, 1)
+		s.traffic("safe", 60, 20*time.Second)
+		s.name("p-01", 1.2)
+		s.run(10 * time.Second)
+		s.name("p-01", 0)
+		s.run(20 * time.Second)
+		if used := s.endpoints["p-01"].usedRate(12*time.Second, 20*time.Second); used < 10 {
+			t.Errorf("%d gateways: %.1f requests a second of 60 from two seconds after the end of the limit on, want a sixth or more", gateways, used)
+		}
+	}
+}
+
+func TestPermitsGoOnAfterTheKeeperHasStopped(t *testing.T) {
+	for _, gateways := range []int{7, 68} {
+		s := newLimitSim(t, gateways, 2, 1, 1)
+		s.name("p-00", 4)
+		s.traffic("safe", 60, 3*time.Second)
+		s.run(3 * time.Second)
+		keeper := s.keeper("p-00")
+		busy := slices.IndexFunc(s.cores, func(c *Core) bool { // in another cell, if there is one
+			p := c.peers.Get(gatewayAddr(keeper))
+			return p != nil && p.inCell == (gateways <= maxSingleCellGateways)
+		})
+		for at := time.Duration(0); at < 17*time.Second; at += 15 * time.Millisecond {
+			s.schedule(at, func() { s.submit(busy, "safe") })
+		}
+		s.run(6 * time.Second)
+		s.stop(keeper)
+		s.run(20 * time.Second)
+		if used := s.endpoints["p-00"].usedRate(7500*time.Millisecond, 20*time.Second); used < 3.2 {
+			t.Errorf("%d gateways: %.1f requests a second from 1.5 s after the keeper stopped, want eight tenths of 4", gateways, used)
+		}
+	}
+}
