Log which requests ran at an endpoint of a plain service that has ended

Change: requests have a fingerprint of host, target, client account and body. After an attempt broke off at an endpoint without reports, a connection to it tells whether it has ended; endpoint-ended and attempt-ended name the fingerprints. No decision uses them yet. Measured: the tests of the gateway pass.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/wire"
@@ -15,19 +17,21 @@
 	// brokenInstanceTTL is how long an instance whose answers broke off is kept after its last
 	// check: its registration may lapse some seconds after it has ended.
 	brokenInstanceTTL = 5 * time.Second
-	// maxBrokenInstances bounds the instances that are kept, maxBrokenParts the parts of each.
+	// maxBrokenInstances bounds the instances that are kept, maxBrokenParts the parts and the
+	// requests of each.
 	maxBrokenInstances = 64
 	maxBrokenParts     = 256
 )
 
-// An answer that breaks off after it has begun may have been lost with its engine or on the
-// way. The engine is then checked: if nothing listens at its address, or another instance
-// does, it has ended.
+// An attempt that breaks off may have been lost with its endpoint or on the way. The endpoint is
+// then checked: if nothing listens at its address, or another instance does, it has ended. At an
+// engine only answers that have begun count, since it runs a request with its first token.
 
 // InstanceCheck asks whether an instance still runs.
 type InstanceCheck struct {
-	Endpoint wire.EndpointID
-	Addr     string
+	Endpoint    wire.EndpointID
+	Addr        string
+	ConnectOnly bool // the endpoint of a plain service, which has no report
 }
 
 // InstanceState is the result of an InstanceCheck. Neither field is set if the check failed
@@ -39,21 +43,36 @@
 	Ended    bool // it is gone: the connection was refused, or another instance answered
 }
 
-// brokenInstance is an instance at which answers broke off.
+// brokenInstance is an instance at which attempts broke off.
 type brokenInstance struct {
 	instance instance
+	service  string
+	plain    bool          // of a plain service
 	brokenAt time.Duration // when the first of them did
-	attempts int           // whose answers broke off
+	attempts int           // that broke off
 	parts    []string      // IDs of the shared parts of their prompts
+	requests []brokenRun   // the requests that ran
 	checks   int           // made so far
 	ended    bool          // the instance has ended
 }
 
-// answerBroken records that the answer of r's attempt at e has broken off after it had begun.
-// An instance that leaves is expected to end.
-func (c *Core) answerBroken(r *request, e *endpoint) {
+// brokenRun is a request that ran at an instance when its attempt broke off.
+type brokenRun struct {
+	fingerprint uint64
+	began       time.Duration // when its latest run there was dispatched
+}
+
+// runBroke reports whether an attempt at e broke off that the endpoint may have begun to run.
+func (end *AttemptEnded) runBroke(e *endpoint) bool {
+	return end.brokeOff() || e.engine == nil && end.Result == ResultBroken
+}
+
+// attemptBroke records that the attempt w of r has broken off. An instance that leaves is
+// expected to end.
+func (c *Core) attemptBroke(r *request, w *workItem) {
+	e := w.answering()
 	r.life = lifeOf(instanceOf(&e.registration))
-	if e.engine == nil || e.registration.Leaving || e.announced.leaving {
+	if e.registration.Leaving || e.announced.leaving {
 		return
 	}
 	id := e.registration.ID
@@ -62,7 +81,9 @@
 		if b == nil && c.broken.Len() >= maxBrokenInstances {
 			return
 		}
-		b = c.broken.Put(id, brokenInstance{instance: instanceOf(&e.registration), brokenAt: c.now})
+		b = c.broken.Put(id, brokenInstance{
+			instance: instanceOf(&e.registration), service: e.registration.Service, plain: e.engine == nil, brokenAt: c.now,
+		})
 		c.timers.Set(timerKey{kind: timerCheck, endpoint: id}, c.now)
 	}
 	b.attempts++
@@ -71,11 +92,23 @@
 			b.parts = append(b.parts, part)
 		}
 	}
+	b.addRun(r.in.Fingerprint, w.dispatchedAt)
 	if b.ended {
 		c.instanceEnded(b)
 	}
 }
 
+// addRun adds a request that ran at the instance.
+func (b *brokenInstance) addRun(fingerprint uint64, began time.Duration) {
+	i := slices.IndexFunc(b.requests, func(run brokenRun) bool { return run.fingerprint == fingerprint })
+	switch {
+	case i >= 0:
+		b.requests[i].began = max(b.requests[i].began, began)
+	case len(b.requests) < maxBrokenParts:
+		b.requests = append(b.requests, brokenRun{fingerprint, began})
+	}
+}
+
 // checkInstance checks an instance at which answers broke off, or drops it after the last check.
 func (c *Core) checkInstance(id wire.EndpointID) {
 	b := c.broken.Get(id)
@@ -93,7 +126,7 @@
 		return
 	}
 	if e := c.endpoints.Get(id); e == nil || c.now >= e.announced.backoffUntil {
-		c.emit(Output{Check: &InstanceCheck{Endpoint: id, Addr: b.instance.addr}})
+		c.emit(Output{Check: &InstanceCheck{Endpoint: id, Addr: b.instance.addr, ConnectOnly: b.plain}})
 	}
 	c.timers.Set(key, c.now+instanceCheckInterval<<b.checks)
 	b.checks++
@@ -126,11 +159,25 @@
 func (c *Core) instanceEnded(b *brokenInstance) {
 	if !b.ended {
 		b.ended = true
-		if e := c.endpoints.Get(b.instance.id); e != nil && instanceOf(&e.registration) == b.instance {
+		if e := c.endpoints.Get(b.instance.id); !b.plain && e != nil && instanceOf(&e.registration) == b.instance {
 			c.eject(e, "ended", 0)
 		}
 	}
-	c.recordCrash(b)
+	if !b.plain {
+		c.recordCrash(b)
+	}
 	c.log(Event{Name: "endpoint-ended", Endpoint: string(b.instance.id), Count: b.attempts,
-		Detail: "addr=" + b.instance.addr + partDetail(b.parts)})
+		Detail: "addr=" + b.instance.addr + partDetail(b.parts) + b.requestDetail()})
 }
+
+// requestDetail returns the fingerprints of the requests that ran, for the log.
+func (b *brokenInstance) requestDetail() string {
+	var names []string
+	for _, run := range b.requests[:min(len(b.requests), maxLoggedParts)] {
+		names = append(names, formatFingerprint(run.fingerprint))
+	}
+	return " requests=" + strings.Join(names, "/")
+}
+
+// formatFingerprint formats the fingerprint of a request for logs and dumps.
+func formatFingerprint(f uint64) string { return strconv.FormatUint(f, 16) }
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -78,6 +78,7 @@
 	PromptTokens    int64         // prompt tokens
 	MaxOutputTokens int64         // maximum number of output tokens
 	SharedParts     []string      // IDs of the parts of the prompt that other prompts may have too
+	Fingerprint     uint64        // the same for all requests that are the same to an endpoint
 	Deadline        time.Duration // when the caller or the route's timeout ends the wait
 }
 
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -33,9 +33,9 @@
 	e := r.work.answering()
 	c.recordOutcome(r, r.work, r.sent, end)
 	detail := "result=" + end.Result.String() + attemptDetail(end)
-	if end.brokeOff() {
-		c.answerBroken(r, e)
-		detail += partDetail(r.in.SharedParts)
+	if end.runBroke(e) {
+		c.attemptBroke(r, r.work)
+		detail += brokenDetail(r)
 	}
 	c.logRequest("attempt-ended", r, Event{
 		Endpoint: string(e.registration.ID), Took: c.now - r.work.dispatchedAt, Count: end.Status, Detail: detail,
@@ -70,6 +70,11 @@
 	return end.Result == ResultBroken && end.Status >= 200 && end.Status < 300
 }
 
+// brokenDetail identifies a request whose attempt broke off, for the log.
+func brokenDetail(r *request) string {
+	return partDetail(r.in.SharedParts) + " fingerprint=" + formatFingerprint(r.in.Fingerprint)
+}
+
 // maxLoggedParts bounds the parts of prompts in a log line.
 const maxLoggedParts = 16
 
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -96,7 +96,7 @@
 		ID: x.id, RequestID: x.caller.RequestID, Route: x.route, Service: x.service,
 		Account: x.account, Priority: x.priority,
 		PromptTokens: x.caller.Prompt, MaxOutputTokens: x.caller.Output, SharedParts: x.caller.SharedParts,
-		Deadline: x.deadline,
+		Fingerprint: fingerprint(x.r.Host, x.r.RequestURI, x.account, x.body), Deadline: x.deadline,
 	}
 }
 
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -255,9 +255,9 @@
 	w := r.standby.work
 	c.recordOutcome(r, w, true, end)
 	detail := "standby result=" + end.Result.String() + attemptDetail(end)
-	if end.brokeOff() {
-		c.answerBroken(r, w.answering())
-		detail += partDetail(r.in.SharedParts)
+	if end.runBroke(w.answering()) {
+		c.attemptBroke(r, w)
+		detail += brokenDetail(r)
 	}
 	c.logRequest("attempt-ended", r, Event{
 		Endpoint: string(w.answering().registration.ID), Took: c.now - w.dispatchedAt, Count: end.Status, Detail: detail,
