--- a/internal/gateway/crashsim_test.go
+++ b/internal/gateway/crashsim_test.go
@@ -22,9 +22,13 @@
 	crashes  []time.Duration // under such prompts
 	byPart   map[string]*partHistory
 	events   []Event // of all gateways, in order
+
+	crashOnRequest map[uint64]bool         // fingerprints
+	byRequest      map[uint64]*partHistory // of crashOnRequest
+	restartAfter   time.Duration           // from a crash to the next instance
 }
 
-// partHistory is when prompts with a crashing part reached engines and crashed them.
+// partHistory is when prompts with a crashing part, or repetitions of a crashing request, reached engines and crashed them.
 type partHistory struct{ arrivals, crashes []time.Duration }
 
 // crashEngine is one life of an engine.
@@ -43,6 +47,7 @@
 type crashPrompt struct {
 	gateway  int
 	parts    []string
+	request  uint64 // fingerprint; 0: a prompt
 	at       time.Duration
 	attempts int // that reached an engine
 	finish   *Finish
@@ -62,7 +67,8 @@
 	s := &crashSim{
 		simulation: newSimulationWith(t, gateways, engines),
 		crashOn:    make(map[string]bool), engines: make(map[wire.EndpointID]*crashEngine), prompts: make(map[RequestID]*crashPrompt),
-		byPart: make(map[string]*partHistory),
+		byPart: make(map[string]*partHistory), crashOnRequest: make(map[uint64]bool), byRequest: make(map[uint64]*partHistory),
+		restartAfter: crashSimRestart,
 	}
 	for _, p := range crashOn {
 		s.crashOn[p] = true
@@ -90,6 +96,19 @@
 	return p
 }
 
+// request submits a request with a fingerprint to the plain service.
+func (s *crashSim) request(gateway int, kind string, fingerprint uint64) *crashPrompt {
+	s.lastID++
+	r := testRoutes()[kind]
+	p := &crashPrompt{gateway: gateway, request: fingerprint, at: s.now}
+	s.prompts[s.lastID] = p
+	s.all = append(s.all, p)
+	s.tick(gateway, Input{Arrive: &Arrival{
+		ID: s.lastID, RequestID: fmt.Sprint(s.lastID), Route: r, Service: plainService, Fingerprint: fingerprint, Deadline: s.now + r.Timeout,
+	}})
+	return p
+}
+
 func (s *crashSim) output(gateway int, out Output) bool {
 	switch {
 	case out.Dispatch != nil:
@@ -116,7 +135,7 @@
 		return
 	}
 	p.attempts++
-	crashing := slices.ContainsFunc(p.parts, func(part string) bool { return s.crashOn[part] })
+	crashing := s.crashOnRequest[p.request] || slices.ContainsFunc(p.parts, func(part string) bool { return s.crashOn[part] })
 	if crashing {
 		s.arrivals = append(s.arrivals, s.now)
 		for _, h := range s.histories(p) {
@@ -125,6 +144,10 @@
 	}
 	s.tick(gateway, Input{Sent: &Sent{ID: d.ID, Attempt: d.Attempt}})
 	run := crashRun{gateway, d}
+	if e.registration.Service == plainService {
+		s.runPlain(e, run, p, crashing)
+		return
+	}
 	s.schedule(crashSimFirst, func() {
 		if e.down {
 			s.tick(gateway, Input{Ended: &AttemptEnded{ID: d.ID, Attempt: d.Attempt, Result: ResultBroken}})
@@ -148,6 +171,24 @@
 	})
 }
 
+// runPlain runs a request at the endpoint of a plain service, which answers only at the end.
+func (s *crashSim) runPlain(e *crashEngine, run crashRun, p *crashPrompt, crashing bool) {
+	e.running = append(e.running, run)
+	if !crashing {
+		s.schedule(crashSimAnswer, func() { s.complete(e, run) })
+		return
+	}
+	s.schedule(crashSimCrash, func() {
+		if !e.down {
+			s.crashes = append(s.crashes, s.now)
+			for _, h := range s.histories(p) {
+				h.crashes = append(h.crashes, s.now)
+			}
+		}
+		s.crash(e)
+	})
+}
+
 func (s *crashSim) complete(e *crashEngine, run crashRun) {
 	if e.down {
 		return
@@ -163,11 +204,13 @@
 	}
 	e.down = true
 	for _, r := range e.running {
-		s.tick(r.gateway, Input{Ended: &AttemptEnded{
-			ID: r.ID, Attempt: r.Attempt, Result: ResultBroken, Status: 200, PartlyDelivered: true, Resumable: true,
-		}})
+		end := AttemptEnded{ID: r.ID, Attempt: r.Attempt, Result: ResultBroken, Resumable: true}
+		if e.registration.Service == engineService {
+			end.Status, end.PartlyDelivered = 200, true
+		}
+		s.tick(r.gateway, Input{Ended: &end})
 	}
-	s.schedule(crashSimRestart, func() { s.restart(e) })
+	s.schedule(s.restartAfter, func() { s.restart(e) })
 }
 
 func (s *crashSim) restart(e *crashEngine) {
@@ -190,6 +233,12 @@
 // histories returns those of the crashing parts of a prompt.
 func (s *crashSim) histories(p *crashPrompt) []*partHistory {
 	var out []*partHistory
+	if s.crashOnRequest[p.request] {
+		if s.byRequest[p.request] == nil {
+			s.byRequest[p.request] = new(partHistory)
+		}
+		out = append(out, s.byRequest[p.request])
+	}
 	for _, part := range p.parts {
 		if !s.crashOn[part] {
 			continue
