Keep requests that crash endpoints from them

Cause: a retry and the caller's own retry carry the request over three endpoints in 0.2 s, and nothing remembers it; the quarantine knew parts of prompts at engines only. The class: a failure that the input causes is treated as one of the server, and a retry carries it on. Change: a request is a part of itself, by a fingerprint of host, target, account and body, in the same tables, one for each service now. Crashes under runs that began one after the other are independent; those of endpoints that end together are one event (docs/design/063). Why it works: three runs in sequence suffice, at whichever gateways, and a completed answer clears them.

--- a/internal/gateway/cells.go
+++ b/internal/gateway/cells.go
@@ -119,8 +119,9 @@
 		return
 	}
 	m := c.versionMessage(otherCellAddresses)
+	messages := []*PeerMessage{m}
 	if c.partsKnown {
-		m.Parts = c.poison.Rows(c.now, maxPartRowsPerMessage)
+		messages = append(messages, c.partMessages()...)
 	}
 	rows := c.limitRows()
 	m.Limits = rows[:min(len(rows), maxLimitRows)]
@@ -131,11 +132,25 @@
 	for _, p := range others {
 		if p.sendPending {
 			p.sendPending = false
-			c.emit(Output{ToPeer: &ToPeer{Addr: p.addr, Msg: m}})
+			for _, m := range messages {
+				c.emit(Output{ToPeer: &ToPeer{Addr: p.addr, Msg: m}})
+			}
 		}
 	}
 }
 
+// partMessages returns a message for each service with the most important of what is known of
+// its parts.
+func (c *Core) partMessages() []*PeerMessage {
+	var out []*PeerMessage
+	for s := range c.parts.Values() {
+		if rows := s.table.Rows(c.now, maxPartRowsPerMessage); len(rows) > 0 {
+			out = append(out, c.partMessage(s, rows))
+		}
+	}
+	return out
+}
+
 // otherCellSendsDue returns how many gateways of other cells to send to after the
 // given interval, so that each gets a message about every otherCellInterval.
 func (c *Core) otherCellSendsDue(interval time.Duration) int {
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -49,10 +49,10 @@
 	counts            Counts
 	candidateBuf      []candidate // reused by candidates
 	plan              planBuffers
-	poison            *poison.Table
-	limitsKnown       bool                              // an endpoint has named a limit
-	partsKnown        bool                              // the table poison has been given evidence
-	partIDs           *table.Table[poison.Part, string] // of parts that were logged
+	limitsKnown       bool                               // an endpoint has named a limit
+	parts             *table.Table[uint64, serviceParts] // by the hash of the service's name
+	partsKnown        bool                               // the table poison has been given evidence
+	partIDs           *table.Table[poison.Part, string]  // of parts of prompts that were logged
 }
 
 // Counts are totals since the start of the process.
@@ -85,8 +85,8 @@
 		timers:          timer.New[timerKey](),
 		ready:           Ready{Reason: "starting"},
 	}
+	c.parts = table.New[uint64, serviceParts]()
 	c.partIDs = table.New[poison.Part, string]()
-	c.poison = poison.New(poison.Config{Gateway: c.addrHash})
 	c.addSeeds(cfg.Seeds)
 	c.timers.Set(timerKey{kind: timerFullMessage}, 0)
 	c.timers.Set(timerKey{kind: timerProbe}, probeInterval)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/poison"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -51,17 +52,11 @@
 	brokenAt time.Duration // when the first of them did
 	attempts int           // that broke off
 	parts    []string      // IDs of the shared parts of their prompts
-	requests []brokenRun   // the requests that ran
+	requests []poison.Run  // the requests that ran
 	checks   int           // made so far
 	ended    bool          // the instance has ended
 }
 
-// brokenRun is a request that ran at an instance when its attempt broke off.
-type brokenRun struct {
-	fingerprint uint64
-	began       time.Duration // when its latest run there was dispatched
-}
-
 // runBroke reports whether an attempt at e broke off that the endpoint may have begun to run.
 func (end *AttemptEnded) runBroke(e *endpoint) bool {
 	return end.brokeOff() || e.engine == nil && end.Result == ResultBroken
@@ -92,20 +87,22 @@
 			b.parts = append(b.parts, part)
 		}
 	}
-	b.addRun(r.in.Fingerprint, w.dispatchedAt)
+	if r.in.Fingerprint != 0 {
+		b.addRun(poison.WholeRequest(r.in.Fingerprint), w.dispatchedAt)
+	}
 	if b.ended {
 		c.instanceEnded(b)
 	}
 }
 
 // addRun adds a request that ran at the instance.
-func (b *brokenInstance) addRun(fingerprint uint64, began time.Duration) {
-	i := slices.IndexFunc(b.requests, func(run brokenRun) bool { return run.fingerprint == fingerprint })
+func (b *brokenInstance) addRun(request poison.Part, began time.Duration) {
+	i := slices.IndexFunc(b.requests, func(run poison.Run) bool { return run.Request == request })
 	switch {
 	case i >= 0:
-		b.requests[i].began = max(b.requests[i].began, began)
+		b.requests[i].Began = min(b.requests[i].Began, began)
 	case len(b.requests) < maxBrokenParts:
-		b.requests = append(b.requests, brokenRun{fingerprint, began})
+		b.requests = append(b.requests, poison.Run{Request: request, Began: began})
 	}
 }
 
@@ -159,13 +156,11 @@
 func (c *Core) instanceEnded(b *brokenInstance) {
 	if !b.ended {
 		b.ended = true
-		if e := c.endpoints.Get(b.instance.id); !b.plain && e != nil && instanceOf(&e.registration) == b.instance {
+		if e := c.endpoints.Get(b.instance.id); e != nil && instanceOf(&e.registration) == b.instance {
 			c.eject(e, "ended", 0)
 		}
 	}
-	if !b.plain {
-		c.recordCrash(b)
-	}
+	c.recordCrash(b)
 	c.log(Event{Name: "endpoint-ended", Endpoint: string(b.instance.id), Count: b.attempts,
 		Detail: "addr=" + b.instance.addr + partDetail(b.parts) + b.requestDetail()})
 }
@@ -174,7 +169,7 @@
 func (b *brokenInstance) requestDetail() string {
 	var names []string
 	for _, run := range b.requests[:min(len(b.requests), maxLoggedParts)] {
-		names = append(names, formatFingerprint(run.fingerprint))
+		names = append(names, formatFingerprint(uint64(run.Request)))
 	}
 	return " requests=" + strings.Join(names, "/")
 }
--- a/internal/gateway/crashsim_test.go
+++ b/internal/gateway/crashsim_test.go
@@ -130,6 +130,9 @@
 // arrive begins an attempt at its engine.
 func (s *crashSim) arrive(gateway int, d Dispatch) {
 	e, p := s.engines[d.Endpoint], s.prompts[d.ID]
+	if p == nil {
+		return // its gateway has been restarted
+	}
 	if e == nil || e.down {
 		s.tick(gateway, Input{Ended: &AttemptEnded{ID: d.ID, Attempt: d.Attempt, Result: ResultUnreachable}})
 		return
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -53,7 +53,7 @@
 func (c *Core) arrive(a *Arrival) {
 	c.counts.Arrived++
 	r := c.requests.Put(a.ID, request{in: *a, arrived: c.now, phase: phaseWaiting})
-	r.parts = c.partHashes(a)
+	r.parts = c.partsOf(a)
 	s := c.service(a.Service)
 	s.budget.CountRequest(c.now)
 	c.timers.Set(timerKey{kind: timerDeadline, request: a.ID}, a.Deadline)
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -273,7 +273,8 @@
 	ReasonLimit       Reason = "endpoint-limit" // all endpoints name limits that leave it no place in time
 	ReasonExit        Reason = "exit"           // the process is about to exit
 
-	ReasonCrashesEngines Reason = "crashes-engines" // engines crash on a part of the prompt, or may do so
+	ReasonCrashesEngines   Reason = "crashes-engines"   // engines crash on a part of the prompt, or may do so
+	ReasonCrashesEndpoints Reason = "crashes-endpoints" // endpoints of a plain service crash on the request, or may do so
 )
 
 // ToPeer is a message to another gateway.
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"trefoilpath.org/trefoilpath/internal/poison"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
@@ -72,7 +74,7 @@
 
 // brokenDetail identifies a request whose attempt broke off, for the log.
 func brokenDetail(r *request) string {
-	return partDetail(r.in.SharedParts) + " fingerprint=" + formatFingerprint(r.in.Fingerprint)
+	return partDetail(r.in.SharedParts) + " fingerprint=" + formatFingerprint(uint64(poison.WholeRequest(r.in.Fingerprint)))
 }
 
 // maxLoggedParts bounds the parts of prompts in a log line.
@@ -128,7 +130,7 @@
 			return false, reason
 		}
 		if !c.mayRepeat(r, end) {
-			return false, ReasonCrashesEngines
+			return false, c.crashReason(r)
 		}
 	}
 	r.retryTaken = r.retryTaken || c.takeRetry(r)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -48,11 +48,13 @@
 	Versions    *Versions        `cbor:"4,keyasint,omitempty"` // only in a full message or one to another cell
 	Known       []netip.AddrPort `cbor:"5,keyasint,omitempty"` // live gateways
 	Paces       []PaceRow        `cbor:"8,keyasint,omitempty"` // only in a full message
-	Parts       []poison.Row     `cbor:"9,keyasint,omitempty"` // of prompts that crash engines; in messages of their own and to other cells
+	Parts       []poison.Row     `cbor:"9,keyasint,omitempty"` // that crash endpoints; in messages of their own
 	Leaving     bool             `cbor:"6,keyasint,omitempty"` // the sender is shutting down
-	Limits      []LimitRow       `cbor:"10,keyasint,omitempty"`
-	Demands     []PermitDemand   `cbor:"11,keyasint,omitempty"`
-	Grants      []PermitGrant    `cbor:"12,keyasint,omitempty"`
+	// PartsService is the hash of the name of the service to which Parts belong.
+	PartsService uint64         `cbor:"13,keyasint,omitempty"`
+	Limits       []LimitRow     `cbor:"10,keyasint,omitempty"`
+	Demands      []PermitDemand `cbor:"11,keyasint,omitempty"`
+	Grants       []PermitGrant  `cbor:"12,keyasint,omitempty"`
 }
 
 // PeerRow is one work item of the sender.
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,13 +34,14 @@
 	turnValidity = time.Second
 )
 
-// A part of a prompt may crash each engine that begins an answer. The package poison finds
-// such parts; here it learns of answers and ended engines, and decides on prompts before they
-// are dispatched.
+// A part of a prompt may crash each engine that begins an answer, and a request each endpoint that
+// begins to run it. The package poison finds such parts and requests, which here are both called
+// parts; here it learns of answers and ended endpoints, and decides on requests before they are
+// dispatched.
 
-// suspicion is what is known of a request because of the parts of its prompt.
+// suspicion is what is known of a request because of its parts.
 type suspicion struct {
-	parts      []poison.Part   // hashes of the IDs of its shared parts; nil: not the prompt of an engine
+	parts      []poison.Part   // the request itself, and the shared parts of a prompt for an engine
 	held       bool            // it waits because of a part under suspicion
 	trial      bool            // it is the trial of a part in quarantine and is never repeated
 	turnAt     time.Duration   // when it was permitted as the next one with a part under suspicion
@@ -48,21 +50,44 @@
 	life       poison.Life     // of the engine at which its last answer broke off
 }
 
-// partHashes returns the hashes of the shared parts of a prompt for an engine.
-func (c *Core) partHashes(a *Arrival) []poison.Part {
-	if len(a.SharedParts) == 0 || c.routing == nil {
-		return nil
+// serviceParts is what is known of the parts of requests to one service.
+type serviceParts struct {
+	service uint64 // hash of its name; other gateways may tell of it before it is known here
+	table   *poison.Table
+}
+
+// maxPartTables bounds the services of which parts are kept.
+const maxPartTables = 256
+
+// partTable returns the parts of a service, or nil if there are too many services.
+func (c *Core) partTable(service uint64) *poison.Table {
+	if s := c.parts.Get(service); s != nil {
+		return s.table
 	}
-	if s := c.routing.Service(a.Service); s == nil || s.Engine == nil {
+	if c.parts.Len() >= maxPartTables {
 		return nil
 	}
-	return hashParts(a.SharedParts)
+	return c.parts.Put(service, serviceParts{service, poison.New(poison.Config{Gateway: c.addrHash})}).table
+}
+
+// partsOf returns the parts of a request.
+func (c *Core) partsOf(a *Arrival) []poison.Part {
+	var parts []poison.Part
+	if c.routing != nil {
+		if s := c.routing.Service(a.Service); s != nil && s.Engine != nil {
+			parts = hashParts(a.SharedParts)
+		}
+	}
+	if a.Fingerprint != 0 {
+		parts = append(parts, poison.WholeRequest(a.Fingerprint))
+	}
+	return parts
 }
 
 func hashParts(ids []string) []poison.Part {
-	parts := make([]poison.Part, len(ids))
+	parts := make([]poison.Part, len(ids), len(ids)+1)
 	for i, id := range ids {
-		parts[i] = poison.Part(xxhash.Sum64String(id))
+		parts[i] = poison.PromptPart(xxhash.Sum64String(id))
 	}
 	return parts
 }
@@ -72,15 +97,19 @@
 	return poison.Life(rendezvousHash(xxhash.Sum64String(string(i.id)), uint64(i.born)))
 }
 
-// recordCrash records the end of an instance with the parts of the prompts that it answered,
-// and tells the other gateways.
+// recordCrash records the end of an instance with the requests that it ran, and tells the other
+// gateways.
 func (c *Core) recordCrash(b *brokenInstance) {
-	life, parts := lifeOf(b.instance), hashParts(b.parts)
-	c.poison.Crashed(b.brokenAt, life, parts[:min(len(parts), maxPartsPerCrash)])
+	life, parts, table := lifeOf(b.instance), hashParts(b.parts), c.partTable(c.service(b.service).nameHash)
+	if table == nil {
+		return
+	}
+	table.Crashed(b.brokenAt, life, parts[:min(len(parts), maxPartsPerCrash)])
 	for len(parts) > maxPartsPerCrash {
 		parts = parts[maxPartsPerCrash:]
-		c.poison.Crashed(b.brokenAt, life, parts[:min(len(parts), maxPartsPerCrash)])
+		table.Crashed(b.brokenAt, life, parts[:min(len(parts), maxPartsPerCrash)])
 	}
+	table.RequestsCrashed(b.brokenAt, life, b.requests)
 	c.partsKnown, c.placementDue = true, true
 	c.outbox.batchDue = true
 	c.outbox.otherCellSends = max(c.outbox.otherCellSends, crashCellFanout)
@@ -89,14 +118,19 @@
 // recordAnswer records a complete answer to r.
 func (c *Core) recordAnswer(r *request, end *AttemptEnded) {
 	if end.Status >= 200 && end.Status < 300 && len(r.parts) > 0 {
-		c.poison.Completed(c.now, r.parts)
+		if table := c.partTable(c.service(r.in.Service).nameHash); table != nil {
+			table.Completed(c.now, r.parts)
+		}
 	}
 }
 
-// mergeParts adds what another gateway knows of parts.
-func (c *Core) mergeParts(rows []poison.Row) {
-	if len(rows) > 0 {
-		c.poison.Merge(c.now, rows)
+// mergeParts adds what another gateway knows of the parts of a service.
+func (c *Core) mergeParts(service uint64, rows []poison.Row) {
+	if len(rows) == 0 {
+		return
+	}
+	if table := c.partTable(service); table != nil {
+		table.Merge(c.now, rows)
 		c.partsKnown, c.placementDue = true, true
 	}
 }
@@ -134,7 +168,11 @@
 	if !c.partsKnown || r.trial {
 		return poison.Decision{}
 	}
-	d := c.poison.Decide(c.now, r.parts, live)
+	table := c.partTable(c.service(r.in.Service).nameHash)
+	if table == nil {
+		return poison.Decision{}
+	}
+	d := table.Decide(c.now, r.parts, live)
 	switch {
 	case d.Verdict == poison.Allowed && d.Part != 0:
 		r.turnAt = c.now
@@ -168,7 +206,7 @@
 	switch {
 	case d.Verdict == poison.Refused, d.Verdict == poison.Held && c.now+d.RetryAfter > r.placedBefore():
 		r.refusal = d
-		c.endUnserved(r, ReasonCrashesEngines)
+		c.endUnserved(r, c.crashReason(r))
 		return
 	case d.Verdict == poison.Held:
 		c.hold(r)
@@ -185,6 +223,14 @@
 	}
 }
 
+// crashReason is the reason why r is not sent because of its parts.
+func (c *Core) crashReason(r *request) Reason {
+	if c.service(r.in.Service).engine() == nil {
+		return ReasonCrashesEndpoints
+	}
+	return ReasonCrashesEngines
+}
+
 // hold keeps a waiting request from being dispatched. Other gateways leave it out of their
 // plans.
 func (c *Core) hold(r *request) {
@@ -204,7 +250,10 @@
 	if r.trial {
 		return false
 	}
-	return !end.brokeOff() || len(r.parts) == 0 || c.poison.MayRepeat(c.now, r.parts, r.life)
+	s := c.service(r.in.Service)
+	ran := end.brokeOff() || s.engine() == nil && end.Result == ResultBroken
+	table := c.partTable(s.nameHash)
+	return !ran || len(r.parts) == 0 || table == nil || table.MayRepeat(c.now, r.parts, r.life)
 }
 
 // sendParts sends what has changed of parts to the gateways of the cell, and with a full
@@ -213,37 +262,77 @@
 	if !c.partsKnown {
 		return
 	}
-	c.sendPartRows(c.poison.Changed(c.now), full)
-	if full {
-		for rows := range slices.Chunk(c.poison.Rows(c.now, maxFullPartRows), maxPartRowsPerMessage) {
-			c.sendPartRows(rows, true)
+	for s := range c.parts.Values() {
+		c.sendPartRows(s, s.table.Changed(c.now), full)
+		if full {
+			for rows := range slices.Chunk(s.table.Rows(c.now, maxFullPartRows), maxPartRowsPerMessage) {
+				c.sendPartRows(s, rows, true)
+			}
 		}
 	}
 }
 
-func (c *Core) sendPartRows(rows []poison.Row, full bool) {
+func (c *Core) sendPartRows(s *serviceParts, rows []poison.Row, full bool) {
 	if len(rows) > 0 {
-		m := c.message()
-		m.Parts = rows
-		c.sendToCell(m, full)
+		c.sendToCell(c.partMessage(s, rows), full)
 	}
 }
 
+// partMessage returns a message with rows of the parts of a service.
+func (c *Core) partMessage(s *serviceParts, rows []poison.Row) *PeerMessage {
+	m := c.message()
+	m.Parts, m.PartsService = rows, s.service
+	return m
+}
+
 // reportParts logs what has happened to parts. A new quarantine is sent to all cells at once.
 func (c *Core) reportParts() {
 	if !c.partsKnown {
 		return
 	}
-	for _, e := range c.poison.Events() {
-		c.log(Event{Name: "prompt-" + string(e.Kind), Count: e.Crashes, Detail: "part=" + c.partName(e.Part) + " trials=" + itoa(e.Trials)})
-		if e.Kind == poison.EventQuarantined {
-			c.outbox.versionsChanged(c)
+	for s := range c.parts.Values() {
+		for _, e := range s.table.Events() {
+			c.logPart(s, &e)
+			if e.Kind == poison.EventQuarantined {
+				c.outbox.versionsChanged(c)
+			}
+		}
+	}
+}
+
+// logPart logs what has happened to a part.
+func (c *Core) logPart(s *serviceParts, e *poison.Event) {
+	name := "prompt-" + string(e.Kind)
+	if e.Part.IsRequest() {
+		name = "request-" + strings.TrimPrefix(string(e.Kind), "part-")
+	}
+	c.log(Event{Name: name, Count: e.Crashes, Detail: c.partDetail(e.Part) + " service=" + c.serviceName(s.service) + " trials=" + itoa(e.Trials)})
+}
+
+// serviceName returns the name of a service, or its hash if it is not known here.
+func (c *Core) serviceName(hash uint64) string {
+	for s := range c.services.Values() {
+		if s.nameHash == hash {
+			return s.name
 		}
 	}
+	return "#" + strconv.FormatUint(hash, 16)
 }
 
-// partName returns the ID of a part if it is known, else its hash.
+// partDetail names a part for the log.
+func (c *Core) partDetail(p poison.Part) string {
+	if p.IsRequest() {
+		return "fingerprint=" + c.partName(p)
+	}
+	return "part=" + c.partName(p)
+}
+
+// partName returns the fingerprint of a request, and the ID of a part of a prompt if it is known,
+// else its hash.
 func (c *Core) partName(p poison.Part) string {
+	if p.IsRequest() {
+		return formatFingerprint(uint64(p))
+	}
 	if id := c.partIDs.Get(p); id != nil {
 		return *id
 	}
@@ -270,9 +359,11 @@
 	return id
 }
 
-// PartDump is the state of one part of prompts under suspicion or in quarantine.
+// PartDump is the state of one part of prompts, or request, under suspicion or in quarantine.
 type PartDump struct {
-	Part        string // ID, or a hash after #
+	Service     string
+	Part        string // ID, or a hash after #, or the fingerprint of a request
+	Request     bool   // a whole request
 	Quarantined bool
 	Held        bool
 	Crashes     int // of engines, without a complete answer since
@@ -285,9 +376,17 @@
 
 func (c *Core) dumpParts() []PartDump {
 	var out []PartDump
-	for _, s := range c.poison.Dump(c.now, maxDumpedParts) {
+	for s := range c.parts.Values() {
+		out = append(out, c.dumpPartsOf(s)...)
+	}
+	return out
+}
+
+func (c *Core) dumpPartsOf(svc *serviceParts) []PartDump {
+	var out []PartDump
+	for _, s := range svc.table.Dump(c.now, maxDumpedParts) {
 		d := PartDump{
-			Part: c.partName(s.Part), Quarantined: s.Quarantined, Held: s.Held, Crashes: s.Crashes, Events: s.Events,
+			Service: c.serviceName(svc.service), Part: c.partName(s.Part), Request: s.Part.IsRequest(), Quarantined: s.Quarantined, Held: s.Held, Crashes: s.Crashes, Events: s.Events,
 			LastCrash: s.LastCrash, Trials: s.Trials, NextTrial: s.NextTrial,
 		}
 		for _, rival := range s.Rivals {
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
 	"trefoilpath.org/trefoilpath/internal/poison"
@@ -188,7 +189,7 @@
 }
 
 func tellParts(from int, rows ...poison.Row) Input {
-	return Input{Peer: &PeerMessage{From: gatewayAddr(from), Incarnation: 9, Parts: rows}}
+	return Input{Peer: &PeerMessage{From: gatewayAddr(from), Incarnation: 9, Parts: rows, PartsService: xxhash.Sum64String(engineService)}}
 }
 
 // TestWaitingPromptIsRefusedWithItsPart checks that a prompt that waits when its part is put in
@@ -297,7 +298,7 @@
 	due := quarantineRow("bad")
 	due.NextMS = -10
 	c.partsKnown = true
-	c.poison.Merge(time.Second, []poison.Row{due})
+	c.partTable(xxhash.Sum64String(engineService)).Merge(time.Second, []poison.Row{due})
 	d := dispatchOf(submitParts(c, time.Second, 1, "aa", "bad"))
 	if d == nil {
 		t.Fatal("no trial was sent")
@@ -318,7 +319,7 @@
 	due := quarantineRow("bad")
 	due.NextMS = -10
 	c.partsKnown = true
-	c.poison.Merge(time.Second, []poison.Row{due})
+	c.partTable(xxhash.Sum64String(engineService)).Merge(time.Second, []poison.Row{due})
 	d := dispatchOf(submitParts(c, time.Second, 1, "aa", "bad"))
 	c.Tick(time.Second, Input{Sent: &Sent{ID: 1, Attempt: d.Attempt}}, Input{First: &FirstEvent{ID: 1, Attempt: d.Attempt}})
 	out := c.Tick(2*time.Second, Input{Ended: &AttemptEnded{ID: 1, Attempt: d.Attempt, Result: ResultDone, Status: 200}})
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -285,8 +285,8 @@
 	s := c.service(r.in.Service)
 	detail := string(reason) + " prompt=" + itoa(int(r.in.PromptTokens)) + " usable=" + itoa(len(c.usable(s, r))) +
 		" registered=" + itoa(len(s.endpoints)) + " view=" + c.viewAge().Round(time.Millisecond).String()
-	if reason == ReasonCrashesEngines {
-		detail += " part=" + c.partName(r.refusal.Part)
+	if reason == ReasonCrashesEngines || reason == ReasonCrashesEndpoints {
+		detail += " " + c.partDetail(r.refusal.Part)
 	}
 	c.logRequest("refuse", r, Event{Detail: detail, Took: retryAfter, Count: len(s.waiting)})
 	c.removeRequest(r)
@@ -295,7 +295,7 @@
 // retryAfter returns when a caller may find free capacity: when the prefills that are
 // queued or waiting now are done, with some jitter by the request's ID.
 func (c *Core) retryAfter(r *request, reason Reason) time.Duration {
-	if reason == ReasonCrashesEngines {
+	if reason == ReasonCrashesEngines || reason == ReasonCrashesEndpoints {
 		return max(r.refusal.RetryAfter, minRetryAfter)
 	}
 	s := c.service(r.in.Service)
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -42,7 +42,7 @@
 		}
 	}
 	c.applyPeerPaces(m.Paces)
-	c.mergeParts(m.Parts)
+	c.mergeParts(m.PartsService, m.Parts)
 	c.mergeLimits(m.Limits)
 	for i := range m.Demands {
 		c.permitsDemanded(p, &m.Demands[i])
--- a/internal/poison/bounds.go
+++ b/internal/poison/bounds.go
@@ -39,7 +39,7 @@
 	all := make([]candidate, 0, t.parts.Len())
 	free := 0
 	for e := range t.parts.Values() {
-		all = append(all, candidate{e: e, events: e.crashes.events()})
+		all = append(all, candidate{e: e, events: e.part.eventsOf(e.crashes)})
 		if !e.quarantined {
 			free++
 		}
--- a/internal/poison/crashes.go
+++ b/internal/poison/crashes.go
@@ -19,12 +19,19 @@
 	// maxCrashesPerPart and maxLives bound the crashes kept of a part and of all engines.
 	maxCrashesPerPart = 16
 	maxLives          = 64
+	// beganSlack is how much earlier a run may seem to have begun than it has: times in rows are
+	// rounded.
+	beganSlack = 2 * time.Millisecond
+	// minRun is the shortest run that tells that its endpoint was up when it began: what is sent
+	// to one that has just ended breaks off at once.
+	minRun = 5 * time.Millisecond
 )
 
 // crash is the end of one life.
 type crash struct {
-	at   time.Duration
-	life Life
+	at    time.Duration
+	life  Life
+	began time.Duration // of a whole request: when the earliest of its runs there began
 }
 
 // crashes are ends of different lives, in order of time, those at the same time in order
@@ -46,10 +53,11 @@
 }
 
 // add returns cs with c, and whether that is different. Of two times of one life the
-// earlier is kept, since a message can only make it later.
+// earlier are kept, since a message can only make them later.
 func (cs crashes) add(c crash, b bounds) (crashes, bool) {
 	if i := cs.index(c.life); i >= 0 {
-		if cs[i].at <= c.at {
+		c.at, c.began = min(c.at, cs[i].at), min(c.began, cs[i].began)
+		if cs[i] == c {
 			return cs, false
 		}
 		cs = slices.Delete(cs, i, i+1)
@@ -155,3 +163,25 @@
 	}
 	return n
 }
+
+// sequence returns the number of crashes under runs of a request that began one after the
+// other, each after the endpoint of the one before had ended. Runs at endpoints that end
+// together for another reason overlap.
+func (cs crashes) sequence() int {
+	n, end := 0, never
+	for _, c := range cs {
+		if n == 0 || c.began >= end-beganSlack && (c.at-c.began >= minRun || c.at-end >= eventSpacing) {
+			n, end = n+1, c.at
+		}
+	}
+	return n
+}
+
+// eventsOf returns the number of events among crashes of a part that are independent of each
+// other.
+func (p Part) eventsOf(cs crashes) int {
+	if p.IsRequest() {
+		return cs.sequence()
+	}
+	return cs.events()
+}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -1,7 +1,7 @@
-// Package poison finds the parts of prompts that crash engines (a query of death) and
-// decides which requests with such parts may be sent. Each gateway has one Table; the
-// tables exchange rows, whose merge is commutative and idempotent, so that rows may be
-// lost, repeated and reordered. The package has no clock and no I/O.
+// Package poison finds the parts of prompts and the requests that crash endpoints (a query
+// of death) and decides which requests may be sent. Each gateway has one Table for a service;
+// the tables of a service exchange rows, whose merge is commutative and idempotent, so that
+// rows may be lost, repeated and reordered. The package has no clock and no I/O.
 package poison
 
 import (
@@ -12,9 +12,27 @@
 	"trefoilpath.org/trefoilpath/internal/table"
 )
 
-// Part is the hash of the ID of a part of a prompt. Zero stands for no part.
+// Part is a part of a prompt, or a whole request, by its hash. Zero stands for no part.
 type Part uint64
 
+// requestBit marks a whole request.
+const requestBit = 1 << 63
+
+// PromptPart returns the part of a prompt whose ID has a hash.
+func PromptPart(hash uint64) Part { return Part(hash &^ requestBit) }
+
+// WholeRequest returns the part that all requests with a fingerprint have.
+func WholeRequest(fingerprint uint64) Part { return Part(fingerprint | requestBit) }
+
+// IsRequest reports whether the part is a whole request.
+func (p Part) IsRequest() bool { return p&requestBit != 0 }
+
+// Run is a request that ran at an endpoint when that ended.
+type Run struct {
+	Request Part
+	Began   time.Duration // when the earliest of its runs there began
+}
+
 // Life identifies one life of an engine, from start to end, by the same hash at all
 // gateways.
 type Life uint64
@@ -104,6 +122,16 @@
 	}
 }
 
+// RequestsCrashed records that a life has ended for certain while these requests ran there at
+// this gateway. It may be called again for a life.
+func (t *Table) RequestsCrashed(now time.Duration, life Life, runs []Run) {
+	t.expire(now)
+	at := t.lifeEnded(crash{at: now, life: life}, true)
+	for _, r := range runs {
+		t.addCrash(now, t.entry(now, r.Request), crash{at: at, life: life, began: r.Began}, true)
+	}
+}
+
 // addCrash adds a crash to those of a part, and lists its row if asked to.
 func (t *Table) addCrash(now time.Duration, e *entry, c crash, list bool) {
 	if c.at <= e.clearedUntil() {
@@ -123,7 +151,9 @@
 func (t *Table) Completed(now time.Duration, parts []Part) {
 	t.expire(now)
 	for _, p := range read(parts) {
-		t.completions.add(now, p)
+		if !p.IsRequest() { // most requests occur once
+			t.completions.add(now, p)
+		}
 		if e := t.parts.Get(p); e != nil {
 			e.ownCleared = max(e.ownCleared, now)
 			t.clear(now, e, now)
@@ -204,6 +234,7 @@
 	if i < 0 || e.crashes[i].at <= c.at {
 		return
 	}
+	c.began = e.crashes[i].began
 	e.crashes = slices.Delete(e.crashes, i, i+1)
 	if c.at > e.clearedUntil() {
 		e.crashes, _ = e.crashes.add(c, partBounds)
--- a/internal/poison/rows.go
+++ b/internal/poison/rows.go
@@ -23,10 +23,11 @@
 	Cleared     bool       `cbor:"3,keyasint,omitempty"` // an answer was completed at the sender
 	ClearedMS   int64      `cbor:"4,keyasint,omitempty"` // since the last such answer
 	Quarantined bool       `cbor:"5,keyasint,omitempty"`
-	SinceMS     int64      `cbor:"6,keyasint,omitempty"` // since the crash that led to the quarantine
-	Trials      int        `cbor:"7,keyasint,omitempty"` // started so far
-	NextMS      int64      `cbor:"8,keyasint,omitempty"` // until the next trial
-	AskedMS     int64      `cbor:"9,keyasint,omitempty"` // since a request for the part last came
+	SinceMS     int64      `cbor:"6,keyasint,omitempty"`  // since the crash that led to the quarantine
+	Trials      int        `cbor:"7,keyasint,omitempty"`  // started so far
+	NextMS      int64      `cbor:"8,keyasint,omitempty"`  // until the next trial
+	AskedMS     int64      `cbor:"9,keyasint,omitempty"`  // since a request for the part last came
+	BeganMS     []int64    `cbor:"10,keyasint,omitempty"` // of a whole request: since its run began, for each of Crashes
 }
 
 // CrashRow is the end of one life.
@@ -108,6 +109,11 @@
 
 func (e *entry) row(now time.Duration) Row {
 	r := Row{Part: uint64(e.part), Crashes: crashRows(now, e.crashes)}
+	for _, c := range e.crashes {
+		if e.part.IsRequest() {
+			r.BeganMS = append(r.BeganMS, age(now, c.began))
+		}
+	}
 	if e.ownCleared != never {
 		r.Cleared, r.ClearedMS = true, age(now, e.ownCleared)
 	}
@@ -152,7 +158,7 @@
 		}
 		t.mergeQuarantine(now, e, r)
 	}
-	for _, c := range r.Crashes[:min(len(r.Crashes), maxCrashesPerPart)] {
+	for i, c := range r.Crashes[:min(len(r.Crashes), maxCrashesPerPart)] {
 		sent := timeAgo(now, c.AgeMS)
 		at := t.lifeEnded(crash{at: sent, life: Life(c.Life)}, false)
 		if e == nil || now-sent >= crashRetention && !r.Quarantined {
@@ -161,7 +167,11 @@
 		if at <= e.clearedUntil() && e.ownCleared == e.cleared {
 			t.list(e) // the sender hasn't heard of the completed answer
 		}
-		t.addCrash(now, e, crash{at: at, life: Life(c.Life)}, false)
+		ended := crash{at: at, life: Life(c.Life)}
+		if i < len(r.BeganMS) && e.part.IsRequest() {
+			ended.began = timeAgo(now, r.BeganMS[i])
+		}
+		t.addCrash(now, e, ended, false)
 	}
 }
 
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -20,8 +20,11 @@
 	// suspectLives is the number of lives from which a part is held until it is known
 	// whether it is guilty.
 	suspectLives = 3
-	// maxCandidates bounds the parts that are compared with one another. Parts in quarantine
-	// beyond it keep their rivals.
+	// maxUnrelatedRatio is how many events without a request there may be for each of its own
+	// for it to be held.
+	maxUnrelatedRatio = 3
+	// maxCandidates bounds the parts of prompts, and the requests, that are compared with one
+	// another. Those in quarantine beyond it keep their rivals.
 	maxCandidates = 128
 	// settleTime is the age from which a crash counts for a verdict: all gateways have
 	// heard by then what else ran there.
@@ -47,38 +50,63 @@
 	}
 	t.dirty, t.nextSettled = false, forever
 	cs := t.candidates(now)
-	suspects, known := findSuspects(cs)
+	isRequest := func(c candidate) bool { return c.e.part.IsRequest() }
+	prompts := slices.DeleteFunc(slices.Clone(cs), isRequest)
+	requests := slices.DeleteFunc(slices.Clone(cs), func(c candidate) bool { return !isRequest(c) })
+	// Parts of prompts come first: a part crashes engines whatever request it is in.
+	explaining := t.evaluateAll(prompts[:min(len(prompts), maxCandidates)], nil)
+	t.evaluateAll(requests[:min(len(requests), maxCandidates)], explaining)
+	findRivals(cs[:min(len(cs), 2*maxCandidates)])
+}
+
+// evaluateAll finds the guilty and the held ones among parts. The crashes that explaining
+// explains are not theirs. It returns explaining with the crashes that these parts explain.
+func (t *Table) evaluateAll(cs []candidate, explaining []crashes) []crashes {
+	suspects, known, explaining := t.findSuspects(cs, explaining)
 	for _, c := range suspects {
 		if t.guilty(c, suspects, known) {
 			t.startQuarantine(c.e)
 		}
 	}
-	findRivals(cs)
+	return explaining
 }
 
-// findSuspects marks the held parts. It returns those with enough crashes that no part
-// before them explains, and the crashes of the parts in quarantine.
-func findSuspects(cs []candidate) (suspects []candidate, known []crashes) {
-	var explaining []crashes
+// findSuspects marks the held parts. It returns those with enough crashes that neither explaining
+// nor a part before them explains, the crashes of the parts in quarantine, and explaining with
+// those of the parts that explain others.
+func (t *Table) findSuspects(cs []candidate, explaining []crashes) (suspects []candidate, known, all []crashes) {
+	known = explaining[:len(explaining):len(explaining)]
 	for _, c := range cs {
 		remaining := c.e.crashes.unexplained(explaining)
 		c.settled = c.settled.unexplained(explaining)
+		c.events = c.e.part.eventsOf(c.settled)
 		switch {
 		case c.e.quarantined:
 			known = append(known, c.e.crashes)
-		case len(remaining) >= suspectLives:
+		case t.suspicious(c.e, remaining):
 			c.e.suspect = true
 			suspects = append(suspects, c)
 		default:
 			// Other suspects may explain it by chance, unless it has proved good.
-			c.e.suspect = len(c.e.crashes) >= suspectLives && !c.good
+			c.e.suspect = t.suspicious(c.e, c.e.crashes) && !c.good
 			continue
 		}
 		if len(remaining) > 0 {
 			explaining = append(explaining, c.e.crashes)
 		}
 	}
-	return suspects, known
+	return suspects, known, explaining
+}
+
+// suspicious reports whether crashes of a part are enough for it to be held. Those of a request
+// must include two that are independent of each other, and not be few among many others.
+func (t *Table) suspicious(e *entry, cs crashes) bool {
+	if len(cs) < suspectLives || !e.part.IsRequest() {
+		return len(cs) >= suspectLives
+	}
+	n := cs.sequence()
+	_, without := t.eventsAround(e, cs, nil)
+	return n > 1 && without <= maxUnrelatedRatio*n
 }
 
 // candidates returns the parts with several crashes and those in quarantine: first those
@@ -99,13 +127,13 @@
 		if good {
 			t.nextSettled = min(t.nextSettled, e.goodUntil())
 		}
-		cs = append(cs, candidate{e: e, settled: settled, events: settled.events(), good: good})
+		cs = append(cs, candidate{e: e, settled: settled, events: e.part.eventsOf(settled), good: good})
 	}
 	slices.SortFunc(cs, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(bit(a.good), bit(b.good)), cmp.Compare(b.events, a.events), cmp.Compare(len(b.settled), len(a.settled)),
 			cmp.Compare(len(b.e.crashes), len(a.e.crashes)), cmp.Compare(a.e.part, b.e.part))
 	})
-	return cs[:min(len(cs), maxCandidates)]
+	return cs
 }
 
 // guilty reports whether the crashes of a suspect are no coincidence. They are compared
@@ -114,17 +142,27 @@
 // part, or in which at most half of the engines ran it, the more must be with it.
 func (t *Table) guilty(c candidate, suspects []candidate, known []crashes) bool {
 	required := guiltyEvents + bit(c.good)*goodEvents
-	if c.settled.events() < required {
+	if c.events < required {
 		return false
 	}
 	if i := slices.IndexFunc(suspects, func(s candidate) bool { return s.e != c.e }); i >= 0 {
 		known = append(known[:len(known):len(known)], suspects[i].e.crashes)
 	}
-	with, without := 0, 0
-	for event := range t.lives.unexplained(known).between(c.settled[0].at-seriesWindow, c.settled.last()).byEvent() {
+	with, without := t.eventsAround(c.e, c.settled, known)
+	if c.e.part.IsRequest() {
+		with = c.events
+	}
+	return with >= min(required+without, maxGuiltyEvents)
+}
+
+// eventsAround counts the events in the time of crashes of a part and shortly before, but those
+// that the crashes of known parts explain: those in which most of the endpoints ran it, and the
+// others.
+func (t *Table) eventsAround(e *entry, cs crashes, known []crashes) (with, without int) {
+	for event := range t.lives.unexplained(known).between(cs[0].at-seriesWindow, cs.last()).byEvent() {
 		ran := 0
 		for _, x := range event {
-			ran += bit(c.e.crashes.explain(x))
+			ran += bit(e.crashes.explain(x))
 		}
 		if 2*ran > len(event) {
 			with++
@@ -132,7 +170,7 @@
 			without++
 		}
 	}
-	return with >= min(required+without, maxGuiltyEvents)
+	return with, without
 }
 
 func bit(b bool) int {
