Don't repeat requests that fell with one endpoint in each full message

Cause: each ended endpoint leaves an entry for each request that ran there, kept for ten minutes, so that full messages always carried as many rows as they may: up to 24 each 250 ms to each gateway of the cell. Change: such an entry is repeated for two seconds only, unless a second endpoint ends under it. Measured: unit test; the tests of the package pass. The message load was not measured.

--- a/internal/poison/request_test.go
+++ b/internal/poison/request_test.go
@@ -124,3 +124,19 @@
 		t.Errorf("%v, want it refused at the other gateway", d)
 	}
 }
+
+// TestRowsLeaveOutRequestsThatFellOnce checks that the requests that fell with one endpoint are
+// not repeated in each full message for as long as they are kept.
+func TestRowsLeaveOutRequestsThatFellOnce(t *testing.T) {
+	tbl := newTable()
+	for i := range 40 {
+		tbl.RequestsCrashed(time.Minute, Life(1+i/10), []Run{{Request: request + Part(i), Began: time.Minute - time.Second}})
+	}
+	tbl.RequestsCrashed(time.Minute+time.Second, 9, []Run{{Request: request, Began: time.Minute + 500*time.Millisecond}})
+	if n := len(tbl.Rows(time.Minute+1500*time.Millisecond, 24)); n != 24 {
+		t.Errorf("%d rows shortly after the crash, want 24", n)
+	}
+	if rows := tbl.Rows(time.Minute+4*time.Second, 24); len(rows) != 2 || Part(rows[1].Part) != request {
+		t.Errorf("%d rows later, want those of the endpoints and of the request that fell twice", len(rows))
+	}
+}
--- a/internal/poison/rows.go
+++ b/internal/poison/rows.go
@@ -9,6 +9,9 @@
 const (
 	// maxChangedRows bounds the rows of a small message.
 	maxChangedRows = 4
+	// coincidenceTTL is how long other gateways are told again of a request that ran on a single
+	// endpoint that has ended.
+	coincidenceTTL = 2 * time.Second
 	// maxAge bounds the ages and pauses that are read from rows.
 	maxAge = 48 * time.Hour
 	// maxTrials bounds the trials that are read from rows.
@@ -68,7 +71,7 @@
 		return nil
 	}
 	rows := []Row{t.livesRow(now)}
-	all := t.byImportance()
+	all := slices.DeleteFunc(t.byImportance(), func(e *entry) bool { return e.coincidence(now) })
 	fixed := limit - 1
 	if len(all) > fixed {
 		fixed /= 2
@@ -97,6 +100,12 @@
 	return all
 }
 
+// coincidence reports whether e is a request that ran on a single endpoint that has ended, some
+// time ago. Many do, and other gateways were told of it when it was new.
+func (e *entry) coincidence(now time.Duration) bool {
+	return e.part.IsRequest() && !e.quarantined && len(e.crashes) < 2 && now > e.changedAt+coincidenceTTL
+}
+
 func (e *entry) importance() int {
 	switch {
 	case e.quarantined:
