Check limits and permits that come in any order

Cause: messages of other gateways and answers of endpoints can change a limit between any two decisions, and a dispatch without a permit stops the process.

--- a/internal/endpointlimit/keeper.go
+++ b/internal/endpointlimit/keeper.go
@@ -12,6 +12,8 @@
 	burst = 100 * time.Millisecond
 	// DemandTTL is how long a demand that isn't repeated counts.
 	DemandTTL = 150 * time.Millisecond
+	// maxWait bounds the waits that a keeper tells.
+	maxWait = time.Hour
 	// Never is the time of an event that doesn't come by itself.
 	Never = time.Duration(math.MaxInt64)
 )
@@ -104,7 +106,7 @@
 
 // until returns the time from the last refill until there are n permits.
 func (k *Keeper) until(n float64) time.Duration {
-	return time.Duration(math.Ceil(max(n-k.permits, 0) / k.rate * float64(time.Second)))
+	return time.Duration(min(math.Ceil(max(n-k.permits, 0)/k.rate*float64(time.Second)), float64(maxWait)))
 }
 
 func (k *Keeper) refill(now time.Duration) {
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -17,6 +17,8 @@
 	// limitTransit is how much later than it was sent a message of another gateway may be
 	// handled at the latest, for the order of what gateways have heard from an endpoint.
 	limitTransit = 100 * time.Millisecond
+	// maxLimit is the greatest limit, in requests a second, that is taken from other gateways.
+	maxLimit = 1e6
 	// limitRecheck is the time without an answer of a limited endpoint after which a request
 	// goes there although others have room: only its answers tell that the limit has ended.
 	limitRecheck = 500 * time.Millisecond
@@ -60,7 +62,7 @@
 func (c *Core) mergeLimits(rows []LimitRow) {
 	for i := range rows {
 		row := &rows[i]
-		if e := c.instanceByHash(row.Endpoint, row.Born); e != nil && row.Limit >= 0 {
+		if e := c.instanceByHash(row.Endpoint, row.Born); e != nil && row.Limit >= 0 && row.Limit <= maxLimit {
 			c.addLimit(e, endpointlimit.Statement{
 				Limit: row.Limit, Sent: c.now - milliseconds(row.SentMS) - limitTransit, Received: c.now - milliseconds(row.ReceivedMS),
 			}, "gateway")
