Entry: don't carry a request over engine after engine that it crashes

Callers of the product's own interface: a request that crashes each engine that begins to run it was retried up to twelve times. Change: a request whose runs were lost with three endpoints fails with endpoint-lost. It has no memory across requests there.

--- a/internal/entry/core_test.go
+++ b/internal/entry/core_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -197,6 +198,29 @@
 	}
 }
 
+// TestRequestIsNotCarriedOverEngineAfterEngineThatItCrashes checks that a request is not retried for
+// as long as its deadline allows when each engine that begins to run it is lost.
+func TestRequestIsNotCarriedOverEngineAfterEngineThatItCrashes(t *testing.T) {
+	b := newBench(t, nil)
+	for i := range 8 {
+		b.engineUp(wire.EndpointID(fmt.Sprintf("e%d", i)))
+	}
+	b.request(1, 1000)
+	for lost := 1; lost <= 8; lost++ {
+		at, d := b.dispatched()
+		b.from(at, wire.ToEntry{Started: &wire.Started{Attempt: d.Attempt}})
+		b.from(at, wire.ToEntry{Failed: &wire.Failed{Attempt: d.Attempt, Reason: wire.FailEndpointLost}})
+		if a := b.answer(); a != nil {
+			if lost != 3 || a.Code != CodeEndpointLost {
+				t.Errorf("answered %+v after %d lost engines, want %v after 3", a, lost, CodeEndpointLost)
+			}
+			return
+		}
+		b.advance(2 * time.Second)
+	}
+	t.Error("not answered after 8 lost engines")
+}
+
 func TestCallThatIsNotIdempotentIsRetriedOnlyIfItHasNotRun(t *testing.T) {
 	b := newBench(t, nil)
 	b.serviceUp("s1")
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -16,6 +16,9 @@
 	maxRetryBackoff = time.Second
 	maxBackoffShift = 10 // keeps the shift far from overflow; maxRetryBackoff is reached before
 	maxAttempts     = 12 // of one request
+	// maxLostRuns is the number of endpoints that may be lost while they run one request: it may be
+	// what they crash on.
+	maxLostRuns = 3
 )
 
 // started records that the agent has handed an attempt to its engine or
@@ -177,6 +180,9 @@
 		f.code = CodeInvalid
 	}
 	r.avoidUntil(a.endpoint, c.now+failedAvoid)
+	if m.Reason == wire.FailEndpointLost && a.started && !m.Rejected {
+		r.lostRuns++
+	}
 	c.afterFailure(r, a, f, m.Rejected)
 }
 
@@ -214,7 +220,7 @@
 
 // retryLater starts another attempt after a pause, within the retry budget.
 func (c *Core) retryLater(r *request, f failure) {
-	if !r.retryTaken && (r.attempts >= maxAttempts || !c.retryBudget.take()) {
+	if r.lostRuns >= maxLostRuns || !r.retryTaken && (r.attempts >= maxAttempts || !c.retryBudget.take()) {
 		f.retryAfter = minRefusalRetry
 		c.fail(r, f)
 		return
--- a/internal/entry/tables.go
+++ b/internal/entry/tables.go
@@ -40,6 +40,7 @@
 	currentAttempt uint64         // sequence of the current attempt, or 0
 	attempts       int            // sent so far
 	refusals       int            // by agents
+	lostRuns       int            // attempts that had started and were lost with their endpoint
 	retryTaken     bool           // its next retry is taken from the budget already
 	limitsCharged  bool           // charged to its client account's limits
 	inWaitingList  bool           // of its model or service
