Take limits that others heard before this process started

Change: a belief knows whether it rests on a statement. Measured: the new test failed before and passes.

--- a/internal/endpointlimit/belief.go
+++ b/internal/endpointlimit/belief.go
@@ -1,7 +1,6 @@
 // Package endpointlimit keeps the request rates that endpoints in need ask for, summed over
 // all gateways. A Belief is what a gateway knows of the limit of one endpoint; a Keeper gives
-// out permits to send requests there. The package
-// has no clock and no I/O.
+// out permits to send requests there. The package has no clock and no I/O.
 package endpointlimit
 
 import "time"
@@ -15,7 +14,10 @@
 
 // Belief is the limit of one life of an endpoint by the statements seen so far. The zero value
 // is that of an endpoint that has said nothing.
-type Belief struct{ latest Statement }
+type Belief struct {
+	latest Statement
+	known  bool // latest has been made
+}
 
 // Limit returns the limit in requests a second; 0: none.
 func (b *Belief) Limit() float64 { return b.latest.Limit }
@@ -29,6 +31,8 @@
 func (b *Belief) Add(s Statement) bool {
 	before := b.latest.Limit
 	switch {
+	case !b.known:
+		b.latest, b.known = s, true
 	case s.Received <= b.latest.Sent:
 		return false
 	case s.Sent >= b.latest.Received:
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -121,3 +121,16 @@
 		t.Error("a permit was used after permitTTL")
 	}
 }
+
+// TestJustStartedGatewayTakesLimitsFromBeforeItsStart checks that what others heard before this
+// process started is not taken for older than its own empty knowledge.
+func TestJustStartedGatewayTakesLimitsFromBeforeItsStart(t *testing.T) {
+	c := newTestCore(t, 0, 2)
+	e := c.endpoints.Get("p-00")
+	c.Tick(100*time.Millisecond, Input{Peer: &PeerMessage{
+		From: gatewayAddr(1), Incarnation: 1, Limits: []LimitRow{{Endpoint: e.idHash, Limit: 2, SentMS: 9000, ReceivedMS: 8900}},
+	}})
+	if !e.limited() {
+		t.Error("the limit is not known")
+	}
+}
