Take a run whose begin is not told for independent of no other

Cause: read in the review: rows of a gateway of an older build don't say when a run began, and 0 on the own clock may be later than crashes before the start of the process. Change: such a run began before all others, also once it is passed on. The method that names a part in the log no longer has the name of a function. Measured: a new test, which fails if the bound on the age is taken out; the tests of the package and of crashing requests pass.

--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -306,7 +306,7 @@
 	if e.Part.IsRequest() {
 		name = "request-" + strings.TrimPrefix(string(e.Kind), "part-")
 	}
-	c.log(Event{Name: name, Count: e.Crashes, Detail: c.partDetail(e.Part) + " service=" + c.serviceName(s.service) + " trials=" + itoa(e.Trials)})
+	c.log(Event{Name: name, Count: e.Crashes, Detail: c.partLabel(e.Part) + " service=" + c.serviceName(s.service) + " trials=" + itoa(e.Trials)})
 }
 
 // serviceName returns the name of a service, or its hash if it is not known here.
@@ -319,8 +319,8 @@
 	return "#" + strconv.FormatUint(hash, 16)
 }
 
-// partDetail names a part for the log.
-func (c *Core) partDetail(p poison.Part) string {
+// partLabel names a part for the log.
+func (c *Core) partLabel(p poison.Part) string {
 	if p.IsRequest() {
 		return "fingerprint=" + c.partName(p)
 	}
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -286,7 +286,7 @@
 	detail := string(reason) + " prompt=" + itoa(int(r.in.PromptTokens)) + " usable=" + itoa(len(c.usable(s, r))) +
 		" registered=" + itoa(len(s.endpoints)) + " view=" + c.viewAge().Round(time.Millisecond).String()
 	if reason == ReasonCrashesEngines || reason == ReasonCrashesEndpoints {
-		detail += " " + c.partDetail(r.refusal.Part)
+		detail += " " + c.partLabel(r.refusal.Part)
 	}
 	c.logRequest("refuse", r, Event{Detail: detail, Took: retryAfter, Count: len(s.waiting)})
 	c.removeRequest(r)
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -146,15 +146,14 @@
 	leaving     bool          // it is shutting down
 	storeLost   bool          // the store does not answer it
 	addedAt     time.Duration
-	seed        bool                 // named in the settings; never removed
-	inCell      bool                 // in the own cell, or not live, so that its cell is unknown
-	sendPending bool                 // if in another cell: it is sent versions and addresses with the next full message
-	workItems   map[uint64]*workItem // by row ID
+	seed        bool                      // named in the settings; never removed
+	inCell      bool                      // in the own cell, or not live, so that its cell is unknown
+	sendPending bool                      // if in another cell: it is sent versions and addresses with the next full message
+	workItems   map[uint64]*workItem      // by row ID
+	waiting     map[uint64]*remoteWaiting // by request ID
 
 	keeperSilent  bool          // it does not answer demands for permits
 	keeperAskedAt time.Duration // when it was last asked since
-
-	waiting map[uint64]*remoteWaiting // by request ID
 }
 
 // remoteWaiting is a long prompt that waits for engines at another gateway.
--- a/internal/poison/request_test.go
+++ b/internal/poison/request_test.go
@@ -140,3 +140,18 @@
 		t.Errorf("%d rows later, want those of the endpoints and of the request that fell twice", len(rows))
 	}
 }
+
+// TestRunWithoutABeginIsNotTakenForALaterOne checks rows that don't say when runs began, also
+// after they were passed on.
+func TestRunWithoutABeginIsNotTakenForALaterOne(t *testing.T) {
+	now := time.Minute
+	rows := []Row{{Part: uint64(request), Crashes: []CrashRow{{Life: 1, AgeMS: 3000}, {Life: 2, AgeMS: 2000}, {Life: 3, AgeMS: 1000}}}}
+	for hop := range 2 {
+		tbl := newTable()
+		tbl.Merge(now, rows)
+		if d := tbl.Decide(now+time.Second, []Part{request}, twoGateways); d.Verdict != Allowed {
+			t.Errorf("after %d hops: %v, want it allowed", hop, d)
+		}
+		rows = tbl.Rows(now, 10)
+	}
+}
--- a/internal/poison/rows.go
+++ b/internal/poison/rows.go
@@ -120,7 +120,7 @@
 	r := Row{Part: uint64(e.part), Crashes: crashRows(now, e.crashes)}
 	for _, c := range e.crashes {
 		if e.part.IsRequest() {
-			r.BeganMS = append(r.BeganMS, age(now, c.began))
+			r.BeganMS = append(r.BeganMS, age(now, max(c.began, now-maxAge)))
 		}
 	}
 	if e.ownCleared != never {
@@ -177,8 +177,11 @@
 			t.list(e) // the sender hasn't heard of the completed answer
 		}
 		ended := crash{at: at, life: Life(c.Life)}
-		if i < len(r.BeganMS) && e.part.IsRequest() {
-			ended.began = timeAgo(now, r.BeganMS[i])
+		if e.part.IsRequest() {
+			ended.began = never // a run whose begin is unknown is independent of no other
+			if i < len(r.BeganMS) {
+				ended.began = timeAgo(now, r.BeganMS[i])
+			}
 		}
 		t.addCrash(now, e, ended, false)
 	}
