Hold no request that ran on a few of many endpoints that ended

Change: a request is held only if at most two other endpoints have ended for each that ended under it.

--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -20,9 +20,9 @@
 	// suspectLives is the number of lives from which a part is held until it is known
 	// whether it is guilty.
 	suspectLives = 3
-	// maxUnrelatedRatio is how many events without a request there may be for each of its own
-	// for it to be held.
-	maxUnrelatedRatio = 3
+	// maxUnrelatedRatio is how many endpoints may have ended without a request for each that ended
+	// under it, for it to be held.
+	maxUnrelatedRatio = 2
 	// maxCandidates bounds the parts of prompts, and the requests, that are compared with one
 	// another. Those in quarantine beyond it keep their rivals.
 	maxCandidates = 128
@@ -104,9 +104,9 @@
 	if len(cs) < suspectLives || !e.part.IsRequest() {
 		return len(cs) >= suspectLives
 	}
-	n := cs.sequence()
-	_, without := t.eventsAround(e, cs, nil)
-	return n > 1 && without <= maxUnrelatedRatio*n
+	around := t.lives.between(cs[0].at-seriesWindow, cs.last())
+	unrelated := len(around.unexplained([]crashes{e.crashes}))
+	return cs.sequence() > 1 && unrelated <= maxUnrelatedRatio*len(cs)
 }
 
 // candidates returns the parts with several crashes and those in quarantine: first those
