--- a/internal/gateway/shell/fingerprint_test.go
+++ b/internal/gateway/shell/fingerprint_test.go
@@ -6,7 +6,7 @@
 	type request struct{ host, target, account, body string }
 	base := request{"h", "/a/b", "acme", "body"}
 	of := func(r request) uint64 { return fingerprint(r.host, r.target, r.account, []byte(r.body)) }
-	if of(base) != of(base) {
+	if first, second := of(base), of(base); first != second {
 		t.Error("two fingerprints of one request differ")
 	}
 	for _, other := range []request{
