Report a first copy of the store that has no keys

Syncer.Changed was called only if keys changed, so that a process that waits for its first copy of a prefix without keys would wait for ever if the store states no era. The first listing or fetched copy counts as a change now, and a process without a copy takes any other one as newer, also one without keys.

Tests: TestFirstCopyWithoutKeysIsReported, TestAnyCopyIsAheadOfNone, TestEndedKeyIsNotBroughtBack.

--- a/internal/storecopy/copy.go
+++ b/internal/storecopy/copy.go
@@ -44,6 +44,9 @@
 
 // Behind reports whether other includes changes that v lacks.
 func (v Version) Behind(other Version) bool {
+	if v.Revision == 0 && v.Era <= other.Era { // no copy yet: also one without keys is ahead
+		return other.Revision > 0
+	}
 	if other.Era != v.Era {
 		return other.Era > v.Era
 	}
--- a/internal/storecopy/copy_test.go
+++ b/internal/storecopy/copy_test.go
@@ -61,6 +61,41 @@
 	}
 }
 
+// TestEndedKeyIsNotBroughtBack checks, for keys whose presence alone counts, that the copy of a
+// process that was frozen or is of an earlier era brings no deleted key back, and learns of the
+// deletion.
+func TestEndedKeyIsNotBroughtBack(t *testing.T) {
+	frozen, online := NewCopy(Policy{}), NewCopy(Policy{})
+	for _, c := range []*Copy{frozen, online} {
+		c.ApplyListing(0, Listing{Era: 1, Revision: 10, Pairs: []store.Pair{pair("a", 9)}})
+	}
+	online.ApplyChanges(time.Second, []store.Pair{{Key: "a", Version: 12, Deleted: true}}, 12)
+	check := func(when string) {
+		t.Helper()
+		online.ApplyPeer(time.Minute, frozen.Shared())
+		online.ApplyPeer(time.Minute, frozen.SharedSince(online.Version()))
+		if got := keys(online); got != "" || online.Version().Behind(frozen.Version()) {
+			t.Errorf("%s: keys %q, want none", when, got)
+		}
+	}
+	check("in the same era")
+	online.ApplyListing(2*time.Second, Listing{Era: 2, Revision: 5})
+	check("in a later era")
+	frozen.ApplyPeer(time.Minute, online.SharedSince(frozen.Version()))
+	frozen.Expire(time.Minute + ReturnGrace)
+	if got := keys(frozen); got != "" || frozen.Version() != online.Version() {
+		t.Errorf("keys %q at %+v, want none as at %+v", got, frozen.Version(), online.Version())
+	}
+}
+
+// TestAnyCopyIsAheadOfNone checks that a process without a copy takes one that has no keys.
+func TestAnyCopyIsAheadOfNone(t *testing.T) {
+	empty := Version{Revision: 10}
+	if !(Version{}).Behind(empty) || empty.Behind(Version{}) || (Version{}).Behind(Version{}) {
+		t.Error("a copy without keys must be ahead of no copy, and nothing else")
+	}
+}
+
 func TestVersionsOfEqualCopiesAreEqual(t *testing.T) {
 	a, b := NewCopy(Policy{}), NewCopy(Policy{})
 	a.ApplyListing(0, Listing{Revision: 10, Pairs: []store.Pair{pair("a", 3), pair("b", 4)}})
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -313,9 +313,10 @@
 		return false
 	}
 	changed := s.apply(SourceListing, s.cfg.Now()-began, func(now time.Duration) bool {
+		first := !s.hasCopy // a change also if there are no keys
 		s.hasCopy = true
 		era := cmp.Or(r.Era, s.copy.Version().Era)
-		return s.copy.ApplyListing(now, Listing{Era: era, Revision: r.Latest, Pairs: r.Pairs})
+		return s.copy.ApplyListing(now, Listing{Era: era, Revision: r.Latest, Pairs: r.Pairs}) || first
 	})
 	if changed {
 		s.restartWatch()
@@ -392,10 +393,11 @@
 	}
 	equal := true
 	s.apply(SourcePeer, s.cfg.Now()-began, func(now time.Duration) bool {
+		first := !s.hasCopy
 		s.hasCopy = true
 		var changed bool
 		changed, equal = s.copy.ApplyPeer(now, l)
-		return changed
+		return changed || first
 	})
 	return equal
 }
--- a/internal/storecopy/syncer_test.go
+++ b/internal/storecopy/syncer_test.go
@@ -88,6 +88,42 @@
 	wg.Wait()
 }
 
+// TestFirstCopyWithoutKeysIsReported checks that a process learns that there are no keys, from the
+// store or, if that does not answer, from a peer: it may wait for that.
+func TestFirstCopyWithoutKeysIsReported(t *testing.T) {
+	for name, client := range map[string]store.Client{"store": &silentWatches{revision: 10}, "peer": downStore{}} {
+		updates := make(chan Update, 1)
+		ctx, cancel := context.WithCancel(context.Background())
+		s := NewSyncer(Config{
+			Prefix: "k", Client: client, Now: func() time.Duration { return time.Minute },
+			Watchers:  func() int { return 1 },
+			Fetch:     func(context.Context, string, Version) (Listing, error) { return Listing{Revision: 10}, nil },
+			Changed:   func(u Update) { updates <- u },
+			Reachable: func(bool, store.Status) {}, FetchFailed: func(error) {},
+		})
+		var wg sync.WaitGroup
+		wg.Go(func() { s.Run(ctx) })
+		select {
+		case u := <-updates:
+			if u.Version.Revision != 10 || len(u.Listing.Pairs) > 0 {
+				t.Errorf("%s: %+v, want no keys at revision 10", name, u)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("%s: the copy without keys is not reported", name)
+		}
+		cancel()
+		wg.Wait()
+	}
+}
+
+// downStore is a store that does not answer.
+type downStore struct{}
+
+// Do implements store.Client.
+func (downStore) Do(_ context.Context, op store.Op) store.Result {
+	return store.Result{ID: op.ID, Status: store.StatusUnavailable}
+}
+
 // pagedStore is a store whose listings have several pages, each after a delay. From page
 // restoreAt on it is of the next era; 0: never.
 type pagedStore struct {
