Take failure domains out of use, and keep requests in their regions

The gateways keep a third copy of the store, of the prefix of evacuations, where the settings have a bound for them. It is announced, fetched and compared as the others are. A gateway is not ready and sends nothing before it has it. An attempt of which nothing was sent is withdrawn. Capacity sums leave such endpoints out; a service without any other refuses at once, with a Retry-After of seconds, as does a prompt that is too large for what is left.

Routes and accounts may name regions. One predicate, request.mayGoTo, replaces the bare checks of the endpoints that a request avoids; the plan of long prompts filters engines by the regions of each prompt, which waiting rows carry.

--- a/internal/gateway/announcement.go
+++ b/internal/gateway/announcement.go
@@ -86,10 +86,11 @@
 	c.announcements.Compact()
 }
 
-// accepts reports whether new requests may be sent to e: it is registered, has neither
-// registered nor announced that it is leaving, and has not asked this gateway to wait.
+// accepts reports whether new requests may be sent to e: it is registered, its failure domain is
+// in use, it has neither registered nor announced that it is leaving, and has not asked this
+// gateway to wait.
 func (e *endpoint) accepts(now time.Duration) bool {
-	return !e.unregistered && !e.registration.Leaving && !e.announced.leaving && now >= e.announced.backoffUntil
+	return !e.unregistered && !e.outOfUse && !e.registration.Leaving && !e.announced.leaving && now >= e.announced.backoffUntil
 }
 
 // returnsInTime reports whether an endpoint of s that has asked this gateway to wait accepts
@@ -105,7 +106,7 @@
 	var earliest time.Duration
 	for _, e := range s.endpoints {
 		until := e.announced.backoffUntil
-		if until <= c.now || !e.accepts(until) || r.avoids(e.registration.ID) {
+		if until <= c.now || !e.accepts(until) || !r.mayGoTo(e) {
 			continue
 		}
 		if earliest == 0 || until < earliest {
--- a/internal/gateway/cells.go
+++ b/internal/gateway/cells.go
@@ -89,7 +89,7 @@
 		}
 	}
 	for s := range c.services.Values() {
-		divided := len(s.endpoints) >= minCellEndpoints*c.cells
+		divided := s.inUse(nil) >= minCellEndpoints*c.cells
 		for i, e := range s.endpoints {
 			e.inCell = !divided || cellAt(i, len(s.endpoints), c.cells) == c.ownCell
 		}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -16,6 +16,12 @@
 	FailureDomain wire.FailureDomain
 	Retry         retrybudget.Config
 	Placement     PlacementConfig
+
+	// Evacuations is set if failure domains may be taken out of use. The gateway serves nothing
+	// until it knows which are.
+	Evacuations bool
+	// Regions are the regions of the failure domains.
+	Regions map[wire.FailureDomain]string
 }
 
 // PlacementConfig tunes the placement of requests on engines. A prompt is short if one
--- a/internal/gateway/configure.go
+++ b/internal/gateway/configure.go
@@ -76,6 +76,8 @@
 		}
 		e.registration = reg
 		e.unregistered = false
+		c.applyEvacuations(e)
+		c.applyRegion(e)
 		return
 	}
 	if e != nil {
@@ -87,6 +89,8 @@
 	})
 	c.endpointsByHash[e.idHash] = e
 	c.applyEngineParams(e)
+	c.applyEvacuations(e)
+	c.applyRegion(e)
 	c.log(Event{Name: "endpoint-registered", Endpoint: string(reg.ID), Detail: "addr=" + reg.Addr + " service=" + reg.Service})
 }
 
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -33,6 +33,7 @@
 	endpointsReceived bool     // a list of endpoints has been received
 	endpointsRevision uint64   // of the store, at the latest list of endpoints
 	versions          Versions // of the cached copies, as sent to peers
+	evacuated         evacuated
 	ready             Ready
 	readyAt           time.Duration // when it was first OK
 	learned           bool          // the seeds have told their parts, or too much time has passed
@@ -174,6 +175,8 @@
 		r = Ready{Reason: "no configuration"}
 	case !c.endpointsReceived || c.endpoints.Len() == 0:
 		r = Ready{Reason: "no endpoints"}
+	case c.cfg.Evacuations && !c.evacuated.known:
+		r = Ready{Reason: "no evacuations"}
 	}
 	if r != c.ready {
 		if r.OK && c.readyAt == 0 {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -122,7 +122,7 @@
 		}
 		return
 	}
-	if e := c.endpoints.Get(id); e == nil || c.now >= e.announced.backoffUntil {
+	if e := c.endpoints.Get(id); e == nil || !e.outOfUse && c.now >= e.announced.backoffUntil {
 		c.emit(Output{Check: &InstanceCheck{Endpoint: id, Addr: b.instance.addr, ConnectOnly: b.plain}})
 	}
 	c.timers.Set(key, c.now+instanceCheckInterval<<b.checks)
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -154,11 +154,11 @@
 func (c *Core) canEject(s *service) bool {
 	ejected := 0
 	for _, e := range s.endpoints {
-		if e.health.ejected(c.now) {
+		if !e.outOfUse && e.health.ejected(c.now) {
 			ejected++
 		}
 	}
-	return 2*(ejected+1) <= len(s.endpoints)
+	return 2*(ejected+1) <= s.inUse(nil)
 }
 
 // eject gives an endpoint no requests for fixedDuration or, if that is 0, for a time
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -35,6 +35,8 @@
 		c.configure(in.Config)
 	case in.Endpoints != nil:
 		c.register(in.Endpoints)
+	case in.Evacuations != nil:
+		c.evacuate(in.Evacuations)
 	case in.Peer != nil:
 		c.receivePeerMessage(in.Peer)
 	case in.Versions != nil:
@@ -53,6 +55,7 @@
 func (c *Core) arrive(a *Arrival) {
 	c.counts.Arrived++
 	r := c.requests.Put(a.ID, request{in: *a, arrived: c.now, phase: phaseWaiting})
+	r.regions = regionsOf(a.Regions)
 	r.parts = c.partsOf(a)
 	s := c.service(a.Service)
 	s.budget.CountRequest(c.now)
@@ -62,7 +65,7 @@
 
 // sent records that the first byte of the attempt is about to be written. It cancels an
 // attempt whose endpoint has meanwhile asked this gateway to wait or named a limit that leaves
-// no room for it; nothing is written then.
+// no room for it, or of which an endpoint is out of use; nothing is written then.
 func (c *Core) sent(in *Sent) {
 	r := c.running(in.ID, in.Attempt)
 	if r == nil || r.sent || r.cancelled {
@@ -72,7 +75,11 @@
 	if !r.work.permitted {
 		r.work.permitted = c.takePermit(e) // the limit was not known when r was dispatched
 	}
-	if c.now < e.announced.backoffUntil || !r.work.permitted {
+	evacuated := r.work.lostToEvacuation()
+	if evacuated && !e.outOfUse {
+		r.helperFailed = true // the endpoint that was to answer may get r again
+	}
+	if evacuated || c.now < e.announced.backoffUntil || !r.work.permitted {
 		c.emit(Output{Cancel: &Cancel{ID: in.ID, Attempt: in.Attempt}})
 		return
 	}
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -60,6 +60,7 @@
 	Instance     *InstanceState
 	Config       *route.Table
 	Endpoints    *Endpoints
+	Evacuations  *Evacuations
 	Peer         *PeerMessage
 	Versions     *Versions
 	Seeds        []netip.AddrPort // from the settings, read again
@@ -78,6 +79,7 @@
 	PromptTokens    int64         // prompt tokens
 	MaxOutputTokens int64         // maximum number of output tokens
 	SharedParts     []string      // IDs of the parts of the prompt that other prompts may have too
+	Regions         []string      // in which its route and account let it run; nil: any
 	Fingerprint     uint64        // the same for all requests that are the same to an endpoint
 	Deadline        time.Duration // when the caller or the route's timeout ends the wait
 }
@@ -175,8 +177,9 @@
 type Versions struct {
 	Config        storecopy.Version
 	Registrations storecopy.Version
-	Active        uint64 `cbor:",omitempty"` // version of the configuration in force, set by the core; 0: none
-	StoreLost     bool   `cbor:",omitempty"` // the store does not answer this process
+	Evacuations   storecopy.Version `cbor:",omitzero"`  // zero if failure domains can't be taken out of use
+	Active        uint64            `cbor:",omitempty"` // version of the configuration in force, set by the core; 0: none
+	StoreLost     bool              `cbor:",omitempty"` // the store does not answer this process
 }
 
 // Shutdown starts a graceful shutdown.
@@ -272,6 +275,7 @@
 	ReasonDeadline    Reason = "deadline"
 	ReasonLimit       Reason = "endpoint-limit" // all endpoints name limits that leave it no place in time
 	ReasonExit        Reason = "exit"           // the process is about to exit
+	ReasonEvacuated   Reason = "evacuated"      // the failure domains of the endpoints that could serve it are out of use
 
 	ReasonCrashesEngines   Reason = "crashes-engines"   // engines crash on a part of the prompt, or may do so
 	ReasonCrashesEndpoints Reason = "crashes-endpoints" // endpoints of a plain service crash on the request, or may do so
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -72,12 +72,13 @@
 
 // WaitingRow is a long prompt of the sender that waits for engines.
 type WaitingRow struct {
-	Request        uint64 `cbor:"1,keyasint"`           // request ID
-	Service        uint64 `cbor:"2,keyasint"`           // hash of the name
-	DueUS          int64  `cbor:"3,keyasint"`           // until its first event is due; negative once late
-	Prompt         int64  `cbor:"4,keyasint"`           // tokens
-	Output         int64  `cbor:"5,keyasint"`           // maximum number of output tokens
-	OrderPenaltyMS int64  `cbor:"6,keyasint,omitempty"` // penalty in the order of waiting requests
+	Request        uint64   `cbor:"1,keyasint"`           // request ID
+	Service        uint64   `cbor:"2,keyasint"`           // hash of the name
+	DueUS          int64    `cbor:"3,keyasint"`           // until its first event is due; negative once late
+	Prompt         int64    `cbor:"4,keyasint"`           // tokens
+	Output         int64    `cbor:"5,keyasint"`           // maximum number of output tokens
+	OrderPenaltyMS int64    `cbor:"6,keyasint,omitempty"` // penalty in the order of waiting requests
+	Regions        []uint64 `cbor:"7,keyasint,omitempty"` // hashes of the names of the regions in which it may run; empty: any
 }
 
 // peerOutbox holds the changes that are to be sent to the other gateways.
@@ -165,7 +166,7 @@
 	for _, r := range waiting {
 		m.Waiting = append(m.Waiting, WaitingRow{
 			Request: uint64(r.in.ID), Service: c.service(r.in.Service).nameHash, DueUS: (r.due() - c.now).Microseconds(),
-			Prompt: r.in.PromptTokens, Output: r.in.MaxOutputTokens, OrderPenaltyMS: r.orderPenalty.Milliseconds(),
+			Prompt: r.in.PromptTokens, Output: r.in.MaxOutputTokens, OrderPenaltyMS: r.orderPenalty.Milliseconds(), Regions: r.regions,
 		})
 	}
 	c.sendLimits(o.fullDue)
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -187,7 +187,7 @@
 // said nothing yet. The endpoint is nil if r avoids all.
 func (c *Core) nextPermit(limited []*endpoint, r *request) (best *endpoint, wait time.Duration, known bool) {
 	for _, e := range limited {
-		if r.avoids(e.registration.ID) {
+		if !r.mayGoTo(e) {
 			continue
 		}
 		if w := c.permitWait(e); best == nil || w < wait {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -34,6 +34,7 @@
 	output      int64         // tokens, the limit
 	prefillTime time.Duration // of the whole prompt on one engine
 	untilDue    time.Duration // until its first event is due
+	regions     regionSet     // in which it may run
 }
 
 // planEngine is the state of an engine in a plan.
@@ -150,7 +151,7 @@
 	var out []job
 	for _, r := range s.waiting {
 		if r.divisible && r.phase == phaseWaiting && !r.held {
-			out = append(out, c.job(engine, c.orderKey(r), r.due(), r, r.in.PromptTokens, r.in.MaxOutputTokens))
+			out = append(out, c.job(engine, c.orderKey(r), r.due(), r, r.in.PromptTokens, r.in.MaxOutputTokens, r.regions))
 		}
 	}
 	longestSilence := time.Duration(planPeerIntervals * float64(c.fullMessageInterval()))
@@ -161,7 +162,7 @@
 		for id, waiting := range p.waiting {
 			if waiting.service == s.nameHash {
 				k := orderKey{due: waiting.due + waiting.orderPenalty, gateway: p.addr, request: id}
-				out = append(out, c.job(engine, k, waiting.due, nil, waiting.prompt, waiting.output))
+				out = append(out, c.job(engine, k, waiting.due, nil, waiting.prompt, waiting.output, waiting.regions))
 			}
 		}
 	}
@@ -172,8 +173,8 @@
 // job returns the entry of a waiting prompt in the plan. It is late if even the maximum
 // number of engines would prefill it after it is due. The request r is nil if the prompt
 // waits at another gateway.
-func (c *Core) job(engine *enginecost.Params, k orderKey, due time.Duration, r *request, prompt, output int64) job {
-	j := job{order: k, request: r, prompt: prompt, output: output, prefillTime: engine.PrefillTime(prompt), untilDue: due - c.now}
+func (c *Core) job(engine *enginecost.Params, k orderKey, due time.Duration, r *request, prompt, output int64, regions regionSet) job {
+	j := job{order: k, request: r, prompt: prompt, output: output, prefillTime: engine.PrefillTime(prompt), untilDue: due - c.now, regions: regions}
 	j.order.late = j.untilDue < j.prefillTime/time.Duration(1+engine.MaxHelpers)
 	j.order.due += time.Duration(sizePenaltyRatio * float64(j.prefillTime))
 	return j
@@ -276,6 +277,9 @@
 	answering := -1
 	for _, i := range order {
 		k := &engines[i]
+		if !j.regions.contains(k.endpoint) {
+			continue
+		}
 		prefillTime := k.endpoint.scaleByPace(p.partTime)
 		if k.noStreams && maxNoStreamPrefill < prefillTime || !k.noStreams && k.freePrefill < prefillTime {
 			continue
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -54,10 +54,10 @@
 	return suspected || c.now-e.probedAt >= calmProbeInterval
 }
 
-// sendProbe queries an engine for its report, unless it has asked this gateway to wait or names
-// a limit.
+// sendProbe queries an engine for its report, unless it is out of use, has asked this gateway to
+// wait or names a limit.
 func (c *Core) sendProbe(e *endpoint) {
-	if c.now < e.announced.backoffUntil || e.limited() {
+	if e.outOfUse || c.now < e.announced.backoffUntil || e.limited() {
 		return
 	}
 	e.probedAt = c.now
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -68,15 +68,21 @@
 func (c *Core) unservable(r *request) Reason {
 	s := c.service(r.in.Service)
 	if len(c.usable(s, r)) == 0 && !c.returnsInTime(s, r) {
+		if c.evacuatedFor(s, r) {
+			return ReasonEvacuated
+		}
 		return ReasonNoEndpoint
 	}
 	engine := s.engine()
 	if engine == nil {
 		return ReasonNone
 	}
-	group := min(int64(len(s.endpoints)), int64(1+engine.MaxHelpers))
-	if r.in.PromptTokens+r.in.MaxOutputTokens > group*engine.MemoryTokens {
+	capacity := func(engines int) int64 { return int64(min(engines, 1+engine.MaxHelpers)) * engine.MemoryTokens }
+	switch tokens := r.in.PromptTokens + r.in.MaxOutputTokens; {
+	case tokens > capacity(s.allowed(r)):
 		return ReasonTooLarge
+	case tokens > capacity(s.inUse(r)):
+		return ReasonEvacuated
 	}
 	return ReasonNone
 }
@@ -123,10 +129,11 @@
 // endUnservable ends the waiting requests of a service of which no endpoint is left that can
 // serve them in time.
 func (c *Core) endUnservable(s *service) {
-	if len(c.usable(s, nil)) > 0 {
-		return
-	}
+	anyUsable := len(c.usable(s, nil)) > 0
 	for _, r := range s.waiting {
+		if anyUsable && r.regions == nil {
+			continue
+		}
 		if reason := c.unservable(r); reason != ReasonNone && r.phase == phaseWaiting {
 			c.endUnserved(r, reason)
 		}
@@ -302,7 +309,7 @@
 	backlog := time.Duration(0)
 	engines := 0
 	for _, e := range s.endpoints {
-		if e.engine == nil || !e.inCell {
+		if e.engine == nil || !e.inCell || e.outOfUse {
 			continue
 		}
 		engines++
@@ -327,6 +334,9 @@
 	if until, ok := c.earliestReturn(s, r); ok && len(c.usable(s, r)) == 0 {
 		after = max(after, until-c.now)
 	}
+	if reason == ReasonEvacuated {
+		return maxRetryAfter // the operator must return a failure domain first
+	}
 	jitter := time.Duration(uint64(r.in.ID)%8) * minRetryAfter / 8
 	return min(after+jitter, maxRetryAfter)
 }
@@ -367,13 +377,13 @@
 }
 
 // usable returns the endpoints of s that r, or any request if r is nil, may be sent to:
-// those in the own cell that accept requests, are not ejected, and not
-// among those that r avoids. If there are none, or all of them name a limit, it returns those
-// of other cells too, and if there are none either, ejected ones.
+// those in the own cell that accept requests, are not ejected, and are neither outside r's
+// regions nor among those that r avoids. If there are none, or all of them name a limit, it
+// returns those of other cells too, and if there are none either, ejected ones.
 func (c *Core) usable(s *service, r *request) []*endpoint {
 	var healthy, otherCells, ejected []*endpoint
 	for _, e := range s.endpoints {
-		if !e.accepts(c.now) || r != nil && r.avoids(e.registration.ID) {
+		if !e.accepts(c.now) || r != nil && !r.mayGoTo(e) {
 			continue
 		}
 		if e.health.ejected(c.now) {
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -31,6 +31,7 @@
 			service: row.Service, prompt: row.Prompt, output: row.Output, lastSeen: c.now,
 			due:          c.now + time.Duration(row.DueUS)*time.Microsecond,
 			orderPenalty: time.Duration(row.OrderPenaltyMS) * time.Millisecond,
+			regions:      row.Regions,
 		}
 	}
 	for i := range m.Rows {
@@ -63,6 +64,7 @@
 	}
 	p.storeLost = m.Versions.StoreLost
 	if c.versions.Config.Behind(m.Versions.Config) || c.versions.Registrations.Behind(m.Versions.Registrations) ||
+		c.cfg.Evacuations && c.versions.Evacuations.Behind(m.Versions.Evacuations) ||
 		m.Versions.Active > c.activeVersion() {
 		c.emit(Output{Newer: &PeerHasNewer{Peer: p.addr, Versions: *m.Versions}})
 	}
--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -76,6 +76,7 @@
 			x.priority = account.Priority
 		}
 	}
+	x.regions = table.Regions(x.route, account)
 	x.service = x.route.Pick(x.caller.RequestID)
 	x.deadline = x.arrived + x.timeLeft()
 	return true
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -39,7 +39,8 @@
 	route    *route.Route
 	service  string
 	account  string
-	priority int // of the account if it has one, else of the route; 0 is the most urgent
+	regions  []string // in which the request may run; nil: any
+	priority int      // of the account if it has one, else of the route; 0 is the most urgent
 	body     []byte
 	deadline time.Duration // time on the gateway's clock
 	finish   chan *gateway.Finish
@@ -94,7 +95,7 @@
 func (x *exchange) arrival() *gateway.Arrival {
 	return &gateway.Arrival{
 		ID: x.id, RequestID: x.caller.RequestID, Route: x.route, Service: x.service,
-		Account: x.account, Priority: x.priority,
+		Account: x.account, Priority: x.priority, Regions: x.regions,
 		PromptTokens: x.caller.Prompt, MaxOutputTokens: x.caller.Output, SharedParts: x.caller.SharedParts,
 		Fingerprint: fingerprint(x.r.Host, x.r.RequestURI, x.account, x.body), Deadline: x.deadline,
 	}
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -47,6 +47,7 @@
 	peers              *peerSocket
 	configSyncer       *storecopy.Syncer
 	registrationSyncer *storecopy.Syncer
+	evacuationSyncer   *storecopy.Syncer           // nil: failure domains can't be taken out of use
 	table              atomic.Pointer[route.Table] // active configuration; nil: none yet
 	ready              atomic.Bool
 	leaving            atomic.Bool  // shutting down
@@ -56,7 +57,7 @@
 	copyServing        chan struct{} // holds an element for each copy that is being sent to a peer
 
 	versionsMu sync.Mutex
-	versions   gateway.Versions // of both cached copies
+	versions   gateway.Versions // of the cached copies
 
 	newest newestPeers
 
@@ -82,6 +83,8 @@
 		FailureDomain: wire.FailureDomain(s.FailureDomain),
 		Retry:         retrybudget.Config{Ratio: s.RetryRatio, FleetRetriesPerWindow: s.RetrySlack, Window: s.RetryWindow},
 		Placement:     gateway.DefaultPlacement(),
+		Evacuations:   s.Evacuations,
+		Regions:       s.Regions,
 	})
 	return g
 }
@@ -145,6 +148,9 @@
 		active := out.Newer.Versions.Active
 		g.configSyncer.Announced(out.Newer.Versions.Config, func() bool { return active > g.activeVersion() })
 		g.registrationSyncer.Announced(out.Newer.Versions.Registrations, func() bool { return false })
+		if g.evacuationSyncer != nil {
+			g.evacuationSyncer.Announced(out.Newer.Versions.Evacuations, func() bool { return false })
+		}
 	case out.Ready != nil:
 		g.ready.Store(out.Ready.OK)
 	case out.Log != nil:
--- a/internal/gateway/shell/metrics.go
+++ b/internal/gateway/shell/metrics.go
@@ -28,6 +28,7 @@
 	// before the first.
 	streamsTruncated metrics.Counter
 	responsesAborted metrics.Counter // responses that were begun and not completed, other than those whose caller left
+	evacuated        metrics.Gauge   // failure domains that are out of use
 	storeEras        metrics.Counter // restores of the store from a backup, one for each cached copy
 }
 
@@ -48,6 +49,7 @@
 		logDrops:         metrics.NewRegisteredCounter("log_lines_dropped", r),
 		streamsTruncated: metrics.NewRegisteredCounter("streams_truncated", r),
 		responsesAborted: metrics.NewRegisteredCounter("responses_aborted", r),
+		evacuated:        metrics.NewRegisteredGauge("failure_domains_evacuated", r),
 		storeEras:        metrics.NewRegisteredCounter("store_eras", r),
 	}
 	for _, status := range []int{200, 401, 404, 413, 429, 500, 502, 503, 504} {
@@ -72,6 +74,8 @@
 		switch v := value.(type) {
 		case metrics.Counter:
 			fmt.Fprintf(w, "%s %d\n", name, v.Count())
+		case metrics.Gauge:
+			fmt.Fprintf(w, "%s %d\n", name, v.Value())
 		case metrics.Histogram:
 			s := v.Snapshot()
 			fmt.Fprintf(w, "%s_count %d\n", name, s.Count())
--- a/internal/gateway/shell/peers.go
+++ b/internal/gateway/shell/peers.go
@@ -100,7 +100,8 @@
 	defer n.mu.Unlock()
 	n.peers = slices.DeleteFunc(n.peers, func(p newestPeer) bool {
 		return p.addr == addr || p.versions.Active < v.Active ||
-			p.versions.Config.Behind(v.Config) || p.versions.Registrations.Behind(v.Registrations)
+			p.versions.Config.Behind(v.Config) || p.versions.Registrations.Behind(v.Registrations) ||
+			p.versions.Evacuations.Behind(v.Evacuations)
 	})
 	n.peers = append(n.peers, newestPeer{addr, v})
 	n.peers = slices.Delete(n.peers, 0, max(len(n.peers)-maxNewestPeers, 0))
@@ -196,6 +197,8 @@
 		return g.configSyncer
 	case g.cfg.Decoder.RegistrationPrefix():
 		return g.registrationSyncer
+	case g.cfg.Decoder.EvacuationPrefix():
+		return g.evacuationSyncer
 	}
 	return nil
 }
--- a/internal/gateway/shell/run.go
+++ b/internal/gateway/shell/run.go
@@ -61,9 +61,12 @@
 		return err
 	}
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){g.runTimers, g.receive, g.configSyncer.Run, g.registrationSyncer.Run, g.housekeep} {
+	for _, loop := range []func(context.Context){g.runTimers, g.receive, g.housekeep} {
 		wg.Go(func() { loop(ctx) })
 	}
+	for _, s := range g.syncers() {
+		wg.Go(func() { s.Run(ctx) })
+	}
 	wg.Go(func() { g.reloadOnSignal(ctx, hup) })
 	err = g.untilStopped(ctx, stop, servers)
 	cancel()
@@ -171,8 +174,9 @@
 			}
 			if suspended := suspendedTime(); suspended-lastSuspended > suspensionThreshold {
 				g.log.Warn().Str("event", "resumed").Dur("suspended_ms", suspended-lastSuspended).Send()
-				g.configSyncer.Reconcile()
-				g.registrationSyncer.Reconcile()
+				for _, s := range g.syncers() {
+					s.Reconcile()
+				}
 				lastSuspended = suspended
 			}
 			if now.After(nextLogRefill) {
--- a/internal/gateway/shell/settings.go
+++ b/internal/gateway/shell/settings.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
 // Settings are the settings of one gateway process.
@@ -23,4 +25,8 @@
 	RetryRatio    float64          // allowed retries per request in the fleet
 	RetrySlack    float64          // allowed retries in the fleet per RetryWindow, in addition to the ratio
 	RetryWindow   time.Duration
+
+	// Evacuations is set if the operator may take failure domains out of use in the store.
+	Evacuations bool
+	Regions     map[wire.FailureDomain]string // of the failure domains
 }
--- a/internal/gateway/shell/syncers.go
+++ b/internal/gateway/shell/syncers.go
@@ -10,7 +10,7 @@
 	"trefoilpath.org/trefoilpath/internal/storecopy"
 )
 
-// newSyncers creates the syncers of the configuration and the registrations.
+// newSyncers creates the syncers of the configuration, the registrations and the evacuations.
 func (g *Gateway) newSyncers() {
 	g.copyServing = make(chan struct{}, maxCopiesServed)
 	syncer := func(prefix string, policy storecopy.Policy, changed func(storecopy.Update)) *storecopy.Syncer {
@@ -22,7 +22,7 @@
 			FetchFailed: g.peerFailed,
 			Reachable: func(ok bool, status store.Status) {
 				g.log.Info().Str("event", "store-reachable").Str("prefix", prefix).Bool("ok", ok).Int("status", int(status)).Send()
-				// Both syncers call the same store, so that the later outcome counts.
+				// All syncers call the same store, so that the latest outcome counts.
 				g.publish(func(v *gateway.Versions) { v.StoreLost = !ok })
 			},
 		})
@@ -31,6 +31,18 @@
 		storecopy.Policy{Compare: g.compareConfigs, ContentVersions: true}, g.configChanged)
 	g.registrationSyncer = syncer(g.cfg.Decoder.RegistrationPrefix(),
 		storecopy.Policy{Compare: g.compareRegistrations}, g.registrationsChanged)
+	if g.cfg.Settings.Evacuations {
+		g.evacuationSyncer = syncer(g.cfg.Decoder.EvacuationPrefix(), storecopy.Policy{}, g.evacuationsChanged)
+	}
+}
+
+// syncers returns the syncers of this gateway.
+func (g *Gateway) syncers() []*storecopy.Syncer {
+	all := []*storecopy.Syncer{g.configSyncer, g.registrationSyncer}
+	if g.evacuationSyncer != nil {
+		all = append(all, g.evacuationSyncer)
+	}
+	return all
 }
 
 // compareConfigs orders two configurations by their version. One that can't be decoded
@@ -125,15 +137,36 @@
 	g.publishVersions(u)
 }
 
-// publishVersions passes the versions of both copies to the core, which announces
+// evacuationsChanged passes the failure domains that are out of use to the core. A key that
+// names none is left out.
+func (g *Gateway) evacuationsChanged(u storecopy.Update) {
+	g.meters.storeCall.Update(u.Took.Milliseconds())
+	in := &gateway.Evacuations{Revision: u.Listing.Revision, Source: string(u.Source)}
+	for _, p := range u.Listing.Pairs {
+		domain, err := g.cfg.Decoder.Evacuation(p.Key)
+		if err != nil {
+			g.log.Warn().Str("event", "evacuation-unusable").Uint64("revision", p.Version).Err(err).Send()
+			continue
+		}
+		in.Domains = append(in.Domains, domain)
+	}
+	g.meters.evacuated.Update(int64(len(in.Domains)))
+	g.tick(gateway.Input{Evacuations: in})
+	g.publishVersions(u)
+}
+
+// publishVersions passes the versions of all copies to the core, which announces
 // them to peers. It is called with one copy locked, so it can't query the other
-// syncer and takes its version from g.versions.
+// syncers and takes their versions from g.versions.
 func (g *Gateway) publishVersions(u storecopy.Update) {
 	g.publish(func(v *gateway.Versions) {
-		if u.Prefix == g.cfg.Decoder.ConfigPrefix() {
+		switch u.Prefix {
+		case g.cfg.Decoder.ConfigPrefix():
 			v.Config = u.Version
-		} else {
+		case g.cfg.Decoder.RegistrationPrefix():
 			v.Registrations = u.Version
+		case g.cfg.Decoder.EvacuationPrefix():
+			v.Evacuations = u.Version
 		}
 	})
 }
--- a/internal/gateway/shell/translate.go
+++ b/internal/gateway/shell/translate.go
@@ -6,6 +6,7 @@
 
 	"trefoilpath.org/trefoilpath/internal/gateway"
 	"trefoilpath.org/trefoilpath/internal/route"
+	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
 // Translator parses and sets the headers of callers and endpoints, and encodes
@@ -39,10 +40,14 @@
 	// key prefix of the endpoints' registrations.
 	ConfigPrefix() string
 	RegistrationPrefix() string
+	// EvacuationPrefix returns the key prefix of the failure domains that are out of use.
+	EvacuationPrefix() string
 	// Config decodes the configuration.
 	Config(value []byte) (*route.Config, error)
 	// Registration decodes the registration of one endpoint.
 	Registration(key string, value []byte) (gateway.Registration, error)
+	// Evacuation returns the failure domain that a key takes out of use.
+	Evacuation(key string) (wire.FailureDomain, error)
 }
 
 // Order is a request that changes the state of an endpoint.
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -157,7 +157,7 @@
 // not ejected, and may get r.
 func (c *Core) hasAlternative(r *request) bool {
 	for _, e := range c.service(r.in.Service).endpoints {
-		if e != r.work.answering() && e.accepts(c.now) && !e.health.ejected(c.now) && c.permitted(e) && !r.avoids(e.registration.ID) {
+		if e != r.work.answering() && e.accepts(c.now) && !e.health.ejected(c.now) && c.permitted(e) && r.mayGoTo(e) {
 			return true
 		}
 	}
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -18,6 +18,8 @@
 	workItems      []*workItem        // of all gateways, by time of dispatch
 	unregistered   bool               // no longer registered; the row stays while own requests run
 	inCell         bool               // in the own cell, or used by all cells
+	outOfUse       bool               // its failure domain is out of use, or it isn't known whether it is
+	region         uint64             // hash of the name of its region; 0: unknown
 	health         health
 	announced      *announcement // of its instance
 	observedPace   float64       // moving ratio of measured to predicted time to first event; 1: as published, and always for a plain service
@@ -81,6 +83,7 @@
 	orderPenalty     time.Duration     // added to the due time in the order of waiting requests
 	holdUntil        time.Duration     // no dispatch before, so that other gateways learn that it waits
 	permitWait       time.Duration     // if it is refused because of limits: until it may get a permit
+	regions          regionSet         // in which it may run
 
 	suspicion
 }
@@ -163,6 +166,7 @@
 	output       int64         // maximum number of output tokens
 	due          time.Duration // when its first event is due
 	orderPenalty time.Duration // added to due in the shared order
+	regions      regionSet     // in which it may run
 	lastSeen     time.Duration // last message that named it
 }
 
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -43,6 +43,7 @@
 	Priority     int           // 0 is the most urgent
 	Public       bool          // callers need no key
 	Resumable    bool          // a stream may continue after its last event at another endpoint
+	Regions      []string      // in which its requests may run; empty: any
 	Targets      []Target
 }
 
@@ -78,5 +79,6 @@
 	Name        string
 	Keys        []string
 	Priority    int
-	HasPriority bool // Priority overrides the priority of the route
+	HasPriority bool     // Priority overrides the priority of the route
+	Regions     []string // in which its requests may run; empty: any
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -104,6 +104,26 @@
 	return a, ok
 }
 
+// Regions returns the regions in which a request of r and an account, nil if it has none, may
+// run: those that both allow. Nil means any region, and an empty result none.
+func (t *Table) Regions(r *Route, account *Account) []string {
+	switch {
+	case (account == nil || len(account.Regions) == 0) && len(r.Regions) == 0:
+		return nil
+	case account == nil || len(account.Regions) == 0:
+		return r.Regions
+	case len(r.Regions) == 0:
+		return account.Regions
+	}
+	both := []string{}
+	for _, name := range r.Regions {
+		if slices.Contains(account.Regions, name) {
+			both = append(both, name)
+		}
+	}
+	return both
+}
+
 // Pick returns the service of r for the request with that ID, in proportion to the
 // weights of the targets. The same ID always gets the same service.
 func (r *Route) Pick(requestID string) string {
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 )
@@ -72,6 +73,23 @@
 	}
 }
 
+func TestRegionsOfRouteAndAccountBothBind(t *testing.T) {
+	var table Table
+	for _, test := range []struct{ route, account, want []string }{
+		{nil, nil, nil}, {[]string{}, []string{}, nil},
+		{[]string{"n", "s"}, nil, []string{"n", "s"}}, {nil, []string{"s"}, []string{"s"}},
+		{[]string{"n", "s"}, []string{"s", "e"}, []string{"s"}}, {[]string{"n"}, []string{"s"}, []string{}},
+	} {
+		got := table.Regions(&Route{Regions: test.route}, &Account{Regions: test.account})
+		if !slices.Equal(got, test.want) || (got == nil) != (test.want == nil) {
+			t.Errorf("route %v, account %v: %v, want %v", test.route, test.account, got, test.want)
+		}
+	}
+	if got := table.Regions(&Route{Regions: []string{"n"}}, nil); len(got) != 1 {
+		t.Errorf("%v without an account, want the regions of the route", got)
+	}
+}
+
 func TestPickFollowsWeights(t *testing.T) {
 	r := &Route{Targets: []Target{{"a", 90}, {"b", 10}, {"c", 0}}}
 	n := map[string]int{}
