Halve the store calls for evacuations

Cause: a third copy of the store costs as many listings, and repeats while the store is down, as the others; calls to the store are paid for. Change: Config.Sparing halves the rates.

--- a/internal/gateway/shell/syncers.go
+++ b/internal/gateway/shell/syncers.go
@@ -13,9 +13,9 @@
 // newSyncers creates the syncers of the configuration, the registrations and the evacuations.
 func (g *Gateway) newSyncers() {
 	g.copyServing = make(chan struct{}, maxCopiesServed)
-	syncer := func(prefix string, policy storecopy.Policy, changed func(storecopy.Update)) *storecopy.Syncer {
+	syncer := func(prefix string, policy storecopy.Policy, sparing bool, changed func(storecopy.Update)) *storecopy.Syncer {
 		return storecopy.NewSyncer(storecopy.Config{
-			Prefix: prefix, Policy: policy, Client: g.cfg.Store, Now: g.now, Changed: changed, EraBegan: g.eraBegan,
+			Prefix: prefix, Policy: policy, Sparing: sparing, Client: g.cfg.Store, Now: g.now, Changed: changed, EraBegan: g.eraBegan,
 			Watchers:    func() int { return readCore(g, (*gateway.Core).Watchers) },
 			Watches:     func() bool { return readCore(g, (*gateway.Core).Watches) },
 			Fetch:       g.fetchCopy,
@@ -28,11 +28,11 @@
 		})
 	}
 	g.configSyncer = syncer(g.cfg.Decoder.ConfigPrefix(),
-		storecopy.Policy{Compare: g.compareConfigs, ContentVersions: true}, g.configChanged)
+		storecopy.Policy{Compare: g.compareConfigs, ContentVersions: true}, false, g.configChanged)
 	g.registrationSyncer = syncer(g.cfg.Decoder.RegistrationPrefix(),
-		storecopy.Policy{Compare: g.compareRegistrations}, g.registrationsChanged)
+		storecopy.Policy{Compare: g.compareRegistrations}, false, g.registrationsChanged)
 	if g.cfg.Settings.Evacuations {
-		g.evacuationSyncer = syncer(g.cfg.Decoder.EvacuationPrefix(), storecopy.Policy{}, g.evacuationsChanged)
+		g.evacuationSyncer = syncer(g.cfg.Decoder.EvacuationPrefix(), storecopy.Policy{}, true, g.evacuationsChanged)
 	}
 }
 
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -73,6 +73,9 @@
 	Now    func() time.Duration // time on a monotonic clock
 	// Watchers returns the number of processes that watch the store.
 	Watchers func() int
+	// Sparing halves the rate of listings and of repeated calls, for keys whose changes need not
+	// be known as soon as others.
+	Sparing bool
 	// Policy orders values of different eras of the store.
 	Policy Policy
 	// Watches reports whether this process watches the store. Processes that do not
@@ -260,7 +263,7 @@
 		}
 		s.fetch(ctx)
 		sleep.For(ctx, jitter(pause))
-		pause = min(2*pause, retryMax)
+		pause = min(2*pause, s.spared(retryMax))
 	}
 }
 
@@ -270,7 +273,15 @@
 	if !s.watches() {
 		return followerPeriod
 	}
-	return max(reconcileMin, reconcilePerWatcher*time.Duration(s.cfg.Watchers()))
+	return max(reconcileMin, s.spared(reconcilePerWatcher)*time.Duration(s.cfg.Watchers()))
+}
+
+// spared returns d, or twice d with Config.Sparing.
+func (s *Syncer) spared(d time.Duration) time.Duration {
+	if s.cfg.Sparing {
+		return 2 * d
+	}
+	return d
 }
 
 // waitForListing waits for the period or a signal on listNow.
