--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -8,6 +8,8 @@
 //
 //	ingest.go    applies inputs to the tables
 //	configure.go configuration and registrations
+//	evacuation.go failure domains that the operator takes out of use
+//	regions.go   regions in which requests may run
 //	work.go      work items at an endpoint, and predictions from them
 //	place.go     selects the endpoints for a request to an engine
 //	plain.go     selects the endpoint for a request to a plain service (its endpoints are no engines)
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/wire"
+)
 
 // Dump is the state of a core for operators.
 type Dump struct {
@@ -12,7 +16,8 @@
 	Waiting   map[string]int // waiting requests by service
 	InFlight  int
 	Gateways  []GatewayDump
-	Parts     []PartDump // of prompts
+	Parts     []PartDump           // of prompts
+	Evacuated []wire.FailureDomain // out of use
 }
 
 // EndpointDump is the state of one endpoint.
@@ -26,6 +31,7 @@
 	Streams      int
 	Memory       int64   // tokens in use
 	Limit        float64 // requests a second that it accepts from all gateways together; 0: none
+	OutOfUse     bool    // its failure domain is evacuated
 }
 
 // GatewayDump is the state of another gateway.
@@ -45,7 +51,7 @@
 	for e := range c.endpoints.Values() {
 		row := EndpointDump{
 			Registration: e.registration, Gone: e.unregistered, Slow: e.observedPace, Works: len(e.workItems),
-			Ejected: max(e.health.ejectedUntil-c.now, 0), Limit: e.announced.limit.Limit(),
+			Ejected: max(e.health.ejectedUntil-c.now, 0), Limit: e.announced.limit.Limit(), OutOfUse: e.outOfUse,
 		}
 		if e.engine != nil {
 			o := c.occupancy(e)
@@ -59,6 +65,6 @@
 	for p := range c.peers.Values() {
 		d.Gateways = append(d.Gateways, GatewayDump{Addr: p.addr.String(), Known: p.live, Heard: c.now - p.lastSeen, Works: len(p.workItems)})
 	}
-	d.Parts = c.dumpParts()
+	d.Parts, d.Evacuated = c.dumpParts(), c.evacuated.domains
 	return d
 }
