Give cold endpoints only requests with permits

Cause: nothing reads that an endpoint is cold, from its registration, its answers or the configuration, so that a queue can meet the first one that is back with all its requests.

A cold endpoint needs permits of the same keeper as one that names a limit, at the lower of the two rates, and lapses them soon. Waiting requests ask for a permit of the endpoint with the least work; a long prompt may be answered by a cold engine if no other has a slot. A keeper named in PeerMessage gets rows of cold endpoints that are known at first hand.

TestLapsedPermitIsNotUsed names its second itself, since the constant has become a property of the limit.

--- a/internal/gateway/announcement.go
+++ b/internal/gateway/announcement.go
@@ -21,6 +21,7 @@
 	Addr     string        // where the answer came from
 	Leaving  bool          // the endpoint is draining
 	Backoff  time.Duration // how long it accepts no request from this gateway; 0: not stated
+	ColdLeft time.Duration // how much longer it is cold; 0: not stated, or warm
 }
 
 // instance identifies one life of an endpoint.
@@ -39,7 +40,8 @@
 	leaving      bool
 	backoffUntil time.Duration
 	limit        endpointlimit.Belief
-	permits      *permits // nil: it names no limit
+	cold         coldness
+	permits      *permits // nil: neither does it name a limit, nor is it cold
 	keptUntil    time.Duration
 
 	limitChangedAt time.Duration // 0: it has never named one
@@ -60,6 +62,7 @@
 		e.announced.backoffUntil = until
 		c.log(Event{Name: "endpoint-backoff", Endpoint: string(in.Endpoint), Took: until - c.now})
 	}
+	c.coldAnswered(e, in.ColdLeft)
 	c.placementDue = true
 }
 
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -15,9 +15,17 @@
 	Seeds         []netip.AddrPort // peers to contact at the start
 	FailureDomain wire.FailureDomain
 	Retry         retrybudget.Config
+	Cold          ColdBounds
 	Placement     PlacementConfig
 }
 
+// ColdBounds bound the requests that a cold endpoint gets in any one second from all gateways
+// together: Ratio times its service's cold rate, plus Slack.
+type ColdBounds struct {
+	Ratio float64
+	Slack float64 // requests
+}
+
 // PlacementConfig tunes the placement of requests on engines. A prompt is short if one
 // engine prefills it within SmallPrefill, medium if at most MaxInterleaved engines can
 // prefill it in parts of up to MaxPart, and long otherwise.
--- a/internal/gateway/configure.go
+++ b/internal/gateway/configure.go
@@ -21,6 +21,7 @@
 	c.routing = table
 	for e := range c.endpoints.Values() {
 		c.applyEngineParams(e)
+		c.updateCold(e, "configuration")
 	}
 	c.log(Event{Name: "configuration-in-force", Detail: "version=" + strconv.FormatUint(table.Version(), 10), Count: table.Routes()})
 	c.placementDue = true
@@ -48,12 +49,14 @@
 // register replaces the set of endpoints. Requests that run at endpoints that are no
 // longer registered continue; these endpoints get no new ones.
 func (c *Core) register(in *Endpoints) {
+	running := c.endpointsReceived
 	c.endpointsReceived = true
 	c.endpointsRevision = in.Revision
 	registeredIDs := make(map[wire.EndpointID]bool, len(in.Rows))
 	for _, reg := range in.Rows {
 		registeredIDs[reg.ID] = true
 		c.registerEndpoint(reg)
+		c.coldRegistered(c.endpoints.Get(reg.ID), running)
 	}
 	for e := range c.endpoints.Values() {
 		if !registeredIDs[e.registration.ID] {
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -67,6 +67,8 @@
 	Gone       uint64 // requests whose caller disconnected
 	Ejected    uint64 // ejections of endpoints and prolongations of them
 	Placements uint64 // attempts to place the waiting requests
+	Cold       uint64 // times that an endpoint became cold
+	ColdSends  uint64 // attempts that were sent to cold endpoints
 }
 
 // New returns a gateway without configuration, endpoints or peers other than the
@@ -157,6 +159,8 @@
 			c.checkSilence(key.request)
 		case timerPermits:
 			c.grantByTimer(c.endpoints.Get(key.endpoint))
+		case timerCold:
+			c.endCold(c.endpoints.Get(key.endpoint))
 		case timerStandby:
 			c.releaseStandby(key.request)
 		}
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -24,8 +24,10 @@
 	Works        int           // attempts of all gateways that run there
 	Queue        time.Duration // prefill time that is queued
 	Streams      int
-	Memory       int64   // tokens in use
-	Limit        float64 // requests a second that it accepts from all gateways together; 0: none
+	Memory       int64         // tokens in use
+	Limit        float64       // requests a second that it accepts from all gateways together; 0: none
+	Cold         time.Duration // remaining time for which it is cold
+	PermitRate   float64       // requests a second for which permits are given out; 0: it needs none
 }
 
 // GatewayDump is the state of another gateway.
@@ -47,6 +49,9 @@
 			Registration: e.registration, Gone: e.unregistered, Slow: e.observedPace, Works: len(e.workItems),
 			Ejected: max(e.health.ejectedUntil-c.now, 0), Limit: e.announced.limit.Limit(),
 		}
+		if e.limited() {
+			row.Cold, row.PermitRate = e.coldLeft(c.now), e.announced.permits.limit.Rate
+		}
 		if e.engine != nil {
 			o := c.occupancy(e)
 			row.Queue, row.Streams, row.Memory = o.queuedPrefill, o.streams, o.memoryTokens
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -23,6 +23,12 @@
 	Leaving       bool  // the endpoint is draining
 	Born          int64 // Unix time of its start in ms; 0: unknown
 	Orders        int64 // accepted since its start, when it registered
+	// ColdLeft is how much longer the endpoint was cold when it wrote the registration, if
+	// HasColdLeft is set. Revision is that of the store in which the registration was written;
+	// 0: unknown.
+	ColdLeft    time.Duration
+	HasColdLeft bool
+	Revision    uint64
 }
 
 // Compare returns a positive number if r was written after the registration other of
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -46,7 +46,7 @@
 	ReceivedMS int64   `cbor:"5,keyasint,omitempty"` // since the answer was received
 }
 
-// limited reports whether e's instance names a limit.
+// limited reports whether requests to e's instance need permits: it names a limit or is cold.
 func (e *endpoint) limited() bool { return e.announced.permits != nil }
 
 // limitStated applies what an endpoint says about its limit.
@@ -86,21 +86,34 @@
 		return
 	}
 	limit := a.limit.Limit()
+	a.limitChangedAt = c.now
+	c.updatePermits(e)
+	c.outbox.changedLimits = append(c.outbox.changedLimits, e)
+	c.outbox.batchDue = true
+	c.outbox.otherCellSends = max(c.outbox.otherCellSends, otherCellFanout)
+	c.log(Event{Name: "endpoint-limit", Endpoint: string(e.registration.ID), Detail: "limit=" + formatLimit(limit) + " source=" + source})
+}
+
+// updatePermits puts the lower of the limit that e names and that of a cold endpoint in force.
+func (c *Core) updatePermits(e *endpoint) {
+	a := e.announced
+	limit := endpointlimit.Limit{}
+	if rate := a.limit.Limit(); rate > 0 {
+		limit = endpointlimit.NamedLimit(rate)
+	}
+	limit = limit.Lower(c.coldLimit(e))
 	switch {
-	case limit == 0:
+	case limit.Rate == 0:
 		a.permits = nil
 		c.timers.Stop(timerKey{kind: timerPermits, endpoint: e.registration.ID})
 	case a.permits == nil:
-		a.permits = new(permits)
-	default:
+		a.permits = &permits{limit: limit}
+	case a.permits.limit != limit:
 		a.permits.limitChanged(c.now, limit)
+	default:
+		return
 	}
-	a.limitChangedAt = c.now
 	c.limitsKnown, c.placementDue = true, true
-	c.outbox.changedLimits = append(c.outbox.changedLimits, e)
-	c.outbox.batchDue = true
-	c.outbox.otherCellSends = max(c.outbox.otherCellSends, otherCellFanout)
-	c.log(Event{Name: "endpoint-limit", Endpoint: string(e.registration.ID), Detail: "limit=" + formatLimit(limit) + " source=" + source})
 }
 
 // formatLimit formats a limit in requests a second.
@@ -127,7 +140,7 @@
 	}
 	var rows []LimitRow
 	for e := range c.endpoints.Values() {
-		if e.limited() || e.announced.limitChangedAt > 0 && c.now < e.announced.limitChangedAt+endedLimitTTL {
+		if e.announced.limit.Limit() > 0 || e.announced.limitChangedAt > 0 && c.now < e.announced.limitChangedAt+endedLimitTTL {
 			rows = append(rows, c.limitRow(e))
 		}
 	}
@@ -151,12 +164,13 @@
 		m.Limits = chunk
 		c.sendToCell(m, full)
 	}
+	c.sendCold(full)
 }
 
 // recheckDue reports whether a request is to be sent to a limited endpoint to learn whether it
-// still names its limit.
+// still names its limit. Coldness ends by time.
 func (c *Core) recheckDue(e *endpoint) bool {
-	return c.now >= max(e.announced.limit.Latest().Received, e.announced.permits.usedAt)+limitRecheck
+	return e.announced.limit.Limit() > 0 && c.now >= max(e.announced.limit.Latest().Received, e.announced.permits.usedAt)+limitRecheck
 }
 
 // milliseconds converts the age or time in a message. It is bounded, so that no sum overflows.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -55,6 +55,7 @@
 	Limits       []LimitRow     `cbor:"10,keyasint,omitempty"`
 	Demands      []PermitDemand `cbor:"11,keyasint,omitempty"`
 	Grants       []PermitGrant  `cbor:"12,keyasint,omitempty"`
+	Cold         []ColdRow      `cbor:"16,keyasint,omitempty"`
 }
 
 // PeerRow is one work item of the sender.
@@ -85,6 +86,7 @@
 	waiting           []*request  // that began to wait
 	changedWork       []*workItem // new, or in a new phase
 	changedLimits     []*endpoint
+	changedCold       []*endpoint   // that said so in an answer
 	endedRows         []uint64      // row IDs, not sent yet
 	recentlyEndedRows []uint64      // row IDs, sent once; repeated in the next full message
 	batchScheduled    bool          // timerBatch is set
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// permitTTL is how long a permit may be used. What lapses is lost.
-	permitTTL = time.Second
 	// demandInterval is the time between two demands for permits of an endpoint that have not
 	// changed, minDemandInterval between any two.
 	demandInterval    = 40 * time.Millisecond
@@ -33,8 +31,10 @@
 // and takes another for the keeper names that one, and asks it itself, so that a keeper that
 // has ended is noticed wherever views differ. A new keeper begins without permits.
 
-// permits is this gateway's part in keeping the limit of an instance.
+// permits is this gateway's part in keeping the limit of an instance, which is named by itself or
+// that of a cold one.
 type permits struct {
+	limit  endpointlimit.Limit
 	held   []time.Duration // when each permit that this gateway holds lapses, in order
 	usedAt time.Duration   // when one was last used
 	wanted int             // by the requests that wait now
@@ -73,10 +73,10 @@
 }
 
 // limitChanged applies another limit. Permits of a higher one are void.
-func (l *permits) limitChanged(now time.Duration, limit float64) {
-	l.held = nil
+func (l *permits) limitChanged(now time.Duration, limit endpointlimit.Limit) {
+	l.held, l.limit = nil, limit
 	if l.keeper != nil {
-		l.keeper.SetLimit(now, limit)
+		l.keeper.SetLimit(now, limit.Rate)
 	}
 }
 
@@ -103,6 +103,9 @@
 	l := e.announced.permits
 	l.held = l.held[1:]
 	l.usedAt = c.now
+	if e.cold() {
+		c.counts.ColdSends++
+	}
 	return true
 }
 
@@ -110,12 +113,12 @@
 func (c *Core) addPermits(e *endpoint, count int) {
 	l := e.announced.permits
 	for range min(count, maxPermitCount) {
-		l.held = append(l.held, c.now+permitTTL)
+		l.held = append(l.held, c.now+l.limit.Lifetime)
 	}
 	c.placementDue = c.placementDue || count > 0
 }
 
-// limitedEndpoints returns the endpoints of s that name a limit and may be sent requests
+// limitedEndpoints returns the endpoints of s that have a limit and may be sent requests
 // otherwise, and whether all of those that may be are among them.
 func (c *Core) limitedEndpoints(s *service) (limited []*endpoint, all bool) {
 	if !c.limitsKnown {
@@ -159,11 +162,20 @@
 		e.announced.permits.wanted, e.announced.permits.due = 0, c.now+idleDue
 		held += c.permitsHeld(e)
 	}
+	open := slices.DeleteFunc(slices.Clone(limited), c.coldAndFull)
+	openToLong := open
+	if !all {
+		openToLong = c.coldIfNoneAnswers(s, open)
+	}
 	for _, r := range s.waiting {
-		if r.phase != phaseWaiting || r.held || r.divisible && !all {
+		if r.phase != phaseWaiting || r.held {
 			continue
 		}
-		e, wait, known := c.nextPermit(limited, r)
+		from := open
+		if r.divisible {
+			from = openToLong
+		}
+		e, wait, known := c.nextPermit(from, r)
 		switch {
 		case e == nil:
 		case all && known && c.now+wait > r.placedBefore():
@@ -184,19 +196,29 @@
 
 // nextPermit returns the limited endpoint for which r gets a permit first, after the requests
 // that have been counted in wanted, and the time until then. known is false if that keeper has
-// said nothing yet. The endpoint is nil if r avoids all.
+// said nothing yet. Of several, it is the one with the least work. The endpoint is nil if r avoids
+// all.
 func (c *Core) nextPermit(limited []*endpoint, r *request) (best *endpoint, wait time.Duration, known bool) {
 	for _, e := range limited {
 		if r.avoids(e.registration.ID) {
 			continue
 		}
-		if w := c.permitWait(e); best == nil || w < wait {
+		if w := c.permitWait(e); best == nil || w < wait || w == wait && c.lessWork(e, best) {
 			best, wait, known = e, w, e.announced.permits.waitAt > 0
 		}
 	}
 	return best, wait, known
 }
 
+// lessWork reports whether fewer attempts run at a than at b. Gateways order those with as many
+// each in its own way, so that they don't all ask for permits of the same endpoint.
+func (c *Core) lessWork(a, b *endpoint) bool {
+	if x, y := len(a.workItems), len(b.workItems); x != y {
+		return x < y
+	}
+	return c.perGatewayRank(a) < c.perGatewayRank(b)
+}
+
 // permitWait returns the time until a permit for e that no counted request wants.
 func (c *Core) permitWait(e *endpoint) time.Duration {
 	l := e.announced.permits
@@ -204,7 +226,7 @@
 	if missing < 0 {
 		return 0
 	}
-	return max(l.wait-(c.now-l.waitAt), 0) + time.Duration(float64(missing)/e.announced.limit.Limit()*float64(time.Second))
+	return max(l.wait-(c.now-l.waitAt), 0) + time.Duration(float64(missing)/l.limit.Rate*float64(time.Second))
 }
 
 // keeperOf returns the gateway that gives out the permits of e; nil: this one. With silent, a
@@ -299,7 +321,10 @@
 
 func (c *Core) sendDemand(e *endpoint, keeper *peer, count int) {
 	m := c.message()
-	m.Limits = []LimitRow{c.limitRow(e)}
+	if e.announced.limit.Limit() > 0 {
+		m.Limits = []LimitRow{c.limitRow(e)}
+	}
+	m.Cold = c.coldRows(e)
 	m.Demands = []PermitDemand{{
 		Endpoint: e.idHash, Born: e.registration.Born, Count: count, DueMS: (e.announced.permits.due - c.now).Milliseconds(),
 	}}
@@ -310,7 +335,7 @@
 func (c *Core) ownKeeper(e *endpoint) *endpointlimit.Keeper {
 	l := e.announced.permits
 	if l.keeper == nil {
-		l.keeper = endpointlimit.NewKeeper(c.now, e.announced.limit.Limit())
+		l.keeper = endpointlimit.NewKeeper(c.now, l.limit.Rate)
 	}
 	return l.keeper
 }
@@ -366,7 +391,7 @@
 	if e == nil {
 		return
 	}
-	if !e.limited() { // the limit has ended; the sender learns it from the endpoint's answer
+	if !e.limited() { // the limit has ended; the sender learns it from the endpoint's answer, or by time
 		c.sendGrant(e, p, PermitGrant{Count: d.Count})
 		return
 	}
--- a/internal/gateway/permits_test.go
+++ b/internal/gateway/permits_test.go
@@ -116,7 +116,7 @@
 	limitAt(c, time.Second, "p-00", 1)
 	e := c.endpoints.Get("p-00")
 	c.addPermits(e, 1)
-	c.now += permitTTL
+	c.now += time.Second
 	if c.permitted(e) || c.takePermit(e) {
 		t.Error("a permit was used after permitTTL")
 	}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -202,7 +202,7 @@
 			latencySensitive: c.hasLatencySensitive(&occ), noStreams: occ.minGapLimit == 0,
 		}
 		if e.limited() { // it helps; it only answers if no engine without a limit does
-			k.freeSlots = min(k.freeSlots, bit(allLimited)*c.permitsHeld(e))
+			k.freeSlots = min(k.freeSlots, bit(allLimited || e.coldOnly())*c.permitsHeld(e))
 		}
 		if k.latencySensitive {
 			k.freePrefill -= occ.queuedPrefill // beside latency-sensitive streams some prefill is nearly always queued
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -237,8 +237,8 @@
 // dispatchDetail returns the values that decided the placement, for the log.
 func (c *Core) dispatchDetail(r *request, e *endpoint, p placement) string {
 	var b strings.Builder
-	if limit := e.announced.limit.Limit(); limit > 0 {
-		b.WriteString("limit=" + formatLimit(limit) + " ")
+	if e.limited() {
+		b.WriteString("limit=" + formatLimit(e.announced.permits.limit.Rate) + " ")
 	}
 	if e.engine == nil {
 		b.WriteString("in-flight=" + itoa(len(e.workItems)))
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -44,6 +44,7 @@
 	c.applyPeerPaces(m.Paces)
 	c.mergeParts(m.PartsService, m.Parts)
 	c.mergeLimits(m.Limits)
+	c.mergeCold(m.Cold)
 	for i := range m.Demands {
 		c.permitsDemanded(p, &m.Demands[i])
 	}
--- a/internal/gateway/shell/callendpoint.go
+++ b/internal/gateway/shell/callendpoint.go
@@ -80,8 +80,10 @@
 	if h.Malformed != "" {
 		g.log.Warn().Str("event", "header-unusable").Str("endpoint", string(id)).Str("detail", h.Malformed).Send()
 	}
-	if !h.OtherEndpoint && (h.Leaving || h.Backoff > 0) {
-		g.tick(gateway.Input{Announced: &gateway.EndpointAnnouncement{Endpoint: id, Addr: addr, Leaving: h.Leaving, Backoff: h.Backoff}})
+	if !h.OtherEndpoint && (h.Leaving || h.Backoff > 0 || h.ColdLeft > 0) {
+		g.tick(gateway.Input{Announced: &gateway.EndpointAnnouncement{
+			Endpoint: id, Addr: addr, Leaving: h.Leaving, Backoff: h.Backoff, ColdLeft: h.ColdLeft,
+		}})
 	}
 }
 
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -81,6 +81,7 @@
 		Incarnation: uint64(g.start.UnixNano()), Addr: s.PeerAddr, Seeds: s.Seeds,
 		FailureDomain: wire.FailureDomain(s.FailureDomain),
 		Retry:         retrybudget.Config{Ratio: s.RetryRatio, FleetRetriesPerWindow: s.RetrySlack, Window: s.RetryWindow},
+		Cold:          gateway.ColdBounds{Ratio: s.ColdRatio, Slack: s.ColdSlack},
 		Placement:     gateway.DefaultPlacement(),
 	})
 	return g
--- a/internal/gateway/shell/settings.go
+++ b/internal/gateway/shell/settings.go
@@ -23,4 +23,6 @@
 	RetryRatio    float64          // allowed retries per request in the fleet
 	RetrySlack    float64          // allowed retries in the fleet per RetryWindow, in addition to the ratio
 	RetryWindow   time.Duration
+	ColdRatio     float64 // requests to a cold endpoint in any one second, relative to its service's cold rate
+	ColdSlack     float64 // requests to a cold endpoint in any one second, in addition to the ratio
 }
--- a/internal/gateway/shell/syncers.go
+++ b/internal/gateway/shell/syncers.go
@@ -117,6 +117,7 @@
 			g.log.Warn().Str("event", "registration-unusable").Uint64("revision", p.Version).Err(err).Send()
 			continue
 		}
+		reg.Revision = p.Version
 		in.Rows = append(in.Rows, reg)
 	}
 	g.log.Info().Str("event", "registrations-read").Uint64("revision", u.Listing.Revision).
--- a/internal/gateway/shell/translate.go
+++ b/internal/gateway/shell/translate.go
@@ -89,5 +89,6 @@
 	Backoff       time.Duration // how long it accepts no request from this gateway; 0: not stated
 	Limit         float64       // requests a second that it accepts from all gateways together; 0: not stated
 	LimitUnknown  bool          // a limit is stated that can't be parsed
+	ColdLeft      time.Duration // how much longer it is cold; 0: not stated, or warm
 	Malformed     string        // a header that can't be parsed and is ignored; empty: none
 }
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -180,6 +180,7 @@
 	timerCheck       timerKind = 8
 	timerStandby     timerKind = 9
 	timerPermits     timerKind = 10
+	timerCold        timerKind = 11
 )
 
 // timerKey identifies a timer; fields that do not apply to its kind are zero.
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -63,6 +63,8 @@
 	HealthPath string
 	MaxConns   int                // connections that one endpoint accepts from all callers
 	Engine     *enginecost.Params // nil for a plain service, whose endpoints are not engines
+	Warmup     time.Duration      // how long an endpoint is cold after its start
+	ColdRate   float64            // requests a second that a cold endpoint tolerates; 0: cold endpoints need no limit
 }
 
 // Limits bound the size of requests and the time that callers may take to send them.
