Play fleets with cold endpoints, and take cold engines for slower

Cause: a gateway that has just heard that an engine is cold does not know how slow it is, and its plan of a long prompt began with the cold engines, which are idle: the slowest part delays the first event of the whole prompt.

Change: a cold engine counts as twice as slow at least, and plans take cold engines last.

--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -14,6 +14,9 @@
 	// minToldCold is the time for which an endpoint must still be cold for another gateway's word
 	// to count. What is told ends later here than there by the time on the way.
 	minToldCold = 100 * time.Millisecond
+	// coldPace is the factor by which a cold engine is taken to be slower than its published
+	// constants at least. Reports of its pace tell more, but some time after it has become cold.
+	coldPace = 2
 )
 
 // A cold endpoint is slow and gets few requests a second: those for which there are permits
@@ -47,6 +50,14 @@
 // cold reports whether e's instance is cold.
 func (e *endpoint) cold() bool { return e.announced.cold.until > 0 }
 
+// presumedPace returns the pace that is taken for e's before it is known how slow a cold engine is.
+func (e *endpoint) presumedPace() float64 {
+	if e.cold() {
+		return coldPace
+	}
+	return 1
+}
+
 // coldOnly reports whether e's instance is cold and names no limit.
 func (e *endpoint) coldOnly() bool { return e.cold() && e.announced.limit.Limit() == 0 }
 
--- a/internal/gateway/limitsim_test.go
+++ b/internal/gateway/limitsim_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/retrybudget"
+	"trefoilpath.org/trefoilpath/internal/route"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -40,8 +41,10 @@
 	refusals  []time.Duration // waits until refusals
 	served    int
 	sent      int
-	lost      int  // ended in another way
-	cancelled bool // the attempt that was last sent
+	lost      int          // ended in another way
+	cancelled bool         // the attempt that was last sent
+	priority  int          // of the requests that are submitted
+	table     *route.Table // in force besides that of newTestCore; nil: none
 	onFinish  func(Finish)
 }
 
@@ -185,7 +188,7 @@
 	s.requests[[2]uint64{uint64(gateway), uint64(s.lastID)}] = &limitRequest{gateway, s.now}
 	s.tick(gateway, Input{Arrive: &Arrival{
 		ID: s.lastID, RequestID: fmt.Sprint(s.lastID), Route: r, Service: r.Targets[0].Service,
-		PromptTokens: 400, MaxOutputTokens: 100, Deadline: s.now + r.Timeout,
+		PromptTokens: 400, MaxOutputTokens: 100, Deadline: s.now + r.Timeout, Priority: s.priority,
 	}})
 }
 
@@ -222,9 +225,18 @@
 	for _, e := range s.endpoints {
 		delete(e.told, gateway) // it is told anew
 	}
+	s.configure(gateway)
 	s.tick(gateway, Input{Endpoints: &Endpoints{Rows: s.rows, Revision: 2}})
 }
 
+// configure puts the table in force at a gateway.
+func (s *limitSim) configure(gateway int) {
+	if s.table != nil {
+		s.cores[gateway].cfg.Cold = testColdBounds
+		s.tick(gateway, Input{Config: s.table})
+	}
+}
+
 // freeze lets a gateway stand still for a time. Messages and answers to it are lost meanwhile.
 func (s *limitSim) freeze(gateway int, duration time.Duration) {
 	core := s.cores[gateway]
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -231,6 +231,9 @@
 		if x.latencySensitive != y.latencySensitive {
 			return cmp.Compare(bit(x.latencySensitive), bit(y.latencySensitive))
 		}
+		if p, q := x.endpoint.cold(), y.endpoint.cold(); p != q {
+			return cmp.Compare(bit(p), bit(q)) // a slow part delays the whole prompt
+		}
 		return cmp.Compare(x.untilFree, y.untilFree)
 	})
 	maxEngines := min(len(engines), 1+engines[0].endpoint.engine.MaxHelpers)
--- a/internal/gateway/sim_test.go
+++ b/internal/gateway/sim_test.go
@@ -143,6 +143,7 @@
 	finishedPrefills []*simPrefill // prefills that the current pass finishes
 	decodePass       bool          // streams decode in the current pass
 
+	pace        float64       // factor by which its passes are longer than by params; 0: 1
 	prefillTime time.Duration // total so far; no test reads it
 }
 
@@ -182,7 +183,7 @@
 			}
 		}
 	}
-	e.passEnd = now + length
+	e.passEnd = now + time.Duration(float64(length)*max(e.pace, 1))
 	return true
 }
 
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -130,7 +130,7 @@
 // scaleByPace corrects a predicted time by the endpoint's observed or reported pace,
 // whichever is slower.
 func (e *endpoint) scaleByPace(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * max(e.observedPace, e.reportedPace))
+	return time.Duration(float64(d) * max(e.observedPace, e.reportedPace, e.presumedPace()))
 }
 
 // untilFirst predicts the time from now to the first event of a prompt whose part the
