--- a/internal/gateway/coldsim_test.go
+++ b/internal/gateway/coldsim_test.go
@@ -115,6 +115,7 @@
 
 func (c *coldCase) play(t *testing.T, seed uint64) *limitSim {
 	s := newColdSim(t, c.gateways, c.engines, c.plain, c.rate, seed)
+	s.onPeerMessage = func(m *PeerMessage) { s.permitMessages += bit(len(m.Demands)+len(m.Grants) > 0) }
 	s.traffic(c.kind, c.perSecond, coldEnd+time.Second)
 	s.run(coldFrom)
 	s.becomeCold(c.coldEndpoints(), coldLeft)
@@ -148,15 +149,17 @@
 			for seed := *firstLimitSeed; seed < *firstLimitSeed+uint64(*limitSeeds); seed++ {
 				s := c.play(t, seed)
 				bound := c.rate*testColdBounds.Ratio + testColdBounds.Slack
-				most := 0
+				most, sends := 0, 0
 				for _, id := range c.coldEndpoints() {
+					sends += int(s.endpoints[id].usedRate(coldFrom, coldEnd) * coldLeft.Seconds())
 					n := s.endpoints[id].mostInASecond(coldFrom, coldEnd)
 					most = max(most, n)
 					if float64(n) > bound {
 						t.Errorf("seed %d: %s got %d requests in a second while it was cold, at most %.1f are allowed", seed, id, n, bound)
 					}
 				}
-				t.Logf(c.name+", seed %d: at most %d requests in a second, %.1f allowed; %d of %d served, %d refused, %d lost", seed, most, bound, s.served, s.sent, len(s.refusals), s.lost)
+				t.Logf(c.name+", seed %d: at most %d requests in a second, %.1f allowed; %d of %d served, %d refused, %d lost; %d messages about permits for %d requests to cold endpoints",
+					seed, most, bound, s.served, s.sent, len(s.refusals), s.lost, s.permitMessages, sends)
 			}
 		})
 	}
--- a/internal/gateway/limitsim_test.go
+++ b/internal/gateway/limitsim_test.go
@@ -31,21 +31,22 @@
 // limitSim runs gateways and endpoints that name limits on a virtual clock.
 type limitSim struct {
 	*simulation
-	rng       *rand.Rand
-	endpoints map[wire.EndpointID]*limitEndpoint
-	rows      []Registration
-	up        []bool          // by gateway
-	startedAt []time.Duration // by gateway
-	starts    int             // of gateways
-	requests  map[[2]uint64]*limitRequest
-	refusals  []time.Duration // waits until refusals
-	served    int
-	sent      int
-	lost      int          // ended in another way
-	cancelled bool         // the attempt that was last sent
-	priority  int          // of the requests that are submitted
-	table     *route.Table // in force besides that of newTestCore; nil: none
-	onFinish  func(Finish)
+	rng            *rand.Rand
+	endpoints      map[wire.EndpointID]*limitEndpoint
+	rows           []Registration
+	up             []bool          // by gateway
+	startedAt      []time.Duration // by gateway
+	starts         int             // of gateways
+	requests       map[[2]uint64]*limitRequest
+	refusals       []time.Duration // waits until refusals
+	served         int
+	sent           int
+	lost           int          // ended in another way
+	cancelled      bool         // the attempt that was last sent
+	permitMessages int          // demands and grants
+	priority       int          // of the requests that are submitted
+	table          *route.Table // in force besides that of newTestCore; nil: none
+	onFinish       func(Finish)
 }
 
 // limitEndpoint is an endpoint and what it has seen.
