Take a cold engine for slow only until its report tells

Change: the presumed pace holds until a report that was made while the engine was cold. Plans take slow cold engines after the other free ones, and before busy ones.

Measured: go test ./internal/gateway -run 'Cold|ReturnOf' passes.

--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -15,8 +15,10 @@
 	// to count. What is told ends later here than there by the time on the way.
 	minToldCold = 100 * time.Millisecond
 	// coldPace is the factor by which a cold engine is taken to be slower than its published
-	// constants at least. Reports of its pace tell more, but some time after it has become cold.
-	coldPace = 2
+	// constants until a report of its pace arrives that it has certainly made while it was cold:
+	// coldReportLag after it became so.
+	coldPace      = 2
+	coldReportLag = 500 * time.Millisecond
 )
 
 // A cold endpoint is slow and gets few requests a second: those for which there are permits
@@ -52,12 +54,17 @@
 
 // presumedPace returns the pace that is taken for e's before it is known how slow a cold engine is.
 func (e *endpoint) presumedPace() float64 {
-	if e.cold() {
+	if e.cold() && e.reportedPaceAt < e.announced.cold.since+coldReportLag {
 		return coldPace
 	}
 	return 1
 }
 
+// slowWhileCold reports whether e is a cold engine that is slower than published.
+func (e *endpoint) slowWhileCold() bool {
+	return e.cold() && max(e.reportedPace, e.presumedPace()) > 1
+}
+
 // coldOnly reports whether e's instance is cold and names no limit.
 func (e *endpoint) coldOnly() bool { return e.cold() && e.announced.limit.Limit() == 0 }
 
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -231,10 +231,8 @@
 		if x.latencySensitive != y.latencySensitive {
 			return cmp.Compare(bit(x.latencySensitive), bit(y.latencySensitive))
 		}
-		if p, q := x.endpoint.cold(), y.endpoint.cold(); p != q {
-			return cmp.Compare(bit(p), bit(q)) // a slow part delays the whole prompt
-		}
-		return cmp.Compare(x.untilFree, y.untilFree)
+		// Of engines that are free, slow ones come last: a slow part delays the whole prompt.
+		return cmp.Or(cmp.Compare(x.untilFree, y.untilFree), cmp.Compare(bit(x.endpoint.slowWhileCold()), bit(y.endpoint.slowWhileCold())))
 	})
 	maxEngines := min(len(engines), 1+engines[0].endpoint.engine.MaxHelpers)
 	maxNoStreamPrefill := c.noStreamPrefillLimit(j, engines, maxEngines)
