Merge cold endpoints, and take a returned failure domain for cold

Joins two parts: when the operator takes a failure domain back into use, its endpoints count as cold for their service's warmup, whatever they have said (test TestReturnedFailureDomainCountsAsCold).

--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -39,6 +39,9 @@
 	}
 	for e := range c.endpoints.Values() {
 		c.applyEvacuations(e)
+		if d := e.registration.FailureDomain; slices.Contains(before, d) && !slices.Contains(in.Domains, d) {
+			c.presumeCold(e) // it has had no requests for a while
+		}
 	}
 	c.assignCells()
 	for s := range c.services.Values() {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -203,7 +203,7 @@
 			latencySensitive: c.hasLatencySensitive(&occ), noStreams: occ.minGapLimit == 0,
 		}
 		if e.limited() { // it helps; it only answers if no engine without a limit does
-			k.freeSlots = min(k.freeSlots, bit(allLimited)*c.permitsHeld(e))
+			k.freeSlots = min(k.freeSlots, bit(allLimited || e.coldOnly())*c.permitsHeld(e))
 		}
 		if k.latencySensitive {
 			k.freePrefill -= occ.queuedPrefill // beside latency-sensitive streams some prefill is nearly always queued
@@ -232,7 +232,8 @@
 		if x.latencySensitive != y.latencySensitive {
 			return cmp.Compare(bit(x.latencySensitive), bit(y.latencySensitive))
 		}
-		return cmp.Compare(x.untilFree, y.untilFree)
+		// Of engines that are free, slow ones come last: a slow part delays the whole prompt.
+		return cmp.Or(cmp.Compare(x.untilFree, y.untilFree), cmp.Compare(bit(x.endpoint.slowWhileCold()), bit(y.endpoint.slowWhileCold())))
 	})
 	maxEngines := min(len(engines), 1+engines[0].endpoint.engine.MaxHelpers)
 	maxNoStreamPrefill := c.noStreamPrefillLimit(j, engines, maxEngines)
