Write log lines without decoding them

Cause: each log line was encoded as JSON, decoded into a map, sorted and formatted, under the lock of the core: 22.2 us and 89 allocations a line, three lines a request and one for each endpoint of a new list. A gateway with a tenth of a core spends ten times as long. Change: a writer of its own cuts the encoded line into fields and writes them in the same format. A differential test compares it with the console writer.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -3,7 +3,6 @@
 package logging
 
 import (
-	"fmt"
 	"io"
 	"time"
 
@@ -21,13 +20,5 @@
 	if err != nil || level == "" {
 		lv = zerolog.InfoLevel
 	}
-	out := zerolog.ConsoleWriter{
-		Out:             w,
-		NoColor:         true,
-		PartsOrder:      []string{zerolog.TimestampFieldName, zerolog.LevelFieldName},
-		FormatTimestamp: func(v any) string { return fmt.Sprintf("time=%v", v) },
-		FormatLevel:     func(v any) string { return fmt.Sprintf("level=%v", v) },
-		TimeFormat:      time.RFC3339Nano,
-	}
-	return zerolog.New(out).Level(lv).With().Timestamp().Logger()
+	return zerolog.New(pairWriter{w}).Level(lv).With().Timestamp().Logger()
 }
