Decode only the routes of a configuration that have changed

Cause: each version of a configuration was decoded as a whole, 249 routes in 46 KB or 1,570 in 272 KB. Change: the decoder cuts the routes out of the text and keeps the last version's routes by their text. What it can't cut, or finds invalid, is decoded as a whole as before.

--- a/cmd/trefoilpath/platform.go
+++ b/cmd/trefoilpath/platform.go
@@ -45,7 +45,7 @@
 			return settings.Print(os.Stdout, s)
 		}
 		return shell.New(shell.Config{
-			Settings: s, Translator: maderas.HeaderTranslator{}, Decoder: maderas.Decoder{},
+			Settings: s, Translator: maderas.HeaderTranslator{}, Decoder: maderas.NewDecoder(),
 			Store: maderas.NewStore(s.StoreAddr, storeClient()), Log: os.Stdout, Reload: load, SettingsPath: path,
 		}).Run(context.Background())
 	})
--- a/internal/fleetsoak/soak_test.go
+++ b/internal/fleetsoak/soak_test.go
@@ -27,7 +27,7 @@
 		return 2
 	}
 	cfg := shell.Config{
-		Settings: s, Translator: platform.HeaderTranslator{}, Decoder: platform.Decoder{},
+		Settings: s, Translator: platform.HeaderTranslator{}, Decoder: platform.NewDecoder(),
 		Store: platform.NewStore(s.StoreAddr, &http.Client{Transport: &http.Transport{}}), Log: os.Stdout, Reload: load,
 	}
 	if m := os.Getenv(withoutEnv); m != "" {
