Let simulated engines end all prefills of a pass together

The simulated engine began its next pass between two first events of the same pass, which overwrote the list of finished prefills: of three prompts the second had its first event a pass late. Prompts with one event stayed in the batch for another pass.

--- a/internal/gateway/sim_test.go
+++ b/internal/gateway/sim_test.go
@@ -370,13 +370,17 @@
 	if e.decodePass {
 		e.decoding = slices.DeleteFunc(e.decoding, func(j *simJob) bool { return s.deliverEvent(j) })
 	}
+	e.prefills = slices.DeleteFunc(e.prefills, func(x *simPrefill) bool { return slices.Contains(e.finishedPrefills, x) })
 	for _, r := range e.finishedPrefills {
-		e.prefills = slices.DeleteFunc(e.prefills, func(x *simPrefill) bool { return x == r })
 		r.job.partsLeft--
-		if r.job.partsLeft == 0 {
-			j := r.job
+		if r.job.partsLeft > 0 {
+			continue
+		}
+		j := r.job
+		if !s.deliverEvent(j) {
 			j.answering.decoding = append(j.answering.decoding, j)
-			s.deliverEvent(j)
+		}
+		if j.answering != e {
 			s.startPassIfIdle(j.answering)
 		}
 	}
