Predict the end of the pass that a short prompt shares

First events came later than predicted, since all prompts that an engine prefills in one pass have their first events when it ends, and the prediction had half a pass and the queue instead. The forecast now runs the passes: from the latest first or last event of a stream, which shows when a pass ended, to the first pass that a new prompt can join.

The error that is left comes mostly from prompts that other gateways send in the same moments. Its upper values of the last seconds are a margin: a short prompt goes to an engine with streams if the promise holds with it, else to an idle engine, else to the one with the soonest first event. The error is in the histogram first_event_error_ms.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -48,6 +48,7 @@
 	otherCellCursor   int           // position in the rotation of sendToOtherCells
 	knownAddrCursor   int           // position in the rotation of livePeers
 	counts            Counts
+	predictions       predictionErrors
 	candidateBuf      []candidate // reused by candidates
 	plan              planBuffers
 	limitsKnown       bool                               // an endpoint has named a limit
--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -11,6 +11,8 @@
 //	evacuation.go failure domains that the operator takes out of use
 //	regions.go   regions in which requests may run
 //	work.go      work items at an endpoint, and predictions from them
+//	pass.go      forecast of an engine's passes
+//	prediction.go errors of predicted first events, and the margin for them
 //	place.go     selects the endpoints for a request to an engine
 //	plain.go     selects the endpoint for a request to a plain service (its endpoints are no engines)
 //	plan.go      the plan for long prompts that all gateways share
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -102,7 +102,9 @@
 	for _, helper := range w.endpoints[1:] {
 		helper.health.helpFailures = 0
 	}
+	e.observeFirst(w, c.now-transitTime)
 	c.updateObservedPace(r, e)
+	c.recordPredictionError(r, e)
 	c.checkFirstEvent(r)
 	c.outbox.workChanged(c, w)
 	c.placementDue = true
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -205,6 +205,12 @@
 	Newer    *PeerHasNewer
 	Ready    *Ready
 	Log      *Event
+	Measured *FirstEventError
+}
+
+// FirstEventError is the error of the prediction of a first event of an engine.
+type FirstEventError struct {
+	Error time.Duration // measured minus predicted time
 }
 
 // Dispatch sends a request, or the rest of a stream, to an endpoint.
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -44,6 +44,7 @@
 	})
 	c.endWork(r)
 	if end.Result == ResultDone {
+		e.observePassEnd(c.now - transitTime)
 		c.recordAnswer(r, end)
 		c.finish(r, VerdictDone, ReasonNone)
 		return
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -13,6 +13,9 @@
 const (
 	// batchDelay is how long changes are collected into one message.
 	batchDelay = 1500 * time.Microsecond
+	// peerReportTime is the time from an event at an engine until a gateway learns of it
+	// from another one.
+	peerReportTime = 2*transitTime + batchDelay
 	// fullInterval is the time between two messages with all of a gateway's work items,
 	// for up to baseIntervalPeers peers. With more peers it grows in proportion, so that
 	// the message rate of a VM stays bounded.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -13,6 +13,8 @@
 	freePrefill      time.Duration // prefill time that it can take without violating gap objectives
 	latencySensitive bool          // it runs latency-sensitive streams
 	rank             limitRank
+	untilFirst       time.Duration // predicted time to the first event of a short prompt
+	reliable         bool          // its first event meets the objective also with the margin for errors
 }
 
 // limitRank is the order in which endpoints are considered with regard to their limits.
@@ -43,6 +45,7 @@
 	reserved   []int64       // prompt tokens that each stores for the answering one; nil: none
 	partTime   time.Duration // prefill time of each engine's part
 	untilFirst time.Duration // predicted time to the first event, from now
+	sharesPass bool          // the engine has other streams, so that more prompts may join its passes
 }
 
 // placeEngine selects engines for r, if any can take it now. The load is a mix of short
@@ -127,12 +130,15 @@
 func (c *Core) placeSmall(r *request, list []candidate, rank limitRank, prefillTime, firstEventLimit time.Duration) (placement, bool) {
 	var best *candidate
 	late := c.late(r)
+	margin := c.firstEventMargin(r)
 	for i := range list {
 		k := &list[i]
 		if !c.canAnswer(k, r, rank) {
 			continue
 		}
-		fits := k.freePrefill >= k.endpoint.scaleByPace(prefillTime) && k.occupancy.untilFirst(k.endpoint, prefillTime) <= firstEventLimit
+		k.untilFirst = k.occupancy.untilFirst(k.endpoint, prefillTime)
+		k.reliable = k.occupancy.streams == 0 || k.untilFirst+margin <= firstEventLimit
+		fits := k.freePrefill >= k.endpoint.scaleByPace(prefillTime) && k.untilFirst <= firstEventLimit
 		if !fits && !(late && c.takesLateStreams(k, r, prefillTime)) {
 			continue
 		}
@@ -143,7 +149,7 @@
 	if best == nil {
 		return placement{}, false
 	}
-	return placement{endpoints: []*endpoint{best.endpoint}, partTime: prefillTime, untilFirst: best.occupancy.untilFirst(best.endpoint, prefillTime)}, true
+	return placement{endpoints: []*endpoint{best.endpoint}, partTime: prefillTime, untilFirst: best.untilFirst, sharesPass: best.occupancy.streams > 0}, true
 }
 
 // hasSpareSlots reports whether the engine has free slots beyond those that are kept
@@ -185,6 +191,12 @@
 	} else if late && x {
 		return a.occupancy.streams > b.occupancy.streams
 	}
+	if a.reliable != b.reliable {
+		return a.reliable
+	}
+	if !a.reliable && a.untilFirst != b.untilFirst {
+		return a.untilFirst < b.untilFirst
+	}
 	if x, y := c.hasSpareSlots(a), c.hasSpareSlots(b); x != y {
 		return x
 	}
@@ -239,8 +251,7 @@
 	for i := range helpers[:parts-1] {
 		k := &helpers[i]
 		p.endpoints = append(p.endpoints, k.endpoint)
-		// Half a pass until the prefill begins, and one pass that it shares; see occupancy.untilFirst.
-		p.untilFirst = max(p.untilFirst, transitTime+k.occupancy.decodePass*3/2+k.endpoint.scaleByPace(partTime))
+		p.untilFirst = max(p.untilFirst, k.occupancy.untilFirst(k.endpoint, partTime))
 	}
 	return p, p.untilFirst <= firstEventLimit
 }
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -188,7 +188,7 @@
 	r.attempts++
 	r.attempt = r.attempts
 	r.sent, r.cancelled, r.retryTaken, r.helperFailed = false, false, false, false
-	r.predictedFirstAt = c.now + p.untilFirst
+	r.predictedFirstAt, r.sharesPass = c.now+p.untilFirst, p.sharesPass
 	for _, e := range p.endpoints {
 		if !e.accepts(c.now) {
 			invariant.Fail("dispatch-only-to-accepting", "request", r.in.RequestID, "endpoint", e.registration.ID)
@@ -254,6 +254,8 @@
 	o := c.occupancy(e)
 	b.WriteString("prompt=" + itoa(int(r.in.PromptTokens)) + " part=" + p.partTime.Round(time.Millisecond).String())
 	b.WriteString(" queue=" + o.queuedPrefill.Round(time.Millisecond).String() + " streams=" + itoa(o.streams))
+	b.WriteString(" next-pass=" + o.nextPass.Round(time.Millisecond).String() + " shared=" + o.nextPrefill.Round(time.Millisecond).String() +
+		" steps=" + o.decodePass.Round(time.Millisecond).String())
 	if r.orderPenalty > 0 {
 		b.WriteString(" later=" + r.orderPenalty.String())
 	}
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -24,6 +24,9 @@
 		if w := p.workItems[id]; w != nil {
 			delete(p.workItems, id)
 			c.removeWork(w)
+			if w.phase == workDecoding {
+				w.answering().observePassEnd(c.now - peerReportTime)
+			}
 		}
 	}
 	for _, row := range m.Waiting {
@@ -93,6 +96,7 @@
 		old.lastSeen = c.now
 		if row.Decoding && old.phase == workPrefilling {
 			old.startDecode()
+			old.answering().observeFirst(old, c.now-peerReportTime)
 			c.placementDue = true
 		}
 		return
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -154,6 +154,8 @@
 		}
 	case out.Ready != nil:
 		g.ready.Store(out.Ready.OK)
+	case out.Measured != nil:
+		g.meters.firstEventError.Update(out.Measured.Error.Milliseconds())
 	case out.Log != nil:
 		g.logEvent(out.Log)
 	}
--- a/internal/gateway/shell/metrics.go
+++ b/internal/gateway/shell/metrics.go
@@ -18,12 +18,14 @@
 // meters holds the counters and latency histograms of a gateway.
 type meters struct {
 	registry   metrics.Registry
-	firstEvent metrics.Histogram       // ms from a request's arrival to the head of its relayed response
-	total      metrics.Histogram       // ms from a request's arrival to the end of its response
-	eventGap   metrics.Histogram       // ms between events of a stream
-	storeCall  metrics.Histogram       // ms of a call to the store or a peer that changed a cached copy; 0 if keys were dropped after their grace period
-	statuses   map[int]metrics.Counter // responses by HTTP status
-	logDrops   metrics.Counter         // dropped log lines
+	firstEvent metrics.Histogram // ms from a request's arrival to the head of its relayed response
+	// firstEventError is the measured minus the predicted time in ms until the first event of an engine.
+	firstEventError metrics.Histogram
+	total           metrics.Histogram       // ms from a request's arrival to the end of its response
+	eventGap        metrics.Histogram       // ms between events of a stream
+	storeCall       metrics.Histogram       // ms of a call to the store or a peer that changed a cached copy; 0 if keys were dropped after their grace period
+	statuses        map[int]metrics.Counter // responses by HTTP status
+	logDrops        metrics.Counter         // dropped log lines
 	// streamsTruncated counts streams that ended inside an event or, without a length and chunks,
 	// before the first.
 	streamsTruncated metrics.Counter
@@ -42,6 +44,7 @@
 	m := &meters{
 		registry:         r,
 		firstEvent:       histogram("first_event_ms"),
+		firstEventError:  histogram("first_event_error_ms"),
 		total:            histogram("answer_ms"),
 		eventGap:         histogram("event_pause_ms"),
 		storeCall:        histogram("store_call_ms"),
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -33,6 +33,9 @@
 	loadAt         time.Duration
 	endedAttempts  int // of this gateway, since the endpoint was registered here
 
+	passEnd         time.Duration // end of the engine's latest pass that an event of a stream showed; 0: none
+	prefilledBefore time.Duration // prompts that arrived until then have been prefilled
+
 	cachedOccupancy occupancy // computed at occupancyAt
 	occupancyValid  bool      // no work item or pace has changed since
 	occupancyAt     time.Duration
@@ -79,6 +82,7 @@
 	unsentAttempts   int               // attempts of which nothing was sent
 	failureHeld      bool              // the shell holds an endpoint's failure answer that may be passed on
 	predictedFirstAt time.Duration     // predicted time of the first event
+	sharesPass       bool              // its attempt shares the passes of an engine with other streams
 	divisible        bool              // several engines may prefill its prompt
 	orderPenalty     time.Duration     // added to the due time in the order of waiting requests
 	holdUntil        time.Duration     // no dispatch before, so that other gateways learn that it waits
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -9,9 +9,6 @@
 	// transitTime is the time from a dispatch to its arrival at an engine, including the
 	// gateway's processing: two hops in a failure domain and some processor time.
 	transitTime = 2 * time.Millisecond
-	// overduePrefill is the remaining prefill time that is assumed for a prompt whose
-	// predicted end has passed without a first event.
-	overduePrefill = 20 * time.Millisecond
 	// A helper's part counts as unfinished without a first event for the larger of
 	// minOverdueGrace and overdueGraceRatio times the part's prefill time after its predicted
 	// end. All parts of a prompt end at about the same time, so a missing first event means
@@ -47,12 +44,12 @@
 // occupancy is the work at an engine in the view of one gateway.
 type occupancy struct {
 	streams       int           // requests that the engine answers
-	decoding      int           // of streams, those past their first event
-	contextTokens int64         // prompt tokens of the decoding streams, each divided by the number of its engines; output is left out
 	memoryTokens  int64         // in use or reserved
 	minGapLimit   time.Duration // shortest gap limit of the streams; 0: none
 	queuedPrefill time.Duration // prefill time until the queue is empty
-	decodePass    time.Duration // token steps of one pass
+	nextPass      time.Duration // until the pass begins that a prompt joins if it is sent now
+	nextPrefill   time.Duration // prefill time that is queued for that pass
+	decodePass    time.Duration // token steps of that pass
 }
 
 // occupancy returns the work at e. The result is cached for a tick in which nothing
@@ -64,44 +61,40 @@
 	return e.cachedOccupancy
 }
 
-// computeOccupancy sums the work items at e.
+// computeOccupancy sums the work items at e and forecasts its passes.
 func (c *Core) computeOccupancy(e *endpoint) occupancy {
 	var o occupancy
-	var prefillEnd time.Duration
-	overdue := time.Duration(0)
+	f := passForecast{engine: e, now: c.now, boundary: e.passEnd}
+	prefilling := 0
 	for _, w := range e.workItems {
-		i := slices.Index(w.endpoints, e)
-		if w.reserved != nil && i > 0 {
-			o.memoryTokens += w.memory(i)
-		}
-		if w.answering() == e {
-			o.streams++
-			o.memoryTokens += w.memory(0)
-			if w.gapLimit > 0 && (o.minGapLimit == 0 || w.gapLimit < o.minGapLimit) {
-				o.minGapLimit = w.gapLimit
-			}
-		}
-		if w.phase == workDecoding {
-			if w.answering() == e {
-				o.decoding++
-				o.contextTokens += w.prompt / int64(len(w.endpoints))
+		prefilling += bit(w.phase == workPrefilling)
+		if w.answering() != e {
+			if w.reserved != nil {
+				o.memoryTokens += w.memory(slices.Index(w.endpoints, e))
 			}
 			continue
 		}
-		partTime := e.scaleByPace(w.partTime)
-		prefillEnd = max(prefillEnd, w.dispatchedAt+transitTime) + partTime
-		if w.overtakenBy != nil {
-			prefillEnd += w.overtakenBy[i]
+		o.streams++
+		o.memoryTokens += w.memory(0)
+		if w.gapLimit > 0 && (o.minGapLimit == 0 || w.gapLimit < o.minGapLimit) {
+			o.minGapLimit = w.gapLimit
 		}
-		grace := max(minOverdueGrace, time.Duration(overdueGraceRatio*float64(partTime)))
-		if prefillEnd <= c.now && (i == 0 || c.now < prefillEnd+grace) {
-			overdue = overduePrefill
+		if w.phase == workDecoding {
+			f.addStream(w, 0, &f.decoding, &f.context)
 		}
 	}
-	o.queuedPrefill = max(prefillEnd-c.now, 0) + overdue
-	if o.decoding > 0 {
-		o.decodePass = e.scaleByPace(e.engine.DecodePassTime(o.decoding, o.contextTokens))
+	if e.engine == nil {
+		return o
 	}
+	for i := 0; prefilling > 0; i++ {
+		if w := e.workItems[i]; w.phase == workPrefilling {
+			f.add(w, slices.Index(w.endpoints, e))
+			prefilling--
+		}
+	}
+	f.advance(c.now + transitTime)
+	o.nextPass, o.nextPrefill, o.decodePass = f.boundary-c.now, f.queued, f.decodePass()
+	o.queuedPrefill = max(f.busyUntil-c.now, 0) + f.queued
 	return o
 }
 
@@ -134,16 +127,18 @@
 }
 
 // untilFirst predicts the time from now to the first event of a prompt whose part the
-// engine prefills after its queue. A new prefill begins with the next pass, on average
-// after half a pass of token steps.
+// engine prefills in the next pass that it can join. The event comes when that pass ends.
 func (o *occupancy) untilFirst(e *endpoint, partTime time.Duration) time.Duration {
-	return transitTime + o.decodePass/2 + o.queuedPrefill + e.scaleByPace(partTime) + o.decodePass
+	return o.nextPass + o.nextPrefill + e.scaleByPace(partTime) + o.decodePass
 }
 
 // freePrefill returns the prefill time that the engine can take now without a gap beyond
 // the objective of a stream there, or beyond noStreamLimit if it has no streams.
 func (o *occupancy) freePrefill(margin, noStreamLimit time.Duration) time.Duration {
-	return o.freePrefillAfterQueue(margin, noStreamLimit) - o.queuedPrefill
+	if o.minGapLimit == 0 {
+		return noStreamLimit - o.queuedPrefill
+	}
+	return o.freePrefillAfterQueue(margin, noStreamLimit) - o.nextPrefill
 }
 
 // freePrefillAfterQueue returns the same for the time when the queue is empty.
