Let gateways send a cold endpoint a few requests without permits

Cause: a gateway asks for a permit only once a request waits.

Change: an eighth of the bound is divided into shares of the gateways that come first by rendezvous hashing; a cold endpoint with a share or permit is a candidate like a warm one.

--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -53,6 +53,8 @@
 	redirectUntil time.Duration
 
 	keeper *endpointlimit.Keeper // nil if this gateway is not the keeper
+
+	shares shares
 }
 
 // PermitDemand asks the keeper for permits. It replaces the sender's earlier one.
@@ -85,11 +87,11 @@
 	return !e.limited() || c.permitsHeld(e) > 0
 }
 
-// permitsHeld returns the number of permits for e that can be used now.
+// permitsHeld returns the number of permits for e, shares included, that can be used now.
 func (c *Core) permitsHeld(e *endpoint) int {
 	l := e.announced.permits
 	l.held = slices.DeleteFunc(l.held, func(lapses time.Duration) bool { return lapses <= c.now })
-	return len(l.held)
+	return len(l.held) + c.sharesLeft(e)
 }
 
 // takePermit uses a permit for e, and reports whether a request may be sent there.
@@ -101,7 +103,11 @@
 		return false
 	}
 	l := e.announced.permits
-	l.held = l.held[1:]
+	if len(l.held) > 0 {
+		l.held = l.held[1:]
+	} else {
+		l.shares.used = append(l.shares.used, c.now)
+	}
 	l.usedAt = c.now
 	if e.cold() {
 		c.counts.ColdSends++
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -20,7 +20,7 @@
 
 const (
 	rankRecheck   limitRank = iota // limited, but only a request can tell whether it still is
-	rankUnlimited                  // it names no limit
+	rankUnlimited                  // it names no limit; if it is cold, there is a permit for it
 	rankLimited                    // there is a permit for it
 	rankNoPermit                   // it gets no request
 )
@@ -33,6 +33,8 @@
 		return rankNoPermit
 	case c.recheckDue(e):
 		return rankRecheck
+	case e.coldOnly():
+		return rankUnlimited
 	}
 	return rankLimited
 }
