Play fleets of which most endpoints are cold

Cause: the shares of cold endpoints are used only while some are warm, and the simulated fleets had all or one of them cold. A gateway that started there also took warm endpoints for cold, since their registrations did not say that they are warm, as those of the platform do.

Change: two cases with one warm endpoint of five, and registrations that say so; endpoints are cold for a warmup of three seconds, in place of six, to keep the time of the tests with the race detector. The test of shares lets its endpoint be cold for eight seconds, as long as a partition takes to be noticed; with three it ended before its last check and failed.

--- a/internal/gateway/coldsim_test.go
+++ b/internal/gateway/coldsim_test.go
@@ -26,7 +26,7 @@
 // coldFrom has come.
 const (
 	coldFrom = 5 * time.Second
-	coldLeft = 6 * time.Second
+	coldLeft = testWarmup
 	coldEnd  = coldFrom + coldLeft
 )
 
@@ -49,6 +49,12 @@
 			coldCase{name("cut in two"), gateways, 6, 3, "short", 150, 28, 6, func(s *limitSim) {
 				s.cutInTwo(500*time.Millisecond, 1500*time.Millisecond, coldEnd)
 			}},
+			coldCase{name("most of them, restarts"), gateways, 2, 5, "safe", 600, 28, 4, func(s *limitSim) {
+				s.restartInTurn(0, 300*time.Millisecond, 400*time.Millisecond, coldEnd)
+			}},
+			coldCase{name("most of them, cut in two"), gateways, 2, 5, "safe", 600, 28, 4, func(s *limitSim) {
+				s.cutInTwo(300*time.Millisecond, 1500*time.Millisecond, coldEnd)
+			}},
 			coldCase{name("keepers that freeze"), gateways, 2, 3, "safe", 150, 28, 3, func(s *limitSim) {
 				for at := time.Second; at < coldLeft; at += 1300 * time.Millisecond {
 					s.schedule(at, func() { s.freeze(s.keeper("p-01"), 700*time.Millisecond) })
@@ -80,6 +86,9 @@
 func newColdSim(t testing.TB, gateways, engines, plain int, rate float64, seed uint64) *limitSim {
 	s := newLimitSim(t, gateways, engines, plain, seed)
 	s.table = coldTable(t, rate)
+	for i := range s.rows {
+		s.rows[i].HasColdLeft, s.rows[i].Revision = true, 2
+	}
 	for i := range s.cores {
 		s.configure(i)
 	}
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -15,12 +15,12 @@
 	for _, gateways := range []int{1, 3, 33, 68} {
 		s := newColdSim(t, gateways, 2, 3, testColdRate, 1)
 		s.run(coldFrom)
-		s.becomeCold(coldIDs("p", 1), coldLeft)
+		s.becomeCold(coldIDs("p", 1), 8*time.Second)
 		s.run(coldFrom + time.Second)
 		for _, cut := range []bool{false, true} {
 			if cut {
 				s.dropMessage = func(from, to int) bool { return (from-to)%2 != 0 }
-				s.run(coldFrom + 4*time.Second)
+				s.run(coldFrom + 7*time.Second) // the others count as silent by then
 			}
 			sum := 0
 			for _, c := range s.cores {
