Order, refuse and readmit requests by internal/admission

The refused ones had waited 5 to 6 s, came back to another gateway as new ones and waited again; others were dispatched so late that their output was cut by the deadline. Change: the queue, the plan of long prompts and demands for permits use one key, which waiting rows let other gateways compute. A request is refused when the predicted start is too late for its caller's patience or for its output before the deadline, not while the plan has engines for it, and otherwise while its caller can still come back. Gateways tell the cell which requests they have refused; one that comes back keeps the time that it has waited. The test of held prompts reads the penalty from its new field, bound as before.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/admission"
 	"trefoilpath.org/trefoilpath/internal/poison"
 	"trefoilpath.org/trefoilpath/internal/route"
 	"trefoilpath.org/trefoilpath/internal/table"
@@ -51,6 +52,7 @@
 	predictions       predictionErrors
 	candidateBuf      []candidate // reused by candidates
 	plan              planBuffers
+	refusals          admission.Refusals
 	limitsKnown       bool                               // an endpoint has named a limit
 	parts             *table.Table[uint64, serviceParts] // by the hash of the service's name
 	partsKnown        bool                               // the table poison has been given evidence
@@ -64,6 +66,7 @@
 	Retried    uint64 // attempts after the first of a request
 	Done       uint64 // requests ended with VerdictDone
 	Refused    uint64 // requests refused: none of their attempts has run
+	Returned   uint64 // requests that came back after a refusal
 	Unknown    uint64 // requests ended with VerdictUnknown: they may have run
 	TimedOut   uint64 // requests whose deadline passed during an attempt
 	Gone       uint64 // requests whose caller disconnected
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -57,6 +57,7 @@
 	r := c.requests.Put(a.ID, request{in: *a, arrived: c.now, phase: phaseWaiting})
 	r.regions = regionsOf(a.Regions)
 	r.parts = c.partsOf(a)
+	c.recognizeReturn(r)
 	s := c.service(a.Service)
 	s.budget.CountRequest(c.now)
 	c.timers.Set(timerKey{kind: timerDeadline, request: a.ID}, a.Deadline)
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -3,47 +3,45 @@
 import (
 	"cmp"
 	"time"
-)
 
-const (
-	// priorityStep is how much later a request counts as due for each step of lower
-	// priority: a third of the shortest usual objective. Priority is a head start and
-	// not an absolute order, so that no priority starves another.
-	priorityStep = 100 * time.Millisecond
-	// maxUnpenalizedWaiting is the number of requests of one client account that may wait
-	// for a service at a gateway without a penalty. Each further request is ordered later
-	// by backlogPenaltyStep: about the time in which the fleet prefills a short prompt
-	// at full load. Requests without an account count as those of one account.
-	maxUnpenalizedWaiting = 4
-	backlogPenaltyStep    = 10 * time.Millisecond
-	// maxBacklogPenalty bounds the penalty that an account's backlog adds to a request.
-	maxBacklogPenalty = 2 * time.Second
+	"trefoilpath.org/trefoilpath/internal/admission"
+	"trefoilpath.org/trefoilpath/internal/enginecost"
+	"trefoilpath.org/trefoilpath/internal/route"
 )
 
-// Waiting requests are ordered by whether they can still meet their objective, then
-// by due time plus a penalty. The penalty has two parts. Priorities of accounts and
-// routes count as time. And an account that sends far more than its share at once
-// fills the queue; each of its further requests is ordered later, as if they had been
-// sent one after the other, so that requests of other accounts don't wait behind them.
-
-// orderPenalty returns the time by which r is ordered after its due time.
-func (s *service) orderPenalty(r *request) time.Duration {
+// updateDemand sets what r's place in the order depends on, as it begins to wait.
+func (c *Core) updateDemand(s *service, r *request) {
 	accountWaiting := 0
 	for _, other := range s.waiting {
 		if other.phase == phaseWaiting && !other.held && other.in.Account == r.in.Account {
 			accountWaiting++
 		}
 	}
-	behind := time.Duration(max(accountWaiting-maxUnpenalizedWaiting, 0)) * backlogPenaltyStep
-	return time.Duration(r.in.Priority)*priorityStep + min(behind, maxBacklogPenalty)
+	r.demand = admission.Demand{
+		Objective: r.in.Route.Objective, Due: r.due(), GiveUp: r.givesUp(s.engine()), Assured: admission.Assured(uint64(r.in.ID)),
+		Penalty: admission.Penalty(r.in.Priority, accountWaiting) - r.waitedBefore,
+	}
+	if r.attempts == 0 && !r.returned {
+		r.demand.Return = r.in.Deadline - maxRetryAfter - r.in.Route.Objective
+	}
+	r.verdict = admission.Verdict{Begins: admission.Unknown}
+	if engine := s.engine(); engine != nil {
+		setWork(&r.demand, engine, r.in.PromptTokens, r.divisible)
+	}
+}
+
+// setWork sets the work that a prompt needs at engines.
+func setWork(d *admission.Demand, engine *enginecost.Params, prompt int64, divisible bool) {
+	d.Work = engine.PrefillTime(prompt)
+	d.Fastest = d.Work + 2*transitTime
+	if divisible {
+		d.Fastest = d.Work/time.Duration(1+engine.MaxHelpers) + 2*transitTime
+	}
 }
 
 // byUrgency compares waiting requests, the most urgent first.
 func (c *Core) byUrgency(a, b *request) int {
-	if la, lb := c.late(a), c.late(b); la != lb {
-		return bit(la) - bit(lb)
-	}
-	return cmp.Compare(a.due()+a.orderPenalty, b.due()+b.orderPenalty)
+	return cmp.Compare(a.demand.Key(c.now), b.demand.Key(c.now))
 }
 
 // due returns when the first event, or the answer, misses the route's objective.
@@ -51,3 +49,34 @@
 
 // late reports whether r has missed its objective.
 func (c *Core) late(r *request) bool { return c.now > r.due() }
+
+// callerPatience returns how long the caller of a stream waits for its next event, also for
+// the first, before it abandons the stream.
+func callerPatience(r *route.Route) time.Duration {
+	return max(2*time.Second, 4*r.Objective, 8*r.GapObjective)
+}
+
+// givesUp returns the latest first event, or answer, that still serves r's caller. The caller
+// of a stream waits for a time for the first event, and the output takes its time until the
+// deadline. A stream that was dispatched before may go on unless its caller leaves.
+func (r *request) givesUp(engine *enginecost.Params) time.Duration {
+	if r.in.Route.Kind != route.KindStream || r.attempts > 0 {
+		return r.in.Deadline
+	}
+	complete := r.in.Deadline
+	if engine != nil {
+		passes := float64(r.in.MaxOutputTokens) / float64(max(engine.StepsPerPass, 1))
+		complete -= time.Duration(passes * float64(engine.DecodePassTime(1, r.in.PromptTokens/int64(1+engine.MaxHelpers))))
+	}
+	return min(complete, r.arrived+callerPatience(r.in.Route))
+}
+
+// placedBefore returns the time until which r may wait to be placed: later, its caller would
+// have given up before its first event, or its answer, comes.
+func (r *request) placedBefore() time.Duration {
+	needs := max(minAttemptTime, r.demand.Fastest)
+	if r.in.Route.Kind != route.KindStream {
+		needs = max(needs, r.in.Route.Objective)
+	}
+	return r.demand.GiveUp - needs
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -59,6 +59,7 @@
 	Demands      []PermitDemand `cbor:"11,keyasint,omitempty"`
 	Grants       []PermitGrant  `cbor:"12,keyasint,omitempty"`
 	Cold         []ColdRow      `cbor:"16,keyasint,omitempty"`
+	Refusals     []RefusalRow   `cbor:"14,keyasint,omitempty"`
 }
 
 // PeerRow is one work item of the sender.
@@ -76,18 +77,22 @@
 
 // WaitingRow is a long prompt of the sender that waits for engines.
 type WaitingRow struct {
-	Request        uint64   `cbor:"1,keyasint"`           // request ID
-	Service        uint64   `cbor:"2,keyasint"`           // hash of the name
-	DueUS          int64    `cbor:"3,keyasint"`           // until its first event is due; negative once late
-	Prompt         int64    `cbor:"4,keyasint"`           // tokens
-	Output         int64    `cbor:"5,keyasint"`           // maximum number of output tokens
-	OrderPenaltyMS int64    `cbor:"6,keyasint,omitempty"` // penalty in the order of waiting requests
-	Regions        []uint64 `cbor:"7,keyasint,omitempty"` // hashes of the names of the regions in which it may run; empty: any
+	Request        uint64   `cbor:"1,keyasint"`            // request ID
+	Service        uint64   `cbor:"2,keyasint"`            // hash of the name
+	DueUS          int64    `cbor:"3,keyasint"`            // until its first event is due; negative once late
+	Prompt         int64    `cbor:"4,keyasint"`            // tokens
+	Output         int64    `cbor:"5,keyasint"`            // maximum number of output tokens
+	OrderPenaltyMS int64    `cbor:"6,keyasint,omitempty"`  // penalty in the order of waiting requests; negative: a head start
+	LeftMS         int64    `cbor:"8,keyasint,omitempty"`  // until its caller stops waiting; 0: unknown
+	Assured        bool     `cbor:"9,keyasint,omitempty"`  // it keeps its place once it is late
+	ObjectiveMS    int64    `cbor:"10,keyasint,omitempty"` // time that its caller accepts until the first event
+	Regions        []uint64 `cbor:"7,keyasint,omitempty"`  // hashes of the names of the regions in which it may run; empty: any
 }
 
 // peerOutbox holds the changes that are to be sent to the other gateways.
 type peerOutbox struct {
-	waiting           []*request  // that began to wait
+	waiting           []*request // that began to wait
+	refusals          []RefusalRow
 	changedWork       []*workItem // new, or in a new phase
 	changedLimits     []*endpoint
 	changedCold       []*endpoint   // that said so in an answer
@@ -169,11 +174,9 @@
 		o.recentlyEndedRows = append(o.recentlyEndedRows, o.endedRows...)
 	}
 	for _, r := range waiting {
-		m.Waiting = append(m.Waiting, WaitingRow{
-			Request: uint64(r.in.ID), Service: c.service(r.in.Service).nameHash, DueUS: (r.due() - c.now).Microseconds(),
-			Prompt: r.in.PromptTokens, Output: r.in.MaxOutputTokens, OrderPenaltyMS: r.orderPenalty.Milliseconds(), Regions: r.regions,
-		})
+		m.Waiting = append(m.Waiting, c.waitingRow(r))
 	}
+	m.Refusals = o.takeRefusals()
 	c.sendLimits(o.fullDue)
 	c.sendParts(o.fullDue) // before the full message, from which on a new gateway sends prompts on
 	c.sendRows(m, workItems, ended, o.fullDue)
--- a/internal/gateway/permits.go
+++ b/internal/gateway/permits.go
@@ -190,7 +190,7 @@
 		default:
 			l := e.announced.permits
 			l.wanted++
-			l.due = min(l.due, r.due()+r.orderPenalty)
+			l.due = min(l.due, r.demand.Key(c.now))
 		}
 	}
 	for _, e := range limited {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/admission"
 	"trefoilpath.org/trefoilpath/internal/enginecost"
 )
 
@@ -18,10 +20,6 @@
 	firstEventMargin      = 80 * time.Millisecond
 	// negligibleQueue is the queued prefill time below which an engine counts as free.
 	negligibleQueue = 15 * time.Millisecond
-	// sizePenaltyRatio is the delay in the order per unit of a prompt's prefill time.
-	// Prefill time grows faster than the prompt, since it includes pairs of tokens, so that
-	// under overload shorter prompts give more callers their answers in time.
-	sizePenaltyRatio = 0.5
 )
 
 // job is a long prompt that waits at this or another gateway. For the plan, all divisible
@@ -34,6 +32,9 @@
 	output      int64         // tokens, the limit
 	prefillTime time.Duration // of the whole prompt on one engine
 	untilDue    time.Duration // until its first event is due
+	untilGiveUp time.Duration // until its caller stops waiting
+	late        bool          // it misses its objective even if it is dispatched now
+	planned     bool          // the plan has engines for it in time
 	regions     regionSet     // in which it may run
 }
 
@@ -83,28 +84,20 @@
 	if len(engines) == 0 {
 		return
 	}
-	postponed := false
-	for i := range jobs {
+	capacity := c.capacity(s)
+	for i := range jobs[:min(len(jobs), maxPlanJobs)] {
 		j := &jobs[i]
 		placed, ok := c.bestPlacement(j, engines)
-		if !ok {
-			continue
-		}
-		if placed.untilFirst > j.untilDue && !j.order.late {
-			postponed = true // engines that become free may still meet the objective
-			continue
-		}
-		if c.refuseIfTooLate(j, &placed) {
-			continue
+		if !ok || placed.untilFirst > j.untilDue && !j.late || placed.untilFirst > j.untilGiveUp {
+			continue // engines that become free may still serve it in time
 		}
+		j.planned = true
 		if j.request != nil && placed.untilStart == 0 && c.now >= j.request.holdUntil && !placed.usesStandby(j.request, engines) {
 			c.dispatch(s, j.request, placed.placement(engines))
 		}
 		placed.occupy(j, engines)
 	}
-	if postponed {
-		c.refuseAllTooLate(s, jobs)
-	}
+	c.refuseByCapacity(jobs, capacity)
 }
 
 // usesStandby reports whether the placement uses the engine of r's silent attempt.
@@ -112,33 +105,16 @@
 	return r.standby != nil && slices.ContainsFunc(p.engines, func(i int) bool { return engines[i].endpoint == r.standby.work.answering() })
 }
 
-// refuseIfTooLate refuses this gateway's own job if its first event would come after its
-// deadline, and reports whether it did.
-func (c *Core) refuseIfTooLate(j *job, p *jobPlacement) bool {
-	if j.request == nil || p.untilFirst <= j.request.in.Deadline-c.now {
-		return false
-	}
-	c.endUnserved(j.request, ReasonOverload)
-	return true
-}
-
-// refuseAllTooLate computes a plan in which no job is postponed, and refuses this
-// gateway's own jobs whose first event would come after their deadline.
-func (c *Core) refuseAllTooLate(s *service, jobs []job) {
-	engines := c.planEngines(s)
+// refuseByCapacity refuses this gateway's own jobs that the plan has no engines for and that
+// can't be served in time behind those that come first.
+func (c *Core) refuseByCapacity(jobs []job, capacity admission.Capacity) {
+	ahead := time.Duration(0)
 	for i := range jobs {
 		j := &jobs[i]
-		if j.request != nil && j.request.phase != phaseWaiting {
-			continue
-		}
-		placed, ok := c.bestPlacement(j, engines)
-		if !ok {
+		if j.request != nil && !j.planned && j.request.phase == phaseWaiting && c.refuseIfTooLate(j.request, capacity.Begins(ahead)) {
 			continue
 		}
-		if c.refuseIfTooLate(j, &placed) {
-			continue
-		}
-		placed.occupy(j, engines)
+		ahead += j.prefillTime
 	}
 }
 
@@ -151,7 +127,8 @@
 	var out []job
 	for _, r := range s.waiting {
 		if r.divisible && r.phase == phaseWaiting && !r.held {
-			out = append(out, c.job(engine, c.orderKey(r), r.due(), r, r.in.PromptTokens, r.in.MaxOutputTokens, r.regions))
+			out = append(out, c.job(engine, r.demand, c.cfg.Addr, uint64(r.in.ID), r.in.PromptTokens, r.in.MaxOutputTokens, r.regions))
+			out[len(out)-1].request = r
 		}
 	}
 	longestSilence := time.Duration(planPeerIntervals * float64(c.fullMessageInterval()))
@@ -161,23 +138,21 @@
 		}
 		for id, waiting := range p.waiting {
 			if waiting.service == s.nameHash {
-				k := orderKey{due: waiting.due + waiting.orderPenalty, gateway: p.addr, request: id}
-				out = append(out, c.job(engine, k, waiting.due, nil, waiting.prompt, waiting.output, waiting.regions))
+				out = append(out, c.job(engine, waiting.demand, p.addr, id, waiting.prompt, waiting.output, waiting.regions))
 			}
 		}
 	}
 	slices.SortFunc(out, func(a, b job) int { return a.order.compare(b.order) })
-	return out[:min(len(out), maxPlanJobs)]
+	return out
 }
 
-// job returns the entry of a waiting prompt in the plan. It is late if even the maximum
-// number of engines would prefill it after it is due. The request r is nil if the prompt
-// waits at another gateway.
-func (c *Core) job(engine *enginecost.Params, k orderKey, due time.Duration, r *request, prompt, output int64, regions regionSet) job {
-	j := job{order: k, request: r, prompt: prompt, output: output, prefillTime: engine.PrefillTime(prompt), untilDue: due - c.now, regions: regions}
-	j.order.late = j.untilDue < j.prefillTime/time.Duration(1+engine.MaxHelpers)
-	j.order.due += time.Duration(sizePenaltyRatio * float64(j.prefillTime))
-	return j
+// job returns the entry of a waiting prompt in the plan.
+func (c *Core) job(engine *enginecost.Params, d admission.Demand, gateway netip.AddrPort, id uint64, prompt, output int64, regions regionSet) job {
+	setWork(&d, engine, prompt, true)
+	return job{
+		order: orderKey{d.Key(c.now), gateway, id}, prompt: prompt, output: output, regions: regions,
+		prefillTime: d.Work, untilDue: d.Due - c.now, untilGiveUp: d.GiveUp - c.now, late: d.Late(c.now),
+	}
 }
 
 // engine returns the constants of the service's engines, or nil for a plain service.
@@ -244,7 +219,7 @@
 			continue
 		}
 		inTime := p.untilFirst+time.Duration(firstEventMarginRatio*float64(p.untilFirst))+firstEventMargin <= j.untilDue
-		if p.untilStart == 0 && (inTime || j.order.late) {
+		if p.untilStart == 0 && (inTime || j.late && p.untilFirst <= j.untilGiveUp) {
 			return *p, true
 		}
 		if !found || p.untilFirst < best.untilFirst {
@@ -265,7 +240,7 @@
 	for i := range engines {
 		noStreams += bit(engines[i].noStreams)
 	}
-	if j.order.late || noStreams == 0 {
+	if j.late || noStreams == 0 {
 		noStreams = maxEngines
 	}
 	return max(c.cfg.Placement.IdlePrefill, j.prefillTime/time.Duration(min(noStreams, maxEngines)))
--- a/internal/gateway/planorder.go
+++ b/internal/gateway/planorder.go
@@ -4,6 +4,9 @@
 	"cmp"
 	"net/netip"
 	"time"
+
+	"trefoilpath.org/trefoilpath/internal/admission"
+	"trefoilpath.org/trefoilpath/internal/route"
 )
 
 const (
@@ -21,22 +24,35 @@
 
 // orderKey is the position of a long prompt in the order that all gateways share.
 type orderKey struct {
-	late    bool
-	due     time.Duration // with penalties
+	at      time.Duration // see admission.Demand.Key
 	gateway netip.AddrPort
 	request uint64 // request ID
 }
 
 func (a orderKey) compare(b orderKey) int {
-	return cmp.Or(
-		cmp.Compare(bit(a.late), bit(b.late)), cmp.Compare(a.due, b.due),
-		a.gateway.Compare(b.gateway), cmp.Compare(a.request, b.request),
-	)
+	return cmp.Or(cmp.Compare(a.at, b.at), a.gateway.Compare(b.gateway), cmp.Compare(a.request, b.request))
+}
+
+// waitingRow returns what other gateways need to give r its place in the shared order.
+func (c *Core) waitingRow(r *request) WaitingRow {
+	return WaitingRow{
+		Request: uint64(r.in.ID), Service: c.service(r.in.Service).nameHash,
+		DueUS: (r.demand.Due - c.now).Microseconds(), OrderPenaltyMS: r.demand.Penalty.Milliseconds(),
+		LeftMS: max((r.demand.GiveUp - c.now).Milliseconds(), 1), Assured: r.demand.Assured, ObjectiveMS: r.demand.Objective.Milliseconds(),
+		Prompt: r.in.PromptTokens, Output: r.in.MaxOutputTokens, Regions: r.regions,
+	}
 }
 
-// orderKey returns r's position before job sets late and adds the penalty for the size.
-func (c *Core) orderKey(r *request) orderKey {
-	return orderKey{late: c.late(r), due: r.due() + r.orderPenalty, gateway: c.cfg.Addr, request: uint64(r.in.ID)}
+// demand returns the demand that w describes, without its work.
+func (w *WaitingRow) demand(now time.Duration) admission.Demand {
+	d := admission.Demand{
+		Due: now + time.Duration(w.DueUS)*time.Microsecond, GiveUp: now + milliseconds(w.LeftMS),
+		Penalty: milliseconds(w.OrderPenaltyMS), Assured: w.Assured, Objective: milliseconds(w.ObjectiveMS),
+	}
+	if w.LeftMS == 0 {
+		d.GiveUp = max(d.Due, now) + assumedPatience(d.Due-now)
+	}
+	return d
 }
 
 // announce sends the other gateways a message that r waits, and holds r meanwhile.
@@ -49,3 +65,9 @@
 	c.outbox.waiting = append(c.outbox.waiting, r)
 	c.timers.Set(timerKey{kind: timerPlace}, r.holdUntil)
 }
+
+// assumedPatience returns how long after its due time the caller of a request is taken to wait
+// whose gateway doesn't tell, since it runs an earlier build.
+func assumedPatience(untilDue time.Duration) time.Duration {
+	return callerPatience(&route.Route{Objective: max(untilDue, 0)}) - max(untilDue, 0)
+}
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -279,8 +279,8 @@
 		t.Errorf("%d prompts are in the plan, want at most the one that is not held", n)
 	}
 	arrive(9, "aa")
-	if r := c.requests.Get(9); r.orderPenalty > 0 {
-		t.Errorf("a sound prompt is ordered %v later, want no penalty for those that are held", r.orderPenalty)
+	if r := c.requests.Get(9); r.demand.Penalty > 0 {
+		t.Errorf("a sound prompt is ordered %v later, want no penalty for those that are held", r.demand.Penalty)
 	}
 	row = poison.Row{Part: row.Part, Cleared: true, Crashes: nil}
 	c.Tick(1010*time.Millisecond, tellParts(1, row))
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/admission"
 	"trefoilpath.org/trefoilpath/internal/invariant"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
@@ -31,27 +32,24 @@
 	maxRetryAfter = 2 * time.Second
 	// maxLimitRetryAfter bounds it if all endpoints name limits.
 	maxLimitRetryAfter = 10 * time.Second
-	// maxWaitRatio is the part of the time from its arrival to its deadline that a request
-	// that was never dispatched may wait before it is refused, so that its caller has time
-	// to try again.
-	maxWaitRatio = 0.4
 )
 
 // enqueue lets r wait for placement in this tick or later, or ends it if no endpoint
 // can ever serve it.
 func (c *Core) enqueue(r *request) {
 	r.phase, r.held = phaseWaiting, false
+	s := c.service(r.in.Service)
+	r.divisible = c.divisible(s, r)
+	c.updateDemand(s, r)
 	if reason := c.unservable(r); reason != ReasonNone {
 		c.endUnserved(r, reason)
 		return
 	}
-	s := c.service(r.in.Service)
-	r.orderPenalty = s.orderPenalty(r)
 	if !slices.Contains(s.waiting, r) { // it may have waited before in this tick
 		s.waiting = append(s.waiting, r)
 	}
 	c.placementDue, c.newWaiting = true, true
-	if r.divisible = c.divisible(s, r); r.divisible {
+	if r.divisible {
 		c.announce(r)
 	}
 }
@@ -122,7 +120,17 @@
 
 // placeAll tries to place each waiting request of a service.
 func (c *Core) placeAll(s *service) {
-	s.waiting = slices.DeleteFunc(s.waiting, func(r *request) bool { return c.tryPlace(s, r) })
+	ahead := time.Duration(0) // work of the prompts that wait and are not divided
+	s.waiting = slices.DeleteFunc(s.waiting, func(r *request) bool {
+		if c.tryPlace(s, r) || c.refuseByDrain(s, r, ahead) {
+			return true
+		}
+		if !r.divisible && !r.held {
+			ahead += r.demand.Work
+		}
+		return false
+	})
+	s.drain.Observe(c.now, ahead > 0)
 	c.placeLong(s)
 }
 
@@ -140,16 +148,6 @@
 	}
 }
 
-// placedBefore returns the time until which r may wait to be placed. A request that was
-// never dispatched is refused early enough for its caller to try again.
-func (r *request) placedBefore() time.Duration {
-	latest := r.in.Deadline - minAttemptTime
-	if r.attempt == 0 {
-		latest = min(latest, r.arrived+time.Duration(maxWaitRatio*float64(r.in.Deadline-r.arrived)))
-	}
-	return latest
-}
-
 // tryPlace dispatches or refuses r if possible, and reports whether r no longer waits.
 func (c *Core) tryPlace(s *service, r *request) bool {
 	if r.phase != phaseWaiting {
@@ -208,6 +206,9 @@
 	r.work = w
 	c.addWork(w)
 	c.outbox.workChanged(c, w)
+	if !r.divisible {
+		s.drain.Began(r.demand.Work)
+	}
 	if r.divisible {
 		c.outbox.batchDue = true // other gateways' plans must not use these engines
 	}
@@ -256,8 +257,8 @@
 	b.WriteString(" queue=" + o.queuedPrefill.Round(time.Millisecond).String() + " streams=" + itoa(o.streams))
 	b.WriteString(" next-pass=" + o.nextPass.Round(time.Millisecond).String() + " shared=" + o.nextPrefill.Round(time.Millisecond).String() +
 		" steps=" + o.decodePass.Round(time.Millisecond).String())
-	if r.orderPenalty > 0 {
-		b.WriteString(" later=" + r.orderPenalty.String())
+	if r.demand.Penalty != 0 {
+		b.WriteString(" later=" + r.demand.Penalty.String())
 	}
 	b.WriteString(" view=" + c.viewAge().Round(time.Millisecond).String())
 	for _, h := range p.endpoints[1:] {
@@ -297,34 +298,24 @@
 	if reason == ReasonCrashesEngines || reason == ReasonCrashesEndpoints {
 		detail += " " + c.partLabel(r.refusal.Part)
 	}
-	c.logRequest("refuse", r, Event{Detail: detail, Took: retryAfter, Count: len(s.waiting)})
+	c.rememberRefusal(r, reason, retryAfter)
+	c.logRequest("refuse", r, Event{Detail: detail + r.admissionDetail(c.now), Took: retryAfter, Count: len(s.waiting)})
 	c.removeRequest(r)
 }
 
-// retryAfter returns when a caller may find free capacity: when the prefills that are
-// queued or waiting now are done, with some jitter by the request's ID.
+// retryAfter returns when a caller may find free capacity: when the work that is queued or
+// waits now has begun, with some jitter by the request's ID.
 func (c *Core) retryAfter(r *request, reason Reason) time.Duration {
 	if reason == ReasonCrashesEngines || reason == ReasonCrashesEndpoints {
 		return max(r.refusal.RetryAfter, minRetryAfter)
 	}
 	s := c.service(r.in.Service)
-	backlog := time.Duration(0)
-	engines := 0
-	for _, e := range s.endpoints {
-		if e.engine == nil || !e.inCell || e.outOfUse {
-			continue
-		}
-		engines++
-		backlog += c.occupancy(e).queuedPrefill
-	}
-	if engine := s.engine(); engine != nil {
-		for _, other := range s.waiting {
-			backlog += engine.PrefillTime(other.in.PromptTokens)
-		}
-	}
-	after := minRetryAfter
-	if engines > 0 {
-		after += backlog / time.Duration(engines)
+	after, most := minRetryAfter, maxRetryAfter
+	if r.verdict.Refused { // told later, it would come back too late for its objective
+		after += r.verdict.RetryAfter
+		most = max(most, r.in.Deadline-c.now-r.in.Route.Objective)
+	} else if begins := c.capacity(s).Begins(c.waitingWork(s)); begins != admission.Unknown {
+		after += begins
 	}
 	if reason == ReasonNoEndpoint {
 		after += minRetryAfter // an endpoint must register or return first
@@ -340,7 +331,7 @@
 		return maxRetryAfter // the operator must return a failure domain first
 	}
 	jitter := time.Duration(uint64(r.in.ID)%8) * minRetryAfter / 8
-	return min(after+jitter, maxRetryAfter)
+	return min(after+jitter, most)
 }
 
 // removeRequest removes a request that has ended.
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -31,10 +31,7 @@
 	}
 	for _, row := range m.Waiting {
 		p.waiting[row.Request] = &remoteWaiting{
-			service: row.Service, prompt: row.Prompt, output: row.Output, lastSeen: c.now,
-			due:          c.now + time.Duration(row.DueUS)*time.Microsecond,
-			orderPenalty: time.Duration(row.OrderPenaltyMS) * time.Millisecond,
-			regions:      row.Regions,
+			service: row.Service, prompt: row.Prompt, output: row.Output, demand: row.demand(c.now), lastSeen: c.now, regions: row.Regions,
 		}
 	}
 	for i := range m.Rows {
@@ -45,6 +42,7 @@
 			c.peer(addr)
 		}
 	}
+	c.mergeRefusals(m.Refusals)
 	c.applyPeerPaces(m.Paces)
 	c.mergeParts(m.PartsService, m.Parts)
 	c.mergeLimits(m.Limits)
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -74,8 +74,7 @@
 	if !r.in.Route.Resumable {
 		return 0
 	}
-	callerWaits := max(2*time.Second, 4*r.in.Route.Objective, 8*r.in.Route.GapObjective)
-	return max(min(max(callerWaits/2, minSilenceTimeout), maxSilenceTimeout), r.in.Route.GapObjective)
+	return max(min(max(callerPatience(r.in.Route)/2, minSilenceTimeout), maxSilenceTimeout), r.in.Route.GapObjective)
 }
 
 // checkSilenceAfter schedules checkSilence.
--- a/internal/gateway/tables.go
+++ b/internal/gateway/tables.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"trefoilpath.org/trefoilpath/internal/admission"
 	"trefoilpath.org/trefoilpath/internal/enginecost"
 	"trefoilpath.org/trefoilpath/internal/retrybudget"
 	"trefoilpath.org/trefoilpath/internal/wire"
@@ -48,7 +49,8 @@
 	endpoints    []*endpoint // in the order that all gateways share
 	budget       *retrybudget.Budget
 	waiting      []*request
-	failureRatio float64 // moving mean of the failure ratios of its endpoints, taken at each failure
+	drain        admission.Drain // of the prompts that one engine prefills
+	failureRatio float64         // moving mean of the failure ratios of its endpoints, taken at each failure
 }
 
 // phase is the state of a request.
@@ -84,7 +86,10 @@
 	predictedFirstAt time.Duration     // predicted time of the first event
 	sharesPass       bool              // its attempt shares the passes of an engine with other streams
 	divisible        bool              // several engines may prefill its prompt
-	orderPenalty     time.Duration     // added to the due time in the order of waiting requests
+	demand           admission.Demand  // what its place in the order depends on
+	verdict          admission.Verdict // latest prediction of its start while it waits
+	returned         bool              // it has come back after a refusal
+	waitedBefore     time.Duration     // since it was first received, if it has come back
 	holdUntil        time.Duration     // no dispatch before, so that other gateways learn that it waits
 	permitWait       time.Duration     // if it is refused because of limits: until it may get a permit
 	regions          regionSet         // in which it may run
@@ -165,13 +170,12 @@
 
 // remoteWaiting is a long prompt that waits for engines at another gateway.
 type remoteWaiting struct {
-	service      uint64        // hash of the name
-	prompt       int64         // tokens
-	output       int64         // maximum number of output tokens
-	due          time.Duration // when its first event is due
-	orderPenalty time.Duration // added to due in the shared order
-	regions      regionSet     // in which it may run
-	lastSeen     time.Duration // last message that named it
+	service  uint64           // hash of the name
+	prompt   int64            // tokens
+	output   int64            // maximum number of output tokens
+	demand   admission.Demand // what its place in the shared order depends on; no work
+	regions  regionSet        // in which it may run
+	lastSeen time.Duration    // last message that named it
 }
 
 // timerKind is the purpose of a timer.
