--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -17,7 +17,8 @@
 //	plain.go     selects the endpoint for a request to a plain service (its endpoints are no engines)
 //	plan.go      the plan for long prompts that all gateways share
 //	planorder.go order of that plan, and announcements of waiting prompts
-//	order.go     order of waiting requests
+//	order.go     what the order of waiting requests depends on
+//	admission.go work ahead of a request, refusals as too late, and returns after a refusal
 //	queue.go     waiting requests, dispatch and refusals
 //	outcome.go   what follows an attempt: done, a retry, or an error
 //	silence.go   endpoints that fall silent before or inside an answer
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -293,6 +293,14 @@
 	ReasonCrashesEndpoints Reason = "crashes-endpoints" // endpoints of a plain service crash on the request, or may do so
 )
 
+// RefusalReasons returns the reasons with which a request may be refused.
+func RefusalReasons() []Reason {
+	return []Reason{
+		ReasonNoEndpoint, ReasonTooLarge, ReasonOverload, ReasonFull, ReasonUnreachable, ReasonSilent, ReasonBroken, ReasonBudget,
+		ReasonDeadline, ReasonLimit, ReasonEvacuated, ReasonExit, ReasonCrashesEngines, ReasonCrashesEndpoints,
+	}
+}
+
 // ToPeer is a message to another gateway.
 type ToPeer struct {
 	Addr netip.AddrPort
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -129,6 +129,7 @@
 	case f.Verdict == gateway.VerdictDone && x.held != nil:
 		x.send(x.held.status, x.held.header, x.held.body)
 	case f.Verdict == gateway.VerdictRefused:
+		x.g.meters.recordRefusal(f.Reason)
 		x.refuse(f.RetryAfter, "not run: "+string(f.Reason))
 	case f.Verdict == gateway.VerdictTimeout:
 		x.respondText(http.StatusGatewayTimeout, "no answer in time")
--- a/internal/gateway/shell/metrics.go
+++ b/internal/gateway/shell/metrics.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
+
+	"trefoilpath.org/trefoilpath/internal/gateway"
 )
 
 // sampleSize and sampleAlpha are the size and decay factor of the histograms'
@@ -25,7 +28,8 @@
 	eventGap        metrics.Histogram       // ms between events of a stream
 	storeCall       metrics.Histogram       // ms of a call to the store or a peer that changed a cached copy; 0 if keys were dropped after their grace period
 	statuses        map[int]metrics.Counter // responses by HTTP status
-	logDrops        metrics.Counter         // dropped log lines
+	refusals        map[gateway.Reason]metrics.Counter
+	logDrops        metrics.Counter // dropped log lines
 	// streamsTruncated counts streams that ended inside an event or, without a length and chunks,
 	// before the first.
 	streamsTruncated metrics.Counter
@@ -49,6 +53,7 @@
 		eventGap:         histogram("event_pause_ms"),
 		storeCall:        histogram("store_call_ms"),
 		statuses:         make(map[int]metrics.Counter),
+		refusals:         make(map[gateway.Reason]metrics.Counter),
 		logDrops:         metrics.NewRegisteredCounter("log_lines_dropped", r),
 		streamsTruncated: metrics.NewRegisteredCounter("streams_truncated", r),
 		responsesAborted: metrics.NewRegisteredCounter("responses_aborted", r),
@@ -58,9 +63,19 @@
 	for _, status := range []int{200, 401, 404, 413, 429, 500, 502, 503, 504} {
 		m.statuses[status] = metrics.NewRegisteredCounter(fmt.Sprintf("answers_%d", status), r)
 	}
+	for _, reason := range gateway.RefusalReasons() {
+		m.refusals[reason] = metrics.NewRegisteredCounter("refused_"+strings.ReplaceAll(string(reason), "-", "_"), r)
+	}
 	return m
 }
 
+// recordRefusal counts a request that was refused.
+func (m *meters) recordRefusal(reason gateway.Reason) {
+	if c := m.refusals[reason]; c != nil {
+		c.Inc(1)
+	}
+}
+
 // recordResponse counts a response by its status, if newMeters has a counter for
 // it, and records its duration.
 func (m *meters) recordResponse(status int, took time.Duration) {
