--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -26,19 +26,23 @@
 	}
 	r.verdict = admission.Verdict{Begins: admission.Unknown}
 	if engine := s.engine(); engine != nil {
-		setWork(&r.demand, engine, r.in.PromptTokens, r.divisible)
+		parts := 1
+		if r.divisible {
+			parts = s.maxParts()
+		}
+		setWork(&r.demand, engine, r.in.PromptTokens, parts)
 	}
 }
 
-// setWork sets the work that a prompt needs at engines.
-func setWork(d *admission.Demand, engine *enginecost.Params, prompt int64, divisible bool) {
+// setWork sets the work that a prompt needs at engines, of which so many may share it.
+func setWork(d *admission.Demand, engine *enginecost.Params, prompt int64, parts int) {
 	d.Work = engine.PrefillTime(prompt)
-	d.Fastest = d.Work + 2*transitTime
-	if divisible {
-		d.Fastest = d.Work/time.Duration(1+engine.MaxHelpers) + 2*transitTime
-	}
+	d.Fastest = d.Work/time.Duration(parts) + 2*transitTime
 }
 
+// maxParts returns the number of engines that may share a prompt.
+func (s *service) maxParts() int { return min(len(s.endpoints), 1+s.engine().MaxHelpers) }
+
 // byUrgency compares waiting requests, the most urgent first.
 func (c *Core) byUrgency(a, b *request) int {
 	return cmp.Compare(a.demand.Key(c.now), b.demand.Key(c.now))
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -120,14 +120,13 @@
 
 // jobs returns the waiting long prompts in the order that all gateways share.
 func (c *Core) jobs(s *service) []job {
-	engine := s.engine()
-	if engine == nil {
+	if s.engine() == nil {
 		return nil
 	}
 	var out []job
 	for _, r := range s.waiting {
 		if r.divisible && r.phase == phaseWaiting && !r.held {
-			out = append(out, c.job(engine, r.demand, c.cfg.Addr, uint64(r.in.ID), r.in.PromptTokens, r.in.MaxOutputTokens, r.regions))
+			out = append(out, c.job(s, r.demand, c.cfg.Addr, uint64(r.in.ID), r.in.PromptTokens, r.in.MaxOutputTokens, r.regions))
 			out[len(out)-1].request = r
 		}
 	}
@@ -138,7 +137,7 @@
 		}
 		for id, waiting := range p.waiting {
 			if waiting.service == s.nameHash {
-				out = append(out, c.job(engine, waiting.demand, p.addr, id, waiting.prompt, waiting.output, waiting.regions))
+				out = append(out, c.job(s, waiting.demand, p.addr, id, waiting.prompt, waiting.output, waiting.regions))
 			}
 		}
 	}
@@ -147,8 +146,8 @@
 }
 
 // job returns the entry of a waiting prompt in the plan.
-func (c *Core) job(engine *enginecost.Params, d admission.Demand, gateway netip.AddrPort, id uint64, prompt, output int64, regions regionSet) job {
-	setWork(&d, engine, prompt, true)
+func (c *Core) job(s *service, d admission.Demand, gateway netip.AddrPort, id uint64, prompt, output int64, regions regionSet) job {
+	setWork(&d, s.engine(), prompt, s.maxParts())
 	return job{
 		order: orderKey{d.Key(c.now), gateway, id}, prompt: prompt, output: output, regions: regions,
 		prefillTime: d.Work, untilDue: d.Due - c.now, untilGiveUp: d.GiveUp - c.now, late: d.Late(c.now),
