Bound what a prompt's size costs it in the order by its objective

Change: the delay approaches the objective; a large prompt comes before those of its kind that arrive an objective later.

--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -61,8 +61,18 @@
 	if d.Late(now) && !d.Assured {
 		due = d.GiveUp + d.Objective
 	}
-	return due + d.Penalty + time.Duration(workPenaltyRatio*float64(d.Work))
+	return due + d.Penalty + d.workPenalty()
 }
 
 // Late reports whether d misses its objective even if it is dispatched now.
 func (d *Demand) Late(now time.Duration) bool { return now+d.Fastest > d.Due }
+
+// workPenalty rises with the work towards the objective: a large prompt yields to small ones, but
+// comes before those of its kind that arrive an objective later.
+func (d *Demand) workPenalty() time.Duration {
+	penalty, bound := workPenaltyRatio*float64(d.Work), float64(d.Objective)
+	if penalty <= 0 || bound <= 0 {
+		return 0
+	}
+	return time.Duration(penalty * bound / (penalty + bound))
+}
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -168,40 +168,43 @@
 	}
 }
 
-// TestLargestPromptsDoNotStarveUnderOverload plays four times the long prompts of the heaviest days.
-// The largest tenth, and the fifth below it, are served at least half as often as all; and no
-// prompt is refused after its caller has given up.
+// servedShare returns the share of the jobs that were served.
+func servedShare(jobs []*simJob) float64 {
+	n := 0
+	for _, j := range jobs {
+		n += bit(j.done)
+	}
+	return float64(n) / float64(len(jobs))
+}
+
+// TestLargestPromptsDoNotStarveUnderOverload plays four times the long prompts of the heaviest
+// days. The largest tenth, and the fifth below it, are served at least half as often as all; and
+// no prompt is refused after its caller has given up.
 func TestLargestPromptsDoNotStarveUnderOverload(t *testing.T) {
-	s := newSimulation(t, 5)
-	refusedAfter := make(map[*simJob]time.Duration)
-	s.onOutput = func(i int, out Output) bool {
-		if out.Finish != nil && out.Finish.Verdict == VerdictRefused {
+	const seeds = 5
+	var all, tenth, fifth float64
+	for seed := range uint64(seeds) {
+		s := newSimulation(t, 5)
+		s.onOutput = func(i int, out Output) bool {
+			if out.Finish == nil || out.Finish.Verdict != VerdictRefused {
+				return false
+			}
 			j := s.jobs[[2]uint64{uint64(i), uint64(out.Finish.ID)}]
-			refusedAfter[j] = s.now - j.arrived
-		}
-		return false
-	}
-	s.offerLoad(rand.New(rand.NewPCG(4, 1)), longPhase.scaled(4), 10*time.Second)
-	s.run(s.now + 15*time.Second)
-	var long []*simJob
-	for _, j := range s.allJobs {
-		if j.kind == "long" {
-			long = append(long, j)
-		}
-		if after := refusedAfter[j]; after > callerPatience(testRoutes()[j.kind]) {
-			t.Errorf("a %s prompt is refused after %v, when its caller has left", j.kind, after)
-		}
-	}
-	slices.SortFunc(long, func(a, b *simJob) int { return cmp.Compare(s.prompts[b], s.prompts[a]) })
-	served := func(jobs []*simJob) float64 {
-		n := 0
-		for _, j := range jobs {
-			n += bit(j.done)
+			if after := s.now - j.arrived; after > callerPatience(testRoutes()[j.kind]) {
+				t.Errorf("a %s prompt is refused after %v, when its caller has left", j.kind, after)
+			}
+			return false
 		}
-		return float64(n) / float64(len(jobs))
+		s.offerLoad(rand.New(rand.NewPCG(seed, 1)), longPhase.scaled(4), 10*time.Second)
+		s.run(s.now + 15*time.Second)
+		long := slices.DeleteFunc(slices.Clone(s.allJobs), func(j *simJob) bool { return j.kind != "long" })
+		slices.SortFunc(long, func(a, b *simJob) int { return cmp.Compare(s.prompts[b], s.prompts[a]) })
+		n := len(long) / 10
+		inTime, _ := s.shareInTime("long")
+		t.Logf("seed %d: %d long prompts, %.2f in time, %.2f served, %.2f of the largest tenth, %.2f of the fifth below",
+			seed, len(long), inTime, servedShare(long), servedShare(long[:n]), servedShare(long[n:3*n]))
+		all, tenth, fifth = all+servedShare(long)/seeds, tenth+servedShare(long[:n])/seeds, fifth+servedShare(long[n:3*n])/seeds
 	}
-	all, tenth, fifth := served(long), served(long[:len(long)/10]), served(long[len(long)/10:len(long)*3/10])
-	t.Logf("%d long prompts, %.2f served, %.2f of the largest tenth, %.2f of the fifth below", len(long), all, tenth, fifth)
 	if tenth < all/2 || fifth < all/2 {
 		t.Errorf("%.2f of the largest tenth and %.2f of the fifth below served, want half of %.2f at least", tenth, fifth, all)
 	}
--- a/internal/gateway/planorder.go
+++ b/internal/gateway/planorder.go
@@ -43,14 +43,16 @@
 	}
 }
 
-// demand returns the demand that w describes, without its work.
+// demand returns the demand that w describes, without its work. An earlier build tells neither
+// patience nor objective; the time until the prompt is due stands for the objective then.
 func (w *WaitingRow) demand(now time.Duration) admission.Demand {
 	d := admission.Demand{
 		Due: now + time.Duration(w.DueUS)*time.Microsecond, GiveUp: now + milliseconds(w.LeftMS),
 		Penalty: milliseconds(w.OrderPenaltyMS), Assured: w.Assured, Objective: milliseconds(w.ObjectiveMS),
 	}
 	if w.LeftMS == 0 {
-		d.GiveUp = max(d.Due, now) + assumedPatience(d.Due-now)
+		d.Objective = max(d.Due-now, 0)
+		d.GiveUp = now + callerPatience(&route.Route{Objective: d.Objective})
 	}
 	return d
 }
@@ -65,9 +67,3 @@
 	c.outbox.waiting = append(c.outbox.waiting, r)
 	c.timers.Set(timerKey{kind: timerPlace}, r.holdUntil)
 }
-
-// assumedPatience returns how long after its due time the caller of a request is taken to wait
-// whose gateway doesn't tell, since it runs an earlier build.
-func assumedPatience(untilDue time.Duration) time.Duration {
-	return callerPatience(&route.Route{Objective: max(untilDue, 0)}) - max(untilDue, 0)
-}
