--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -67,10 +67,11 @@
 // Late reports whether d misses its objective even if it is dispatched now.
 func (d *Demand) Late(now time.Duration) bool { return now+d.Fastest > d.Due }
 
-// workPenalty rises with the work towards the objective: a large prompt yields to small ones, but
-// comes before those of its kind that arrive an objective later.
+// workPenalty rises with the work towards the time for which the caller waits beyond the
+// objective: a large prompt yields to small ones, but comes before those of its kind that arrive
+// when its caller is about to give up.
 func (d *Demand) workPenalty() time.Duration {
-	penalty, bound := workPenaltyRatio*float64(d.Work), float64(d.Objective)
+	penalty, bound := workPenaltyRatio*float64(d.Work), float64(d.GiveUp-d.Due)
 	if penalty <= 0 || bound <= 0 {
 		return 0
 	}
