Evacuate zones in the soak of the real programs

Cause: the soak knew no evacuations. Change: beside the faults, whose seeds keep their order, one zone after the other is evacuated and taken back. Nothing may reach it once the platform's bound less a second has passed, and every replica of the plain service must get requests in the fault-free phase. The run without the mechanism sets no bound for gateways.

--- a/internal/fleetsoak/fleet.go
+++ b/internal/fleetsoak/fleet.go
@@ -39,6 +39,7 @@
 	replicas     []*replica
 	gateways     []*gatewayProcess
 	version      int // of the configuration
+	evacuations  evacuations
 }
 
 // replica is a stand-in of an endpoint behind a proxy.
@@ -46,6 +47,7 @@
 	*standin.Replica
 	proxy    *proxy
 	service  string
+	zone     int
 	draining atomic.Bool // a fault drains it now
 }
 
@@ -72,7 +74,7 @@
 	f.configure()
 	for i := range o.Replicas {
 		for _, service := range standin.Services {
-			if err := f.addReplica(fmt.Sprintf("%s-%d", service, i), service); err != nil {
+			if err := f.addReplica(fmt.Sprintf("%s-%d", service, i), service, i%zones); err != nil {
 				return f, err
 			}
 		}
@@ -101,6 +103,7 @@
 		}
 		f.register(r, state)
 	}
+	f.evacuations.writeAgain(f.store)
 }
 
 // configure publishes the next version of the configuration, which moves a route.
@@ -109,7 +112,7 @@
 	f.store.Configure(f.version)
 }
 
-func (f *fleet) addReplica(id, service string) error {
+func (f *fleet) addReplica(id, service string, zone int) error {
 	r, err := standin.NewReplica(id)
 	if err != nil {
 		return errors.Wrap(err, "start replica")
@@ -118,14 +121,14 @@
 	if err != nil {
 		return errors.Wrap(err, "start proxy")
 	}
-	added := &replica{Replica: r, proxy: proxy, service: service}
+	added := &replica{Replica: r, proxy: proxy, service: service, zone: zone}
 	f.replicas = append(f.replicas, added)
 	f.register(added, "ready")
 	return nil
 }
 
 func (f *fleet) register(r *replica, state string) {
-	f.store.Register(r.ID, r.service, r.proxy.addr(), state)
+	f.store.RegisterIn(fmt.Sprintf("z%d", r.zone), r.ID, r.service, r.proxy.addr(), state)
 }
 
 func (f *fleet) addGateway(o Options, i int) error {
--- a/internal/fleetsoak/mechanisms_test.go
+++ b/internal/fleetsoak/mechanisms_test.go
@@ -39,6 +39,7 @@
 	"not-run-proof":  {func(c *shell.Config) { c.Translator = unproven{} }, "at-most-once"},
 	"identity":       {func(c *shell.Config) { c.Translator = anyInstance{} }, "proper-failure"},
 	"drain":          {func(c *shell.Config) { c.Decoder = neverLeaving{} }, "drain"},
+	"evacuation":     {func(c *shell.Config) { c.Settings.Evacuations = false }, "evacuation"},
 	"reconciliation": {func(c *shell.Config) { c.Store = &listsOnce{Client: c.Store} }, "config-in-force"},
 	"retry-budget":   {func(c *shell.Config) { c.Settings.RetryRatio, c.Settings.RetrySlack = 100, 100_000 }, "retry-budget"},
 }
--- a/internal/fleetsoak/run.go
+++ b/internal/fleetsoak/run.go
@@ -82,15 +82,19 @@
 	for n := range o.Callers {
 		callers.Go(func() { s.call(ctx, n, rand.New(rand.NewPCG(o.Seed, uint64(n)+100))) })
 	}
+	var evacuating sync.WaitGroup
+	evacuating.Go(s.evacuateInTurn)
 	failed := s.inSeries(maxFaultPause, s.injectFault)
+	evacuating.Wait()
 	if failed == nil {
 		failed = s.settle()
 	}
-	faultFreeFrom := time.Now()
+	faultFreeFrom, before := time.Now(), s.fleet.plainRuns()
 	time.Sleep(faultFreeTime)
 	cancel()
 	callers.Wait()
 	s.checkRuns()
+	s.checkReturned(before)
 	return s.result(faultFreeFrom), failed
 }
 
