Share the engines between short and long prompts by both demands

Short prompts filled the fullest engine that promised their objective. They were late while engines idled, and when a stream ended there, several gateways sent to the free slot within milliseconds. Each gateway now computes a set of engines for short streams from the work items that all see: not those that long prompts need or may soon need, no more than the streams are worth, but at least those whose slots they fill. In it a prompt goes to an engine with at most the mean of streams and a soon first event, of equal ones to another one than from other gateways. Late short streams, whose gap limit is longer, don't count as long prompts. Dispatches of short prompts log the size of the set.

TestPromisesWithinTheErrorAreNotRelied has two engines now, so that the idle one is not in the set; what it asserts is unchanged.

--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -14,6 +14,7 @@
 //	pass.go      forecast of an engine's passes
 //	prediction.go errors of predicted first events, and the margin for them
 //	place.go     selects the endpoints for a request to an engine
+//	streamset.go the set of engines for short streams
 //	plain.go     selects the endpoint for a request to a plain service (its endpoints are no engines)
 //	plan.go      the plan for long prompts that all gateways share
 //	planorder.go order of that plan, and announcements of waiting prompts
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -15,6 +15,8 @@
 	rank             limitRank
 	untilFirst       time.Duration // predicted time to the first event of a short prompt
 	reliable         bool          // its first event meets the objective also with the margin for errors
+	inStreamSet      bool          // short streams use it before others; see streamSet
+	aboveMean        bool          // it has more streams than the engines of that set on average
 }
 
 // limitRank is the order in which endpoints are considered with regard to their limits.
@@ -46,13 +48,14 @@
 	partTime   time.Duration // prefill time of each engine's part
 	untilFirst time.Duration // predicted time to the first event, from now
 	sharesPass bool          // the engine has other streams, so that more prompts may join its passes
+	streamSet  int           // engines that are for short streams; 0 for other prompts
 }
 
 // placeEngine selects engines for r, if any can take it now. The load is a mix of short
 // prompts of latency-sensitive streams and long prompts whose prefill would stall every
 // stream on the same engine:
 //
-//   - short prompts go to the fullest engine that meets their objective, so that
+//   - short prompts are spread over a set of engines (streamset.go), so that
 //     other engines stay free of latency-sensitive streams;
 //   - medium prompts are prefilled in short parts by engines that continue their
 //     other work;
@@ -73,15 +76,19 @@
 	if firstEventLimit < 0 {
 		firstEventLimit = time.Hour // late already: no limit
 	}
+	var set streamSet
 	place := c.placeInterleaved
 	if prefillTime <= c.cfg.Placement.SmallPrefill && c.latencySensitive(r) {
 		place = c.placeSmall
+		set = c.computeStreamSet(s, list)
+		set.mark(list)
 	}
 	for rank := rankRecheck; rank <= rankLimited; rank++ {
 		if !slices.ContainsFunc(list, func(k candidate) bool { return k.rank == rank }) {
 			continue
 		}
 		if p, ok := place(r, list, rank, prefillTime, firstEventLimit); ok {
+			p.streamSet = set.size
 			return p, true
 		}
 	}
@@ -181,8 +188,8 @@
 const lateGapLimit = 800 * time.Millisecond
 
 // betterSmall reports whether a is a better engine than b for a short prompt. It prefers
-// engines with spare slots, among these the fullest with latency-sensitive streams, then
-// the one that is idle soonest.
+// engines with spare slots, among these those of the set for short streams, then the
+// fullest with latency-sensitive streams, then the one that is idle soonest.
 // Late prompts go to the fullest engine that has relaxed streams only, if any, so
 // that late streams share few engines.
 func (c *Core) betterSmall(a, b *candidate, late bool) bool {
@@ -200,11 +207,20 @@
 	if x, y := c.hasSpareSlots(a), c.hasSpareSlots(b); x != y {
 		return x
 	}
+	if a.inStreamSet != b.inStreamSet {
+		return a.inStreamSet
+	}
+	if a.inStreamSet {
+		return c.betterInStreamSet(a, b)
+	}
 	if a.latencySensitive != b.latencySensitive {
 		return a.latencySensitive
 	}
 	if a.latencySensitive {
-		return a.occupancy.streams > b.occupancy.streams
+		if x, y := c.slotGroup(a), c.slotGroup(b); x != y {
+			return x < y
+		}
+		return c.perGatewayRank(a.endpoint) < c.perGatewayRank(b.endpoint)
 	}
 	if busyA, busyB := a.occupancy.queuedPrefill+a.occupancy.decodePass, b.occupancy.queuedPrefill+b.occupancy.decodePass; busyA != busyB {
 		return busyA < busyB
@@ -212,6 +228,20 @@
 	return c.perGatewayRank(a.endpoint) < c.perGatewayRank(b.endpoint)
 }
 
+// slotGroup returns the group of engines with about as many free slots, the fullest first.
+// Gateways prefer different engines of a group, so that few take the same slot.
+func (c *Core) slotGroup(k *candidate) int {
+	slots := k.endpoint.engine.Slots
+	free := slots - k.occupancy.streams - 1
+	if c.hasSpareSlots(k) {
+		free -= c.cfg.Placement.SpareSlots
+	}
+	return free / max(slots/slotGroups, 1)
+}
+
+// slotGroups is the number of groups that engines form by their free slots.
+const slotGroups = 4
+
 // perGatewayRank returns the position of an engine in an order that differs between
 // gateways. While gateways see no difference between engines, as after the start of the
 // fleet, it keeps them from all choosing the same one.
--- a/internal/gateway/prediction_test.go
+++ b/internal/gateway/prediction_test.go
@@ -35,13 +35,15 @@
 
 // TestPromisesWithinTheErrorAreNotRelied lets first events come late at an engine with
 // streams. A short prompt whose objective that engine would only meet without an error must
-// then go to an idle engine, and to the engine with streams if errors are small.
+// then go to an idle engine, and to the engine with streams if errors are small. Of two
+// engines, one is kept for long prompts.
 func TestPromisesWithinTheErrorAreNotRelied(t *testing.T) {
 	for _, test := range []struct {
 		err      time.Duration
 		wantIdle bool
 	}{{0, false}, {90 * time.Millisecond, true}} {
 		c := newTestCore(t, 0, 1)
+		c.Tick(0, Input{Endpoints: testEndpoints(2, 0)})
 		first := dispatchOf(submit(c, time.Second, 1, "short"))
 		c.Tick(time.Second+20*time.Millisecond, Input{First: &FirstEvent{ID: 1, Attempt: 1}})
 		now := 2 * time.Second
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -256,6 +256,9 @@
 	b.WriteString(" queue=" + o.queuedPrefill.Round(time.Millisecond).String() + " streams=" + itoa(o.streams))
 	b.WriteString(" next-pass=" + o.nextPass.Round(time.Millisecond).String() + " shared=" + o.nextPrefill.Round(time.Millisecond).String() +
 		" steps=" + o.decodePass.Round(time.Millisecond).String())
+	if p.streamSet > 0 {
+		b.WriteString(" set=" + itoa(p.streamSet))
+	}
 	if r.orderPenalty > 0 {
 		b.WriteString(" later=" + r.orderPenalty.String())
 	}
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -50,6 +50,7 @@
 	nextPass      time.Duration // until the pass begins that a prompt joins if it is sent now
 	nextPrefill   time.Duration // prefill time that is queued for that pass
 	decodePass    time.Duration // token steps of that pass
+	longDemand    bool          // it prefills a long prompt or did lately
 }
 
 // occupancy returns the work at e. The result is cached for a tick in which nothing
@@ -68,6 +69,7 @@
 	prefilling := 0
 	for _, w := range e.workItems {
 		prefilling += bit(w.phase == workPrefilling)
+		o.longDemand = o.longDemand || c.demandsLong(w)
 		if w.answering() != e {
 			if w.reserved != nil {
 				o.memoryTokens += w.memory(slices.Index(w.endpoints, e))
