--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -32,6 +32,9 @@
 	// turnValidity is how long a request may wait for an engine with the permission to be the
 	// next one with a part under suspicion.
 	turnValidity = time.Second
+	// maxHoldRatio is the part of the time from its arrival to its deadline that a request that
+	// was never dispatched may be held, so that its caller has time to try again.
+	maxHoldRatio = 0.4
 )
 
 // A part of a prompt may crash each engine that begins an answer, and a request each endpoint that
@@ -204,7 +207,7 @@
 // screen applies a decision on a waiting request.
 func (c *Core) screen(r *request, d poison.Decision) {
 	switch {
-	case d.Verdict == poison.Refused, d.Verdict == poison.Held && c.now+d.RetryAfter > r.placedBefore():
+	case d.Verdict == poison.Refused, d.Verdict == poison.Held && c.now+d.RetryAfter > r.heldBefore():
 		r.refusal = d
 		c.endUnserved(r, c.crashReason(r))
 		return
@@ -223,6 +226,16 @@
 	}
 }
 
+// heldBefore returns the time until which r may be held because of its parts. Most are held for
+// less than the longest time that is announced.
+func (r *request) heldBefore() time.Duration {
+	latest := r.in.Deadline - minAttemptTime
+	if r.attempt == 0 {
+		latest = min(latest, r.arrived+time.Duration(maxHoldRatio*float64(r.in.Deadline-r.arrived)))
+	}
+	return latest
+}
+
 // crashReason is the reason why r is not sent because of its parts.
 func (c *Core) crashReason(r *request) Reason {
 	if c.service(r.in.Service).engine() == nil {
