Go on to more endpoints while no connection can be made

Cause: when a failure domain is lost, its engines lose their streams and are the first choice of all gateways, each of which learns of each engine by a failed connection of its own. Change: up to twelve further endpoints are tried as long as nothing was sent. Such an attempt costs neither the endpoint nor the retry budget anything.

--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -19,7 +19,7 @@
 
 // maxUnreachable is the number of further endpoints that are tried when nothing was sent:
 // no connection to an endpoint can be made, or no memory reserved.
-const maxUnreachable = 3
+const maxUnreachable = 12
 
 // ended handles the end of an attempt: the request is done, is retried, or fails.
 func (c *Core) ended(end *AttemptEnded) {
