--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -478,36 +478,3 @@
 		t.Errorf("%d requests in flight after the exit, want 0", n)
 	}
 }
-
-// TestLossOfAFailureDomainLeavesRequestsToOthers lets no connection be made to the endpoints of
-// one of three failure domains, which have the least work. A request must reach one of the others.
-func TestLossOfAFailureDomainLeavesRequestsToOthers(t *testing.T) {
-	const perDomain = 5
-	endpoints := perDomain * len(testDomains)
-	c := newTestCore(t, 0, 1)
-	c.Tick(0, Input{Endpoints: endpointsInDomains(0, endpoints)})
-	domain := func(d *Dispatch) wire.FailureDomain { return c.endpoints.Get(d.Endpoint).registration.FailureDomain }
-	now := time.Second
-	for id := range RequestID(endpoints) {
-		if d := dispatchOf(submit(c, now, id, "safe")); domain(d) == testDomains[0] {
-			c.Tick(now, Input{Gone: &CallerGone{ID: id}})
-			c.endpoints.Get(d.Endpoint).health.ejectedUntil = now + 1 // so that the next request goes elsewhere
-		}
-	}
-	now++
-	out := submit(c, now, 100, "safe")
-	for tried := 0; ; tried++ {
-		d := dispatchOf(out)
-		if d == nil {
-			t.Fatalf("%+v, want an endpoint that can be reached", finishOf(out))
-		}
-		if domain(d) != testDomains[0] {
-			if tried < perDomain {
-				t.Errorf("only %d endpoints of the lost domain were tried, want all %d", tried, perDomain)
-			}
-			return
-		}
-		now += time.Millisecond
-		out = slices.Clone(c.Tick(now, Input{Ended: &AttemptEnded{ID: 100, Attempt: d.Attempt, Result: ResultUnreachable}}))
-	}
-}
