--- a/review/world/beat.go
+++ b/review/world/beat.go
@@ -13,7 +13,7 @@
 	lostRatio = 0.35
 	minLate   = time.Second
 	maxLate   = 6 * time.Second
-	cycles    = 7
+	cycles    = 8
 )
 
 // lateBeats draws which heartbeats of a replica in the lost window are carried out late, and when,
@@ -43,7 +43,7 @@
 		w.note("trouble   answers to a share of %.2f of the writes are lost for %v, the writes are done %v to %v later", lostRatio, lostFor, minLate, maxLate)
 		for _, r := range w.current() {
 			for _, at := range lateBeats() {
-				if at > stable+drain+200*time.Millisecond {
+				if at > stable+drain+150*time.Millisecond {
 					late[r] = at
 				}
 			}
@@ -82,11 +82,16 @@
 				r.register("ready")
 				w.note("trouble   a heartbeat of %s from before is done now: ready", r.id)
 				time.Sleep(time.Duration(rand.Int64N(int64(heartbeat))))
-				r.register("draining")
-				w.note("planned   the next heartbeat of %s: draining", r.id)
+				r.mu.Lock()
+				gone := r.gone
+				r.mu.Unlock()
+				if !gone {
+					r.register("draining")
+					w.note("planned   the next heartbeat of %s: draining", r.id)
+				}
 			}()
 		}
-		time.Sleep(time.Until(end.Add(maxLate + heartbeat + 200*time.Millisecond)))
+		time.Sleep(time.Until(end.Add(maxLate + heartbeat + 100*time.Millisecond)))
 		for i, r := range leaving {
 			w.store.remove("servers/" + r.id)
 			r.exit()
@@ -97,7 +102,7 @@
 			}
 			n.register("ready")
 		}
-		time.Sleep(800 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
 	}
 	close(w.stop)
 	w.wg.Wait()
