--- a/review/world/main.go
+++ b/review/world/main.go
@@ -173,6 +173,7 @@
 func play() int {
 	name := flag.String("scenario", "", "case to play")
 	binary := flag.String("gateway", "", "the project's program")
+	trouble := flag.Bool("trouble", true, "bring about the disruption")
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.Parse()
 	scenario := scenarios[*name]
@@ -196,7 +197,7 @@
 		fmt.Println(err)
 		return unable
 	}
-	w := &world{dir: dir, binary: path, trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), stop: make(chan struct{}),
+	w := &world{dir: dir, binary: path, trouble: *trouble, start: time.Now(), stop: make(chan struct{}),
 		calls: map[string]*call{}, record: bufio.NewWriterSize(f, 1<<20), recordFile: f}
 	defer f.Close()
 	defer func() { w.mu.Lock(); w.record.Flush(); w.mu.Unlock() }()
