--- a/internal/gateway/shell/syncers.go
+++ b/internal/gateway/shell/syncers.go
@@ -16,8 +16,11 @@
 	syncer := func(prefix string, policy storecopy.Policy, sparing bool, changed func(storecopy.Update)) *storecopy.Syncer {
 		return storecopy.NewSyncer(storecopy.Config{
 			Prefix: prefix, Policy: policy, Sparing: sparing, Client: g.cfg.Store, Now: g.now, Changed: changed, EraBegan: g.eraBegan,
-			Watchers:    func() int { return readCore(g, (*gateway.Core).Watchers) },
-			Watches:     func() bool { return readCore(g, (*gateway.Core).Watches) },
+			Watchers: func() int { return readCore(g, (*gateway.Core).Watchers) },
+			Watches:  func() bool { return readCore(g, (*gateway.Core).Watches) },
+			Watching: func(watches bool) {
+				g.log.Info().Str("event", "store-watch").Str("prefix", prefix).Bool("ok", watches).Send()
+			},
 			Fetch:       g.fetchCopy,
 			FetchFailed: g.peerFailed,
 			Reachable: func(ok bool, status store.Status) {
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -81,6 +81,9 @@
 	// Watches reports whether this process watches the store. Processes that do not
 	// fetch changes from the watching ones. Nil means true.
 	Watches func() bool
+	// Watching is called when this process begins or ceases to watch the store because
+	// Watches has changed. Nil means that nobody is told.
+	Watching func(watches bool)
 	// Fetch returns the listing of the peer that has announced the newest version:
 	// its changes since a version, or all keys if the version is zero. Without such a
 	// peer the listing is zero.
@@ -191,12 +194,16 @@
 			continue
 		}
 		if !s.watches() {
-			following = true
+			if !following {
+				following = true
+				s.watching(false)
+			}
 			sleep.For(ctx, 2*retryMin)
 			continue
 		}
 		if following {
 			following = false
+			s.watching(true)
 			signal(s.listNow) // its last listing may be as old as followerPeriod
 		}
 		if s.watchOnce(ctx, version) {
@@ -213,6 +220,13 @@
 // watches reports whether this process is to watch the store.
 func (s *Syncer) watches() bool { return s.cfg.Watches == nil || s.cfg.Watches() }
 
+// watching calls Config.Watching.
+func (s *Syncer) watching(watches bool) {
+	if s.cfg.Watching != nil {
+		s.cfg.Watching(watches)
+	}
+}
+
 // watchOnce makes one watch call for changes since a version. It returns false if the
 // keys must be listed: the call failed, or the store answered from another era, whose
 // revisions are not those of the call.
