--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -149,6 +149,12 @@
 	return c.service(r.in.Service).budget.TakeRetry(c.now, c.Gateways()) || c.without(mechanismRetryBudget)
 }
 
+// budgetDetail returns the use of the retry budget of r's service for the log.
+func (c *Core) budgetDetail(r *request) string {
+	retries, allowed := c.service(r.in.Service).budget.Use(c.now, c.Gateways())
+	return "retries=" + itoa(retries) + "/" + strconv.FormatFloat(allowed, 'f', 1, 64) + " gateways=" + itoa(c.Gateways())
+}
+
 func failureReason(result Result) Reason {
 	switch result {
 	case ResultFull, ResultMisdirected:
@@ -173,7 +179,11 @@
 	}
 	c.emit(Output{Finish: &Finish{ID: r.in.ID, Verdict: v, Reason: reason}})
 	if v != VerdictDone {
-		c.logRequest("failed", r, Event{Detail: string(reason), Count: r.sends})
+		detail := string(reason)
+		if reason == ReasonBudget {
+			detail += " " + c.budgetDetail(r)
+		}
+		c.logRequest("failed", r, Event{Detail: detail, Count: r.sends})
 	}
 	c.removeRequest(r)
 }
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -245,6 +245,9 @@
 // dispatchDetail returns the values that decided the placement, for the log.
 func (c *Core) dispatchDetail(r *request, e *endpoint, p placement) string {
 	var b strings.Builder
+	if r.attempt > 1 {
+		b.WriteString(c.budgetDetail(r) + " ")
+	}
 	if e.limited() {
 		b.WriteString("limit=" + formatLimit(e.announced.permits.limit.Rate) + " ")
 	}
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -54,16 +54,22 @@
 // The parameter gateways is the number of gateways that share the constant part;
 // values below one are taken as one.
 func (b *Budget) TakeRetry(now time.Duration, gateways int) bool {
-	b.advance(now)
-	requests, retries := 0, 0
-	for i := range b.requests {
-		requests += b.requests[i]
-		retries += b.retries[i]
-	}
-	allowed := usableRatio * (b.cfg.Ratio*float64(requests) + b.cfg.FleetRetriesPerWindow/float64(max(gateways, 1)))
+	retries, allowed := b.Use(now, gateways)
 	if float64(retries+1) > allowed {
 		return false
 	}
 	b.retries[b.bucket%(buckets+1)]++
 	return true
 }
+
+// Use returns the retries of the current window and the number that is allowed in it. The
+// parameter gateways is that of TakeRetry.
+func (b *Budget) Use(now time.Duration, gateways int) (retries int, allowed float64) {
+	b.advance(now)
+	requests := 0
+	for i := range b.requests {
+		requests += b.requests[i]
+		retries += b.retries[i]
+	}
+	return retries, usableRatio * (b.cfg.Ratio*float64(requests) + b.cfg.FleetRetriesPerWindow/float64(max(gateways, 1)))
+}
