List the store when no other gateway is known to have listed it lately

Cause: in a large fleet six gateways watch the store, and the others wait to be told. If all six are lost, the others took over only once these counted as silent, four intervals of full messages and up to one more: 3.0 to 3.75 s in such a fleet, 50 s for gateways of other cells. Waiting for news, a gateway can't tell that there is none from the loss of all that would bring it.

Change: gateways tell each other how old the latest listing is that they know of, in their full messages, and one that knows of none within the last 1.6 s (with jitter: 1.2 to 2.0) lists the store, whatever has become of the others. The same holds for registrations and evacuations, and beyond cells.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -34,6 +34,7 @@
 	endpointsReceived bool     // a list of endpoints has been received
 	endpointsRevision uint64   // of the store, at the latest list of endpoints
 	versions          Versions // of the cached copies, as sent to peers
+	confirmed         confirmations
 	evacuated         evacuated
 	ready             Ready
 	readyAt           time.Duration // when it was first OK
--- a/internal/gateway/ingest.go
+++ b/internal/gateway/ingest.go
@@ -42,6 +42,8 @@
 	case in.Versions != nil:
 		c.versions = *in.Versions
 		c.outbox.versionsChanged(c)
+	case in.Confirmed != nil:
+		c.copyConfirmed(in.Confirmed)
 	case in.Seeds != nil:
 		c.addSeeds(in.Seeds)
 	case in.Shutdown != nil:
--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -69,6 +69,7 @@
 	Evacuations  *Evacuations
 	Peer         *PeerMessage
 	Versions     *Versions
+	Confirmed    *Confirmed
 	Seeds        []netip.AddrPort // from the settings, read again
 	Shutdown     *Shutdown
 	Exit         *Exit
@@ -188,6 +189,29 @@
 	StoreLost     bool              `cbor:",omitempty"` // the store does not answer this process
 }
 
+// of returns the version of one copy.
+func (v *Versions) of(kind CopyKind) storecopy.Version {
+	return [copyKinds]storecopy.Version{v.Config, v.Registrations, v.Evacuations}[kind]
+}
+
+// CopyKind names a cached copy of keys of the store.
+type CopyKind uint8
+
+// The cached copies. Messages between gateways have these numbers.
+const (
+	CopyConfig CopyKind = iota
+	CopyRegistrations
+	CopyEvacuations
+	copyKinds
+)
+
+// Confirmed reports that a cached copy had all changes that were in the store at a time: a
+// listing that began then has succeeded.
+type Confirmed struct {
+	Copy CopyKind
+	At   time.Duration // on the gateway's clock
+}
+
 // Shutdown starts a graceful shutdown.
 type Shutdown struct{}
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -61,6 +61,7 @@
 	Cold         []ColdRow      `cbor:"16,keyasint,omitempty"`
 	Refusals     []RefusalRow   `cbor:"14,keyasint,omitempty"`
 	NoHelp       []NoHelpRow    `cbor:"17,keyasint,omitempty"`
+	Confirmed    []ConfirmedRow `cbor:"18,keyasint,omitempty"` // only with Versions
 }
 
 // PeerRow is one work item of the sender.
@@ -200,7 +201,7 @@
 	m := c.message()
 	versions := c.versions
 	versions.Active = c.activeVersion()
-	m.Versions, m.Known = &versions, c.livePeers(addresses)
+	m.Versions, m.Known, m.Confirmed = &versions, c.livePeers(addresses), c.confirmedRows()
 	return m
 }
 
--- a/internal/gateway/receive.go
+++ b/internal/gateway/receive.go
@@ -66,6 +66,7 @@
 		return
 	}
 	p.storeLost = m.Versions.StoreLost
+	c.mergeConfirmed(m)
 	if c.versions.Config.Behind(m.Versions.Config) || c.versions.Registrations.Behind(m.Versions.Registrations) ||
 		c.cfg.Evacuations && c.versions.Evacuations.Behind(m.Versions.Evacuations) ||
 		m.Versions.Active > c.activeVersion() {
--- a/internal/gateway/shell/syncers.go
+++ b/internal/gateway/shell/syncers.go
@@ -13,11 +13,17 @@
 // newSyncers creates the syncers of the configuration, the registrations and the evacuations.
 func (g *Gateway) newSyncers() {
 	g.copyServing = make(chan struct{}, maxCopiesServed)
-	syncer := func(prefix string, policy storecopy.Policy, sparing bool, changed func(storecopy.Update)) *storecopy.Syncer {
+	syncer := func(kind gateway.CopyKind, prefix string, policy storecopy.Policy, sparing bool, changed func(storecopy.Update)) *storecopy.Syncer {
 		return storecopy.NewSyncer(storecopy.Config{
 			Prefix: prefix, Policy: policy, Sparing: sparing, Client: g.cfg.Store, Now: g.now, Changed: changed, EraBegan: g.eraBegan,
 			Watchers: func() int { return readCore(g, (*gateway.Core).Watchers) },
 			Watches:  func() bool { return readCore(g, (*gateway.Core).Watches) },
+			Confirmed: func() time.Duration {
+				return readCore(g, func(c *gateway.Core) time.Duration { return c.ConfirmedAt(kind) })
+			},
+			Listed: func(began time.Duration) {
+				g.tick(gateway.Input{Confirmed: &gateway.Confirmed{Copy: kind, At: began}})
+			},
 			Watching: func(watches bool) {
 				g.log.Info().Str("event", "store-watch").Str("prefix", prefix).Bool("ok", watches).Send()
 			},
@@ -30,12 +36,12 @@
 			},
 		})
 	}
-	g.configSyncer = syncer(g.cfg.Decoder.ConfigPrefix(),
+	g.configSyncer = syncer(gateway.CopyConfig, g.cfg.Decoder.ConfigPrefix(),
 		storecopy.Policy{Compare: g.compareConfigs, ContentVersions: true}, false, g.configChanged)
-	g.registrationSyncer = syncer(g.cfg.Decoder.RegistrationPrefix(),
+	g.registrationSyncer = syncer(gateway.CopyRegistrations, g.cfg.Decoder.RegistrationPrefix(),
 		storecopy.Policy{Compare: g.compareRegistrations}, false, g.registrationsChanged)
 	if g.cfg.Settings.Evacuations {
-		g.evacuationSyncer = syncer(g.cfg.Decoder.EvacuationPrefix(), storecopy.Policy{}, true, g.evacuationsChanged)
+		g.evacuationSyncer = syncer(gateway.CopyEvacuations, g.cfg.Decoder.EvacuationPrefix(), storecopy.Policy{}, true, g.evacuationsChanged)
 	}
 }
 
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -34,9 +34,12 @@
 	// reconcilePerWatcher times the number of watching gateways is their period in larger
 	// fleets, which keeps the listing rate of the whole fleet constant.
 	reconcilePerWatcher = 400 * time.Millisecond
-	// followerPeriod is the period of gateways that do not watch. They learn changes from
-	// the watching ones, and watch themselves if they hear from none.
-	followerPeriod = 2 * time.Minute
+	// maxUnconfirmed is how long a process that does not watch relies on the others to tell it
+	// of changes, after the latest listing that it knows of. Changes must take effect within
+	// three seconds in a fleet in which not all watch.
+	maxUnconfirmed = 1600 * time.Millisecond
+	// confirmationCheck is how often such a process checks that.
+	confirmationCheck = 200 * time.Millisecond
 	// expireInterval is how often keys whose grace period is over are dropped.
 	expireInterval = 150 * time.Millisecond
 	// fetchTimeout bounds the fetch of a peer's copy, including tries at several peers.
@@ -81,6 +84,11 @@
 	// Watches reports whether this process watches the store. Processes that do not
 	// fetch changes from the watching ones. Nil means true.
 	Watches func() bool
+	// Confirmed returns when the copy is known to have had all changes in the store, from the
+	// listings of other processes, on the clock of Now; 0: never. Nil means never.
+	Confirmed func() time.Duration
+	// Listed is called with the start of each listing that succeeded. Nil means that nobody is told.
+	Listed func(began time.Duration)
 	// Watching is called when this process begins or ceases to watch the store because
 	// Watches has changed. Nil means that nobody is told.
 	Watching func(watches bool)
@@ -129,6 +137,7 @@
 
 	announced atomic.Pointer[announcement] // last version announced by a peer
 	op        atomic.Uint64                // ID of the last store operation
+	listedAt  atomic.Int64                 // start of the last listing that succeeded, on the clock of Config.Now
 }
 
 // NewSyncer returns a Syncer that does nothing until Run.
@@ -204,7 +213,7 @@
 		if following {
 			following = false
 			s.watching(true)
-			signal(s.listNow) // its last listing may be as old as followerPeriod
+			signal(s.listNow) // its copy may be as old as maxUnconfirmed
 		}
 		if s.watchOnce(ctx, version) {
 			pause = retryMin
@@ -272,7 +281,7 @@
 				// without it none would list for most of the first period.
 				period, first = rand.N(period), false
 			}
-			s.waitForListing(ctx, period)
+			s.waitForListing(ctx, s.cfg.Now()+period)
 			continue
 		}
 		s.fetch(ctx)
@@ -281,12 +290,9 @@
 	}
 }
 
-// listingPeriod returns the time between two listings of this process while the store
-// is healthy.
+// listingPeriod returns the time between two listings of this process while it watches
+// the store and the store is healthy.
 func (s *Syncer) listingPeriod() time.Duration {
-	if !s.watches() {
-		return followerPeriod
-	}
 	return max(reconcileMin, s.spared(reconcilePerWatcher)*time.Duration(s.cfg.Watchers()))
 }
 
@@ -298,18 +304,40 @@
 	return d
 }
 
-// waitForListing waits for the period or a signal on listNow.
-func (s *Syncer) waitForListing(ctx context.Context, period time.Duration) {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-s.listNow:
-		sleep.For(ctx, retryMin/2)
+// waitForListing waits until a listing is due, which is at a time given if this process watches
+// the store, or for a signal on listNow.
+func (s *Syncer) waitForListing(ctx context.Context, due time.Duration) {
+	unconfirmed := jitter(s.spared(maxUnconfirmed))
+	for {
+		wait := confirmationCheck
+		if now := s.cfg.Now(); s.watches() {
+			wait = due - now
+		} else if now-s.confirmedAt() > unconfirmed {
+			wait = 0
+		}
+		if wait <= 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.listNow:
+			sleep.For(ctx, retryMin/2)
+			return
+		case <-time.After(wait):
+		}
 	}
 }
 
+// confirmedAt returns when the copy is known to have had all changes in the store.
+func (s *Syncer) confirmedAt() time.Duration {
+	at := time.Duration(s.listedAt.Load())
+	if s.cfg.Confirmed != nil {
+		at = max(at, s.cfg.Confirmed())
+	}
+	return at
+}
+
 // expire drops keys whose grace period is over, also while the store does not answer.
 func (s *Syncer) expire(ctx context.Context) {
 	ticker := time.NewTicker(expireInterval)
@@ -346,6 +374,10 @@
 	if changed {
 		s.restartWatch()
 	}
+	s.listedAt.Store(int64(began))
+	if s.cfg.Listed != nil {
+		s.cfg.Listed(began)
+	}
 	return true
 }
 
--- a/internal/storecopy/syncer_test.go
+++ b/internal/storecopy/syncer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,6 +66,7 @@
 	s := &silentWatches{revision: 10}
 	s.write("a")
 	learned := make(chan struct{}, processes)
+	var confirmed atomic.Int64 // the latest listing, of which all are told
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	start := time.Now()
@@ -72,9 +74,11 @@
 	for i := range processes {
 		syncer := NewSyncer(Config{
 			Prefix: "k", Client: s, Sparing: sparing, Now: func() time.Duration { return time.Since(start) },
-			Watchers: func() int { return watchers },
-			Watches:  func() bool { return i < watchers },
-			Fetch:    func(context.Context, string, Version) (Listing, error) { return Listing{}, nil },
+			Watchers:  func() int { return watchers },
+			Watches:   func() bool { return i < watchers },
+			Listed:    func(began time.Duration) { confirmed.Store(int64(began)) },
+			Confirmed: func() time.Duration { return time.Duration(confirmed.Load()) },
+			Fetch:     func(context.Context, string, Version) (Listing, error) { return Listing{}, nil },
 			Changed: func(u Update) {
 				if len(u.Listing.Pairs) == 2 {
 					learned <- struct{}{}
@@ -100,6 +104,47 @@
 	wg.Wait()
 }
 
+// TestProcessThatHearsOfNoListingListsTheStore guards against a process that waits for changes from
+// processes that are gone.
+func TestProcessThatHearsOfNoListingListsTheStore(t *testing.T) {
+	for name, test := range map[string]struct {
+		sparing bool
+		bound   time.Duration
+	}{"usual": {false, 2500 * time.Millisecond}, "sparing": {true, 5 * time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := &silentWatches{revision: 10}
+			s.write("a")
+			learned := make(chan struct{}, 10)
+			ctx, cancel := context.WithCancel(context.Background())
+			start := time.Now()
+			syncer := NewSyncer(Config{
+				Prefix: "k", Client: s, Sparing: test.sparing, Now: func() time.Duration { return time.Since(start) },
+				Watchers: func() int { return 6 },
+				Watches:  func() bool { return false },
+				Fetch:    func(context.Context, string, Version) (Listing, error) { return Listing{}, nil },
+				Changed: func(u Update) {
+					if len(u.Listing.Pairs) == 2 {
+						learned <- struct{}{}
+					}
+				},
+				Reachable: func(bool, store.Status) {}, FetchFailed: func(error) {},
+			})
+			var wg sync.WaitGroup
+			wg.Go(func() { syncer.Run(ctx) })
+			time.Sleep(100 * time.Millisecond)
+			s.write("b")
+			select {
+			case <-learned:
+			case <-time.After(test.bound):
+				t.Errorf("the process has not listed the change within %v", test.bound)
+			}
+			cancel()
+			wg.Wait()
+		})
+	}
+}
+
 // TestFirstCopyWithoutKeysIsReported checks that a process learns that there are no keys, from the
 // store or, if that does not answer, from a peer: it may wait for that.
 func TestFirstCopyWithoutKeysIsReported(t *testing.T) {
