Give a restarted gateway its share of the retry budget by and by

Cause: a gateway's counts of requests and retries end with its process, and each start gave it its whole share of the constant once more, to be spent at once. The unused 0.4 of the budget covered less than one restart of all within a window. The class: a limit over time that is kept in a process and taken to be unused when it starts.

Change: in its first window a process uses 0.4 of the ratio, 0.04 of its constant at once and 0.24 more in the course of the window; after it 0.6 as before. Of the processes of a gateway in one window at most one is past its first, so that four restarts within a window stay within the whole.

--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -17,9 +17,18 @@
 	Window                time.Duration // length of the sliding window
 }
 
-// usableRatio is the share of the budget that gateways use. The rest covers
-// retries of a gateway that lost its counts in a restart within the window.
-const usableRatio = 0.6
+// A restart loses the counts of a process. The shares leave room for the retries that earlier
+// processes of a gateway have made within the same window, of which at most one had run for a
+// whole window, and for four restarts within it.
+const (
+	// usableShare is the share of the budget that a process uses once it has run for a window.
+	usableShare = 0.6
+	// youngShare is the share that a process uses in its first window. It may use firstShare of
+	// the constant part from its start, and gets growingShare by and by.
+	youngShare   = 1 - usableShare
+	firstShare   = 0.04
+	growingShare = youngShare - 4*firstShare
+)
 
 // Budget counts requests and retries of one service at one gateway. Create it
 // with New. It is not safe for concurrent use.
@@ -44,15 +53,15 @@
 	b.bucket = max(b.bucket, n)
 }
 
-// CountRequest counts a request received from a caller.
+// CountRequest counts a request received from a caller at a time since the start of the process.
 func (b *Budget) CountRequest(now time.Duration) {
 	b.advance(now)
 	b.requests[b.bucket%(buckets+1)]++
 }
 
-// TakeRetry reports whether the budget allows a retry now, and counts it if so.
-// The parameter gateways is the number of gateways that share the constant part;
-// values below one are taken as one.
+// TakeRetry reports whether the budget allows a retry now, and counts it if so. The time now is
+// that since the start of the process. The parameter gateways is the number of gateways that
+// share the constant part; values below one are taken as one.
 func (b *Budget) TakeRetry(now time.Duration, gateways int) bool {
 	retries, allowed := b.Use(now, gateways)
 	if float64(retries+1) > allowed {
@@ -63,7 +72,7 @@
 }
 
 // Use returns the retries of the current window and the number that is allowed in it. The
-// parameter gateways is that of TakeRetry.
+// parameters are those of TakeRetry.
 func (b *Budget) Use(now time.Duration, gateways int) (retries int, allowed float64) {
 	b.advance(now)
 	requests := 0
@@ -71,5 +80,16 @@
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	return retries, usableRatio * (b.cfg.Ratio*float64(requests) + b.cfg.FleetRetriesPerWindow/float64(max(gateways, 1)))
+	ofRequests, ofConstant := b.shares(now)
+	constant := b.cfg.FleetRetriesPerWindow / float64(max(gateways, 1))
+	return retries, ofRequests*b.cfg.Ratio*float64(requests) + ofConstant*constant
+}
+
+// shares returns the shares of the two parts of the budget that may be used in the current
+// window.
+func (b *Budget) shares(now time.Duration) (ofRequests, ofConstant float64) {
+	if now >= b.cfg.Window {
+		return usableShare, usableShare
+	}
+	return youngShare, firstShare + growingShare*float64(now)/float64(b.cfg.Window)
 }
