Share the retry budget with seeds that have not been heard from

A gateway that is cut off from the others at its start has heard of none, and took the constant part of the fleet's retry budget for itself alone; several of them could spend more than the fleet may (rule BUDGET).

Change: the seeds of the settings count as gateways that share the budget, whether they have been heard from or not.

Test: TestGatewayCutOffFromItsStartDoesNotUseTheWholeRetryBudget; by the gateways heard from alone, one of four took 60 retries, and 25 are its share.

--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -146,13 +146,24 @@
 
 // takeRetry takes a retry of r from the budget of its service, if there is one.
 func (c *Core) takeRetry(r *request) bool {
-	return c.service(r.in.Service).budget.TakeRetry(c.now, c.Gateways()) || c.without(mechanismRetryBudget)
+	return c.service(r.in.Service).budget.TakeRetry(c.now, c.budgetGateways()) || c.without(mechanismRetryBudget)
+}
+
+// budgetGateways returns the number of gateways that share the fleet's retry budget. The seeds
+// count even if none of them has been heard from: this gateway may be cut off from the others.
+func (c *Core) budgetGateways() int {
+	seeds := 0
+	for p := range c.peers.Values() {
+		seeds += bit(p.seed)
+	}
+	return max(c.Gateways(), 1+seeds)
 }
 
 // budgetDetail returns the use of the retry budget of r's service for the log.
 func (c *Core) budgetDetail(r *request) string {
-	retries, allowed := c.service(r.in.Service).budget.Use(c.now, c.Gateways())
-	return "retries=" + itoa(retries) + "/" + strconv.FormatFloat(allowed, 'f', 1, 64) + " gateways=" + itoa(c.Gateways())
+	gateways := c.budgetGateways()
+	retries, allowed := c.service(r.in.Service).budget.Use(c.now, gateways)
+	return "retries=" + itoa(retries) + "/" + strconv.FormatFloat(allowed, 'f', 1, 64) + " gateways=" + itoa(gateways)
 }
 
 func failureReason(result Result) Reason {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -313,8 +313,8 @@
 	})
 }
 
-// Gateways returns how many gateways share the fleet's budgets: this one and those in
-// its table that have sent it a message.
+// Gateways returns how many gateways are known: this one and those in its table that have
+// sent it a message.
 func (c *Core) Gateways() int {
 	n := 1
 	for p := range c.peers.Values() {
