Send a request at most once on each connection

A faulty replica wrote an earlier refusal once more on a kept connection.

Cause: an answer is matched with its request by the caller's request ID, which is the same for all sends of one request. The pool gave the connection on which a request had been refused to its next send, and the copy of the refusal was taken as the proof that this one had not run either.

Change: a connection remembers the IDs of the requests that it has carried, and is not used for one of them again; it is closed after 256 requests. An answer with a request's ID can then only belong to its one send on that connection.

--- a/internal/gateway/shell/callendpoint.go
+++ b/internal/gateway/shell/callendpoint.go
@@ -41,7 +41,7 @@
 func (g *Gateway) callEndpoint(ctx context.Context, r endpointRequest) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	conn, err := g.pool.Get(ctx, r.addr, maxIdleAge)
+	conn, err := g.pool.Get(ctx, r.addr, maxIdleAge, "")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -201,7 +201,7 @@
 		return x.failAttempt(a, e, gateway.ResultFull, err)
 	}
 	defer release()
-	conn, err := x.g.pool.Get(a.ctx, a.Addr, maxAge)
+	conn, err := x.g.pool.Get(a.ctx, a.Addr, maxAge, x.caller.RequestID)
 	if err != nil {
 		return x.failAttempt(a, e, gateway.ResultUnreachable, err)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -27,6 +28,9 @@
 	maxSkipped = 2
 	// maxSkippedBody bounds the body of a skipped response, in bytes.
 	maxSkippedBody = 256 << 10
+	// maxRequests is the number of requests after which a connection is closed. It bounds the IDs
+	// that are remembered for it.
+	maxRequests = 256
 	// unlimited disables the byte limit of the reader after the head.
 	unlimited = 1 << 62
 )
@@ -45,6 +49,7 @@
 	idleSince time.Time // when the connection was returned to the pool
 	expires   time.Time // when the endpoint closes it, by its Keep-Alive header; zero: unknown
 
+	carried     []string     // IDs of the requests sent on it
 	body        *trackedBody // of the latest response
 	writeResult chan error   // receives the result of a write that runs while the response is read
 	unusable    bool         // the connection must not return to the pool
@@ -99,6 +104,7 @@
 // Write sends the request. One larger than maxInlineRequest is written in a
 // goroutine, since the endpoint may respond before it has read the whole body.
 func (c *Conn) Write(r *Request) error {
+	c.carried = append(c.carried, r.ID)
 	head := r.head()
 	if len(head)+len(r.Body) <= maxInlineRequest {
 		_, err := c.net.Write(append(head, r.Body...))
@@ -172,7 +178,7 @@
 // Release returns the connection to the pool. The connection is closed if it can't be
 // reused, which includes that the body of resp has not been read to its end.
 func (c *Conn) Release(resp *http.Response) {
-	if c.unusable || resp.Close || EndsWithConnection(resp) || !c.body.ended || c.r.Buffered() > 0 || !c.requestWritten() {
+	if c.unusable || len(c.carried) >= maxRequests || resp.Close || EndsWithConnection(resp) || !c.body.ended || c.r.Buffered() > 0 || !c.requestWritten() {
 		c.Close()
 		return
 	}
@@ -188,6 +194,10 @@
 	c.pool.put(c)
 }
 
+// carries reports whether the request with an ID has been sent on the connection. Without an ID
+// none counts as sent.
+func (c *Conn) carries(id string) bool { return id != "" && slices.Contains(c.carried, id) }
+
 // EndsWithConnection reports whether the body of resp has neither a length nor chunks, so
 // that only the end of the connection ends it (RFC 9112, section 6.3).
 func EndsWithConnection(resp *http.Response) bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -74,11 +74,12 @@
 	return failed
 }
 
-// Get returns an open connection to addr that has been idle for at most maxAge, or
-// dials a new one.
-func (p *Pool) Get(ctx context.Context, addr string, maxAge time.Duration) (*Conn, error) {
+// Get returns an open connection to addr that has been idle for at most maxAge, or dials a new
+// one. A connection that has carried the request with the given ID is not used for it again: the
+// endpoint may send an earlier response once more, which the ID could not tell from the next.
+func (p *Pool) Get(ctx context.Context, addr string, maxAge time.Duration, id string) (*Conn, error) {
 	for {
-		c := p.takeIdle(addr, maxAge)
+		c := p.takeIdle(addr, maxAge, id)
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
@@ -89,22 +90,26 @@
 	}
 }
 
-// takeIdle removes and returns the most recently used idle connection to addr. It
-// returns nil if there is none, or if that one has been idle for longer than maxAge
-// or is about to expire.
-func (p *Pool) takeIdle(addr string, maxAge time.Duration) *Conn {
+// takeIdle removes and returns the most recently used idle connection to addr that has not
+// carried the request with an ID. It returns nil if there is none, or if that one has been idle
+// for longer than maxAge or is about to expire.
+func (p *Pool) takeIdle(addr string, maxAge time.Duration, id string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
+	i := len(list) - 1
+	for i >= 0 && list[i].carries(id) {
+		i--
+	}
+	if i < 0 {
 		return nil
 	}
-	c := list[len(list)-1]
+	c := list[i]
 	now := time.Now()
 	if now.Sub(c.idleSince) > maxAge || !c.expires.IsZero() && now.After(c.expires.Add(-expiryMargin)) {
 		return nil
 	}
-	p.idle[addr] = list[:len(list)-1]
+	p.idle[addr] = slices.Delete(list, i, i+1)
 	return c
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -70,7 +70,7 @@
 
 // exchange sends a request through the pool and returns the response body.
 func exchange(p *Pool, s *server, id string) (string, error) {
-	c, err := p.Get(context.Background(), s.listener.Addr().String(), time.Minute)
+	c, err := p.Get(context.Background(), s.listener.Addr().String(), time.Minute, "")
 	if err != nil {
 		return "", err
 	}
@@ -105,6 +105,52 @@
 	}
 }
 
+// TestRequestIsNotSentTwiceOnAConnection guards against a copy of a request's first response that
+// is taken for the response to its second send.
+func TestRequestIsNotSentTwiceOnAConnection(t *testing.T) {
+	s := newServer(t, func(c net.Conn, n int64, r *http.Request) bool {
+		return reply(c, r.Header.Get(testIDHeader), "body", "")
+	})
+	p := NewPool()
+	for i, test := range []struct {
+		id    string
+		conns int64 // made so far
+	}{{"a", 1}, {"b", 1}, {"a", 2}, {"b", 2}, {"c", 2}, {"", 2}, {"", 2}} {
+		c, err := p.Get(context.Background(), s.listener.Addr().String(), time.Minute, test.id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := request(test.id)
+		r.Header.Set(testIDHeader, test.id)
+		resp, err := c.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Fatal(err)
+		}
+		c.Release(resp)
+		if n := s.conns.Load(); n != test.conns {
+			t.Errorf("step %d, request %q: %d connections, want %d", i, test.id, n, test.conns)
+		}
+	}
+}
+
+// TestConnectionIsClosedAfterManyRequests checks that the IDs remembered for a connection are
+// bounded.
+func TestConnectionIsClosedAfterManyRequests(t *testing.T) {
+	s := newServer(t, func(c net.Conn, n int64, r *http.Request) bool { return reply(c, "a", "body", "") })
+	p := NewPool()
+	for range maxRequests + 1 {
+		if _, err := exchange(p, s, "a"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := s.conns.Load(); n != 2 {
+		t.Errorf("%d connections for %d requests, want 2", n, maxRequests+1)
+	}
+}
+
 // TestNothingIsResent checks that a request is not resent if the endpoint closes a
 // kept-alive connection after it has read the request.
 func TestNothingIsResent(t *testing.T) {
@@ -180,7 +226,7 @@
 		time.Sleep(time.Second)
 	}()
 	p := NewPool()
-	c, err := p.Get(context.Background(), l.Addr().String(), time.Minute)
+	c, err := p.Get(context.Background(), l.Addr().String(), time.Minute, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -268,7 +314,7 @@
 		result <- err
 	}()
 	pool := NewPool()
-	conn, err := pool.Get(context.Background(), l.Addr().String(), time.Minute)
+	conn, err := pool.Get(context.Background(), l.Addr().String(), time.Minute, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -302,7 +348,7 @@
 		return true
 	})
 	p := NewPool()
-	c, err := p.Get(context.Background(), s.listener.Addr().String(), time.Minute)
+	c, err := p.Get(context.Background(), s.listener.Addr().String(), time.Minute, "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -356,7 +402,7 @@
 func TestConnectionToAFrozenVMIsEnded(t *testing.T) {
 	const standstill, vanished = 3 * time.Second, 5 * time.Second
 	s := newServer(t, func(net.Conn, int64, *http.Request) bool { return true })
-	c, err := NewPool().Get(context.Background(), s.listener.Addr().String(), 0)
+	c, err := NewPool().Get(context.Background(), s.listener.Addr().String(), 0, "")
 	if err != nil {
 		t.Fatal(err)
 	}
