Pass on no answer without the request's ID, and no success without a signature

Cause: an answer without a request ID counted as the answer to whatever request was next on its connection, and nothing asked for the signature that each success has. Bytes that a faulty replica sends between two answers belong to no request.

Change: an answer belongs to a request only if it carries its ID; others are skipped, as those with another ID were. Answers to reports and orders, which carry none, may not have one. A success without a signature ends its attempt as broken off, since the request may have run, and tells nothing else of the endpoint.

Tests, which failed before: TestUnidentifiedAnswerIsNotDelivered, TestUnsignedSuccessIsNotDelivered.

--- a/internal/gateway/shell/callendpoint.go
+++ b/internal/gateway/shell/callendpoint.go
@@ -49,7 +49,10 @@
 	defer stop()
 	g.cfg.Translator.Forward(r.header, ForwardHeaders{TimeLeft: orderTimeout, EndpointID: r.endpoint})
 	sent := g.now()
-	req := &upstream.Request{Method: r.method, Target: r.target, Host: r.addr, Header: r.header, Body: r.body}
+	req := &upstream.Request{
+		Method: r.method, Target: r.target, Host: r.addr, Header: r.header, Body: r.body,
+		IDHeader: g.cfg.Translator.Names().RequestID,
+	}
 	resp, err := conn.Do(req)
 	if err != nil {
 		return nil, err
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -75,6 +75,10 @@
 // errSuperseded ends an attempt whose request is answered by another one.
 var errSuperseded = errors.New("another attempt answers the request")
 
+// errUnsigned ends an attempt whose successful response has no signature: it may be bytes that
+// belong to no request.
+var errUnsigned = errors.New("successful answer without a signature")
+
 // heldResponse is a complete response of an endpoint that has not been sent to the
 // caller.
 type heldResponse struct {
@@ -273,6 +277,10 @@
 // and returns e.
 func (x *exchange) handleResponse(conn *upstream.Conn, resp *http.Response, a *attempt, e *gateway.AttemptEnded) *gateway.AttemptEnded {
 	a.heardAt = x.g.now()
+	if x.unsigned(resp) {
+		conn.Close()
+		return x.failAttempt(a, e, gateway.ResultBroken, errUnsigned)
+	}
 	h := x.g.cfg.Translator.Response(resp.StatusCode, resp.Header)
 	x.g.passAnnouncement(a.Endpoint, a.Addr, &h)
 	x.passState(a, &h)
@@ -312,6 +320,11 @@
 	return x.deliveryState(e)
 }
 
+// unsigned reports whether a response claims success without an endpoint's signature.
+func (x *exchange) unsigned(resp *http.Response) bool {
+	return resp.StatusCode >= 200 && resp.StatusCode < 300 && resp.Header.Get(x.g.cfg.Translator.Names().Signature) == ""
+}
+
 // passState passes the load and the limit that the endpoint states in a response to the core.
 func (x *exchange) passState(a *attempt, h *ResponseHeaders) {
 	var in []gateway.Input
--- a/internal/gateway/shell/translate.go
+++ b/internal/gateway/shell/translate.go
@@ -60,6 +60,7 @@
 // HeaderNames are the names of headers that the shell itself uses.
 type HeaderNames struct {
 	RequestID string // request ID, which endpoints echo in their responses
+	Signature string // which endpoints set in each successful response
 }
 
 // CallerHeaders holds the parsed headers of a caller's request.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,7 +35,7 @@
 	unlimited = 1 << 62
 )
 
-// ErrMismatchedResponse is returned for a response that carries the ID of another
+// ErrMismatchedResponse is returned for a response that does not carry the ID of its
 // request.
 var ErrMismatchedResponse = errors.New("answer belongs to another request")
 
@@ -64,7 +64,7 @@
 	Header http.Header
 	Body   []byte
 	// ID is the request ID, which the endpoint echoes in the header IDHeader of its
-	// response.
+	// response. Without one, the response has none either.
 	ID       string
 	IDHeader string
 }
@@ -119,8 +119,8 @@
 	return nil
 }
 
-// Read reads the head of the response to r. It skips up to maxSkipped responses
-// with the ID of another request. The error is ErrMismatchedResponse if there are
+// Read reads the head of the response to r. It skips up to maxSkipped responses that don't carry
+// r's ID, or that carry one although r has none. The error is ErrMismatchedResponse if there are
 // more, or if the body of such a response is too large or has no stated length.
 func (c *Conn) Read(r *Request) (*http.Response, error) {
 	for range maxSkipped + 1 {
@@ -128,8 +128,7 @@
 		if err != nil {
 			return nil, err
 		}
-		echoed := resp.Header.Get(r.IDHeader)
-		if echoed == "" || echoed == r.ID {
+		if resp.Header.Get(r.IDHeader) == r.ID {
 			c.body = &trackedBody{ReadCloser: resp.Body, ended: resp.Body == http.NoBody}
 			resp.Body = c.body
 			return resp, nil
