Keep an endpoint that has registered as draining out of use until it restarts

The store had lost the answer to an earlier heartbeat of the replica, and carried it out after the report that it drains.

Cause: a registration replaced the one before, also from draining back to ready, though a draining endpoint never becomes ready again but by a restart.

Change: what an instance (ID, address, start) has registered of its leaving is kept with its announcements, as what it says in its answers is.

--- a/internal/gateway/announcement_test.go
+++ b/internal/gateway/announcement_test.go
@@ -142,3 +142,46 @@
 		}
 	}
 }
+
+// TestLateRegistrationDoesNotEndLeaving guards against a draining endpoint that gets requests again
+// because an earlier registration of it is written late.
+func TestLateRegistrationDoesNotEndLeaving(t *testing.T) {
+	const leaving = wire.EndpointID("e-01")
+	c := newTestCore(t, 0, 1)
+	rows := func(born int64, drains bool) *Endpoints {
+		in := testEndpoints(3, 0)
+		for i := range in.Rows {
+			in.Rows[i].Born = 1000
+			if in.Rows[i].ID == leaving {
+				in.Rows[i].Born, in.Rows[i].Leaving = born, drains
+			}
+		}
+		return in
+	}
+	without := rows(1000, false)
+	without.Rows = slices.DeleteFunc(without.Rows, func(r Registration) bool { return r.ID == leaving })
+	for i, step := range []struct {
+		name string
+		in   *Endpoints
+		used bool
+	}{
+		{"ready", rows(1000, false), true},
+		{"draining", rows(1000, true), false},
+		{"earlier registration", rows(1000, false), false},
+		{"lapsed", without, false},
+		{"earlier registration after it lapsed", rows(1000, false), false},
+		{"restarted", rows(2000, false), true},
+	} {
+		now := time.Duration(i+1) * 5 * time.Second
+		c.Tick(now, Input{Endpoints: step.in})
+		for e := range c.endpoints.Values() { // no other engine is free
+			e.health.ejectedUntil = 0
+			if e.registration.ID != leaving {
+				e.health.ejectedUntil = time.Hour
+			}
+		}
+		if n := reached(c, now, RequestID(1000*i+1), leaving); (n > 0) != step.used {
+			t.Errorf("%s: %d requests for the endpoint, want some: %t", step.name, n, step.used)
+		}
+	}
+}
--- a/internal/gateway/configure.go
+++ b/internal/gateway/configure.go
@@ -74,10 +74,8 @@
 func (c *Core) registerEndpoint(reg Registration) {
 	e := c.endpoints.Get(reg.ID)
 	if e != nil && e.registration.Addr == reg.Addr && e.registration.Born == reg.Born && e.registration.Service == reg.Service {
-		if reg.Leaving && !e.registration.Leaving {
-			c.log(Event{Name: "endpoint-leaving", Endpoint: string(reg.ID), Detail: "addr=" + reg.Addr})
-		}
 		e.registration = reg
+		c.registeredLeaving(e)
 		e.unregistered = false
 		c.applyEvacuations(e)
 		c.applyRegion(e)
@@ -95,6 +93,16 @@
 	c.applyEvacuations(e)
 	c.applyRegion(e)
 	c.log(Event{Name: "endpoint-registered", Endpoint: string(reg.ID), Detail: "addr=" + reg.Addr + " service=" + reg.Service})
+	c.registeredLeaving(e)
+}
+
+// registeredLeaving records that e has registered as leaving. Until it restarts it stays so: an
+// earlier registration of it may be written later.
+func (c *Core) registeredLeaving(e *endpoint) {
+	if e.registration.Leaving && !e.announced.leaving {
+		e.announced.leaving = true
+		c.log(Event{Name: "endpoint-leaving", Endpoint: string(e.registration.ID), Detail: "addr=" + e.registration.Addr})
+	}
 }
 
 // unregister marks e as no longer registered, and removes it unless requests of this
