Keep the row of a restarted endpoint when a request of its earlier instance ends

Cause: the row of the earlier instance is kept for its requests, and was removed by the endpoint's ID, which is the new one's too.

Test: TestEndOfARequestKeepsTheEndpointThatHasRestarted failed before.

--- a/internal/gateway/announcement_test.go
+++ b/internal/gateway/announcement_test.go
@@ -185,3 +185,25 @@
 		}
 	}
 }
+
+// TestEndOfARequestKeepsTheEndpointThatHasRestarted guards against the loss of an endpoint's row when
+// a request ends that its earlier instance ran.
+func TestEndOfARequestKeepsTheEndpointThatHasRestarted(t *testing.T) {
+	c := newTestCore(t, 0, 1)
+	d := dispatchOf(submit(c, time.Second, 1, "short"))
+	if d == nil {
+		t.Fatal("no dispatch")
+	}
+	rows := testEndpoints(18, 3)
+	without := &Endpoints{Rows: slices.DeleteFunc(slices.Clone(rows.Rows), func(r Registration) bool { return r.ID == d.Endpoint })}
+	for i := range rows.Rows {
+		rows.Rows[i].Born = 2000
+	}
+	c.Tick(2*time.Second, Input{Endpoints: without})
+	c.Tick(3*time.Second, Input{Endpoints: rows})
+	answer(c, 4*time.Second, 1, d, ResultDone, 200)
+	e := c.endpoints.Get(d.Endpoint)
+	if e == nil || e.registration.Born != 2000 || c.endpointsByHash[e.idHash] != e {
+		t.Errorf("endpoint %+v after the end of a request of its earlier instance, want it registered", e)
+	}
+}
--- a/internal/gateway/configure.go
+++ b/internal/gateway/configure.go
@@ -118,11 +118,15 @@
 	}
 }
 
-// removeEndpoint removes an endpoint and all work items there.
+// removeEndpoint removes an endpoint and all work items there. Its ID may have been registered
+// anew meanwhile; that row stays.
 func (c *Core) removeEndpoint(e *endpoint) {
 	for _, w := range slices.Clone(e.workItems) {
 		c.removeWork(w)
 	}
+	if c.endpoints.Get(e.registration.ID) != e {
+		return
+	}
 	delete(c.endpointsByHash, e.idHash)
 	c.timers.Stop(timerKey{kind: timerReturn, endpoint: e.registration.ID})
 	c.endpoints.Delete(e.registration.ID)
