List the store on a connection of its own

The same delays a confirmed change (CONFIG), since the watches fall silent with them.

Cause: a listing took an idle connection, which may have fallen silent, and hung for 1.5 s. That counted as an outage of the store, so that the next listing began the grace period of one, in which missing registrations are kept for 2.3 s more.

Change: each listing makes a connection of its own.

--- a/cmd/trefoilpath/platform.go
+++ b/cmd/trefoilpath/platform.go
@@ -64,7 +64,5 @@
 // storeClient returns the HTTP client for the platform's store.
 func storeClient() *http.Client {
 	dialer := &net.Dialer{Timeout: storeDialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true,
-	}}
+	return &http.Client{Transport: maderas.NewStoreTransport(dialer.DialContext)}
 }
--- a/internal/fleetsoak/soak_test.go
+++ b/internal/fleetsoak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"net"
 	"net/http"
 	"os"
 	"testing"
@@ -28,7 +29,7 @@
 	}
 	cfg := shell.Config{
 		Settings: s, Translator: platform.HeaderTranslator{}, Decoder: platform.NewDecoder(),
-		Store: platform.NewStore(s.StoreAddr, &http.Client{Transport: &http.Transport{}}), Log: os.Stdout, Reload: load,
+		Store: platform.NewStore(s.StoreAddr, &http.Client{Transport: platform.NewStoreTransport(new(net.Dialer).DialContext)}), Log: os.Stdout, Reload: load,
 	}
 	if m := os.Getenv(withoutEnv); m != "" {
 		mechanisms[m].remove(&cfg)
