Let memory reserved for a lost engine go also where no further attempt is allowed

Cause: a prompt was refused by its first engine, and the second, its last one, was lost before its first event.

Test: TestSilentLastAttemptLetsReservedMemoryGo failed before.

--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -245,7 +245,7 @@
 	Addr     string
 	Helpers  []Helper // engines that prefill parts of the prompt
 	// SilenceTimeout is how long the endpoint may take to begin its answer until another one
-	// is tried; 0: until the deadline.
+	// is tried, or the memory reserved for it is let go; 0: until the deadline.
 	SilenceTimeout time.Duration
 	// GapTimeout is how long a stream may pause between two events until it is reported as
 	// stalled; 0: until the deadline.
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -58,12 +58,15 @@
 }
 
 // silenceTimeout returns how long the endpoint may take to begin its answer until another one
-// is tried, or 0 if none may be.
+// is tried, or until the memory reserved for it is let go; 0 if neither is to be done.
 func (c *Core) silenceTimeout(r *request, p placement) time.Duration {
-	if !r.in.Route.Idempotent() || r.sends+1 >= r.in.Route.MaxAttempts {
+	replaceable := r.in.Route.Idempotent() && r.sends+1 < r.in.Route.MaxAttempts
+	switch {
+	case !replaceable && p.reserved != nil:
+		return reservedSilence(p.untilFirst)
+	case !replaceable:
 		return 0
-	}
-	if r.in.Route.Kind == route.KindStream {
+	case r.in.Route.Kind == route.KindStream:
 		timeout := minSilenceTimeout + 2*p.untilFirst
 		if p.reserved != nil {
 			timeout = min(timeout, reservedSilence(p.untilFirst))
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -287,3 +287,27 @@
 		t.Errorf("%d prompts are placed with reserved memory, want at least 20", reserved)
 	}
 }
+
+// TestSilentLastAttemptLetsReservedMemoryGo guards against memory that is held at other engines for a
+// lost one until the deadline, because no further attempt is allowed.
+func TestSilentLastAttemptLetsReservedMemoryGo(t *testing.T) {
+	c := coreWithBudget(t, 18, 1)
+	r := testRoutes()["long"]
+	d := dispatchOf(c.Tick(time.Second, Input{Arrive: &Arrival{
+		ID: 1, RequestID: "l", Route: r, Service: engineService, PromptTokens: 520_000, MaxOutputTokens: 500, Deadline: time.Second + r.Timeout,
+	}}))
+	if d == nil {
+		t.Fatal("no dispatch")
+	}
+	d = dispatchOf(answer(c, time.Second, 1, d, ResultFull, 503))
+	if d == nil || !slices.ContainsFunc(d.Helpers, func(h Helper) bool { return h.Tokens > 0 }) {
+		t.Fatalf("dispatch %+v after a refusal, want one with reserved memory", d)
+	}
+	c.Tick(time.Second, Input{Sent: &Sent{ID: 1, Attempt: d.Attempt}})
+	for now := time.Second; now <= time.Second+maxReservedSilence+silenceRecheck; now += 50 * time.Millisecond {
+		if slices.ContainsFunc(c.Tick(now), func(o Output) bool { return o.Cancel != nil && o.Cancel.Attempt == d.Attempt }) {
+			return
+		}
+	}
+	t.Errorf("not given up after %v, want the reserved memory to be freed", maxReservedSilence+silenceRecheck)
+}
