--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -49,7 +50,7 @@
 	idleSince time.Time // when the connection was returned to the pool
 	expires   time.Time // when the endpoint closes it, by its Keep-Alive header; zero: unknown
 
-	carried     []string     // IDs of the requests sent on it
+	carried     []uint64     // hashes of the IDs of the requests sent on it
 	body        *trackedBody // of the latest response
 	writeResult chan error   // receives the result of a write that runs while the response is read
 	unusable    bool         // the connection must not return to the pool
@@ -104,7 +105,7 @@
 // Write sends the request. One larger than maxInlineRequest is written in a
 // goroutine, since the endpoint may respond before it has read the whole body.
 func (c *Conn) Write(r *Request) error {
-	c.carried = append(c.carried, r.ID)
+	c.carried = append(c.carried, xxhash.Sum64String(r.ID))
 	head := r.head()
 	if len(head)+len(r.Body) <= maxInlineRequest {
 		_, err := c.net.Write(append(head, r.Body...))
@@ -195,7 +196,9 @@
 
 // carries reports whether the request with an ID has been sent on the connection. Without an ID
 // none counts as sent.
-func (c *Conn) carries(id string) bool { return id != "" && slices.Contains(c.carried, id) }
+func (c *Conn) carries(id string) bool {
+	return id != "" && slices.Contains(c.carried, xxhash.Sum64String(id))
+}
 
 // EndsWithConnection reports whether the body of resp has neither a length nor chunks, so
 // that only the end of the connection ends it (RFC 9112, section 6.3).
