Move the connections to the store out of the platform's folder

The folder only translates and has no time limits of its own. httpconn.Transport gives a request with the Close field a connection of its own, which the store's client asks for when it lists; behaviour is as before.

--- a/cmd/trefoilpath/platform.go
+++ b/cmd/trefoilpath/platform.go
@@ -13,6 +13,7 @@
 
 	"trefoilpath.org/trefoilpath/internal/gateway"
 	"trefoilpath.org/trefoilpath/internal/gateway/shell"
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 	"trefoilpath.org/trefoilpath/internal/settings"
 	maderas "trefoilpath.org/trefoilpath/platform"
 )
@@ -64,5 +65,5 @@
 // storeClient returns the HTTP client for the platform's store.
 func storeClient() *http.Client {
 	dialer := &net.Dialer{Timeout: storeDialTimeout}
-	return &http.Client{Transport: maderas.NewStoreTransport(dialer.DialContext)}
+	return &http.Client{Transport: httpconn.NewTransport(dialer.DialContext)}
 }
--- a/internal/fleetsoak/soak_test.go
+++ b/internal/fleetsoak/soak_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/gateway/shell"
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 	"trefoilpath.org/trefoilpath/platform"
 )
 
@@ -29,7 +30,7 @@
 	}
 	cfg := shell.Config{
 		Settings: s, Translator: platform.HeaderTranslator{}, Decoder: platform.NewDecoder(),
-		Store: platform.NewStore(s.StoreAddr, &http.Client{Transport: platform.NewStoreTransport(new(net.Dialer).DialContext)}), Log: os.Stdout, Reload: load,
+		Store: platform.NewStore(s.StoreAddr, &http.Client{Transport: httpconn.NewTransport(new(net.Dialer).DialContext)}), Log: os.Stdout, Reload: load,
 	}
 	if m := os.Getenv(withoutEnv); m != "" {
 		mechanisms[m].remove(&cfg)
--- /dev/null
+++ b/internal/httpconn/transport.go
@@ -0,0 +1,38 @@
+package httpconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// maxIdle is how long a connection of a Transport waits for the next request, maxIdlePerHost
+	// how many do.
+	maxIdle        = time.Second
+	maxIdlePerHost = 4
+)
+
+// Transport sends a request whose Close field is set on a new connection, and reuses
+// connections for others. http.Transport sends both kinds on an idle connection, which
+// may have fallen silent. Create it with NewTransport. It is safe for concurrent use.
+type Transport struct{ kept, single *http.Transport }
+
+// NewTransport returns a Transport whose connections are made by dial.
+func NewTransport(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Transport {
+	t := &Transport{kept: &http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: maxIdle, DisableCompression: true,
+	}}
+	t.single = t.kept.Clone()
+	t.single.DisableKeepAlives = true
+	return t
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.Close {
+		return t.single.RoundTrip(r)
+	}
+	return t.kept.RoundTrip(r)
+}
