Let the test of lost watching gateways begin once all know who watches

Its logs: none of the 13 was silent to others or had lost the store; all knew 30 others within 0.8 s of their start, and none wrote store-watch. A gateway looks whether it is to watch between two watches, and the first, begun before it knew the others, waits up to 20 s for a change. That costs calls and delays nothing, so it stays; the precondition was the test's.

Change: a change of the configuration ends these watches before the test looks. Its checks and bounds are as they were.

--- a/internal/fleetsoak/watchers_lost_test.go
+++ b/internal/fleetsoak/watchers_lost_test.go
@@ -42,6 +42,7 @@
 		t.Fatal(err)
 	}
 	time.Sleep(firstListings)
+	f.configure() // ends the watches that began before the gateways knew each other
 	watching, others := watchingGateways(t, f)
 	s := &run{opts: o, fleet: f, start: time.Now()}
 	transport := &http.Transport{DisableKeepAlives: true}
