Log what the connection of each attempt had carried before

Three hypotheses stand for bookings that ran and were refused, or ran twice. The log had the status of an attempt, but not whether its answer came on a new connection or on one that had carried requests before, where a copy of an earlier answer may be read. An attempt-ended line now has carried=N if that number isn't 0.

With a copy of a refusal taken for a proof, the second attempt of the request is full or misdirected with carried of at least 1; with an endpoint's own status that is passed on, the attempt is done or failed with count=408, 429 or 503.

--- a/internal/gateway/io.go
+++ b/internal/gateway/io.go
@@ -157,6 +157,8 @@
 	Result  Result
 	// Status is the HTTP status of the answer; 0: no answer.
 	Status int
+	// Carried is the number of requests that the connection of the attempt had carried before.
+	Carried int
 	// FailedEndpoint is the address or ID of the endpoint to which the failure is attributed,
 	// if it isn't the one that the request was sent to.
 	FailedEndpoint string
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -97,6 +97,9 @@
 	if end.Silence > 0 {
 		detail += " silence=" + end.Silence.Round(time.Millisecond).String()
 	}
+	if end.Carried > 0 {
+		detail += " carried=" + itoa(end.Carried)
+	}
 	if end.EndsWithConnection {
 		detail += " framing=connection"
 	}
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -209,6 +209,7 @@
 	if err != nil {
 		return x.failAttempt(a, e, gateway.ResultUnreachable, err)
 	}
+	e.Carried = conn.Carried()
 	conn.AbortOn(a.ctx)
 	a.sentAt = x.g.now()
 	a.heardAt = a.sentAt
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -217,6 +217,9 @@
 	return slices.Contains(c.carried, xxhash.Sum64String(id))
 }
 
+// Carried returns the number of requests that have been sent on the connection.
+func (c *Conn) Carried() int { return len(c.carried) }
+
 // EndsWithConnection reports whether the body of resp has neither a length nor chunks, so
 // that only the end of the connection ends it (RFC 9112, section 6.3).
 func EndsWithConnection(resp *http.Response) bool {
