Answer 502 for an endpoint's unproven 408, 429 or 503 to a request that may run once

Callers saw 408, 429 or 503 for a booking that had run, and these statuses promise that it has not run and never will (REFUSED); a caller that believes it books again.

Cause: an endpoint's own status was passed on unchanged, whatever it says of the request. The protocol asks for both, the unchanged status and the promise; the rule puts the promise first for requests that may run once only.

Change: without the endpoint's statement that it has not run the request, the caller of such a request gets 502, without the endpoint's signature and Retry-After, and the log line status-withheld names the status. Requests that may run again get the endpoint's answer unchanged, as nothing depends on the promise there.

--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -25,6 +25,8 @@
 	// the shorter one stated to callers: a caller's last request may be delayed by a
 	// lost packet.
 	keepAliveMargin = time.Second
+	// plainText is the media type of the gateway's own answers.
+	plainText = "text/plain; charset=utf-8"
 	// bodyTimeout bounds the time to read a request's body.
 	bodyTimeout = 5 * time.Second
 )
@@ -176,7 +178,7 @@
 // respondText sends a complete response with a line of text as its body.
 func (x *exchange) respondText(status int, text string) {
 	h := x.w.Header()
-	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Type", plainText)
 	h.Set("Content-Length", strconv.Itoa(len(text)+1))
 	x.setConnectionHeaders()
 	x.w.WriteHeader(status)
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -135,7 +135,7 @@
 		x.g.meters.responsesAborted.Inc(1)
 		panic(http.ErrAbortHandler) // a partial response must not look complete
 	case f.Verdict == gateway.VerdictDone && x.held != nil:
-		x.send(x.held.status, x.held.header, x.held.body)
+		x.send(x.held)
 	case f.Verdict == gateway.VerdictRefused:
 		x.g.meters.recordRefusal(f.Reason)
 		x.refuse(f.RetryAfter, "not run: "+string(f.Reason))
@@ -317,7 +317,7 @@
 		conn.Close()
 		return x.failAttempt(a, e, gateway.ResultBroken, err)
 	}
-	if len(body) > maxHeldBytes && !x.started() && !h.NotRun {
+	if len(body) > maxHeldBytes && !x.started() && !h.NotRun && !x.unproven(&h) {
 		return x.relayLarge(conn, resp, body, a, e)
 	}
 	conn.Release(resp)
@@ -329,12 +329,12 @@
 		e.Result = gateway.ResultFull
 		e.FailedEndpoint = h.Fault
 		e.Detail = "status " + strconv.Itoa(resp.StatusCode)
-	case resp.StatusCode < 500 && x.deliver(a, resp, body):
+	case resp.StatusCode < 500 && x.deliver(a, x.answerFor(resp, &h, body)):
 		e.Result = gateway.ResultDone
 	case a.ctx.Err() != nil:
 		return x.failAttempt(a, e, gateway.ResultBroken, a.ctx.Err())
 	default:
-		x.holdFailure(resp, body)
+		x.holdFailure(x.answerFor(resp, &h, body))
 		e.Result = gateway.ResultFailed
 	}
 	return x.deliveryState(e)
@@ -373,44 +373,44 @@
 
 // holdFailure keeps the first failure response, which the caller gets if no other
 // attempt succeeds.
-func (x *exchange) holdFailure(resp *http.Response, body []byte) {
+func (x *exchange) holdFailure(answer *heldResponse) {
 	x.delivery.Lock()
 	defer x.delivery.Unlock()
 	if x.held == nil && !x.responseStarted {
-		x.held = &heldResponse{status: resp.StatusCode, header: resp.Header, body: body}
+		x.held = answer
 	}
 }
 
-// deliver passes on a complete response of an attempt, and reports whether it may: no other
+// deliver passes on the complete answer of an attempt, and reports whether it may: no other
 // response has begun.
-func (x *exchange) deliver(a *attempt, resp *http.Response, body []byte) bool {
+func (x *exchange) deliver(a *attempt, answer *heldResponse) bool {
 	x.delivery.Lock()
 	defer x.delivery.Unlock()
 	if x.responseStarted || !x.claim(a) {
 		return false
 	}
 	x.notifyFirstEvent(a)
-	x.send(resp.StatusCode, resp.Header, body)
+	x.send(answer)
 	return true
 }
 
-// send sends a complete response of an endpoint to the caller.
-func (x *exchange) send(status int, header http.Header, body []byte) {
-	copyHeader(x.w.Header(), header)
-	length := strconv.Itoa(len(body))
+// send sends a complete answer to the caller.
+func (x *exchange) send(answer *heldResponse) {
+	copyHeader(x.w.Header(), answer.header)
+	length := strconv.Itoa(len(answer.body))
 	if x.r.Method == http.MethodHead {
-		length = header.Get("Content-Length") // that of the answer to a GET
+		length = answer.header.Get("Content-Length") // that of the answer to a GET
 	}
 	if length != "" {
 		x.w.Header().Set("Content-Length", length)
 	}
 	x.setConnectionHeaders()
 	x.responseStarted = true
-	x.w.WriteHeader(status)
-	if _, err := x.w.Write(body); err != nil {
+	x.w.WriteHeader(answer.status)
+	if _, err := x.w.Write(answer.body); err != nil {
 		x.logLocal("caller-lost", err.Error())
 	}
-	x.markComplete(status)
+	x.markComplete(answer.status)
 }
 
 // markComplete records that the caller has been sent the whole response.
--- a/internal/gateway/shell/metrics.go
+++ b/internal/gateway/shell/metrics.go
@@ -34,6 +34,7 @@
 	// before the first.
 	streamsTruncated metrics.Counter
 	responsesAborted metrics.Counter // responses that were begun and not completed, other than those whose caller left
+	statusesWithheld metrics.Counter // statuses of endpoints that would tell callers without proof that a request has not run
 	evacuated        metrics.Gauge   // failure domains that are out of use
 	storeEras        metrics.Counter // restores of the store from a backup, one for each cached copy
 }
@@ -57,6 +58,7 @@
 		logDrops:         metrics.NewRegisteredCounter("log_lines_dropped", r),
 		streamsTruncated: metrics.NewRegisteredCounter("streams_truncated", r),
 		responsesAborted: metrics.NewRegisteredCounter("responses_aborted", r),
+		statusesWithheld: metrics.NewRegisteredCounter("statuses_withheld", r),
 		evacuated:        metrics.NewRegisteredGauge("failure_domains_evacuated", r),
 		storeEras:        metrics.NewRegisteredCounter("store_eras", r),
 	}
--- a/internal/gateway/shell/translate.go
+++ b/internal/gateway/shell/translate.go
@@ -86,7 +86,8 @@
 
 // ResponseHeaders holds the parsed headers of an endpoint's response.
 type ResponseHeaders struct {
-	NotRun        bool   // the endpoint did not run the request
+	NotRun        bool   // the endpoint states that it did not run the request
+	ImpliesNotRun bool   // the status alone tells a caller that the request has not run
 	OtherEndpoint bool   // an endpoint other than ForwardHeaders.EndpointID responded
 	Fault         string // address or ID (the core accepts both) of the endpoint that caused the failure; empty: the one that responded
 	HasLoad       bool   // Load is set
