Take no answer that bears the IDs of two requests for the answer to one

An answer with the request's ID and that of another one was taken for the answer to the request, since only the first of its IDs was read.

Change: an answer belongs to a request if all of its IDs are the request's.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -89,6 +89,15 @@
 	return []byte(b.String())
 }
 
+// answeredBy reports whether a response carries the ID of the request and no other.
+func (r *Request) answeredBy(resp *http.Response) bool {
+	ids := resp.Header.Values(r.IDHeader)
+	if len(ids) == 0 {
+		return r.ID == ""
+	}
+	return !slices.ContainsFunc(ids, func(id string) bool { return id != r.ID })
+}
+
 // Do sends the request and reads the head of its response. After an error the
 // connection is closed.
 func (c *Conn) Do(r *Request) (*http.Response, error) {
@@ -131,7 +140,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.Header.Get(r.IDHeader) == r.ID {
+		if r.answeredBy(resp) {
 			c.body = &trackedBody{ReadCloser: resp.Body, ended: resp.Body == http.NoBody}
 			resp.Body = c.body
 			return resp, nil
