Take no change of protocols for an answer

An endpoint that answered 101 made the gateway tell its caller to switch protocols, as if the caller had asked for it: bytes that are no answer to the request (MIXED).

Change: 101 ends the attempt as broken.

Test: TestSwitchedProtocolIsNoAnswer failed before (status 101).

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -41,6 +41,9 @@
 // request.
 var ErrMismatchedResponse = errors.New("answer belongs to another request")
 
+// errSwitched is returned for a response that leaves HTTP, which no request asks for.
+var errSwitched = errors.New("the endpoint switches protocols")
+
 // Conn is one connection to an endpoint.
 type Conn struct {
 	pool      *Pool
@@ -176,7 +179,10 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
-		if resp.StatusCode >= 200 || resp.StatusCode == http.StatusSwitchingProtocols {
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errSwitched
+		}
+		if resp.StatusCode >= 200 {
 			c.limited.N = unlimited
 			return resp, nil
 		}
