Take no answer with a status below 100 for an interim one

An endpoint that answered with the status 099 and a body got this body read as the head of its answer, and one that looked like a refusal would have been the proof that frees a second send (TWICE).

Cause: every status below 200 counted as interim, and an interim answer has no body.

Change: a status below 100 ends the attempt as broken.

Test: TestBodyBelowStatus100IsNoAnswer failed before (the 503 in the body was read).

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -44,6 +44,10 @@
 // errSwitched is returned for a response that leaves HTTP, which no request asks for.
 var errSwitched = errors.New("the endpoint switches protocols")
 
+// errNoStatus is returned for a status that is neither an interim nor a final one, so that it is unknown
+// whether a body follows.
+var errNoStatus = errors.New("the answer's status is below 100")
+
 // Conn is one connection to an endpoint.
 type Conn struct {
 	pool      *Pool
@@ -179,7 +183,10 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case resp.StatusCode < 100:
+			return nil, errNoStatus
+		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitched
 		}
 		if resp.StatusCode >= 200 {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -136,6 +136,17 @@
 	}
 }
 
+// TestBodyBelowStatus100IsNoAnswer guards against a proof that is read in the body of a malformed answer.
+func TestBodyBelowStatus100IsNoAnswer(t *testing.T) {
+	s := newServer(t, func(c net.Conn, n int64, r *http.Request) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 099 X\r\n%s: a\r\nContent-Length: 60\r\n\r\nHTTP/1.1 503 X\r\n%s: a\r\nContent-Length: 0\r\n\r\n", testIDHeader, testIDHeader)
+		return err == nil
+	})
+	if body, err := exchange(NewPool(), s, "a"); err == nil {
+		t.Errorf("the answer %q was read, want an error", body)
+	}
+}
+
 // TestConnectionIsClosedAfterManyRequests checks that the IDs remembered for a connection are
 // bounded.
 func TestConnectionIsClosedAfterManyRequests(t *testing.T) {
