Tell the answer to HEAD from a copy of another one by its own connection

No caller has been seen to suffer from it. A copy of an earlier answer that arrived before the answer to a HEAD was taken to have no body, and its body was read as the answer: one that looked like a refusal would have been the proof that frees a second send (TWICE). In turn the copy of an answer to HEAD swallows the answer that follows.

Cause: whether a body follows depends on the method of the request that is answered, and the skipped answer belongs to another one.

Change: a HEAD skips no answer, and its connection carries no request after it.

Tests: TestCopyBeforeTheResponseToHEADIsNoAnswer (status 503 was read in a body) and TestConnectionOfAHEADIsNotReused failed before.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -124,6 +124,8 @@
 // goroutine, since the endpoint may respond before it has read the whole body.
 func (c *Conn) Write(r *Request) error {
 	c.carried = append(c.carried, xxhash.Sum64String(r.ID))
+	// A copy of the response to HEAD, which states the length of a body that it lacks, can't be skipped.
+	c.unusable = c.unusable || r.Method == http.MethodHead
 	head := r.head()
 	if len(head)+len(r.Body) <= maxInlineRequest {
 		_, err := c.net.Write(append(head, r.Body...))
@@ -140,7 +142,7 @@
 
 // Read reads the head of the response to r. It skips up to maxSkipped responses that don't carry
 // r's ID, or that carry one although r has none. The error is ErrMismatchedResponse if there are
-// more, or if the body of such a response is too large or ends with the connection.
+// more, if the body of such a response is too large or ends with the connection, or if r is a HEAD.
 func (c *Conn) Read(r *Request) (*http.Response, error) {
 	for range maxSkipped + 1 {
 		resp, err := c.readHead(r)
@@ -153,6 +155,9 @@
 			return resp, nil
 		}
 		c.unusable = true
+		if r.Method == http.MethodHead { // the other request may have another method, and its response a body
+			return nil, ErrMismatchedResponse
+		}
 		if err := skipBody(resp); err != nil {
 			return nil, err
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -136,6 +136,24 @@
 	}
 }
 
+// TestCopyBeforeTheResponseToHEADIsNoAnswer guards against a proof that is read in the body of a response
+// to another request, since the response to HEAD has none.
+func TestCopyBeforeTheResponseToHEADIsNoAnswer(t *testing.T) {
+	s := newServer(t, func(c net.Conn, n int64, r *http.Request) bool {
+		return reply(c, "a", fmt.Sprintf("HTTP/1.1 503 X\r\n%s: b\r\n\r\n", testIDHeader), "")
+	})
+	p := NewPool()
+	c, err := p.Get(context.Background(), s.listener.Addr().String(), time.Minute, "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := request("b")
+	r.Method = http.MethodHead
+	if resp, err := c.Do(r); err == nil {
+		t.Errorf("status %d was read in a body", resp.StatusCode)
+	}
+}
+
 // TestBodyBelowStatus100IsNoAnswer guards against a proof that is read in the body of a malformed answer.
 func TestBodyBelowStatus100IsNoAnswer(t *testing.T) {
 	s := newServer(t, func(c net.Conn, n int64, r *http.Request) bool {
@@ -208,6 +226,29 @@
 	}
 }
 
+// TestConnectionOfAHEADIsNotReused guards against the copy of a response to HEAD that swallows the next response,
+// as it states the length of a body that it lacks.
+func TestConnectionOfAHEADIsNotReused(t *testing.T) {
+	s := newServer(t, func(c net.Conn, n int64, r *http.Request) bool { return reply(c, "a", "", "") })
+	p := NewPool()
+	for range 2 {
+		c, err := p.Get(context.Background(), s.listener.Addr().String(), time.Minute, "not sent before")
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := request("a")
+		r.Method = http.MethodHead
+		resp, err := c.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Release(resp)
+	}
+	if n := s.conns.Load(); n != 2 {
+		t.Errorf("%d connections, want 2", n)
+	}
+}
+
 // TestResetBodyIsIncomplete checks that a body without a stated length counts as
 // complete only after an orderly close of the connection, not after a reset.
 func TestResetBodyIsIncomplete(t *testing.T) {
