Add an account of the bytes that a process holds for its peers

Nothing bounded what peers together can make a process hold. An account of a third of the process's memory is charged as bytes arrive; a quarter of it is kept for holders of up to 64 KiB, so that large ones don't keep ordinary requests out. When it has no room, holders without progress for 500 ms are evicted, the longest first, or else the newcomer is refused at once. Nothing uses it yet.

--- /dev/null
+++ b/internal/bytebudget/account.go
@@ -0,0 +1,268 @@
+package bytebudget
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// memoryFraction of a process's memory is the capacity of its Account. The rest is for the process
+	// itself, its connections, and memory that the garbage collector has not freed yet.
+	memoryFraction = 1.0 / 3
+	// reservedFraction of the capacity is kept for holders of at most SmallBytes, so that large
+	// ones can't keep ordinary requests out.
+	reservedFraction = 1.0 / 4
+	// SmallBytes is the size in bytes up to which a holder may use the whole capacity.
+	SmallBytes = 64 << 10
+	// StallTime is how long a holder must have made no progress to be evicted.
+	StallTime = 500 * time.Millisecond
+	// evictionTime bounds the wait for the bytes of evicted holders.
+	evictionTime = 500 * time.Millisecond
+)
+
+var (
+	// ErrShort is returned if the account has no room.
+	ErrShort = errors.New("memory for peers is short")
+	// ErrEvicted is returned to a holder that has been evicted.
+	ErrEvicted = errors.New("evicted, since memory or connections are short")
+)
+
+// Capacity returns the capacity in bytes of the account of a process with a memory limit in
+// bytes; 0: unlimited.
+func Capacity(memoryBytes int64) int64 { return int64(memoryFraction * float64(memoryBytes)) }
+
+// Account counts the bytes held. It is safe for concurrent use.
+type Account struct {
+	capacity int64 // bytes; 0: unlimited
+
+	mu        sync.Mutex
+	used      int64            // bytes
+	evictable map[*Holder]bool // that are read and may be evicted
+	freed     chan struct{}    // closed when bytes are given back; nil: nobody waits
+	now       func() time.Time // for tests
+}
+
+// New returns an account with a capacity in bytes; 0: unlimited.
+func New(capacity int64) *Account {
+	return &Account{capacity: capacity, evictable: make(map[*Holder]bool), now: time.Now}
+}
+
+// Used returns the number of bytes held.
+func (a *Account) Used() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.used
+}
+
+// Holder is what one peer makes the process hold, for example the body of a request. It is safe for
+// concurrent use.
+type Holder struct {
+	account  *Account
+	progress atomic.Int64 // time of the latest progress, in Unix ns
+
+	evicting sync.Mutex // held while evict runs; taken before the account's lock
+	evict    func()     // nil: can't be evicted
+	evicted  bool
+
+	bytes int64 // guarded by the account's lock
+}
+
+// Open returns a holder without bytes. Close must be called at its end.
+func (a *Account) Open() *Holder { return &Holder{account: a} }
+
+// Evictable lets the account evict the holder until Settle or Close, if it makes no progress. evict
+// must make the peer's bytes be given up soon, and not block.
+func (h *Holder) Evictable(evict func()) {
+	h.evicting.Lock()
+	defer h.evicting.Unlock()
+	h.evict, h.evicted = evict, false
+	h.Progress()
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.account.evictable[h] = true
+}
+
+// Progress records that the peer has made progress.
+func (h *Holder) Progress() { h.progress.Store(h.account.now().UnixNano()) }
+
+// Settle ends Evictable, and reports whether the holder has not been evicted. After it, evict does
+// not run.
+func (h *Holder) Settle() bool {
+	h.evicting.Lock()
+	defer h.evicting.Unlock()
+	h.evict = nil
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	delete(h.account.evictable, h)
+	return !h.evicted
+}
+
+// Evicted reports whether the holder has been evicted since the latest Evictable.
+func (h *Holder) Evicted() bool {
+	h.evicting.Lock()
+	defer h.evicting.Unlock()
+	return h.evicted
+}
+
+// Grow charges n more bytes. If the account has no room, it evicts holders that make no progress
+// and waits for their bytes. It returns ErrShort if that is not enough, and ErrEvicted if the
+// holder itself has been evicted; nothing is charged then.
+func (h *Holder) Grow(n int64) error {
+	a := h.account
+	if h.Evicted() {
+		return ErrEvicted
+	}
+	short := h.tryGrow(n)
+	if short == 0 {
+		return nil
+	}
+	if a.evictStalled(h, short) < short {
+		return ErrShort
+	}
+	timeout := time.NewTimer(evictionTime)
+	defer timeout.Stop()
+	for {
+		freed := a.awaitFreed()
+		if h.tryGrow(n) == 0 {
+			return nil
+		}
+		select {
+		case <-freed:
+		case <-timeout.C:
+			return ErrShort
+		}
+	}
+}
+
+// tryGrow charges n bytes if there is room, and returns the number of bytes that are missing.
+func (h *Holder) tryGrow(n int64) (missing int64) {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if missing := shortage(a.capacity, a.used, h.bytes, n); missing > 0 {
+		return missing
+	}
+	a.used += n
+	h.bytes += n
+	return 0
+}
+
+// shortage returns how many bytes are missing to add n to a holder that has some.
+func shortage(capacity, used, has, n int64) int64 {
+	if capacity <= 0 {
+		return 0
+	}
+	if has+n > SmallBytes {
+		capacity -= int64(reservedFraction * float64(capacity))
+	}
+	return max(used+n-capacity, 0)
+}
+
+// awaitFreed returns a channel that is closed when bytes are given back.
+func (a *Account) awaitFreed() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.freed == nil {
+		a.freed = make(chan struct{})
+	}
+	return a.freed
+}
+
+// Shrink gives n bytes back.
+func (h *Holder) Shrink(n int64) {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.shrink(min(n, h.bytes))
+}
+
+func (h *Holder) shrink(n int64) {
+	a := h.account
+	h.bytes -= n
+	a.used -= n
+	if n > 0 && a.freed != nil {
+		close(a.freed)
+		a.freed = nil
+	}
+}
+
+// Close gives all bytes back. The holder can be used again.
+func (h *Holder) Close() {
+	h.Settle()
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h.shrink(h.bytes)
+}
+
+// EvictStalled evicts up to n holders that make no progress, those without progress for longest first,
+// and returns how many.
+func (a *Account) EvictStalled(n int) int {
+	evicted := 0
+	for _, h := range a.stalled() {
+		if evicted == n {
+			break
+		}
+		if h.evictNow() {
+			evicted++
+		}
+	}
+	return evicted
+}
+
+// evictStalled evicts holders other than one, until they have a number of bytes together, and returns
+// the number of bytes that they have.
+func (a *Account) evictStalled(except *Holder, bytes int64) int64 {
+	evicted := int64(0)
+	for _, h := range a.stalled() {
+		if evicted >= bytes {
+			break
+		}
+		if held := h.held(); h != except && held > 0 && h.evictNow() {
+			evicted += held
+		}
+	}
+	return evicted
+}
+
+// stalled returns the evictable holders without progress for StallTime, the longest first.
+func (a *Account) stalled() []*Holder {
+	before := a.now().Add(-StallTime).UnixNano()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []*Holder
+	for h := range a.evictable {
+		if h.progress.Load() <= before {
+			out = append(out, h)
+		}
+	}
+	slices.SortFunc(out, func(x, y *Holder) int { return cmp.Compare(x.progress.Load(), y.progress.Load()) })
+	return out
+}
+
+func (h *Holder) held() int64 {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	return h.bytes
+}
+
+// evictNow evicts the holder, and reports whether it could.
+func (h *Holder) evictNow() bool {
+	h.evicting.Lock()
+	defer h.evicting.Unlock()
+	if h.evict == nil || h.evicted {
+		return false
+	}
+	h.evicted = true
+	h.evict()
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.evictable, h)
+	return true
+}
