Bound the memory that bodies of requests take together

Operators saw a gateway end by its memory under clients that send many large bodies at once and stop short of their end. readBody held each body up to the limit, announced ones whole before a byte had come, chunked ones with the garbage of io.ReadAll; nothing bounded their sum.

Bodies are charged to an account of the process as they arrive, and kept on it until the request ends. A body that is announced over the limit gets 413 at once instead of being read up to the limit.

--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/gateway"
 	"trefoilpath.org/trefoilpath/internal/route"
 )
@@ -27,11 +28,14 @@
 	keepAliveMargin = time.Second
 	// bodyTimeout bounds the time to read a request's body.
 	bodyTimeout = 5 * time.Second
+	// memoryRetryAfter is the Retry-After of a response to a request for whose body there is no memory.
+	memoryRetryAfter = 300 * time.Millisecond
 )
 
 // ServeHTTP implements http.Handler for callers' requests.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := g.newExchange(w, r)
+	defer x.memory.Close()
 	table := g.table.Load()
 	if table == nil {
 		x.logLocal("refuse", "no-configuration")
@@ -107,7 +111,7 @@
 }
 
 // readBody reads the whole body into memory, so that it can be sent to a second
-// endpoint. If the body is too large, it sends the response and returns false.
+// endpoint. If the body is too large or memory is short, it sends the response and returns false.
 func (x *exchange) readBody(limits route.Limits) bool {
 	if x.r.Body == nil || x.r.Body == http.NoBody {
 		return true
@@ -116,48 +120,81 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	control := http.NewResponseController(x.w)
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		x.g.log.Warn().Str("event", "no-read-deadline").Err(err).Send()
+	if x.r.ContentLength > limit {
+		x.stopReading()
+		x.rejectBody(limit)
+		return false
 	}
-	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit)
+	x.setReadDeadline(time.Now().Add(bodyTimeout))
+	x.memory.Evictable(func() { x.setReadDeadline(pastDeadline) })
+	body, err := readAll(x.memory, http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit)
+	kept := x.memory.Settle()
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		x.reject(http.StatusRequestEntityTooLarge, "body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+	switch {
+	case errors.As(err, &large):
+		x.rejectBody(limit)
 		return false
-	}
-	if err != nil {
+	case err == bytebudget.ErrShort:
+		x.refuseBody()
+		return false
+	case !kept:
+		x.logLocal("body-evicted", "no progress while memory is short")
+		x.g.meters.bodiesEvicted.Inc(1)
+		panic(http.ErrAbortHandler)
+	case err != nil:
 		x.logLocal("body-not-read", err.Error())
 		panic(http.ErrAbortHandler) // the caller has disconnected or was too slow
 	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		x.g.log.Warn().Str("event", "no-read-deadline").Err(err).Send()
-	}
+	x.setReadDeadline(time.Time{})
 	x.body = body
 	return true
 }
 
-// readAll reads a body of a stated size into a buffer of that size. A size of -1 is
-// unknown. limit is the bound that r itself enforces.
-func readAll(r io.Reader, size, limit int64) ([]byte, error) {
-	if size < 0 || size > limit {
-		return io.ReadAll(r)
+// pastDeadline is a deadline that has passed.
+var pastDeadline = time.Unix(1, 0)
+
+func (x *exchange) setReadDeadline(t time.Time) {
+	if err := http.NewResponseController(x.w).SetReadDeadline(t); err != nil {
+		x.g.log.Warn().Str("event", "no-read-deadline").Err(err).Send()
 	}
-	buf := make([]byte, size)
-	if _, err := io.ReadFull(r, buf); err != nil {
+}
+
+// stopReading lets the connection end after the response to a request whose body is not read.
+func (x *exchange) stopReading() {
+	x.w.Header().Set("Connection", "close")
+	x.setReadDeadline(pastDeadline)
+}
+
+// refuseBody responds to a request for whose body there is no memory.
+func (x *exchange) refuseBody() {
+	x.memory.Close()
+	x.stopReading()
+	x.g.meters.bodiesRefused.Inc(1)
+	x.logLocal("refuse", "memory-short")
+	x.refuse(memoryRetryAfter, "not run: memory is short")
+}
+
+func (x *exchange) rejectBody(limit int64) {
+	x.memory.Close()
+	x.reject(http.StatusRequestEntityTooLarge, "body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+}
+
+// readAll reads a body of a stated size to its end, so that the server knows that it is complete. A
+// size of -1 is unknown. limit is the bound that r itself enforces.
+func readAll(h *bytebudget.Holder, r io.Reader, size, limit int64) ([]byte, error) {
+	if size < 0 {
+		return h.ReadAll(r, limit+1, false)
+	}
+	body, err := h.ReadAll(r, size+1, true)
+	switch n := int64(len(body)); {
+	case err != nil:
 		return nil, err
-	}
-	// Reads to the end, so that the server knows that the body is complete. An error
-	// means that the caller disconnected or was too slow.
-	var rest [1]byte
-	n, err := r.Read(rest[:])
-	if n > 0 {
+	case n > size:
 		return nil, errors.New("body is longer than stated")
+	case n < size:
+		return nil, io.ErrUnexpectedEOF
 	}
-	if err != nil && err != io.EOF {
-		return nil, errors.Wrap(err, "read the end of the body")
-	}
-	return buf, nil
+	return body, nil
 }
 
 // reject responds to a request that can't be served in this form.
@@ -186,12 +223,14 @@
 	x.g.meters.recordResponse(status, x.g.now()-x.arrived)
 }
 
-// setConnectionHeaders sets Connection: close while the process shuts down, and
-// otherwise a Keep-Alive timeout of the configuration's idle limit less
+// setConnectionHeaders sets Connection: close while the process shuts down, and, unless
+// the connection is to be closed, a Keep-Alive timeout of the configuration's idle limit less
 // keepAliveMargin, if that is at least a second.
 func (x *exchange) setConnectionHeaders() {
 	if x.g.leaving.Load() {
 		x.w.Header().Set("Connection", "close")
+	}
+	if x.w.Header().Get("Connection") == "close" {
 		return
 	}
 	table := x.g.table.Load()
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/gateway"
 	"trefoilpath.org/trefoilpath/internal/route"
 	"trefoilpath.org/trefoilpath/internal/upstream"
@@ -48,6 +49,7 @@
 	body     []byte
 	deadline time.Duration // time on the gateway's clock
 	finish   chan *gateway.Finish
+	memory   *bytebudget.Holder // of the body and of responses that are held
 
 	running sync.WaitGroup // attempts
 
@@ -95,6 +97,7 @@
 	return &exchange{
 		g: g, w: w, r: r, arrived: g.now(), caller: g.cfg.Translator.Request(r.Header),
 		finish:   make(chan *gateway.Finish, 1),
+		memory:   g.memory.Open(),
 		attempts: make(map[int]context.CancelFunc),
 	}
 }
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/gateway"
 	"trefoilpath.org/trefoilpath/internal/httpconn"
 	"trefoilpath.org/trefoilpath/internal/invariant"
@@ -45,7 +46,8 @@
 	logLines           *boundedWriter
 	meters             *meters
 	pool               *upstream.Pool
-	conns              *httpconn.Tracker // of callers
+	conns              *httpconn.Tracker   // of callers
+	memory             *bytebudget.Account // of what callers and endpoints make the process hold
 	peers              *peerSocket
 	configSyncer       *storecopy.Syncer
 	registrationSyncer *storecopy.Syncer
@@ -75,6 +77,7 @@
 	s := &cfg.Settings
 	g := &Gateway{
 		cfg: cfg, start: time.Now(), meters: newMeters(), pool: upstream.NewPool(), conns: httpconn.NewTracker(),
+		memory:    bytebudget.New(bytebudget.Capacity(s.MemoryBytes)),
 		logLines:  newBoundedWriter(cfg.Log),
 		exchanges: make(map[gateway.RequestID]*exchange),
 		fatal:     make(chan error, 1),
--- a/internal/gateway/shell/metrics.go
+++ b/internal/gateway/shell/metrics.go
@@ -36,6 +36,8 @@
 	responsesAborted metrics.Counter // responses that were begun and not completed, other than those whose caller left
 	evacuated        metrics.Gauge   // failure domains that are out of use
 	storeEras        metrics.Counter // restores of the store from a backup, one for each cached copy
+	bodiesRefused    metrics.Counter // requests refused since there was no memory for their bodies
+	bodiesEvicted    metrics.Counter // requests whose bodies made no progress while memory or connections were short
 }
 
 func newMeters() *meters {
@@ -59,6 +61,8 @@
 		responsesAborted: metrics.NewRegisteredCounter("responses_aborted", r),
 		evacuated:        metrics.NewRegisteredGauge("failure_domains_evacuated", r),
 		storeEras:        metrics.NewRegisteredCounter("store_eras", r),
+		bodiesRefused:    metrics.NewRegisteredCounter("bodies_refused", r),
+		bodiesEvicted:    metrics.NewRegisteredCounter("bodies_evicted", r),
 	}
 	for _, status := range []int{200, 401, 404, 413, 429, 500, 502, 503, 504} {
 		m.statuses[status] = metrics.NewRegisteredCounter(fmt.Sprintf("answers_%d", status), r)
