Bound the connections of callers

Operators saw "too many open files" and a store that was unreachable time and again while 4,600 callers kept connections open against 4,100 descriptors: nothing bounded the connections of callers, and each new one was accepted.

The bound follows from the descriptors and the memory of the process, and leaves half of the sockets to endpoints, the store and peers. At the bound connections are closed that have waited 500 ms for a head or for the next bytes of a body, the longest wait first, then idle ones, else the newcomer unread.

--- a/internal/gateway/shell/metrics.go
+++ b/internal/gateway/shell/metrics.go
@@ -37,6 +37,8 @@
 	evacuated        metrics.Gauge   // failure domains that are out of use
 	storeEras        metrics.Counter // restores of the store from a backup, one for each cached copy
 	bodiesRefused    metrics.Counter // requests refused since there was no memory for their bodies
+	callersShed      metrics.Counter // connections of callers that waited and were closed for others
+	callersRefused   metrics.Counter // connections of callers that were closed unread for lack of a place
 	bodiesEvicted    metrics.Counter // requests whose bodies made no progress while memory or connections were short
 }
 
@@ -62,6 +64,8 @@
 		evacuated:        metrics.NewRegisteredGauge("failure_domains_evacuated", r),
 		storeEras:        metrics.NewRegisteredCounter("store_eras", r),
 		bodiesRefused:    metrics.NewRegisteredCounter("bodies_refused", r),
+		callersShed:      metrics.NewRegisteredCounter("caller_connections_shed", r),
+		callersRefused:   metrics.NewRegisteredCounter("caller_connections_refused", r),
 		bodiesEvicted:    metrics.NewRegisteredCounter("bodies_evicted", r),
 	}
 	for _, status := range []int{200, 401, 404, 413, 429, 500, 502, 503, 504} {
--- a/internal/gateway/shell/run.go
+++ b/internal/gateway/shell/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -191,8 +192,14 @@
 }
 
 // sweepCallers closes callers' connections that wait beyond the timeouts of the
-// configuration.
+// configuration, and logs those that were closed at the bound of connections.
 func (g *Gateway) sweepCallers(now time.Time) {
+	if closed, refused := g.conns.Shed(); closed+refused > 0 {
+		g.meters.callersShed.Inc(int64(closed))
+		g.meters.callersRefused.Inc(int64(refused))
+		g.log.Warn().Str("event", "caller-connections-shed").Int("count", closed+refused).
+			Str("detail", fmt.Sprintf("closed=%d refused=%d", closed, refused)).Send()
+	}
 	table := g.table.Load()
 	if table == nil {
 		return
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -8,20 +8,30 @@
 )
 
 // Listener returns a listener whose plain TCP connections the tracker can close while they
-// wait for a request. Other connections are never closed by it.
+// wait for a request. Other connections are never closed by it. Connections for which the tracker's
+// limits have no place are closed unread.
 func (t *Tracker) Listener(l net.Listener) net.Listener {
-	return listener{l}
+	return listener{Listener: l, tracker: t}
 }
 
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	tracker *Tracker
+}
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if tcp, ok := c.(*net.TCPConn); ok && err == nil {
-		return &trackedConn{TCPConn: tcp}, nil
+	for {
+		c, err := l.Listener.Accept()
+		tcp, ok := c.(*net.TCPConn)
+		if err != nil || !ok {
+			return c, err
+		}
+		if l.tracker.admit() {
+			return &trackedConn{TCPConn: tcp}, nil
+		}
+		_ = tcp.Close() // the connection is dropped either way
 	}
-	return c, err
 }
 
 // trackedConn is a server's connection that can be closed without losing a request. A server
@@ -111,6 +121,13 @@
 	c.wait = connWait{since: time.Now(), idle: s == http.StateIdle}
 }
 
+// currentWait returns the connection's wait, and whether it waits.
+func (c *trackedConn) currentWait() (connWait, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.wait, c.waits && !c.ending && !c.ended
+}
+
 // pastDeadline is a deadline that has passed.
 var pastDeadline = time.Unix(1, 0)
 
--- /dev/null
+++ b/internal/httpconn/limits.go
@@ -0,0 +1,167 @@
+package httpconn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
+)
+
+const (
+	// fileDescriptors are kept for files and the like, which are not connections, but at most
+	// fileFraction of all.
+	fileDescriptors = 200
+	fileFraction    = 4
+	// callerFraction is the part of the remaining descriptors that connections of callers may take:
+	// each request in flight has one to an endpoint as well, and others go to the store and to peers.
+	callerFraction = 2
+	// connectionBytes is the memory that a connection takes, with its goroutines and buffers, in
+	// bytes. Connections of callers may take a connectionFraction of the process's memory.
+	connectionBytes    = 32 << 10
+	connectionFraction = 4
+	// stallTime is how long a connection must have waited for a request to be closed for another one.
+	stallTime = 500 * time.Millisecond
+	// minIdle is how long an idle connection stays open in any case: its client may send the next
+	// request as soon as it has a response.
+	minIdle = quietTime
+	// shedFraction of the connections are closed at once at the bound, so that a crowd
+	// of newcomers does not cost a search each.
+	shedFraction = 32
+	// shedTime bounds the wait for their end, and rescanTime is the least time between two searches
+	// without a result.
+	shedTime   = 50 * time.Millisecond
+	rescanTime = 20 * time.Millisecond
+)
+
+// MaxConnections returns how many connections of callers a process may have open, by its limits of
+// descriptors and of memory in bytes, of which 0 is unlimited. 0: any number.
+func MaxConnections(descriptors int, memoryBytes int64) int {
+	byDescriptors := (descriptors - min(fileDescriptors, descriptors/fileFraction)) / callerFraction
+	byMemory := int(memoryBytes / connectionFraction / connectionBytes)
+	switch {
+	case descriptors <= 0 && memoryBytes <= 0:
+		return 0
+	case descriptors <= 0:
+		return max(byMemory, 1)
+	case memoryBytes <= 0:
+		return max(byDescriptors, 1)
+	}
+	return max(min(byDescriptors, byMemory), 1)
+}
+
+// Limits bound what the clients of a server can make it hold.
+type Limits struct {
+	Connections int                 // open at once; 0: any number
+	Memory      *bytebudget.Account // may evict requests that make no progress for new connections; nil: none
+}
+
+// SetLimits sets the limits. It is called before Listener.
+func (t *Tracker) SetLimits(l Limits) { t.limits = l }
+
+// Shed returns the numbers of connections that were closed for others, and of those that were closed
+// unread for lack of a place, since the previous call.
+func (t *Tracker) Shed() (closed, refused int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	closed, refused = t.shedCount, t.refused
+	t.shedCount, t.refused = 0, 0
+	return closed, refused
+}
+
+// admit reports whether there is a place for a new connection. At the bound it closes others that
+// wait.
+func (t *Tracker) admit() bool {
+	if !t.full() || t.makeRoom() && t.awaitRoom() {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refused++
+	return false
+}
+
+// awaitRoom waits for the end of connections that are being closed, and reports whether there is a
+// place then.
+func (t *Tracker) awaitRoom() bool {
+	timeout := time.NewTimer(shedTime)
+	defer timeout.Stop()
+	for t.full() {
+		select {
+		case <-t.closed:
+		case <-timeout.C:
+			return false
+		}
+	}
+	return true
+}
+
+func (t *Tracker) full() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limits.Connections > 0 && len(t.conns) >= t.limits.Connections
+}
+
+// makeRoom closes connections that wait, and reports whether there were any. It is called by the
+// listener only.
+func (t *Tracker) makeRoom() bool {
+	now := time.Now()
+	if now.Sub(t.searched) < rescanTime {
+		return false
+	}
+	n := max(t.limits.Connections/shedFraction, 1)
+	closed := t.endLongest(now, n, false, stallTime)
+	if closed < n && t.limits.Memory != nil {
+		closed += t.limits.Memory.EvictStalled(n - closed)
+	}
+	if closed == 0 {
+		closed = t.endLongest(now, n, true, minIdle)
+	}
+	if closed == 0 {
+		t.searched = now
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.shedCount += closed
+	return true
+}
+
+// endLongest closes up to n connections that wait, idle ones or others, the longest wait first, and
+// returns how many. Each has waited for a minimum.
+func (t *Tracker) endLongest(now time.Time, n int, idle bool, minimum time.Duration) int {
+	closed := 0
+	for _, c := range longestWaits(t.waiting(), now, idle, minimum) {
+		if closed == n {
+			break
+		}
+		if c.conn.end(func(w connWait) bool { return w == c.wait }) {
+			closed++
+		}
+	}
+	return closed
+}
+
+// waitingConn is a connection with its wait.
+type waitingConn struct {
+	conn *trackedConn
+	wait connWait
+}
+
+func (t *Tracker) waiting() []waitingConn {
+	var out []waitingConn
+	for _, c := range t.open() {
+		if wait, waits := c.currentWait(); waits {
+			out = append(out, waitingConn{conn: c, wait: wait})
+		}
+	}
+	return out
+}
+
+// longestWaits returns those connections, idle or not, that have waited for a minimum, the longest
+// wait first.
+func longestWaits(conns []waitingConn, now time.Time, idle bool, minimum time.Duration) []waitingConn {
+	conns = slices.DeleteFunc(conns, func(c waitingConn) bool { return c.wait.idle != idle || now.Sub(c.wait.since) < minimum })
+	slices.SortFunc(conns, func(a, b waitingConn) int { return cmp.Compare(a.wait.since.UnixNano(), b.wait.since.UnixNano()) })
+	return conns
+}
--- a/internal/httpconn/tracker.go
+++ b/internal/httpconn/tracker.go
@@ -19,11 +19,17 @@
 	mu     sync.Mutex
 	conns  map[*trackedConn]bool // all that are open
 	active map[net.Conn]bool     // a request has been read, and its response is not yet written
+
+	shedCount, refused int // since the latest Shed
+
+	limits   Limits
+	closed   chan struct{} // receives when a connection has been closed
+	searched time.Time     // when makeRoom last found none to close
 }
 
 // NewTracker returns a tracker without connections.
 func NewTracker() *Tracker {
-	return &Tracker{conns: make(map[*trackedConn]bool), active: make(map[net.Conn]bool)}
+	return &Tracker{conns: make(map[*trackedConn]bool), active: make(map[net.Conn]bool), closed: make(chan struct{}, 1)}
 }
 
 // OnStateChange is an http.Server.ConnState hook.
@@ -44,6 +50,10 @@
 		t.active[conn] = true
 	case http.StateClosed, http.StateHijacked:
 		delete(t.conns, c)
+		select {
+		case t.closed <- struct{}{}:
+		default: // an earlier end has not been noticed yet
+		}
 	}
 }
 
