Charge the heads of requests to the account of the process

A head of 32 KiB with 5,000 fields takes some twenty times its bytes as a parsed request, and a half of it is kept for the whole header timeout: 200 connections took 120 MB where 96 are allowed. Nothing but the size of a single head was bounded.

A connection charges the account for what it reads of a head, by bytes and fields, until the request has ended. While it waits for the rest of a head, the account may evict it; if there is no room it is closed before the request has been read, which callers may take as not run.

--- a/internal/bytebudget/account.go
+++ b/internal/bytebudget/account.go
@@ -191,15 +191,22 @@
 	}
 }
 
-// Close gives all bytes back. The holder can be used again.
+// Close gives all bytes back. The holder can be used again, as a new one.
 func (h *Holder) Close() {
 	h.Settle()
+	h.forgetEviction()
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	h.shrink(h.bytes)
 }
 
+func (h *Holder) forgetEviction() {
+	h.evicting.Lock()
+	defer h.evicting.Unlock()
+	h.evicted = false
+}
+
 // EvictStalled evicts up to n holders that make no progress, those without progress for longest first,
 // and returns how many.
 func (a *Account) EvictStalled(n int) int {
@@ -223,7 +230,7 @@
 		if evicted >= bytes {
 			break
 		}
-		if held := h.held(); h != except && held > 0 && h.evictNow() {
+		if held := h.Bytes(); h != except && held > 0 && h.evictNow() {
 			evicted += held
 		}
 	}
@@ -245,7 +252,8 @@
 	return out
 }
 
-func (h *Holder) held() int64 {
+// Bytes returns the number of bytes that the holder has.
+func (h *Holder) Bytes() int64 {
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
 	return h.bytes
--- a/internal/bytebudget/account_test.go
+++ b/internal/bytebudget/account_test.go
@@ -71,7 +71,7 @@
 		}
 		h.Evictable(func() {
 			evicted[h] = true
-			go h.Close()
+			go h.Shrink(1 << 20)
 		})
 	}
 	if !settled.Settle() {
@@ -88,6 +88,10 @@
 	if err := stalled.Grow(1); err != ErrEvicted {
 		t.Errorf("error %v for an evicted holder, want ErrEvicted", err)
 	}
+	stalled.Close()
+	if err := stalled.Grow(1); err != nil {
+		t.Errorf("error %v for a holder that is used again", err)
+	}
 }
 
 func TestEvictionTakesTheLongestWithoutProgress(t *testing.T) {
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 )
 
 // Listener returns a listener whose plain TCP connections the tracker can close while they
@@ -28,21 +30,32 @@
 			return c, err
 		}
 		if l.tracker.admit() {
-			return &trackedConn{TCPConn: tcp}, nil
+			return l.tracker.track(tcp), nil
 		}
 		_ = tcp.Close() // the connection is dropped either way
 	}
 }
 
+func (t *Tracker) track(conn *net.TCPConn) *trackedConn {
+	c := &trackedConn{TCPConn: conn, tracker: t}
+	if t.limits.Memory != nil {
+		c.memory = t.limits.Memory.Open()
+	}
+	return c
+}
+
 // trackedConn is a server's connection that can be closed without losing a request. A server
 // that is blocked in Read and has not reported the connection as active lacks at least a part
 // of a request's head. Its Read is then made to time out, and closes the connection if it has
 // received nothing.
 type trackedConn struct {
 	*net.TCPConn
+	tracker  *Tracker
+	memory   *bytebudget.Holder // of the head of the latest request; nil: not accounted
 	mu       sync.Mutex
-	waits    bool      // new or idle: no request's head has been read
-	wait     connWait  // if waits
+	waits    bool     // new or idle: no request's head has been read
+	wait     connWait // if waits
+	head     headState
 	reading  bool      // the server is in Read
 	ending   bool      // to be closed by Read, unless it has received something
 	ended    bool      // closed by Read
@@ -57,6 +70,7 @@
 
 // Read implements net.Conn. After the tracker has closed the connection it returns no data.
 func (c *trackedConn) Read(b []byte) (int, error) {
+	c.awaitRest()
 	if !c.startRead() {
 		return 0, net.ErrClosed
 	}
@@ -64,9 +78,22 @@
 	if !c.finishRead(n) {
 		return 0, net.ErrClosed
 	}
+	if n > 0 && !c.chargeHead(b[:n]) {
+		c.tracker.countRefused()
+		c.close()
+		return 0, net.ErrClosed
+	}
 	return n, err
 }
 
+// close closes the connection; nothing is read from it any more.
+func (c *trackedConn) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	_ = c.TCPConn.Close() // the connection is dropped either way
+}
+
 func (c *trackedConn) startRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -88,6 +115,9 @@
 		c.ending = false
 		_ = c.TCPConn.SetReadDeadline(c.deadline) // fails only on a closed connection, as does the next read
 	}
+	if n > 0 && c.waits && c.head == headNone {
+		c.head = headBegun
+	}
 	if n > 0 && c.waits && c.wait.idle {
 		c.wait = connWait{since: time.Now()}
 	}
@@ -115,8 +145,20 @@
 
 // onStateChange records a state that an http.Server has reported.
 func (c *trackedConn) onStateChange(s http.ConnState) {
+	c.setWait(s)
+	switch {
+	case c.memory == nil:
+	case s == http.StateActive:
+		c.memory.Settle() // one that was evicted at the same time has arrived nevertheless
+	default:
+		c.memory.Close()
+	}
+}
+
+func (c *trackedConn) setWait(s http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.head = headNone
 	c.waits = s == http.StateNew || s == http.StateIdle
 	c.wait = connWait{since: time.Now(), idle: s == http.StateIdle}
 }
--- a/internal/httpconn/limits.go
+++ b/internal/httpconn/limits.go
@@ -53,14 +53,14 @@
 // Limits bound what the clients of a server can make it hold.
 type Limits struct {
 	Connections int                 // open at once; 0: any number
-	Memory      *bytebudget.Account // may evict requests that make no progress for new connections; nil: none
+	Memory      *bytebudget.Account // charged for heads, and may evict requests that make no progress for new connections; nil: none
 }
 
 // SetLimits sets the limits. It is called before Listener.
 func (t *Tracker) SetLimits(l Limits) { t.limits = l }
 
 // Shed returns the numbers of connections that were closed for others, and of those that were closed
-// unread for lack of a place, since the previous call.
+// without a request for lack of a place or of memory for its head, since the previous call.
 func (t *Tracker) Shed() (closed, refused int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -75,10 +75,14 @@
 	if !t.full() || t.makeRoom() && t.awaitRoom() {
 		return true
 	}
+	t.countRefused()
+	return false
+}
+
+func (t *Tracker) countRefused() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.refused++
-	return false
 }
 
 // awaitRoom waits for the end of connections that are being closed, and reports whether there is a
