Bound what callers that do not take their responses make a gateway hold

A response of up to 1 MiB is held until it is complete.

Held responses are charged to the account of the process as they arrive. Without room a response is relayed as it arrives instead, so that the endpoint is read no faster than the caller; a failure is given up, since another endpoint may serve the request. A caller that takes less than 64 KiB of its response, or less than what is left, within 10 s loses its connection.

--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -28,6 +28,8 @@
 	keepAliveMargin = time.Second
 	// bodyTimeout bounds the time to read a request's body.
 	bodyTimeout = 5 * time.Second
+	// writeTimeout bounds the time in which a caller takes 64 KiB of its response.
+	writeTimeout = 10 * time.Second
 	// memoryRetryAfter is the Retry-After of a response to a request for whose body there is no memory.
 	memoryRetryAfter = 300 * time.Millisecond
 )
--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -314,14 +314,18 @@
 		// The core must not take the attempt as silent while a long body arrives.
 		x.notifyFirstEvent(a)
 	}
-	body, err := readHeld(resp.Body)
-	if err != nil {
+	body, err := readHeld(x.memory, resp.Body)
+	short := err == bytebudget.ErrShort
+	if !short && err != nil {
 		conn.Close()
 		return x.failAttempt(a, e, gateway.ResultBroken, err)
 	}
-	if len(body) > maxHeldBytes && !x.started() && !h.NotRun {
+	if mustRelay(body, short, resp.StatusCode) && !x.started() && !h.NotRun {
 		return x.relayLarge(conn, resp, body, a, e)
 	}
+	if short && (!h.NotRun || resp.StatusCode == http.StatusBadRequest) {
+		return x.giveUpResponse(conn, e)
+	}
 	conn.Release(resp)
 	switch {
 	case h.OtherEndpoint:
--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -82,7 +82,9 @@
 		exchanges: make(map[gateway.RequestID]*exchange),
 		fatal:     make(chan error, 1),
 	}
-	g.conns.SetLimits(httpconn.Limits{Connections: httpconn.MaxConnections(s.Descriptors, s.MemoryBytes), Memory: g.memory})
+	g.conns.SetLimits(httpconn.Limits{
+		Connections: httpconn.MaxConnections(s.Descriptors, s.MemoryBytes), Memory: g.memory, WriteTimeout: writeTimeout,
+	})
 	g.log = newLogger(g.logLines, s.Node)
 	g.core = gateway.New(gateway.Config{
 		Incarnation: uint64(g.start.UnixNano()), Addr: s.PeerAddr, Seeds: s.Seeds,
--- a/internal/gateway/shell/metrics.go
+++ b/internal/gateway/shell/metrics.go
@@ -37,6 +37,7 @@
 	evacuated        metrics.Gauge   // failure domains that are out of use
 	storeEras        metrics.Counter // restores of the store from a backup, one for each cached copy
 	bodiesRefused    metrics.Counter // requests refused since there was no memory for their bodies
+	responsesNotHeld metrics.Counter // responses of endpoints that were given up since there was no memory for them
 	callersShed      metrics.Counter // connections of callers that waited and were closed for others
 	callersRefused   metrics.Counter // connections of callers that were closed unread for lack of a place
 	bodiesEvicted    metrics.Counter // requests whose bodies made no progress while memory or connections were short
@@ -64,6 +65,7 @@
 		evacuated:        metrics.NewRegisteredGauge("failure_domains_evacuated", r),
 		storeEras:        metrics.NewRegisteredCounter("store_eras", r),
 		bodiesRefused:    metrics.NewRegisteredCounter("bodies_refused", r),
+		responsesNotHeld: metrics.NewRegisteredCounter("responses_not_held", r),
 		callersShed:      metrics.NewRegisteredCounter("caller_connections_shed", r),
 		callersRefused:   metrics.NewRegisteredCounter("caller_connections_refused", r),
 		bodiesEvicted:    metrics.NewRegisteredCounter("bodies_evicted", r),
--- a/internal/gateway/shell/relaylarge.go
+++ b/internal/gateway/shell/relaylarge.go
@@ -5,35 +5,32 @@
 	"net/http"
 	"strconv"
 
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/gateway"
 	"trefoilpath.org/trefoilpath/internal/upstream"
 )
 
-// minHeldBuffer is the initial size in bytes of the buffer for a response.
-const minHeldBuffer = 1 << 10
+// readHeld reads a body up to one byte more than maxHeldBytes. With bytebudget.ErrShort it returns what
+// it has read.
+func readHeld(h *bytebudget.Holder, body io.Reader) ([]byte, error) {
+	return h.ReadAll(body, maxHeldBytes+1, false)
+}
+
+// mustRelay reports whether a response of which a part was read is relayed as it arrives, since it
+// is too large to be held or memory is short. A failure is not: another endpoint may serve the request.
+func mustRelay(read []byte, short bool, status int) bool {
+	return len(read) > maxHeldBytes || short && !isFailure(status)
+}
 
-// readHeld reads a body up to one byte more than maxHeldBytes.
-func readHeld(body io.Reader) ([]byte, error) {
-	buf := make([]byte, 0, minHeldBuffer)
-	for len(buf) <= maxHeldBytes {
-		if len(buf) == cap(buf) {
-			grown := make([]byte, len(buf), min(2*cap(buf), maxHeldBytes+1))
-			copy(grown, buf)
-			buf = grown
-		}
-		n, err := body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			return nil, err
-		}
+func isFailure(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return true
 	}
-	return buf, nil
+	return status >= 500
 }
 
-// relayLarge relays a response that is too large to be buffered: first read, the
+// relayLarge relays a response that can't be held: first read, the
 // part of the body that has been read, then the rest as it arrives. If it breaks
 // off, the caller's connection is closed, so that the response does not look
 // complete.
@@ -43,6 +40,7 @@
 		return x.failAttempt(a, e, gateway.ResultBroken, errSuperseded)
 	}
 	_, err := x.w.Write(read)
+	x.memory.Shrink(int64(cap(read)))
 	if err == nil {
 		_, err = io.Copy(x.w, resp.Body)
 	}
@@ -60,6 +58,14 @@
 	return x.deliveryState(e)
 }
 
+// giveUpResponse ends an attempt whose response can neither be held nor relayed.
+func (x *exchange) giveUpResponse(conn *upstream.Conn, e *gateway.AttemptEnded) *gateway.AttemptEnded {
+	conn.Close()
+	x.g.meters.responsesNotHeld.Inc(1)
+	e.Result, e.Detail = gateway.ResultFailed, "status "+strconv.Itoa(e.Status)+", no memory for the response"
+	return x.deliveryState(e)
+}
+
 // startLarge sends the head of a response that is relayed as it arrives, and reports whether a
 // is the attempt that may. No other attempt can claim the response after that, as it has no
 // event at which another could go on.
--- a/internal/httpconn/limits.go
+++ b/internal/httpconn/limits.go
@@ -52,8 +52,11 @@
 
 // Limits bound what the clients of a server can make it hold.
 type Limits struct {
-	Connections int                 // open at once; 0: any number
-	Memory      *bytebudget.Account // charged for heads, and may evict requests that make no progress for new connections; nil: none
+	Connections int // open at once; 0: any number
+	// WriteTimeout is how long a client may take for a piece of a response, of 64 KiB or what is
+	// left; 0: any time.
+	WriteTimeout time.Duration
+	Memory       *bytebudget.Account // charged for heads, and may evict requests that make no progress for new connections; nil: none
 }
 
 // SetLimits sets the limits. It is called before Listener.
