Evict bodies and heads that dribble

A peer that sends a byte now and then makes progress, so that it was never evicted: 16 holders of 64 KiB that do so kept a small one out of an account of 1 MiB for as long as their timeouts let them.

Holders that have not ended within 2 s are evicted too, after those without progress. It happens only while memory or connections are short. TestHoldersThatDribbleKeepOthersOut can't pass without the change (SlowTime is new); found by reading, no crowd of processes was played for it.

--- a/internal/bytebudget/account.go
+++ b/internal/bytebudget/account.go
@@ -19,8 +19,10 @@
 	reservedFraction = 1.0 / 4
 	// SmallBytes is the size in bytes up to which a holder may use the whole capacity.
 	SmallBytes = 64 << 10
-	// StallTime is how long a holder must have made no progress to be evicted.
+	// StallTime is how long a holder must have made no progress to be evicted, SlowTime how long it
+	// must have been evictable otherwise: a peer that sends a byte now and then does make progress.
 	StallTime = 500 * time.Millisecond
+	SlowTime  = 2 * time.Second
 	// evictionTime bounds the wait for the bytes of evicted holders.
 	evictionTime = 500 * time.Millisecond
 )
@@ -64,6 +66,7 @@
 type Holder struct {
 	account  *Account
 	progress atomic.Int64 // time of the latest progress, in Unix ns
+	since    int64        // when it became evictable, in Unix ns; guarded by the account's lock
 
 	evicting sync.Mutex // held while evict runs; taken before the account's lock
 	evict    func()     // nil: can't be evicted
@@ -75,8 +78,8 @@
 // Open returns a holder without bytes. Close must be called at its end.
 func (a *Account) Open() *Holder { return &Holder{account: a} }
 
-// Evictable lets the account evict the holder until Settle or Close, if it makes no progress. evict
-// must make the peer's bytes be given up soon, and not block.
+// Evictable lets the account evict the holder until Settle or Close, if it makes no progress or
+// is slow. evict must make the peer's bytes be given up soon, and not block.
 func (h *Holder) Evictable(evict func()) {
 	h.evicting.Lock()
 	defer h.evicting.Unlock()
@@ -84,6 +87,7 @@
 	h.Progress()
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
+	h.since = h.progress.Load()
 	h.account.evictable[h] = true
 }
 
@@ -109,8 +113,8 @@
 	return h.evicted
 }
 
-// Grow charges n more bytes. If the account has no room, it evicts holders that make no progress
-// and waits for their bytes. It returns ErrShort if that is not enough, and ErrEvicted if the
+// Grow charges n more bytes. If the account has no room, it evicts holders that make no progress or
+// are slow, and waits for their bytes. It returns ErrShort if that is not enough, and ErrEvicted if the
 // holder itself has been evicted; nothing is charged then.
 func (h *Holder) Grow(n int64) error {
 	a := h.account
@@ -207,8 +211,8 @@
 	h.evicted = false
 }
 
-// EvictStalled evicts up to n holders that make no progress, those without progress for longest first,
-// and returns how many.
+// EvictStalled evicts up to n holders that make no progress or are slow, in the order of stalled, and
+// returns how many.
 func (a *Account) EvictStalled(n int) int {
 	evicted := 0
 	for _, h := range a.stalled() {
@@ -237,18 +241,37 @@
 	return evicted
 }
 
-// stalled returns the evictable holders without progress for StallTime, the longest first.
+// stalled returns the evictable holders without progress for StallTime and then those that are
+// slow, each the longest first.
 func (a *Account) stalled() []*Holder {
-	before := a.now().Add(-StallTime).UnixNano()
+	now := a.now()
+	stalledAt, slowAt := now.Add(-StallTime).UnixNano(), now.Add(-SlowTime).UnixNano()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var out []*Holder
+	var stalled, slow []candidate
 	for h := range a.evictable {
-		if h.progress.Load() <= before {
-			out = append(out, h)
+		switch progress := h.progress.Load(); {
+		case progress <= stalledAt:
+			stalled = append(stalled, candidate{h, progress})
+		case h.since <= slowAt:
+			slow = append(slow, candidate{h, h.since})
 		}
 	}
-	slices.SortFunc(out, func(x, y *Holder) int { return cmp.Compare(x.progress.Load(), y.progress.Load()) })
+	return append(longestFirst(stalled), longestFirst(slow)...)
+}
+
+// candidate is a holder that may be evicted, and since when.
+type candidate struct {
+	holder *Holder
+	since  int64 // Unix ns
+}
+
+func longestFirst(candidates []candidate) []*Holder {
+	slices.SortFunc(candidates, func(x, y candidate) int { return cmp.Compare(x.since, y.since) })
+	out := make([]*Holder, len(candidates))
+	for i := range candidates {
+		out[i] = candidates[i].holder
+	}
 	return out
 }
 
--- a/internal/bytebudget/account_test.go
+++ b/internal/bytebudget/account_test.go
@@ -108,6 +108,39 @@
 	}
 }
 
+// TestHoldersThatDribbleKeepOthersOut guards against peers that send a byte now and then: each makes
+// progress, and none ends.
+func TestHoldersThatDribbleKeepOthersOut(t *testing.T) {
+	a, pass := testAccount(1 << 20)
+	evicted := 0
+	for range 16 {
+		h := a.Open()
+		if err := h.Grow(SmallBytes); err != nil {
+			t.Fatal(err)
+		}
+		h.Evictable(func() {
+			evicted++
+			go h.Close()
+		})
+	}
+	dribble := func(d time.Duration) {
+		pass(d)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		for h := range a.evictable {
+			h.Progress()
+		}
+	}
+	dribble(SlowTime / 2)
+	if err := a.Open().Grow(1); err != ErrShort {
+		t.Errorf("error %v while all holders are young and make progress, want ErrShort", err)
+	}
+	dribble(SlowTime)
+	if err := a.Open().Grow(1); err != nil || evicted != 1 {
+		t.Errorf("error %v, %d evicted, want one", err, evicted)
+	}
+}
+
 func TestHoldersThatGrowAtOnceStayWithinTheCapacity(t *testing.T) {
 	a := New(4 << 20)
 	var wg sync.WaitGroup
--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -140,7 +140,7 @@
 		x.refuseBody()
 		return false
 	case !kept:
-		x.logLocal("body-evicted", "no progress while memory is short")
+		x.logLocal("body-evicted", "no progress, or not ended, while memory or connections are short")
 		x.g.meters.bodiesEvicted.Inc(1)
 		panic(http.ErrAbortHandler)
 	case err != nil:
