--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/gateway"
 	"trefoilpath.org/trefoilpath/internal/route"
 	"trefoilpath.org/trefoilpath/internal/upstream"
@@ -48,6 +49,7 @@
 	body     []byte
 	deadline time.Duration // time on the gateway's clock
 	finish   chan *gateway.Finish
+	memory   *bytebudget.Holder // of the body and of responses that are held
 
 	running sync.WaitGroup // attempts
 
@@ -95,6 +97,7 @@
 	return &exchange{
 		g: g, w: w, r: r, arrived: g.now(), caller: g.cfg.Translator.Request(r.Header),
 		finish:   make(chan *gateway.Finish, 1),
+		memory:   g.memory.Open(),
 		attempts: make(map[int]context.CancelFunc),
 	}
 }
@@ -312,14 +315,18 @@
 		// The core must not take the attempt as silent while a long body arrives.
 		x.notifyFirstEvent(a)
 	}
-	body, err := readHeld(resp.Body)
-	if err != nil {
+	body, err := readHeld(x.memory, resp.Body)
+	short := err == bytebudget.ErrShort
+	if !short && err != nil {
 		conn.Close()
 		return x.failAttempt(a, e, gateway.ResultBroken, err)
 	}
-	if len(body) > maxHeldBytes && !x.started() && !h.NotRun && !x.unproven(&h) {
+	if mustRelay(body, short, resp.StatusCode) && !x.started() && !h.NotRun && !x.unproven(&h) {
 		return x.relayLarge(conn, resp, body, a, e)
 	}
+	if short && (!h.NotRun || resp.StatusCode == http.StatusBadRequest) {
+		return x.giveUpResponse(conn, e)
+	}
 	conn.Release(resp)
 	switch {
 	case h.OtherEndpoint:
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -5,23 +5,43 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 )
 
 // Listener returns a listener whose plain TCP connections the tracker can close while they
-// wait for a request. Other connections are never closed by it.
+// wait for a request. Other connections are never closed by it. Connections for which the tracker's
+// limits have no place are closed unread.
 func (t *Tracker) Listener(l net.Listener) net.Listener {
-	return listener{l}
+	return listener{Listener: l, tracker: t}
 }
 
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	tracker *Tracker
+}
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if tcp, ok := c.(*net.TCPConn); ok && err == nil {
-		return &trackedConn{TCPConn: tcp}, nil
+	for {
+		c, err := l.Listener.Accept()
+		tcp, ok := c.(*net.TCPConn)
+		if err != nil || !ok {
+			return c, err
+		}
+		if l.tracker.admit() {
+			return l.tracker.track(tcp), nil
+		}
+		_ = tcp.Close() // the connection is dropped either way
+	}
+}
+
+func (t *Tracker) track(conn *net.TCPConn) *trackedConn {
+	c := &trackedConn{TCPConn: conn, tracker: t}
+	if t.limits.Memory != nil {
+		c.memory = t.limits.Memory.Open()
 	}
-	return c, err
+	return c
 }
 
 // trackedConn is a server's connection that can be closed without losing a request. A server
@@ -30,9 +50,12 @@
 // received nothing.
 type trackedConn struct {
 	*net.TCPConn
+	tracker  *Tracker
+	memory   *bytebudget.Holder // of the head of the latest request; nil: not accounted
 	mu       sync.Mutex
-	waits    bool      // new or idle: no request's head has been read
-	wait     connWait  // if waits
+	waits    bool     // new or idle: no request's head has been read
+	wait     connWait // if waits
+	head     headState
 	reading  bool      // the server is in Read
 	ending   bool      // to be closed by Read, unless it has received something
 	ended    bool      // closed by Read
@@ -47,6 +70,7 @@
 
 // Read implements net.Conn. After the tracker has closed the connection it returns no data.
 func (c *trackedConn) Read(b []byte) (int, error) {
+	c.awaitRest()
 	if !c.startRead() {
 		return 0, net.ErrClosed
 	}
@@ -54,9 +78,22 @@
 	if !c.finishRead(n) {
 		return 0, net.ErrClosed
 	}
+	if n > 0 && !c.chargeHead(b[:n]) {
+		c.tracker.countRefused()
+		c.close()
+		return 0, net.ErrClosed
+	}
 	return n, err
 }
 
+// close closes the connection; nothing is read from it any more.
+func (c *trackedConn) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	_ = c.TCPConn.Close() // the connection is dropped either way
+}
+
 func (c *trackedConn) startRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -78,6 +115,9 @@
 		c.ending = false
 		_ = c.TCPConn.SetReadDeadline(c.deadline) // fails only on a closed connection, as does the next read
 	}
+	if n > 0 && c.waits && c.head == headNone {
+		c.head = headBegun
+	}
 	if n > 0 && c.waits && c.wait.idle {
 		c.wait = connWait{since: time.Now()}
 	}
@@ -105,12 +145,31 @@
 
 // onStateChange records a state that an http.Server has reported.
 func (c *trackedConn) onStateChange(s http.ConnState) {
+	c.setWait(s)
+	switch {
+	case c.memory == nil:
+	case s == http.StateActive:
+		c.memory.Settle() // one that was evicted at the same time has arrived nevertheless
+	default:
+		c.memory.Close()
+	}
+}
+
+func (c *trackedConn) setWait(s http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.head = headNone
 	c.waits = s == http.StateNew || s == http.StateIdle
 	c.wait = connWait{since: time.Now(), idle: s == http.StateIdle}
 }
 
+// currentWait returns the connection's wait, and whether it waits.
+func (c *trackedConn) currentWait() (connWait, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.wait, c.waits && !c.ending && !c.ended
+}
+
 // pastDeadline is a deadline that has passed.
 var pastDeadline = time.Unix(1, 0)
 
