Send endpoints exactly the request ID that their answers must have

A caller that sent two request IDs, or named its ID in the Connection header, got 504 at its deadline. If the endpoint closed first, the attempt counted as broken, and two such attempts eject an endpoint for all callers.

Cause: the ID was read from the caller's first header, and forwarded as all its headers are: each of several, and none if it was named as hop-by-hop. The endpoint's echo was then another one than the ID that its answer was matched with.

Change: the endpoint gets the one ID. The options of a Connection header are read once for all headers and not once for each.

The ejection was read in the review, not brought about.

--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -285,14 +285,17 @@
 	x.delivery.Lock()
 	a.resumeAfter = x.lastEventID
 	x.delivery.Unlock()
-	h := forwardedHeaders(x.r.Header)
+	h, idHeader := forwardedHeaders(x.r.Header), x.g.cfg.Translator.Names().RequestID
+	if x.caller.RequestID != "" {
+		h.Set(idHeader, x.caller.RequestID) // exactly the one that the response must have
+	}
 	x.g.cfg.Translator.Forward(h, ForwardHeaders{
 		TimeLeft: x.deadline - x.g.now(), EndpointID: string(a.Endpoint), Account: x.account, Helpers: a.Helpers,
 		LastEventID: a.resumeAfter, Priority: x.priority,
 	})
 	return &upstream.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host, Header: h, Body: x.body,
-		ID: x.caller.RequestID, IDHeader: x.g.cfg.Translator.Names().RequestID,
+		ID: x.caller.RequestID, IDHeader: idHeader,
 	}
 }
 
--- a/internal/gateway/shell/headers.go
+++ b/internal/gateway/shell/headers.go
@@ -24,8 +24,9 @@
 
 // copyHeader copies all but the hop-by-hop headers.
 func copyHeader(dst, src http.Header) {
+	options := connectionOptions(src)
 	for name, values := range src {
-		if !isConnectionHeader(src, name) {
+		if !options[name] {
 			dst[name] = values
 		}
 	}
@@ -34,20 +35,17 @@
 	}
 }
 
-// isConnectionHeader reports whether the header name is hop-by-hop: listed in
-// connectionHeaders or in the Connection header of h.
-func isConnectionHeader(h http.Header, name string) bool {
-	for _, c := range connectionHeaders {
-		if name == c {
-			return true
-		}
+// connectionOptions returns the names of the headers of h that are hop-by-hop: those in
+// connectionHeaders, and those that its Connection header lists.
+func connectionOptions(h http.Header) map[string]bool {
+	options := make(map[string]bool, len(connectionHeaders))
+	for _, name := range connectionHeaders {
+		options[name] = true
 	}
 	for _, listed := range h["Connection"] {
-		for _, c := range strings.Split(listed, ",") {
-			if strings.EqualFold(strings.TrimSpace(c), name) {
-				return true
-			}
+		for name := range strings.SplitSeq(listed, ",") {
+			options[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
 		}
 	}
-	return false
+	return options
 }
