Take no success whose signature is hop-by-hop

An endpoint that named its signature in the Connection header of a success made the gateway pass the success on without the signature (MIXED).

Cause: the signature was looked for among all headers of the answer, and left out with the hop-by-hop ones when it was passed on.

Change: such an answer is unsigned.

Test: TestHopByHopSignatureIsNone failed before (200 without a signature).

--- a/internal/gateway/shell/exchange.go
+++ b/internal/gateway/shell/exchange.go
@@ -350,9 +350,10 @@
 	return x.deliveryState(e)
 }
 
-// unsigned reports whether a response claims success without an endpoint's signature.
+// unsigned reports whether a response claims success without a signature of the endpoint that is passed on.
 func (x *exchange) unsigned(resp *http.Response) bool {
-	return resp.StatusCode >= 200 && resp.StatusCode < 300 && resp.Header.Get(x.g.cfg.Translator.Names().Signature) == ""
+	signature := x.g.cfg.Translator.Names().Signature
+	return resp.StatusCode >= 200 && resp.StatusCode < 300 && (resp.Header.Get(signature) == "" || connectionOptions(resp.Header)[signature])
 }
 
 // passState passes the load and the limit that the endpoint states in a response to the core.
