Lower the account of bytes to a quarter of the memory

With a third, internal/crowdtest peaked at 82 MB of 96 in one of two runs at a load of 12 to 15 (a crowd that comes back): what the account holds was 32 MB, the rest is garbage that the collector had not freed yet under load. A front of 160 MB still holds seven bodies of 4 MiB at once besides small ones.

--- a/internal/bytebudget/account.go
+++ b/internal/bytebudget/account.go
@@ -13,7 +13,7 @@
 const (
 	// memoryFraction of a process's memory is the capacity of its Account. The rest is for the process
 	// itself, its connections, and memory that the garbage collector has not freed yet.
-	memoryFraction = 1.0 / 3
+	memoryFraction = 1.0 / 4
 	// reservedFraction of the capacity is kept for holders of at most SmallBytes, so that large
 	// ones can't keep ordinary requests out.
 	reservedFraction = 1.0 / 4
