Let several listeners share the limits of connections

The time of the latest search was read by the listener without a lock; a tracker with two listeners would race. Nothing does that today; found by reading.

--- a/internal/httpconn/limits.go
+++ b/internal/httpconn/limits.go
@@ -84,8 +84,7 @@
 			t.countRefused()
 			return false
 		}
-		if now.Sub(t.searched) >= searchInterval {
-			t.searched = now
+		if t.startSearch(now) {
 			t.makeRoom(now)
 		}
 		select {
@@ -108,7 +107,18 @@
 	return t.limits.Connections > 0 && len(t.conns) >= t.limits.Connections
 }
 
-// makeRoom closes connections that wait. It is called by the listener only.
+// startSearch reports whether a search for connections to close is due, and counts it as begun.
+func (t *Tracker) startSearch(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	due := now.Sub(t.searched) >= searchInterval
+	if due {
+		t.searched = now
+	}
+	return due
+}
+
+// makeRoom closes connections that wait.
 func (t *Tracker) makeRoom(now time.Time) {
 	n := max(t.limits.Connections/shedFraction, 1)
 	closed := t.closeLingering(now)
--- a/internal/httpconn/tracker.go
+++ b/internal/httpconn/tracker.go
@@ -24,7 +24,7 @@
 
 	limits   Limits
 	closed   chan struct{} // receives when a connection has been closed
-	searched time.Time     // when the listener last called makeRoom
+	searched time.Time     // when the latest search for connections to close began
 }
 
 // NewTracker returns a tracker without connections.
