Bound the time for bodies of requests that are answered without them

Callers saw: 300 connections that each sent the head of a POST to a path without a route and announced nine bytes, of which none came, took all 96 places of a gateway for good. No ordinary request was served on it any more; each new connection was closed unread after 20 ms. By reading, not run: SIGTERM would also wait for them until the end of the grace time.

Cause: requests without a route, with an unknown key, with headers over the limit, or before the first configuration are answered without their bodies. net/http reads up to 256 KiB of such a body before it sends the response, without a deadline, since the server has no ReadTimeout.

Now the gateway itself reads the body to be discarded: within the time for a body, and evictable while memory or connections are short. The response is sent in any case; the connection is kept if the body has come.

--- a/internal/crowdtest/callers_test.go
+++ b/internal/crowdtest/callers_test.go
@@ -53,6 +53,12 @@
 	testCrowd(t, fewDescriptors, largeCrowdSize, func(g *gateway, _ int) member { return announced(g, bodyLimit, nil) })
 }
 
+// No route matches, so that the requests are answered without their bodies.
+func TestBodiesThatAreNotNeededAndDoNotComeStayWithinDescriptors(t *testing.T) {
+	const text = "POST /nowhere HTTP/1.1\r\nHost: h.example\r\nContent-Length: 9\r\n\r\n"
+	testCrowd(t, fewDescriptors, largeCrowdSize, func(*gateway, int) member { return member{[]byte(text)} })
+}
+
 // The answers are as large as those that the gateway holds until they are complete.
 func TestCallersThatDoNotReadStayWithinMemory(t *testing.T) {
 	const (
--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -1,6 +1,7 @@
 package shell
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -30,6 +31,9 @@
 	plainText = "text/plain; charset=utf-8"
 	// bodyTimeout bounds the time to read a request's body.
 	bodyTimeout = 5 * time.Second
+	// discardBytes is the size in bytes up to which a body that is not needed is read, so that its connection can be
+	// kept.
+	discardBytes = 256 << 10
 	// writeTimeout bounds the time in which a caller takes 64 KiB of its response.
 	writeTimeout = 10 * time.Second
 	// memoryRetryAfter is the Retry-After of a response to a request for whose body there is no memory.
@@ -43,6 +47,7 @@
 	table := g.table.Load()
 	if table == nil {
 		x.logLocal("refuse", "no-configuration")
+		x.discardBody()
 		x.refuse(startingRetryAfter, "not run: no configuration yet")
 		return
 	}
@@ -65,16 +70,16 @@
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
 	x.route = table.Match(x.r.Host, path)
 	if x.route == nil {
-		x.reject(http.StatusNotFound, "no route for this host and path")
+		x.rejectUnread(http.StatusNotFound, "no route for this host and path")
 		return false
 	}
 	account, known := table.Account(x.caller.Key)
 	if !known && !x.route.Public {
-		x.reject(http.StatusUnauthorized, "unknown key")
+		x.rejectUnread(http.StatusUnauthorized, "unknown key")
 		return false
 	}
 	if limit := table.Limits().HeaderBytes; limit > 0 && headerSize(x.r) > limit {
-		x.reject(http.StatusRequestHeaderFieldsTooLarge, "headers are larger than "+strconv.Itoa(limit)+" bytes")
+		x.rejectUnread(http.StatusRequestHeaderFieldsTooLarge, "headers are larger than "+strconv.Itoa(limit)+" bytes")
 		return false
 	}
 	x.priority = x.route.Priority
@@ -169,6 +174,33 @@
 	x.setReadDeadline(pastDeadline)
 }
 
+// discardBody reads the body of a request that is answered without it, or lets the connection end after the
+// response. The server itself would read it without a time limit before it sends the response.
+func (x *exchange) discardBody() {
+	if x.r.Body == nil || x.r.Body == http.NoBody {
+		return
+	}
+	if x.r.Header.Get("Expect") != "" { // a read would ask the caller for the body
+		x.stopReading()
+		return
+	}
+	x.setReadDeadline(time.Now().Add(bodyTimeout))
+	x.memory.Evictable(func() { x.setReadDeadline(pastDeadline) })
+	_, err := io.CopyN(io.Discard, x.r.Body, discardBytes)
+	if kept := x.memory.Settle(); !kept || err != io.EOF {
+		x.logLocal("body-not-read", fmt.Sprintf("not needed, evicted=%t: %v", !kept, err))
+		x.stopReading()
+		return
+	}
+	x.setReadDeadline(time.Time{})
+}
+
+// rejectUnread responds to a request whose body has not been read.
+func (x *exchange) rejectUnread(status int, text string) {
+	x.discardBody()
+	x.reject(status, text)
+}
+
 // refuseBody responds to a request for whose body there is no memory.
 func (x *exchange) refuseBody() {
 	x.memory.Close()
