Keep no trailers of callers' requests

Operators saw: a crowd of 200 chunked requests, each with a head within 16 KiB that declares some four thousand trailers, took 104 MB of a gateway whose limit is 96 MB. The account was charged for 200 times 32 KiB only, so that nothing was refused or evicted.

Cause: net/http makes an entry of a map of each name in Trailer, and another of each trailer after a body (within 4 KiB), and keeps them until the end of the request. The account counts the bytes and lines of a head; the names are on one line.

Trailers are not forwarded, so that the gateway drops both: the names before it reads the body, the rest after it.

--- a/internal/crowdtest/callers_test.go
+++ b/internal/crowdtest/callers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -53,6 +55,16 @@
 	testCrowd(t, fewDescriptors, largeCrowdSize, func(g *gateway, _ int) member { return announced(g, bodyLimit, nil) })
 }
 
+func TestHeadsThatDeclareManyTrailersStayWithinMemory(t *testing.T) {
+	var names strings.Builder
+	for i := 0; names.Len() < headLimit-200; i++ {
+		fmt.Fprintf(&names, "%x,", 0x100+i)
+	}
+	testCrowd(t, manyDescriptors, crowdSize, func(g *gateway, _ int) member {
+		return member{[]byte(g.head() + "Trailer: " + names.String() + "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nx")}
+	})
+}
+
 // No route matches, so that the requests are answered without their bodies.
 func TestBodiesThatAreNotNeededAndDoNotComeStayWithinDescriptors(t *testing.T) {
 	const text = "POST /nowhere HTTP/1.1\r\nHost: h.example\r\nContent-Length: 9\r\n\r\n"
--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -44,6 +44,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := g.newExchange(w, r)
 	defer x.memory.Close()
+	r.Trailer = nil // names that the head declares; trailers are not forwarded
 	table := g.table.Load()
 	if table == nil {
 		x.logLocal("refuse", "no-configuration")
@@ -138,6 +139,7 @@
 	x.memory.Evictable(func() { x.setReadDeadline(pastDeadline) })
 	body, err := readAll(x.memory, http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit)
 	kept := x.memory.Settle()
+	x.r.Trailer = nil // those that came after the body
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
