Bound the connections that a server holds after their close

Operators saw, in a test of the tracker alone: 16 clients that came back at once, each announcing 1 MB that the server did not read, made a server with 32 places serve 288 connections at once.

Cause: net/http holds the goroutine and the buffers of a connection that it closes with a body unread until half a second after the last response. At the bound the tracker closes it after 50 ms, and gave its place away at once, so that the bound held for descriptors, and up to ten times as many connections took memory. A front with 1,280 places could hold some twelve thousand (by arithmetic, not run).

Now at most half as many as there are places may be closed so and not given up by the server; more wait for the server.

Evidence: TestConnectionsClosedAfterTheirResponseAreServedWithoutBound failed before (288, want at most 48; one run), now 48 and 48 with the race detector. The price: such clients get fewer places a second (155 connections instead of some hundreds in the second of the test). TestCrowdOfAllKinds and TestCrowdThatComesBack still pass, an ordinary request at the first try (one run each): 65 and 69 MB of 96.

--- a/internal/httpconn/limits.go
+++ b/internal/httpconn/limits.go
@@ -25,6 +25,9 @@
 	// lingerTime is how long a connection whose last response is written stays open at the bound, for
 	// its client to read the response: closing it resets it if the client still sends.
 	lingerTime = 50 * time.Millisecond
+	// endingFraction of Limits.Connections may be closed and not yet given up by the server: it keeps
+	// a goroutine and buffers for each until half a second after its last response.
+	endingFraction = 2
 	// minIdle is how long an idle connection stays open in any case: its client may send the next
 	// request as soon as it has a response.
 	minIdle = quietTime
@@ -136,26 +139,31 @@
 	t.shedCount += closed
 }
 
-// closeLingering closes the connections whose last response was written lingerTime ago, and returns how
+// closeLingering closes connections whose last response was written lingerTime ago, and returns how
 // many.
 func (t *Tracker) closeLingering(now time.Time) int {
 	closed := 0
 	for _, c := range t.open() {
-		if !c.lingersSince(now.Add(-lingerTime)) {
+		if !c.lingersSince(now.Add(-lingerTime)) || !t.forget(c) {
 			continue
 		}
 		_ = c.TCPConn.Close() // fails only if it is closed already
-		t.forget(c)
 		closed++
 	}
 	return closed
 }
 
-// forget removes a connection that is closed, before its server reports that.
-func (t *Tracker) forget(c *trackedConn) {
+// forget removes a connection that is to be closed, before its server reports that, and reports whether it
+// may: no more than a part of Limits.Connections are closed so.
+func (t *Tracker) forget(c *trackedConn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.conns[c] || len(t.ending) >= max(t.limits.Connections/endingFraction, 1) {
+		return false
+	}
 	delete(t.conns, c)
+	t.ending[c] = true
+	return true
 }
 
 // endLongest closes up to n connections that wait, idle ones or others, the longest wait first, and
--- a/internal/httpconn/tracker.go
+++ b/internal/httpconn/tracker.go
@@ -18,6 +18,7 @@
 type Tracker struct {
 	mu     sync.Mutex
 	conns  map[*trackedConn]bool // all that are open
+	ending map[*trackedConn]bool // closed by the tracker after their last response, and not yet given up by the server
 	active map[net.Conn]bool     // a request has been read, and its response is not yet written
 
 	shedCount, refused int // since the latest Shed
@@ -29,7 +30,10 @@
 
 // NewTracker returns a tracker without connections.
 func NewTracker() *Tracker {
-	return &Tracker{conns: make(map[*trackedConn]bool), active: make(map[net.Conn]bool), closed: make(chan struct{}, 1)}
+	return &Tracker{
+		conns: make(map[*trackedConn]bool), ending: make(map[*trackedConn]bool), active: make(map[net.Conn]bool),
+		closed: make(chan struct{}, 1),
+	}
 }
 
 // OnStateChange is an http.Server.ConnState hook.
@@ -50,6 +54,7 @@
 		t.active[conn] = true
 	case http.StateClosed, http.StateHijacked:
 		delete(t.conns, c)
+		delete(t.ending, c)
 		select {
 		case t.closed <- struct{}{}:
 		default: // an earlier end has not been noticed yet
