End connections at once whose body is over the limit in chunks

Callers saw nothing; a caller outside the limits that sends one byte too many in a chunk and stops kept its place among the connections until 5 s after the begin of its body: net/http reads on after the response, up to 256 KiB, and the read deadline was still that of the body. Meanwhile the connection can't be evicted. Bodies over the limit that are announced were given up at once already.

Now both are: rejectBody itself stops the reads.

Evidence: TestServerWaitsForTheRestOfABodyOverTheLimit failed before (deadline 5 s ahead).

--- a/internal/gateway/shell/callers.go
+++ b/internal/gateway/shell/callers.go
@@ -131,7 +131,6 @@
 		limit = defaultBodyBytes
 	}
 	if x.r.ContentLength > limit {
-		x.stopReading()
 		x.rejectBody(limit)
 		return false
 	}
@@ -214,6 +213,7 @@
 
 func (x *exchange) rejectBody(limit int64) {
 	x.memory.Close()
+	x.stopReading()
 	x.reject(http.StatusRequestEntityTooLarge, "body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
 }
 
--- a/internal/gateway/shell/discard_test.go
+++ b/internal/gateway/shell/discard_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/bytebudget"
+	"trefoilpath.org/trefoilpath/internal/route"
 )
 
 // startDiscarding starts a server that responds 404 after discardBody, and returns a connection to it.
@@ -85,3 +86,45 @@
 		t.Error("the connection is kept though the body was not read")
 	}
 }
+
+// deadlineRecorder records the latest read deadline.
+type deadlineRecorder struct {
+	http.ResponseWriter
+	latest time.Time
+}
+
+func (r *deadlineRecorder) SetReadDeadline(t time.Time) error {
+	r.latest = t
+	return http.NewResponseController(r.ResponseWriter).SetReadDeadline(t)
+}
+
+func TestServerWaitsForTheRestOfABodyOverTheLimit(t *testing.T) {
+	g := &Gateway{memory: bytebudget.New(0), meters: newMeters()}
+	latest := make(chan time.Time, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := &deadlineRecorder{ResponseWriter: w}
+		x := &exchange{g: g, w: recorder, r: r, memory: g.memory.Open()}
+		defer x.memory.Close()
+		if x.readBody(route.Limits{BodyBytes: 1}) {
+			t.Error("a body over the limit was taken")
+		}
+		latest <- recorder.latest
+	}))
+	t.Cleanup(srv.Close)
+	c, err := net.Dial("tcp4", srv.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if _, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxx"); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case deadline := <-latest:
+		if deadline.IsZero() || deadline.After(time.Now()) {
+			t.Errorf("reads may last until %v", deadline)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the request is not answered")
+	}
+}
