Bound the listings and watches from which a store's copy is made

A store that answers each page of a listing with another one, or each watch with new keys, made a gateway collect them until its memory was full; the requests of its callers would have ended with it. The same holds for a faulty reader that answers each page with the first one again.

Cause: listPages went on while the latest page said hasMore, without a bound of pages or bytes and without a look whether the next page follows the key asked for; watch results and changes from peers were added to the copy without a bound of its size.

TestListingWithoutAnEndIsGivenUp failed before in its four cases, still listing after 5 s and 11,782 to 1,547,529 pages; TestWatchesWithoutAnEndDoNotFillTheCopy had 52 keys of 1 MiB after 4 s, where 16 are allowed.

--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -256,6 +256,9 @@
 	default:
 		return false
 	}
+	if !s.hasRoom(r.Pairs) {
+		return false
+	}
 	s.apply(SourceWatch, s.cfg.Now()-began, func(now time.Duration) bool {
 		if s.copy.Version().Era != since.Era {
 			return false
@@ -347,19 +350,35 @@
 }
 
 // listPages reads all pages of a listing. The result has the revision of the first page,
-// so that a watch from there also delivers changes made between two pages.
+// so that a watch from there also delivers changes made between two pages. A listing beyond
+// the bounds of a copy, or one that does not get ahead, is an answer that can't be used.
 func (s *Syncer) listPages(ctx context.Context) store.Result {
 	r := s.listPage(ctx, "")
-	for last := r; last.Status == store.StatusOK && last.More; {
-		last = s.listPage(ctx, last.Pairs[len(last.Pairs)-1].Key)
-		r.Pairs = append(r.Pairs, last.Pairs...)
-		if last.Status != store.StatusOK || last.Era != r.Era { // pages of two eras don't belong together
+	size := pairsSize(r.Pairs)
+	for last, pages := r, 1; last.Status == store.StatusOK && last.More; pages++ {
+		after := last.Pairs[len(last.Pairs)-1].Key
+		last = s.listPage(ctx, after)
+		size += pairsSize(last.Pairs)
+		if !continues(last, after) || last.Era != r.Era || // pages of two eras don't belong together
+			pages >= maxPages || size > MaxCopyBytes {
 			return store.Result{Status: store.StatusUnavailable, Era: last.Era}
 		}
+		r.Pairs = append(r.Pairs, last.Pairs...)
 	}
 	return r
 }
 
+// continues reports whether a page is the one after a key, with keys of its own unless it is the last.
+func continues(page store.Result, after string) bool {
+	if page.Status != store.StatusOK {
+		return false
+	}
+	if len(page.Pairs) == 0 {
+		return !page.More
+	}
+	return page.Pairs[len(page.Pairs)-1].Key > after
+}
+
 // listPage reads the page of a listing after a key. The call is repeated after repeatAfter, and the
 // first success counts; a failure before that is one of the store or of the way to it.
 func (s *Syncer) listPage(ctx context.Context, after string) store.Result {
@@ -435,6 +454,9 @@
 	if l.Revision == 0 {
 		return true
 	}
+	if l.After != 0 && !s.hasRoom(l.Pairs) {
+		return false
+	}
 	equal := true
 	s.apply(SourcePeer, s.cfg.Now()-began, func(now time.Duration) bool {
 		first := !s.hasCopy
