--- a/internal/crowdtest/gateway_test.go
+++ b/internal/crowdtest/gateway_test.go
@@ -39,13 +39,15 @@
 	replicas    []*standin.Replica
 	addr        string // for callers
 	readyAddr   string
-	descriptors int // limit
-	calm        int // descriptors open before the crowd
+	peerAddr    string // for other gateways
+	metricsAddr string // empty: none
+	descriptors int    // limit
+	calm        int    // descriptors open before the crowd
 	requests    atomic.Int64
 }
 
-// startGateway starts a gateway with a limit of descriptors and waits until it serves.
-func startGateway(t *testing.T, descriptors int) *gateway {
+// startGateway starts a gateway with a limit of descriptors, and flags, and waits until it serves.
+func startGateway(t *testing.T, descriptors int, flags ...string) *gateway {
 	t.Helper()
 	g := &gateway{store: standin.NewStore(), descriptors: descriptors}
 	t.Cleanup(g.store.Close)
@@ -69,7 +71,8 @@
 		t.Fatal(err)
 	}
 	g.addr, g.readyAddr = fmt.Sprintf("127.0.0.1:%d", s.CallerPort), fmt.Sprintf("127.0.0.1:%d", s.ReadyPort)
-	g.process = startProcess(t, "platform-gateway", "--settings", path)
+	g.peerAddr = fmt.Sprintf("127.0.0.1:%d", s.PeerPort)
+	g.process = startProcess(t, append([]string{"platform-gateway", "--settings", path}, flags...)...)
 	eventually(t, "the gateway is ready", func() bool {
 		resp, err := http.Get("http://" + g.readyAddr + "/ready")
 		if err != nil {
--- a/internal/crowdtest/process_test.go
+++ b/internal/crowdtest/process_test.go
@@ -138,3 +138,11 @@
 	}
 	t.Fatalf("not within %v: %s", patience, what)
 }
+
+func (p *process) wholeLog() string {
+	text, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
