--- a/internal/httpconn/transport.go
+++ b/internal/httpconn/transport.go
@@ -12,6 +12,8 @@
 	// how many do.
 	maxIdle        = time.Second
 	maxIdlePerHost = 4
+	// maxHeadBytes bounds the head of a response together with those of the interim responses before it.
+	maxHeadBytes = 64 << 10
 )
 
 // Transport sends a request whose Close field is set on a new connection, and reuses
@@ -23,6 +25,7 @@
 func NewTransport(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Transport {
 	t := &Transport{kept: &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: maxIdle, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 	t.single = t.kept.Clone()
 	t.single.DisableKeepAlives = true
