Bound the connections of the listeners for readiness, copies and metrics

Whoever opened connections to a gateway's ports for the balancer, for other gateways or for operators, and left them open, took as many descriptors as it liked, until callers, endpoints and the store got none.

Cause: only connections of callers were bounded and swept. The servers there had no bound of a request's or response's time beside that of the head, and each reader of /dump that did not read kept one in memory.

--- a/internal/gateway/shell/run.go
+++ b/internal/gateway/shell/run.go
@@ -99,10 +99,11 @@
 	ports := []struct {
 		addr    string
 		handler http.Handler
+		conns   int // of another server than that for callers
 	}{
-		{s.CallerAddr.String(), g},
-		{s.ReadyAddr.String(), ready},
-		{s.PeerAddr.String(), peers},
+		{s.CallerAddr.String(), g, 0},
+		{s.ReadyAddr.String(), ready, readyConns},
+		{s.PeerAddr.String(), peers, peerConns},
 	}
 	if s.MetricsAddr.IsValid() {
 		mux := http.NewServeMux()
@@ -111,7 +112,8 @@
 		ports = append(ports, struct {
 			addr    string
 			handler http.Handler
-		}{s.MetricsAddr.String(), mux})
+			conns   int
+		}{s.MetricsAddr.String(), atMost(maxDumps, mux), metricsConns})
 	}
 	var servers []*http.Server
 	for _, p := range ports {
@@ -123,6 +125,8 @@
 		if len(servers) == 0 { // the server for callers
 			server.ConnState = g.conns.OnStateChange
 			l = g.conns.Listener(l)
+		} else {
+			l = g.boundOther(server, l, p.conns)
 		}
 		servers = append(servers, server)
 		go func() {
