Bound the copies that are fetched from other gateways together

A gateway, or what answers at the address of one, that announces newer copies and then sends bytes without an end made others hold up to 10 MB of heads and 16 MiB of each copy, for three copies, each asked for again eight times: 104 to 123 MB at the peak where 96 are allowed.

Cause: net/http's default bound of a head; a bound for one copy, at which io.ReadAll has allocated twice as much, and none for all that are read at once.

A head has at most 64 KiB now, a copy 8 MiB, both here and in the copies of the store's keys (1.2 MB in large fleets), and those that are read at once 16 MiB. Where there is no room the fetch is tried again, and the gateway that was asked stays known.

--- a/internal/gateway/shell/peers.go
+++ b/internal/gateway/shell/peers.go
@@ -17,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/gateway"
 	"trefoilpath.org/trefoilpath/internal/sleep"
 	"trefoilpath.org/trefoilpath/internal/storecopy"
@@ -27,8 +28,11 @@
 	maxDatagram = 8 << 10
 	// copyPath is the path at which other gateways fetch the cached copy of a prefix.
 	copyPath = "/copy"
-	// maxCopyBytes bounds a cached copy fetched from a peer.
-	maxCopyBytes = 16 << 20
+	// maxCopyBytes bounds a cached copy fetched from a peer, copyMemory those that are read at
+	// once, and maxCopyHead the head of the response, in bytes.
+	maxCopyBytes = storecopy.MaxCopyBytes
+	copyMemory   = 2 * maxCopyBytes
+	maxCopyHead  = 64 << 10
 	// maxCopiesServed is the number of copies that a gateway sends at once. A large
 	// configuration takes 0.1 s on the link of a small VM; if a whole cell fetched it from
 	// the first gateway that has it, all would time out. Those that are turned away ask
@@ -226,7 +230,7 @@
 			return l, nil
 		}
 		failed = err
-		if !errors.Is(err, errPeerBusy) {
+		if !errors.Is(err, errPeerBusy) && !errors.Is(err, bytebudget.ErrShort) {
 			g.newest.remove(addr)
 		}
 		sleep.For(ctx, busyPause/2+rand.N(busyPause))
@@ -260,7 +264,13 @@
 	}
 	body := readWithin(resp.Body, copyPauseTimeout, cancel)
 	defer body.stop()
-	raw, err := io.ReadAll(io.LimitReader(body, maxCopyBytes))
+	memory := peerCopies.Open()
+	defer memory.Close()
+	memory.Evictable(cancel)
+	raw, err := memory.ReadAll(body, maxCopyBytes+1, false)
+	if err == nil && len(raw) > maxCopyBytes {
+		err = errors.Errorf("copy is larger than %d bytes", maxCopyBytes)
+	}
 	if err != nil {
 		return storecopy.Listing{}, errors.Wrapf(err, "fetch copy: read response of gateway %s", addr)
 	}
@@ -293,7 +303,11 @@
 
 func (r *pauseReader) stop() { r.timer.Stop() }
 
+// peerCopies accounts for the copies that are read at once.
+var peerCopies = bytebudget.New(copyMemory)
+
 // peerClient fetches cached copies. That is rare, so it keeps no idle connections.
 var peerClient = &http.Client{Transport: &http.Transport{
 	DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: copyHeadTimeout}).DialContext, ResponseHeaderTimeout: copyHeadTimeout,
+	MaxResponseHeaderBytes: maxCopyHead,
 }}
--- a/internal/storecopy/size.go
+++ b/internal/storecopy/size.go
@@ -5,7 +5,7 @@
 const (
 	// MaxCopyBytes bounds the keys and values of a copy, with pairOverhead for each. A large fleet's
 	// configuration, or its registrations, take 1.2 MB.
-	MaxCopyBytes = 16 << 20
+	MaxCopyBytes = 8 << 20
 	// pairOverhead is about the size in bytes of a pair without its key and value.
 	pairOverhead = 100
 	// maxPages bounds the pages of a listing, which hold about 500 keys or 1 MB each.
