Charge the events of streams to the account of the process

Engines that each sent an event up to just below the bound of 1 MiB and then nothing, or little, filled the memory of the gateway that had called them: 268 to 270 MB for 215 streams, where 96 are allowed.

Cause: the bound of an event bounds one stream; their sum was bounded by nothing. Plain responses are charged to the account of bytes held for peers since; the buffers of streams were not.

A buffer for events is charged when it grows beyond its first 1 KiB, and a large one is given up when its event has been relayed, which it was kept for until the end of the stream. Without room the attempt ends as broken, as it does after an event that is too large. Its first 64 KiB are in the part of the account that is kept for small holders.

--- a/internal/gateway/shell/stream.go
+++ b/internal/gateway/shell/stream.go
@@ -32,6 +32,7 @@
 		return ended
 	}
 	buf := make([]byte, 0, eventBuffer)
+	defer func() { x.releaseEvents(buf) }()
 	watch := x.watchStalls(a)
 	defer watch.stop()
 	for {
@@ -48,7 +49,7 @@
 				conn.Close()
 				return x.failAttempt(a, e, gateway.ResultBroken, err)
 			}
-			buf = append(buf[:0], buf[whole:]...)
+			buf = x.trimEvents(buf[:copy(buf, buf[whole:])])
 		}
 		if err == io.EOF {
 			if err = checkStreamEnd(resp, buf, a.begun); err == nil {
@@ -60,13 +61,13 @@
 		if err == nil && len(buf) > maxEventBytes {
 			err = errEventTooLarge
 		}
+		if err == nil && len(buf) == cap(buf) {
+			buf, err = x.growEvents(buf)
+		}
 		if err != nil {
 			conn.Close()
 			return x.failAttempt(a, e, gateway.ResultBroken, err)
 		}
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
 	}
 }
 
