Bound the heads and answers that agents take from engines

An engine that sends a head or a body without an end made its agent hold up to 10 MB of heads, or 16 MiB of an answer, for each call; one whose state has countless empty sequences made it decode 704,470 of them. The attempts of all callers on that agent end with it.

Cause: net/http's default bound of a head, a bound of a body far above any state, and none of its elements.

Heads have at most 64 KiB now (enginehttp.NewHTTPClient, which agents use for engines and plain services), answers that are not streams 1 MiB and 65,536 commas, which count their fields and elements. Lines of streams were bounded already.

--- a/internal/agent/shell/agent.go
+++ b/internal/agent/shell/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -53,7 +52,7 @@
 		return nil, err
 	}
 	if cfg.EndpointClient == nil {
-		cfg.EndpointClient = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+		cfg.EndpointClient = enginehttp.NewHTTPClient()
 	}
 	a := &Agent{
 		cfg:          cfg,
--- a/internal/engine/enginehttp/client.go
+++ b/internal/engine/enginehttp/client.go
@@ -38,11 +38,19 @@
 	open map[engine.SequenceID]int // number of answer streams being read
 }
 
-// New returns a client for the engine at baseURL. The timeout of hc must be
+// NewHTTPClient returns an HTTP client of its own connections for calls to an engine or service. It
+// gives up responses whose heads have more than maxHeadBytes.
+func NewHTTPClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = maxHeadBytes
+	return &http.Client{Transport: t}
+}
+
+// New returns a client for the engine at baseURL; a nil hc is NewHTTPClient. The timeout of hc must be
 // zero, since answer streams last as long as the sequence; contexts bound calls.
 func New(baseURL string, h Handler, hc *http.Client) *Client {
 	if hc == nil {
-		hc = &http.Client{}
+		hc = NewHTTPClient()
 	}
 	c := &Client{
 		base:    strings.TrimRight(baseURL, "/"),
@@ -190,13 +198,9 @@
 }
 
 func decode(r io.Reader, out any) error {
-	dec := json.NewDecoder(io.LimitReader(r, maxAnswerBytes))
-	return errors.Wrap(dec.Decode(out), "decode engine answer")
+	return errors.Wrap(json.NewDecoder(&boundedAnswer{r: r}).Decode(out), "decode engine answer")
 }
 
-// maxAnswerBytes limits the size of an answer that is not a stream.
-const maxAnswerBytes = 16 << 20
-
 func sequencePath(id engine.SequenceID) string {
 	return "/v1/sequences/" + url.PathEscape(string(id))
 }
