Count the frames of an answer, not only their data, that an agent keeps

An engine that sends tokens without text, or with little, without an end filled its agent's memory: 200,000 of 200,000 frames were kept, and more as long as it sent.

Cause: the frames kept for an entry that comes back were bounded by their data alone, 1 MiB, of which a frame may have none.

Each frame counts 128 bytes beside its data now, and the bound is 2 MiB, so that answers of usual tokens are still kept for some 15,000 frames.

--- a/internal/agent/shell/answers.go
+++ b/internal/agent/shell/answers.go
@@ -16,10 +16,11 @@
 	// resend them if the stream broke before they arrived.
 	answerRetention = 10 * time.Second
 	sweepInterval   = time.Second
-	// maxAnswerBytes bounds the frame data kept of one attempt, except that the
-	// newest frame is always kept. An entry that lost older frames has to retry
-	// the attempt.
-	maxAnswerBytes = 1 << 20
+	// maxAnswerBytes bounds the frames kept of one attempt, each with frameOverhead bytes
+	// beside its data, except that the newest frame is always kept. An entry that lost older
+	// frames has to retry the attempt.
+	maxAnswerBytes = 2 << 20
+	frameOverhead  = 128
 )
 
 // answers holds the answer frames of running and recently ended attempts.
@@ -41,7 +42,7 @@
 	mu      sync.Mutex
 	framer  *answer.Framer
 	frames  []wire.Frame           // kept to be sent again
-	bytes   int                    // of data in frames
+	bytes   int                    // in frames
 	tokens  int64                  // output tokens received
 	resumes int                    // tries to resume reading the endpoint's answer
 	stream  *transport.EntryStream // of the last successful send
@@ -147,10 +148,10 @@
 // newest frame.
 func (ans *answerStream) push(ctx context.Context, f wire.Frame) {
 	ans.frames = append(ans.frames, f)
-	ans.bytes += len(f.Data)
+	ans.bytes += len(f.Data) + frameOverhead
 	ans.send(ctx, 1)
 	for ans.bytes > maxAnswerBytes && len(ans.frames) > 1 {
-		ans.bytes -= len(ans.frames[0].Data)
+		ans.bytes -= len(ans.frames[0].Data) + frameOverhead
 		ans.frames = ans.frames[1:]
 	}
 }
