Keep of a service's short reads only their bytes

A plain service that sent its answer in pieces of a byte made its agent keep 32 KiB for each: 128 MB for 4,000 bytes.

Cause: copyReply read each piece into a buffer of its own, and the frames that are kept for an entry that comes back hold the whole buffer.

One buffer is read into, and frames have copies of what was read. TestShortReadsOfAServiceKeepLittleMemory failed before.

--- a/internal/agent/shell/calls.go
+++ b/internal/agent/shell/calls.go
@@ -117,11 +117,11 @@
 
 // copyReply passes the body of an answer to ans in frames.
 func copyReply(ctx context.Context, ans *answerStream, body io.Reader) error {
+	chunk := make([]byte, replyChunkBytes)
 	for {
-		chunk := make([]byte, replyChunkBytes)
 		n, err := body.Read(chunk)
 		if n > 0 {
-			ans.data(ctx, chunk[:n], 0)
+			ans.data(ctx, bytes.Clone(chunk[:n]), 0) // frames are kept
 		}
 		if err == io.EOF {
 			ans.close(ctx, wire.FrameTotal{})
