--- a/internal/crowdtest/endpoints_test.go
+++ b/internal/crowdtest/endpoints_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,11 +20,11 @@
 	`"services":[`, `"services":[{"name":"llm","engine":{"slots":16,"kvTokens":60000,"hopMs":0.05,"stride":46,"step_ms":0.925,"read_per_s":256000,"pairs_per_m":0.0917,"chunk":2048}},`,
 ).Replace(config)
 
-// startWithEndpoints starts a gateway with faultyEndpoints plain endpoints and as many engines, which
+// startWithEndpoints starts a gateway with a limit of descriptors and with faultyEndpoints plain endpoints and as many engines, which
 // are prepared by prepare.
-func startWithEndpoints(t *testing.T, prepare func(*standin.Replica)) (g *gateway, plain, engines []*standin.Replica) {
+func startWithEndpoints(t *testing.T, descriptors int, prepare func(*standin.Replica)) (g *gateway, plain, engines []*standin.Replica) {
 	t.Helper()
-	g = startGateway(t, manyDescriptors)
+	g = startGateway(t, descriptors)
 	g.store.Put("op/config", []byte(endpointConfig))
 	start := func(service string, n int) (all []*standin.Replica) {
 		for i := range n {
@@ -57,7 +58,7 @@
 
 // testEndlessEndpoints lets all endpoints answer a crowd's requests with a fault.
 func testEndlessEndpoints(t *testing.T, fault standin.Fault, stream bool, prepare func(*standin.Replica)) {
-	g, plain, engines := startWithEndpoints(t, prepare)
+	g, plain, engines := startWithEndpoints(t, manyDescriptors, prepare)
 	faulty, head := plain, g.head
 	if stream {
 		faulty, head = engines, g.streamHead
@@ -131,7 +132,7 @@
 		"unframed body": standin.FaultEndlessUnframed, "announced body": standin.FaultEndlessLength,
 	} {
 		t.Run(name, func(t *testing.T) {
-			g, _, engines := startWithEndpoints(t, func(r *standin.Replica) { r.SetControlFault(fault) })
+			g, _, engines := startWithEndpoints(t, manyDescriptors, func(r *standin.Replica) { r.SetControlFault(fault) })
 			members := make([]member, crowdSize)
 			for i := range members {
 				long := strings.Replace(g.streamHead(), "Token-Count: 400,100\r\n", "Token-Count: 70000,100\r\n", 1)
@@ -151,3 +152,44 @@
 		})
 	}
 }
+
+// TestEndpointsThatDoNotAnswerStayWithinDescriptors has requests that are sent to a second endpoint, so that each
+// takes three connections.
+func TestEndpointsThatDoNotAnswerStayWithinDescriptors(t *testing.T) {
+	g, plain, _ := startWithEndpoints(t, fewDescriptors, func(*standin.Replica) {})
+	for _, r := range plain {
+		r.InjectFaults(slices.Repeat([]standin.Fault{standin.FaultHang}, 4*largeCrowdSize)...)
+	}
+	members := make([]member, largeCrowdSize)
+	for i := range members {
+		members[i] = member{[]byte(g.head() + "Content-Length: 0\r\n\r\n")}
+	}
+	leave := runCrowd(g, members)
+	time.Sleep(endlessTime)
+	g.checkBounds(memoryMB, fewDescriptors)
+	for _, r := range plain {
+		r.ClearFaults()
+	}
+	g.serveOrdinary()
+	leave()
+	g.serveLargestInCalm()
+	g.checkBounds(memoryMB, fewDescriptors)
+}
+
+// TestKeptConnectionsToEndpointsStayWithinDescriptors has as many callers as connections are allowed to, who behave.
+func TestKeptConnectionsToEndpointsStayWithinDescriptors(t *testing.T) {
+	const callers = 90
+	g, _, _ := startWithEndpoints(t, fewDescriptors, func(r *standin.Replica) { r.Size, r.SendDuration = 1000, 10*time.Millisecond })
+	stop := time.Now().Add(endlessTime)
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
+			for time.Now().Before(stop) {
+				g.send(strings.NewReader("an ordinary body"))
+			}
+		})
+	}
+	running.Wait()
+	g.checkBounds(memoryMB, fewDescriptors)
+	g.serveOrdinary()
+}
