Bound the idle connections to all endpoints together

A gateway kept up to 12 idle connections to each endpoint for 2.5 s, whatever their number, so that a large fleet of endpoints could take the descriptors that callers, the store and other gateways need.

The idle connections are at most a quarter of limits.maxFds now; beyond it one that has been idle longest among 16 endpoints is closed.

--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -22,6 +22,9 @@
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
+// idleFraction of Settings.Descriptors are at most idle connections to endpoints.
+const idleFraction = 4
+
 // Config holds the settings and dependencies of a gateway.
 type Config struct {
 	Settings   Settings
@@ -85,6 +88,7 @@
 	g.conns.SetLimits(httpconn.Limits{
 		Connections: httpconn.MaxConnections(s.Descriptors, s.MemoryBytes), Memory: g.memory, WriteTimeout: writeTimeout,
 	})
+	g.pool.SetMaxIdle(s.Descriptors / idleFraction)
 	g.log = newLogger(g.logLines, s.Node)
 	g.core = gateway.New(gateway.Config{
 		Incarnation: uint64(g.start.UnixNano()), Addr: s.PeerAddr, Seeds: s.Seeds,
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -37,6 +37,9 @@
 	userTimeout = 4500 * time.Millisecond
 	// maxIdle is the number of idle connections kept for each endpoint.
 	maxIdle = 12
+	// closeSample is the number of endpoints among which put looks for the longest idle connection at the
+	// bound of SetMaxIdle.
+	closeSample = 16
 )
 
 // Pool holds idle connections by address. It is safe for concurrent use.
@@ -44,6 +47,8 @@
 	mu     sync.Mutex
 	idle   map[string][]*Conn // by address, the longest idle first
 	dialer net.Dialer
+	kept   int    // connections in idle
+	bound  int    // of kept; 0: none
 	open   int    // open connections, idle or in use
 	dialed uint64 // connections made since the start
 }
@@ -62,6 +67,13 @@
 	}
 }
 
+// SetMaxIdle bounds the idle connections to all endpoints together; 0: no bound.
+func (p *Pool) SetMaxIdle(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bound = n
+}
+
 // setUserTimeout is a net.Dialer.Control hook that sets TCP_USER_TIMEOUT.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failed error
@@ -114,6 +126,7 @@
 		return nil
 	}
 	p.idle[addr] = slices.Delete(list, i, i+1)
+	p.kept--
 	return c
 }
 
@@ -131,19 +144,56 @@
 	return c, nil
 }
 
-// put adds an idle connection. Beyond maxIdle, the longest idle one is closed.
+// put adds an idle connection. Beyond maxIdle, and beyond the bound of SetMaxIdle, it closes one that has
+// been idle for long.
 func (p *Pool) put(c *Conn) {
+	if extra := p.keep(c); extra != nil {
+		extra.Close()
+	}
+}
+
+// keep adds an idle connection and removes and returns one that has no place any more, if any.
+func (p *Pool) keep(c *Conn) (extra *Conn) {
 	p.mu.Lock()
-	list := p.idle[c.addr]
-	var extra *Conn
-	if len(list) >= maxIdle {
-		extra, list = list[0], list[1:]
+	defer p.mu.Unlock()
+	switch {
+	case len(p.idle[c.addr]) >= maxIdle:
+		extra = p.removeFirst(c.addr)
+	case p.bound > 0 && p.kept >= p.bound:
+		extra = p.removeFirst(p.longIdle())
 	}
-	p.idle[c.addr] = append(list, c)
-	p.mu.Unlock()
-	if extra != nil {
-		extra.Close()
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+	p.kept++
+	return extra
+}
+
+// longIdle returns an address whose first connection has been idle longest of a sample.
+func (p *Pool) longIdle() string {
+	var found string
+	sampled := 0
+	for addr, list := range p.idle {
+		if len(list) == 0 {
+			continue
+		}
+		if found == "" || list[0].idleSince.Before(p.idle[found][0].idleSince) {
+			found = addr
+		}
+		if sampled++; sampled == closeSample {
+			break
+		}
+	}
+	return found
+}
+
+// removeFirst removes and returns the longest idle connection to an address; nil if there is none.
+func (p *Pool) removeFirst(addr string) *Conn {
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
 	}
+	p.idle[addr] = list[1:]
+	p.kept--
+	return list[0]
 }
 
 // CloseIdle closes the idle connections to addr, for example since others to it have fallen silent.
@@ -151,6 +201,7 @@
 	p.mu.Lock()
 	idle := p.idle[addr]
 	delete(p.idle, addr)
+	p.kept -= len(idle)
 	p.mu.Unlock()
 	for _, c := range idle {
 		c.Close()
@@ -184,6 +235,7 @@
 			delete(p.idle, addr)
 		}
 	}
+	p.kept -= len(stale)
 	p.mu.Unlock()
 	for _, c := range stale {
 		c.Close()
