Give each call of an agent to an engine or a service a connection of its own

An engine or plain service that sends an answer a second time, once the next request has come in on the kept connection, answers that request with it. The agent then took a sequence for rejected that was running (a second copy of a 400, or of a stream that ends with a rejection): the entry retries it at once, its memory counts as free although the engine holds it, and if the message that it has started is lost with the stream between agent and entry, the caller is told that it has not run. Callers also got the text, or the whole answer, that belonged to another caller.

Cause: http.Transport takes whatever arrives after it has written a request for the answer to it, and neither the statuses nor the lines of the protocols name a request.

Now each call is made on a connection of its own, where no copy of another answer can arrive. A sequence holds its connection to the end in any case; calls of a service cost one more round trip.

An own check of sequence IDs in the lines was not added: statuses carry none.

--- a/internal/agent/shell/calls.go
+++ b/internal/agent/shell/calls.go
@@ -20,7 +20,8 @@
 // replyChunkBytes bounds the data in one frame of a plain service's answer.
 const replyChunkBytes = 32 << 10
 
-// calls runs the calls to a plain service. Each is sent at most once.
+// calls runs the calls to a plain service. Each is sent at most once, on a connection of its
+// own.
 type calls struct {
 	agent  *Agent
 	base   string // URL of the service, without a trailing slash
@@ -97,6 +98,8 @@
 	return true, copyReply(ctx, ans, resp.Body)
 }
 
+// request builds a request for a connection of its own: on a kept one, a late second copy of
+// an earlier answer would pass for the answer to this call.
 func (c *calls) request(ctx context.Context, s *agent.ServiceStart, body []byte) (*http.Request, error) {
 	url := c.base + "/" + strings.TrimPrefix(s.Call.Path, "/")
 	if s.Call.Query != "" {
@@ -106,6 +109,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "build service request")
 	}
+	req.Close = true
 	for _, h := range s.Call.Headers {
 		req.Header.Add(h.Name, h.Value)
 	}
--- a/internal/engine/enginehttp/client.go
+++ b/internal/engine/enginehttp/client.go
@@ -27,8 +27,8 @@
 	Text(id engine.SequenceID, tokens int, data []byte)
 }
 
-// Client calls one engine. It sends each call at most once. It is safe for
-// concurrent use.
+// Client calls one engine. It sends each call at most once, on a connection of its
+// own. It is safe for concurrent use.
 type Client struct {
 	base    string
 	handler Handler
@@ -176,6 +176,8 @@
 	return decode(resp.Body, out)
 }
 
+// call makes a call on a connection of its own: on a kept one, a late second copy of an
+// earlier answer would pass for the answer to this call.
 func (c *Client) call(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
 	var reader io.Reader
 	if body != nil {
@@ -185,6 +187,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "engine call")
 	}
+	req.Close = true
 	resp, err := c.http.Do(req)
 	return resp, errors.Wrap(err, "engine call")
 }
