Take no answer to a resumed stream as proof that the sequence has not run

An engine that answers 400 or 413 when an agent asks for the rest of an answer, for instance because it no longer keeps the tokens asked for, ended the attempt as "invalid, did not run", although the sequence had run. The caller got 400 instead of another attempt or "unknown", and "not run" where the message that it had started was lost with the stream between agent and entry.

Cause: Submit and Resume shared the reading of statuses, and only the submission's refusal says that the engine did nothing. The same holds for a connection that can't be made, which the agent had to correct for.

A resumed stream that isn't answered with 200 is now lost, not rejected: the agent asks again, then the attempt's outcome is unknown.

TestRefusedResumeIsNoProofThatTheSequenceHasNotRun failed for both statuses before.

--- a/internal/engine/enginehttp/client.go
+++ b/internal/engine/enginehttp/client.go
@@ -74,7 +74,8 @@
 }
 
 // Resume reads the answer stream of a sequence that the engine already holds,
-// from output token number from on, and returns at once.
+// from output token number from on, and returns at once. A status other than 200 says
+// nothing about the sequence: the handler gets a Failed event with FailLost.
 func (c *Client) Resume(ctx context.Context, id engine.SequenceID, from int64) {
 	c.streamOpened(id)
 	path := sequencePath(id) + "?from=" + strconv.FormatInt(from, 10)
@@ -86,16 +87,17 @@
 
 // follow makes a call that is answered with a stream and reads the stream to its end.
 func (c *Client) follow(ctx context.Context, method, path string, body []byte, s *streamReader) {
-	var connected atomic.Bool // a call without a connection can't have reached the engine
+	submits := method == http.MethodPost // else the sequence has been submitted before
+	var connected atomic.Bool            // a call without a connection can't have reached the engine
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	resp, err := c.call(httptrace.WithClientTrace(ctx, trace), method, path, body)
 	if err != nil {
-		c.fail(s.id, engine.FailLost, !connected.Load())
+		c.fail(s.id, engine.FailLost, submits && !connected.Load())
 		return
 	}
 	defer resp.Body.Close()
 	switch {
-	case resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusRequestEntityTooLarge:
+	case submits && (resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusRequestEntityTooLarge):
 		c.fail(s.id, engine.FailInvalid, true)
 	case resp.StatusCode != http.StatusOK:
 		c.fail(s.id, engine.FailLost, false)
--- a/internal/engine/enginehttp/repeated_test.go
+++ b/internal/engine/enginehttp/repeated_test.go
@@ -101,3 +101,13 @@
 		time.Sleep(idleWait)
 	}
 }
+
+func TestRefusedResumeIsNoProofThatTheSequenceHasNotRun(t *testing.T) {
+	for _, status := range []int{http.StatusBadRequest, http.StatusRequestEntityTooLarge} {
+		c, out := newRepeatingClient(t, status, "from is out of range")
+		c.Resume(context.Background(), "first", 3)
+		if ev := next(t, out.finals); ev.Failed == nil || ev.Failed.Rejected {
+			t.Errorf("status %d: got %+v, want a failure without rejection", status, ev.Failed)
+		}
+	}
+}
