Give each operation on the store a connection of its own

A store that sends a refusal (429, 400 or 413) a second time, once the next operation has come in on the kept connection, refuses that operation with it. An entry then took a write that had taken effect for one that had not been executed, and acted on it: records of calls that may run once, leases and registrations. A broken promise towards a caller was not brought about with it.

Cause: answers with status 200 name their operation and are checked, but these three statuses do not, and http.Transport takes whatever arrives after it has written a request for the answer to it. The class is the same as that of the calls to engines and services.

Now each operation is sent on a connection of its own, as platform/ does for writes. An entry makes few operations besides watches, which hold their connection anyway.

TestRepeatedRefusalOfTheStoreIsNoProofForTheNextWrite failed in each of three runs before, for 429 and for 400. With -race, internal/store, idempotency, dev, incarnation and entry/shell pass.

--- a/internal/store/httpclient.go
+++ b/internal/store/httpclient.go
@@ -19,7 +19,7 @@
 const maxResponseBytes = 32 * MaxValueBytes
 
 // HTTPClient executes operations over HTTP. It sends each operation at most
-// once and follows no redirect. It is safe for concurrent use.
+// once, on a connection of its own, and follows no redirect. It is safe for concurrent use.
 type HTTPClient struct {
 	url  string
 	http http.Client
@@ -59,13 +59,16 @@
 }
 
 // newRequest builds a request that http.Transport can't resend: it has a body
-// and no way to read it again.
+// and no way to read it again. It gets a connection of its own, since on a kept one a
+// late second copy of an earlier refusal, which names no operation, would pass for the
+// answer to this one.
 func (c *HTTPClient) newRequest(ctx context.Context, body []byte) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	req.GetBody = nil
+	req.Close = true
 	req.Header.Set("Content-Type", "application/json")
 	return req, nil
 }
