Add settings for the memory and descriptors of entries and agents

Neither process knew how much memory or how many descriptors it may use, so that nothing could be bounded by them. limits.memory_bytes now sets the garbage collector's limit, as memoryMb does at a gateway; limits.max_descriptors is not used yet.

--- a/internal/entry/shell/run.go
+++ b/internal/entry/shell/run.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,8 +18,12 @@
 	"trefoilpath.org/trefoilpath/internal/transport"
 )
 
-// stopTimeout bounds the shutdown of the HTTP servers after Entry.Run has returned.
-const stopTimeout = 2 * time.Second
+const (
+	// stopTimeout bounds the shutdown of the HTTP servers after Entry.Run has returned.
+	stopTimeout = 2 * time.Second
+	// memoryLimitFraction of the process's memory is the garbage collector's limit.
+	memoryLimitFraction = 0.6
+)
 
 // Listeners are the sockets of one entry. Operators may be nil.
 type Listeners struct {
@@ -46,6 +51,7 @@
 // down gracefully; Run returns when no work is in flight any more, or after
 // the drain wait of the settings.
 func Run(ctx context.Context, s settings.Entry, log zerolog.Logger) error {
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.Limits.MemoryBytes)))
 	cfg, err := FromSettings(s, incarnation.For(ctx, s.StoreURL, incarnation.RoleEntry, string(s.Node), log), log)
 	if err != nil {
 		return err
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -42,16 +42,18 @@
 	FenceIgnored = "ignored"
 )
 
-// AgentLimits bounds the memory that entries can make an agent use.
+// AgentLimits bounds the memory and descriptors that others can make an agent use.
 type AgentLimits struct {
-	MaxBodyBytes int64 `json:"max_body_bytes"`
-	MaxStreams   int64 `json:"max_streams"` // request bodies held at once
+	MemoryBytes    int64 `json:"memory_bytes"`    // of the process; a part of it is for request bodies
+	MaxDescriptors int64 `json:"max_descriptors"` // of the process; 0: RLIMIT_NOFILE
+	MaxBodyBytes   int64 `json:"max_body_bytes"`
+	MaxStreams     int64 `json:"max_streams"` // request bodies held at once
 }
 
 // DefaultAgent returns the settings that hold for fields left out of the file.
 func DefaultAgent() Agent {
 	return Agent{
-		Limits:      AgentLimits{MaxBodyBytes: 16 << 20, MaxStreams: 4_096},
+		Limits:      AgentLimits{MemoryBytes: 4 << 30, MaxBodyBytes: 16 << 20, MaxStreams: 4_096},
 		Routing:     Routing{FirstTokenWeight: 1, ShortSlowdownWeight: 1},
 		DrainWaitMS: 600_000,
 		LogLevel:    "info",
@@ -102,6 +104,8 @@
 	c.url("vm_list_url", s.VMListURL)
 	c.tlsFiles("tls", s.TLS, s.ListenOperators)
 	c.credential("operator_key_sha256", s.OperatorKey)
+	c.integer("limits.memory_bytes", s.Limits.MemoryBytes, minMemoryBytes, maxMemoryBytes)
+	c.descriptors("limits.max_descriptors", s.Limits.MaxDescriptors)
 	c.integer("limits.max_body_bytes", s.Limits.MaxBodyBytes, minBodyBytes, maxBodyBytes)
 	c.integer("limits.max_streams", s.Limits.MaxStreams, 1, maxStreams)
 	s.Routing.check(c)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -13,6 +13,10 @@
 const (
 	maxNameBytes     = 64
 	maxWaitMS        = 24 * 60 * 60 * 1_000 // one day
+	minMemoryBytes   = 64 << 20
+	maxMemoryBytes   = 1 << 40
+	minDescriptors   = 128
+	maxDescriptors   = 1 << 30
 	minBodyBytes     = 1 << 10
 	maxBodyBytes     = 1 << 30
 	minHeaderBytes   = 1 << 10
@@ -117,6 +121,13 @@
 	}
 }
 
+// descriptors wants 0 or a limit with which a process can run.
+func (c *checker) descriptors(field string, v int64) {
+	if v != 0 {
+		c.integer(field, v, minDescriptors, maxDescriptors)
+	}
+}
+
 // weight refuses NaN too, for which every comparison is false.
 func (c *checker) weight(field string, v float64) {
 	if !(v >= 0 && v <= maxRoutingWeight) {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -30,8 +30,10 @@
 	LogLevel        string             `json:"log_level"`
 }
 
-// EntryLimits bounds the memory that callers can make an entry use.
+// EntryLimits bounds the memory and descriptors that callers can make an entry use.
 type EntryLimits struct {
+	MemoryBytes          int64 `json:"memory_bytes"`    // of the process; a part of it is for what callers make it hold
+	MaxDescriptors       int64 `json:"max_descriptors"` // of the process; 0: RLIMIT_NOFILE
 	MaxBodyBytes         int64 `json:"max_body_bytes"`
 	MaxHeaderBytes       int64 `json:"max_header_bytes"`
 	MaxStreams           int64 `json:"max_streams"` // requests held at once
@@ -50,6 +52,7 @@
 func DefaultEntry() Entry {
 	return Entry{
 		Limits: EntryLimits{
+			MemoryBytes:          4 << 30,
 			MaxBodyBytes:         16 << 20,
 			MaxHeaderBytes:       64 << 10,
 			MaxStreams:           20_000,
@@ -125,6 +128,8 @@
 }
 
 func (l *EntryLimits) check(c *checker) {
+	c.integer("limits.memory_bytes", l.MemoryBytes, minMemoryBytes, maxMemoryBytes)
+	c.descriptors("limits.max_descriptors", l.MaxDescriptors)
 	c.integer("limits.max_body_bytes", l.MaxBodyBytes, minBodyBytes, maxBodyBytes)
 	c.integer("limits.max_header_bytes", l.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
 	c.integer("limits.max_streams", l.MaxStreams, 1, maxStreams)
