Bound the memory that bodies of requests take together at an entry

Operators would see an entry end by its memory under clients that send many large bodies at once and stop short of their end: readBody held each up to the limit with io.ReadAll, whose buffers leave as much again as garbage, for up to 60 s each, and nothing bounded their sum. With the default limits that is 16 MiB for each of 20,000 requests. Bodies that were being sent to an agent were kept after the end of their request, and a queued chunk kept the whole body.

Bodies are charged to an account of a third of limits.memory_bytes as they arrive, and kept on it until the request ends. Without room, bodies that have made no progress for 500 ms get 408, else the newcomer gets 503 with Retry-After; neither has been dispatched, so "not run" holds. Chunks are copied, and no more are sent once the request has ended.

--- a/internal/entry/shell/agents.go
+++ b/internal/entry/shell/agents.go
@@ -1,6 +1,7 @@
 package shell
 
 import (
+	"bytes"
 	"context"
 	"sync"
 
@@ -119,10 +120,10 @@
 		return
 	}
 	d := *msg.Dispatch
-	body := a.e.exchanges.body(m.Request, &d)
+	ctx, body := a.e.exchanges.body(m.Request, &d)
 	d.BodyBytes = int64(len(body))
 	a.sendOn(s, wire.ToAgent{Dispatch: &d})
-	a.sendBody(s, d.Attempt, body)
+	a.sendBody(ctx, s, d.Attempt, body)
 }
 
 func (a *agentStreams) sendOn(s *transport.AgentStream, m wire.ToAgent) {
@@ -131,9 +132,9 @@
 	}
 }
 
-// sendBody sends a body in chunks. A body larger than one chunk is sent
+// sendBody sends a body in chunks until ctx ends. A body larger than one chunk is sent
 // from its own goroutine, since the loop must not wait for the network.
-func (a *agentStreams) sendBody(s *transport.AgentStream, id wire.AttemptID, body []byte) {
+func (a *agentStreams) sendBody(ctx context.Context, s *transport.AgentStream, id wire.AttemptID, body []byte) {
 	if len(body) == 0 {
 		return
 	}
@@ -144,16 +145,17 @@
 	a.e.background.Add(1)
 	go func() {
 		defer a.e.background.Done()
-		sendChunks(s, id, body)
+		sendChunks(ctx, s, id, body)
 	}()
 }
 
-func sendChunks(s *transport.AgentStream, id wire.AttemptID, body []byte) {
+// sendChunks sends copies of the chunks: those that are queued would keep the whole body.
+func sendChunks(ctx context.Context, s *transport.AgentStream, id wire.AttemptID, body []byte) {
 	for offset := 0; offset < len(body); offset += bodyChunkBytes {
 		end := min(offset+bodyChunkBytes, len(body))
-		chunk := wire.BodyChunk{Attempt: id, Offset: int64(offset), Data: body[offset:end], Last: end == len(body)}
-		if err := s.SendBulk(context.Background(), wire.ToAgent{Body: &chunk}); err != nil {
-			return // the stream has ended
+		chunk := wire.BodyChunk{Attempt: id, Offset: int64(offset), Data: bytes.Clone(body[offset:end]), Last: end == len(body)}
+		if err := s.SendBulk(ctx, wire.ToAgent{Body: &chunk}); err != nil {
+			return // the stream or the request has ended
 		}
 	}
 }
--- a/internal/entry/shell/callers.go
+++ b/internal/entry/shell/callers.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/declaration"
 	"trefoilpath.org/trefoilpath/internal/entry"
 	"trefoilpath.org/trefoilpath/internal/wire"
@@ -28,6 +29,9 @@
 	maxRequestIDBytes = 128
 	maxDeadline       = 24 * time.Hour
 	maxPriority       = 1000
+	// unreadBodyTimeout bounds how long the rest of a body that is not needed is awaited, so that
+	// the caller gets its answer before the connection closes.
+	unreadBodyTimeout = time.Second
 )
 
 // CallerHandler returns the callers' HTTP interface.
@@ -125,29 +129,56 @@
 	return nil
 }
 
-// readBody reads the whole body within the limits of size and time. On failure
-// it answers with an error and returns false.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+// readBody reads the whole body within the limits of size, time and memory, and charges h for it.
+// On failure it answers with an error and returns false.
+func (e *Entry) readBody(h *bytebudget.Holder, w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	limit := e.cfg.Limits.MaxBodyBytes
 	if r.ContentLength > limit {
 		writeError(w, bodyTooLarge(limit))
 		return nil, false
 	}
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(time.Duration(e.cfg.Limits.ReadBodyTimeoutMS) * time.Millisecond)) // httptest recorders don't support it
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		_ = control.SetReadDeadline(time.Time{})
+	setDeadline := func(t time.Time) { _ = control.SetReadDeadline(t) } // httptest recorders don't support it
+	setDeadline(time.Now().Add(time.Duration(e.cfg.Limits.ReadBodyTimeoutMS) * time.Millisecond))
+	h.Evictable(func() { setDeadline(pastDeadline) })
+	body, err := readAll(h, http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+	if h.Settle() && err == nil {
+		setDeadline(time.Time{})
 		return body, true
 	}
+	h.Close()
 	w.Header().Set("Connection", "close")
+	setDeadline(time.Now().Add(unreadBodyTimeout))
+	answer := e.bodyError(err)
+	e.cfg.Log.Info().Str("event", "body-not-read").Str("request", w.Header().Get(HeaderRequestID)).Str("code", answer.Code).AnErr("detail", err).Send()
+	writeError(w, answer)
+	return nil, false
+}
+
+// readAll reads a body of a stated size; -1: unknown. limit is the bound that r itself enforces.
+func readAll(h *bytebudget.Holder, r io.Reader, size, limit int64) ([]byte, error) {
+	if size < 0 {
+		return h.ReadAll(r, limit+1, false)
+	}
+	return h.ReadAll(r, size+1, true) // reads to the end, so that the server knows that the body is complete
+}
+
+// pastDeadline is a deadline that has passed.
+var pastDeadline = time.Unix(1, 0)
+
+// bodyError counts and describes a request whose body was not read whole. One that was evicted
+// after its last byte has no error.
+func (e *Entry) bodyError(err error) apiError {
 	var over *http.MaxBytesError
-	if errors.As(err, &over) {
-		writeError(w, bodyTooLarge(limit))
-		return nil, false
+	switch {
+	case errors.As(err, &over):
+		return bodyTooLarge(e.cfg.Limits.MaxBodyBytes)
+	case errors.Is(err, bytebudget.ErrShort):
+		e.meters.bodiesRefused.Inc(1)
+		return refusal(entry.CodeOverloaded, "memory is short", time.Second)
 	}
-	writeError(w, apiError{Status: http.StatusRequestTimeout, Type: "invalid_request_error", Code: "body_incomplete", Message: "the body did not arrive whole in time", Outcome: wire.OutcomeNotRun})
-	return nil, false
+	e.meters.bodiesIncomplete.Inc(1)
+	return apiError{Status: http.StatusRequestTimeout, Type: "invalid_request_error", Code: "body_incomplete", Message: "the body did not arrive whole in time", Outcome: wire.OutcomeNotRun}
 }
 
 func bodyTooLarge(limit int64) apiError {
--- a/internal/entry/shell/completions.go
+++ b/internal/entry/shell/completions.go
@@ -19,7 +19,9 @@
 		return
 	}
 	defer e.requestLimit.release(c.account.ID)
-	body, ok := e.readBody(w, r)
+	memory := e.memory.Open()
+	defer memory.Close()
+	body, ok := e.readBody(memory, w, r)
 	if !ok {
 		return
 	}
@@ -28,7 +30,7 @@
 		writeError(w, invalidRequest(err.Error()))
 		return
 	}
-	x := newExchange(e.nextRequest(), body)
+	x := newExchange(r.Context(), e.nextRequest(), body)
 	x.continueRequest = func(text []byte) ([]byte, error) { return continueBody(body, s, text) }
 	in := &entry.Request{
 		ID: x.id, ExternalID: c.externalID, Account: c.account.ID, Kind: wire.KindEngine,
--- a/internal/entry/shell/entry.go
+++ b/internal/entry/shell/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/declaration"
 	"trefoilpath.org/trefoilpath/internal/entry"
 	"trefoilpath.org/trefoilpath/internal/invariant"
@@ -51,6 +52,7 @@
 	store        *store.HTTPClient
 	vms          *membership.VMListClient
 	requestLimit *requestLimit
+	memory       *bytebudget.Account // of request bodies
 	meters       *meters
 	drained      chan struct{}  // closed when the core has drained
 	background   sync.WaitGroup // goroutines that end before Run returns
@@ -78,6 +80,7 @@
 		drained:      make(chan struct{}),
 		storeSlots:   make(chan struct{}, maxStoreCalls),
 	}
+	e.memory = bytebudget.New(bytebudget.Capacity(cfg.Limits.MemoryBytes))
 	e.agents = newAgentStreams(e)
 	e.peers, err = newPeerMessenger(e)
 	if err != nil {
--- a/internal/entry/shell/exchange.go
+++ b/internal/entry/shell/exchange.go
@@ -1,6 +1,7 @@
 package shell
 
 import (
+	"context"
 	"sync"
 
 	"trefoilpath.org/trefoilpath/internal/answer"
@@ -14,6 +15,7 @@
 
 // exchange is a caller's request and the part of its answer received so far.
 type exchange struct {
+	ctx     context.Context // ends with the request
 	id      entry.RequestID
 	request []byte
 	service bool // a call of a plain service, not a completion
@@ -42,8 +44,8 @@
 	tokens int // output tokens in data
 }
 
-func newExchange(id entry.RequestID, request []byte) *exchange {
-	return &exchange{id: id, request: request, wake: make(chan struct{}, 1)}
+func newExchange(ctx context.Context, id entry.RequestID, request []byte) *exchange {
+	return &exchange{ctx: ctx, id: id, request: request, wake: make(chan struct{}, 1)}
 }
 
 func (x *exchange) notify() {
@@ -230,13 +232,13 @@
 	}
 }
 
-// body returns the body for a dispatch of the request.
-func (xs *exchanges) body(id entry.RequestID, d *wire.Dispatch) []byte {
+// body returns the body for a dispatch of the request, and a context that ends with the request.
+func (xs *exchanges) body(id entry.RequestID, d *wire.Dispatch) (context.Context, []byte) {
 	x := xs.get(id)
 	if x == nil {
-		return nil
+		return context.Background(), nil
 	}
-	return x.bodyFor(d)
+	return x.ctx, x.bodyFor(d)
 }
 
 // deliverFrame adds a frame from an agent to its exchange. Frames of attempts
--- a/internal/entry/shell/exchange_test.go
+++ b/internal/entry/shell/exchange_test.go
@@ -12,7 +12,7 @@
 
 func TestResumeStartsAfterDeliveredTokens(t *testing.T) {
 	xs := newExchanges()
-	x := newExchange(1, []byte("request"))
+	x := newExchange(t.Context(), 1, []byte("request"))
 	x.continueRequest = func(text []byte) ([]byte, error) { return append([]byte("request+"), text...), nil }
 	xs.add(x)
 	first := wire.AttemptID{Entry: "e", Incarnation: 1, Sequence: 1}
@@ -27,7 +27,7 @@
 	// The core knows of the first token only.
 	xs.setAttempt(&entry.SelectAttempt{ID: 1, Attempt: second, ResumeFrom: 1})
 	d := &wire.Dispatch{Attempt: second, ResumeFrom: 1}
-	if body := string(xs.body(1, d)); d.ResumeFrom != 3 || body != "request+ a b c" {
+	if _, body := xs.body(1, d); d.ResumeFrom != 3 || string(body) != "request+ a b c" {
 		t.Errorf("resumes after token %d with body %q", d.ResumeFrom, body)
 	}
 	rest := answer.NewFramer(second)
--- a/internal/entry/shell/metrics.go
+++ b/internal/entry/shell/metrics.go
@@ -22,13 +22,21 @@
 	inputs   metrics.Counter
 	ticks    metrics.Timer // duration of ticks of the core
 	first    metrics.Timer // time to first token
+
+	bodiesRefused    metrics.Counter // requests refused since there was no memory for their bodies
+	bodiesIncomplete metrics.Counter // bodies that did not arrive whole in time
 }
 
 func newMeters() *meters {
-	m := &meters{registry: metrics.NewRegistry(), inputs: metrics.NewCounter(), ticks: newTimer(), first: newTimer()}
+	m := &meters{
+		registry: metrics.NewRegistry(), inputs: metrics.NewCounter(), ticks: newTimer(), first: newTimer(),
+		bodiesRefused: metrics.NewCounter(), bodiesIncomplete: metrics.NewCounter(),
+	}
 	_ = m.registry.Register("core.inputs", m.inputs) // the names are distinct
 	_ = m.registry.Register("core.tick", m.ticks)
 	_ = m.registry.Register("requests.first_token", m.first)
+	_ = m.registry.Register("callers.bodies_refused", m.bodiesRefused)
+	_ = m.registry.Register("callers.bodies_incomplete", m.bodiesIncomplete)
 	return m
 }
 
--- a/internal/entry/shell/services.go
+++ b/internal/entry/shell/services.go
@@ -38,7 +38,9 @@
 		return
 	}
 	defer e.requestLimit.release(c.account.ID)
-	body, ok := e.readBody(w, r)
+	memory := e.memory.Open()
+	defer memory.Close()
+	body, ok := e.readBody(memory, w, r)
 	if !ok {
 		return
 	}
@@ -46,7 +48,7 @@
 		Service: r.PathValue("name"), Method: r.Method, Path: "/" + r.PathValue("path"), Query: r.URL.RawQuery,
 		Headers: forwardedHeaders(r.Header, c.externalID), IdempotencyKey: key,
 	}
-	x := newExchange(e.nextRequest(), body)
+	x := newExchange(r.Context(), e.nextRequest(), body)
 	x.service = true
 	in := &entry.Request{
 		ID: x.id, ExternalID: c.externalID, Account: c.account.ID, Kind: wire.KindService,
