Bound the connections of callers and operators at entries and agents

Nothing bounded the connections that others keep open with an entry or with the operators' listener of an agent, where nobody needs a key to connect: each new one was accepted until the process had no descriptors left for its agents, peers and the store.

Callers' connections get the bound and the shedding of internal/httpconn: at the bound those are closed that have waited longest for a head or for the next bytes of a body, then idle ones, else the newcomer. It follows from limits.max_descriptors or RLIMIT_NOFILE, and from limits.memory_bytes. Operators' listeners, which nothing but operators and the balancer need, have 32 places. The tracker knows connections below TLS too.

--- a/internal/agent/shell/operators.go
+++ b/internal/agent/shell/operators.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -11,12 +13,15 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"trefoilpath.org/trefoilpath/internal/agent"
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
 const (
 	operatorHeaderTimeout = 5 * time.Second
 	operatorStopTimeout   = time.Second
+	// maxOperatorConnections bounds the connections of operators, the balancer's included.
+	maxOperatorConnections = 32
 )
 
 // Status summarises the state of the agent for operators.
@@ -47,16 +52,28 @@
 }
 
 func (a *Agent) serveOperators(ctx context.Context) error {
-	srv := &http.Server{Addr: a.cfg.ListenOperators, Handler: a.OperatorHandler(), ReadHeaderTimeout: operatorHeaderTimeout}
+	l, err := net.Listen("tcp", a.cfg.ListenOperators)
+	if err != nil {
+		return errors.Wrap(err, "listen_operators")
+	}
+	conns := httpconn.NewTracker()
+	conns.SetLimits(httpconn.Limits{Connections: maxOperatorConnections})
+	l = conns.Listener(l)
+	if a.cfg.TLS != nil {
+		l = tls.NewListener(l, a.cfg.TLS.Operators())
+	}
+	srv := &http.Server{
+		Handler: a.OperatorHandler(), ReadHeaderTimeout: operatorHeaderTimeout, ConnState: conns.OnStateChange,
+	}
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		<-ctx.Done()
+		conns.WatchShed(ctx, a.logShed)
 		stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), operatorStopTimeout)
 		defer cancel()
 		_ = srv.Shutdown(stopCtx)
 	}()
-	err := a.listenAndServe(srv)
+	err = srv.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
 		<-stopped
 		return nil
@@ -64,12 +81,8 @@
 	return errors.Wrap(err, "serve operators' HTTP")
 }
 
-func (a *Agent) listenAndServe(srv *http.Server) error {
-	if a.cfg.TLS == nil {
-		return srv.ListenAndServe()
-	}
-	srv.TLSConfig = a.cfg.TLS.Operators()
-	return srv.ListenAndServeTLS("", "")
+func (a *Agent) logShed(closed, refused int) {
+	a.cfg.Log.Warn().Str("event", "connections-shed").Str("listener", "operators").Int("closed", closed).Int("refused", refused).Send()
 }
 
 func (a *Agent) operatorsOnly(next http.HandlerFunc) http.Handler {
--- a/internal/entry/shell/config.go
+++ b/internal/entry/shell/config.go
@@ -1,6 +1,7 @@
 package shell
 
 import (
+	"crypto/tls"
 	"math/rand/v2"
 	"time"
 
@@ -23,6 +24,7 @@
 	// Declarations take effect at the start, for runs without a store.
 	Declarations *declaration.Snapshot
 	OperatorKey  settings.Credential
+	CallersTLS   *tls.Config // nil: plain text
 	// OperatorsTLS serves operators with TLS too, so that their key is never sent
 	// in clear text.
 	OperatorsTLS bool
--- a/internal/entry/shell/metrics.go
+++ b/internal/entry/shell/metrics.go
@@ -25,18 +25,20 @@
 
 	bodiesRefused    metrics.Counter // requests refused since there was no memory for their bodies
 	bodiesIncomplete metrics.Counter // bodies that did not arrive whole in time
+	connectionsShed  metrics.Counter // connections closed for lack of a place
 }
 
 func newMeters() *meters {
 	m := &meters{
 		registry: metrics.NewRegistry(), inputs: metrics.NewCounter(), ticks: newTimer(), first: newTimer(),
-		bodiesRefused: metrics.NewCounter(), bodiesIncomplete: metrics.NewCounter(),
+		bodiesRefused: metrics.NewCounter(), bodiesIncomplete: metrics.NewCounter(), connectionsShed: metrics.NewCounter(),
 	}
 	_ = m.registry.Register("core.inputs", m.inputs) // the names are distinct
 	_ = m.registry.Register("core.tick", m.ticks)
 	_ = m.registry.Register("requests.first_token", m.first)
 	_ = m.registry.Register("callers.bodies_refused", m.bodiesRefused)
 	_ = m.registry.Register("callers.bodies_incomplete", m.bodiesIncomplete)
+	_ = m.registry.Register("connections.shed", m.connectionsShed)
 	return m
 }
 
--- a/internal/entry/shell/run.go
+++ b/internal/entry/shell/run.go
@@ -23,6 +23,8 @@
 	stopTimeout = 2 * time.Second
 	// memoryLimitFraction of the process's memory is the garbage collector's limit.
 	memoryLimitFraction = 0.6
+	// maxOperatorConnections bounds the connections of operators, the balancer's included.
+	maxOperatorConnections = 32
 )
 
 // Listeners are the sockets of one entry. Operators may be nil.
@@ -65,7 +67,7 @@
 		if err != nil {
 			return errors.Wrap(err, "callers_tls")
 		}
-		l.Callers = tls.NewListener(l.Callers, &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{cert}, NextProtos: []string{"http/1.1"}})
+		cfg.CallersTLS = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{cert}, NextProtos: []string{"http/1.1"}}
 	}
 	e, err := New(cfg)
 	if err != nil {
@@ -83,11 +85,14 @@
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	peers := transport.Serve(l.Peers, e.cfg.TLS, handler)
-	callers := e.serve(l.Callers, e.CallerHandler())
-	if e.cfg.OperatorsTLS && l.Operators != nil {
-		l.Operators = tls.NewListener(l.Operators, e.cfg.TLS.Operators())
+	callers := e.serve(l.Callers, e.cfg.CallersTLS, e.CallerHandler(), e.callerLimits())
+	var operatorsTLS *tls.Config
+	if e.cfg.OperatorsTLS {
+		operatorsTLS = e.cfg.TLS.Operators()
 	}
-	operators := e.serve(l.Operators, e.OperatorHandler())
+	operators := e.serve(l.Operators, operatorsTLS, e.OperatorHandler(), httpconn.Limits{Connections: maxOperatorConnections})
+	e.watchShed(run, "callers", callers)
+	e.watchShed(run, "operators", operators)
 	unhook := context.AfterFunc(ctx, func() {
 		e.Shutdown()
 		time.AfterFunc(e.cfg.DrainWait, stop)
@@ -98,6 +103,7 @@
 	var g errgroup.Group
 	g.Go(callers.stop)
 	g.Go(operators.stop)
+	stop()
 	_ = g.Wait() // a caller that still reads after stopTimeout is disconnected
 	e.servers.Wait()
 	peers.Close()
@@ -111,8 +117,31 @@
 	conns *httpconn.Tracker
 }
 
+// callerLimits returns the limits of the connections of callers.
+func (e *Entry) callerLimits() httpconn.Limits {
+	limits := e.cfg.Limits
+	return httpconn.Limits{
+		Connections: httpconn.MaxConnections(httpconn.Descriptors(limits.MaxDescriptors), limits.MemoryBytes),
+		Memory:      e.memory,
+	}
+}
+
+// watchShed logs and counts the connections of a server that are closed at its limits, until ctx
+// ends. The server may be nil.
+func (e *Entry) watchShed(ctx context.Context, name string, s *server) {
+	if s == nil {
+		return
+	}
+	e.servers.Go(func() {
+		s.conns.WatchShed(ctx, func(closed, refused int) {
+			e.meters.connectionsShed.Inc(int64(closed + refused))
+			e.cfg.Log.Warn().Str("event", "connections-shed").Str("listener", name).Int("closed", closed).Int("refused", refused).Send()
+		})
+	})
+}
+
 // serve starts an HTTP server on l. It returns nil if l is nil.
-func (e *Entry) serve(l net.Listener, h http.Handler) *server {
+func (e *Entry) serve(l net.Listener, tlsConfig *tls.Config, h http.Handler, limits httpconn.Limits) *server {
 	if l == nil {
 		return nil
 	}
@@ -122,6 +151,11 @@
 		MaxHeaderBytes:    int(e.cfg.Limits.MaxHeaderBytes),
 	}}
 	s.http.ConnState = s.conns.OnStateChange
+	s.conns.SetLimits(limits)
+	l = s.conns.Listener(l)
+	if tlsConfig != nil {
+		l = tls.NewListener(l, tlsConfig)
+	}
 	e.servers.Go(func() { _ = s.http.Serve(l) }) // returns only after Close, or with the listener's error
 	return s
 }
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -9,8 +9,8 @@
 	"trefoilpath.org/trefoilpath/internal/bytebudget"
 )
 
-// Listener returns a listener whose plain TCP connections the tracker can close while they
-// wait for a request. Other connections are never closed by it. Connections for which the tracker's
+// Listener returns a listener whose TCP connections the tracker can close while they
+// wait for a request, also below TLS. Other connections are never closed by it. Connections for which the tracker's
 // limits have no place are closed unread.
 func (t *Tracker) Listener(l net.Listener) net.Listener {
 	return listener{Listener: l, tracker: t}
--- a/internal/httpconn/tracker.go
+++ b/internal/httpconn/tracker.go
@@ -34,8 +34,8 @@
 
 // OnStateChange is an http.Server.ConnState hook.
 func (t *Tracker) OnStateChange(conn net.Conn, s http.ConnState) {
-	c, tracked := conn.(*trackedConn)
-	if tracked {
+	c := trackedOf(conn)
+	if c != nil {
 		c.onStateChange(s)
 	}
 	t.mu.Lock()
@@ -43,7 +43,7 @@
 	delete(t.active, conn)
 	switch s {
 	case http.StateNew:
-		if tracked {
+		if c != nil {
 			t.conns[c] = true
 		}
 	case http.StateActive:
