Answer requests whose bodies are not needed without waiting for the rest

A request that is refused unread, for instance without a known key, got its answer only once the rest of its body had come: net/http reads it first, without a deadline. A caller that stops one byte short kept its connection and goroutine for good; its connection counts as busy, so that the bound of connections can't close it.

Cause: the deadline of bodies was set where an entry reads them, and nowhere else. Now each request with a body starts with a deadline of 1 s for a body that nobody reads, at the callers' and operators' listeners of entries and agents; readBody sets its own. A body that arrives in that time leaves the connection open, as before.

--- a/internal/agent/shell/operators.go
+++ b/internal/agent/shell/operators.go
@@ -63,7 +63,7 @@
 		l = tls.NewListener(l, a.cfg.TLS.Operators())
 	}
 	srv := &http.Server{
-		Handler: a.OperatorHandler(), ReadHeaderTimeout: operatorHeaderTimeout, ConnState: conns.OnStateChange,
+		Handler: httpconn.BoundUnreadBodies(a.OperatorHandler()), ReadHeaderTimeout: operatorHeaderTimeout, ConnState: conns.OnStateChange,
 	}
 	stopped := make(chan struct{})
 	go func() {
--- a/internal/entry/shell/callers.go
+++ b/internal/entry/shell/callers.go
@@ -13,6 +13,7 @@
 	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/declaration"
 	"trefoilpath.org/trefoilpath/internal/entry"
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -29,9 +30,6 @@
 	maxRequestIDBytes = 128
 	maxDeadline       = 24 * time.Hour
 	maxPriority       = 1000
-	// unreadBodyTimeout bounds how long the rest of a body that is not needed is awaited, so that
-	// the caller gets its answer before the connection closes.
-	unreadBodyTimeout = time.Second
 )
 
 // CallerHandler returns the callers' HTTP interface.
@@ -148,7 +146,7 @@
 	}
 	h.Close()
 	w.Header().Set("Connection", "close")
-	setDeadline(time.Now().Add(unreadBodyTimeout))
+	_ = httpconn.ExpectNoBody(w)
 	answer := e.bodyError(err)
 	e.cfg.Log.Info().Str("event", "body-not-read").Str("request", w.Header().Get(HeaderRequestID)).Str("code", answer.Code).AnErr("detail", err).Send()
 	writeError(w, answer)
--- a/internal/entry/shell/run.go
+++ b/internal/entry/shell/run.go
@@ -146,7 +146,7 @@
 		return nil
 	}
 	s := &server{conns: httpconn.NewTracker(), http: &http.Server{
-		Handler:           h,
+		Handler:           httpconn.BoundUnreadBodies(h),
 		ReadHeaderTimeout: time.Duration(e.cfg.Limits.ReadHeaderTimeoutMS) * time.Millisecond,
 		MaxHeaderBytes:    int(e.cfg.Limits.MaxHeaderBytes),
 	}}
