Bound the memory that bodies of attempts take together at an agent

Callers that send whole bodies to an endpoint that doesn't answer make its agent hold them all: it bounded one body and their number, 16 MiB and 4,096 by default, not their sum, and only until they were handed to the endpoint, though a call keeps its body to its end.

--- a/internal/agent/shell/agent.go
+++ b/internal/agent/shell/agent.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"trefoilpath.org/trefoilpath/internal/agent"
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/engine/enginehttp"
 	"trefoilpath.org/trefoilpath/internal/invariant"
 	"trefoilpath.org/trefoilpath/internal/wire"
@@ -66,7 +67,8 @@
 		metrics:      newMeters(),
 	}
 	a.links = newLinks(a)
-	a.bodies = newBodies(cfg.MaxBodyBytes, cfg.MaxBodies)
+	memory := bytebudget.New(bytebudget.Capacity(cfg.MemoryBytes))
+	a.bodies = newBodies(cfg.MaxBodyBytes, cfg.MaxBodies, memory)
 	a.answers = newAnswers(a.links)
 	if cfg.Core.Kind == wire.KindService {
 		a.calls = newCalls(a, cfg.EndpointURL, cfg.EndpointClient)
@@ -268,7 +270,10 @@
 		}
 		return
 	case msg.Dispatch != nil && msg.Dispatch.BodyBytes > 0:
-		a.bodies.expect(msg.Dispatch.Attempt, msg.Dispatch.BodyBytes)
+		if d := msg.Dispatch; !a.bodies.expect(d.Attempt, d.BodyBytes) {
+			a.metrics.bodiesRefused.Inc(1)
+			a.cfg.Log.Warn().Str("event", "body-refused").Stringer("attempt", d.Attempt).Str("request", d.RequestID).Int64("bytes", d.BodyBytes).Send()
+		}
 	}
 	a.enqueue(ctx, agent.Input{FromEntry: &agent.FromEntry{Entry: from, Msg: *msg}})
 }
--- a/internal/agent/shell/config.go
+++ b/internal/agent/shell/config.go
@@ -26,6 +26,7 @@
 	// ListenOperators is the address of the operators' HTTP; empty: none.
 	ListenOperators string
 	OperatorKey     settings.Credential
+	MemoryBytes     int64         // of the process; a part of it is for bodies and answers; 0: unlimited
 	MaxBodyBytes    int64         // of one attempt
 	MaxBodies       int64         // bodies held at once
 	DrainWait       time.Duration // longest drain after Leave
@@ -70,6 +71,7 @@
 		VMListURL:       s.VMListURL,
 		ListenOperators: s.ListenOperators,
 		OperatorKey:     s.OperatorKey,
+		MemoryBytes:     s.Limits.MemoryBytes,
 		MaxBodyBytes:    s.Limits.MaxBodyBytes,
 		MaxBodies:       s.Limits.MaxStreams,
 		DrainWait:       time.Duration(s.DrainWaitMS) * time.Millisecond,
--- a/internal/agent/shell/metrics.go
+++ b/internal/agent/shell/metrics.go
@@ -20,6 +20,8 @@
 	registry metrics.Registry
 	inputs   metrics.Counter
 	ticks    metrics.Timer // duration of ticks of the core
+
+	bodiesRefused metrics.Counter // bodies for which the agent had no room
 }
 
 func newMeters() *meters {
@@ -27,9 +29,12 @@
 		registry: metrics.NewRegistry(),
 		inputs:   metrics.NewCounter(),
 		ticks:    metrics.NewCustomTimer(metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)), metrics.NewMeter()),
+
+		bodiesRefused: metrics.NewCounter(),
 	}
 	_ = m.registry.Register("core.inputs", m.inputs) // the names are distinct
 	_ = m.registry.Register("core.tick", m.ticks)
+	_ = m.registry.Register("bodies.refused", m.bodiesRefused)
 	return m
 }
 
