Bound the memory that kept answers take together at an agent

Callers that ask for large answers end the agents: an agent keeps up to 1 MiB of each answer for 10 s after its end, to send it again over a new stream, and nothing bounded their sum. A frame that was dropped stayed reachable from the slice until that grew, and a frame of one byte of a plain service kept a buffer of 32 KiB.

Kept frames are charged to the account of bodies. Dropped frames are cleared, and frames hold what was read only.

--- a/internal/agent/shell/agent.go
+++ b/internal/agent/shell/agent.go
@@ -69,7 +69,7 @@
 	a.links = newLinks(a)
 	memory := bytebudget.New(bytebudget.Capacity(cfg.MemoryBytes))
 	a.bodies = newBodies(cfg.MaxBodyBytes, cfg.MaxBodies, memory)
-	a.answers = newAnswers(a.links)
+	a.answers = newAnswers(a.links, memory)
 	if cfg.Core.Kind == wire.KindService {
 		a.calls = newCalls(a, cfg.EndpointURL, cfg.EndpointClient)
 		return a, nil
--- a/internal/agent/shell/answers.go
+++ b/internal/agent/shell/answers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/answer"
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/transport"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
@@ -20,11 +21,15 @@
 	// newest frame is always kept. An entry that lost older frames has to retry
 	// the attempt.
 	maxAnswerBytes = 1 << 20
+	// frameOverhead is the memory in bytes that a frame takes besides its data.
+	frameOverhead = 256
 )
 
-// answers holds the answer frames of running and recently ended attempts.
+// answers holds the answer frames of running and recently ended attempts. Without room in memory,
+// it forgets ended answers, and keeps of others only the newest frame.
 type answers struct {
 	links     *links
+	memory    *bytebudget.Account
 	mu        sync.Mutex
 	byAttempt map[wire.AttemptID]*answerStream
 }
@@ -41,7 +46,8 @@
 	mu      sync.Mutex
 	framer  *answer.Framer
 	frames  []wire.Frame           // kept to be sent again
-	bytes   int                    // of data in frames
+	bytes   int                    // of frames
+	memory  *bytebudget.Holder     // of frames
 	tokens  int64                  // output tokens received
 	resumes int                    // tries to resume reading the endpoint's answer
 	stream  *transport.EntryStream // of the last successful send
@@ -49,14 +55,14 @@
 	endedAt atomic.Int64 // when the attempt ended, in Unix nanoseconds; 0: still running
 }
 
-func newAnswers(l *links) *answers {
-	return &answers{links: l, byAttempt: make(map[wire.AttemptID]*answerStream)}
+func newAnswers(l *links, memory *bytebudget.Account) *answers {
+	return &answers{links: l, memory: memory, byAttempt: make(map[wire.AttemptID]*answerStream)}
 }
 
 func (s *answers) open(ctx context.Context, id wire.AttemptID, maxOutput int64) *answerStream {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ans := &answerStream{links: s.links, id: id, maxOutput: maxOutput, framer: answer.NewFramer(id)}
+	ans := &answerStream{links: s.links, id: id, maxOutput: maxOutput, framer: answer.NewFramer(id), memory: s.memory.Open()}
 	ans.ctx, ans.cancel = context.WithCancel(ctx)
 	s.byAttempt[id] = ans
 	return ans
@@ -75,7 +81,9 @@
 	if ans == nil {
 		return
 	}
-	ans.endedAt.CompareAndSwap(0, time.Now().UnixNano())
+	if ans.endedAt.CompareAndSwap(0, time.Now().UnixNano()) {
+		ans.memory.Evictable(func() { go ans.forget() })
+	}
 }
 
 // expire removes the answers that ended more than answerRetention ago.
@@ -86,6 +94,7 @@
 		if ans.expired(now) {
 			delete(s.byAttempt, id)
 			ans.cancel() // stops reading from an endpoint that hangs
+			ans.memory.Close()
 		}
 	}
 }
@@ -143,18 +152,35 @@
 
 // push stores a frame and sends it, with all kept frames before it if the stream
 // is new. It waits while the stream is full, which applies back-pressure to the
-// endpoint. Then it drops the oldest frames beyond maxAnswerBytes, but never the
-// newest frame.
+// endpoint. Then it drops the oldest frames beyond maxAnswerBytes, or all if memory is short, but
+// never the newest frame.
 func (ans *answerStream) push(ctx context.Context, f wire.Frame) {
+	limit := maxAnswerBytes
+	if ans.memory.Grow(int64(frameBytes(&f))) != nil {
+		limit = 0
+	}
 	ans.frames = append(ans.frames, f)
-	ans.bytes += len(f.Data)
+	ans.bytes += frameBytes(&f)
 	ans.send(ctx, 1)
-	for ans.bytes > maxAnswerBytes && len(ans.frames) > 1 {
-		ans.bytes -= len(ans.frames[0].Data)
+	for ans.bytes > limit && len(ans.frames) > 1 {
+		size := frameBytes(&ans.frames[0])
+		ans.frames[0] = wire.Frame{} // frees its data
 		ans.frames = ans.frames[1:]
+		ans.bytes -= size
+		ans.memory.Shrink(int64(size))
 	}
 }
 
+func frameBytes(f *wire.Frame) int { return len(f.Data) + frameOverhead }
+
+// forget drops the frames of an ended answer.
+func (ans *answerStream) forget() {
+	ans.mu.Lock()
+	defer ans.mu.Unlock()
+	ans.frames, ans.bytes = nil, 0
+	ans.memory.Close()
+}
+
 func (ans *answerStream) flush(ctx context.Context) {
 	ans.mu.Lock()
 	defer ans.mu.Unlock()
--- a/internal/agent/shell/calls.go
+++ b/internal/agent/shell/calls.go
@@ -121,11 +121,11 @@
 
 // copyReply passes the body of an answer to ans in frames.
 func copyReply(ctx context.Context, ans *answerStream, body io.Reader) error {
+	buf := make([]byte, replyChunkBytes)
 	for {
-		chunk := make([]byte, replyChunkBytes)
-		n, err := body.Read(chunk)
+		n, err := body.Read(buf)
 		if n > 0 {
-			ans.data(ctx, chunk[:n], 0)
+			ans.data(ctx, bytes.Clone(buf[:n]), 0)
 		}
 		if err == io.EOF {
 			ans.close(ctx, wire.FrameTotal{})
--- a/internal/agent/shell/operators.go
+++ b/internal/agent/shell/operators.go
@@ -20,6 +20,9 @@
 const (
 	operatorHeaderTimeout = 5 * time.Second
 	operatorStopTimeout   = time.Second
+	// operatorWriteTimeout is how long an operator may take for 64 KiB of an answer, or for what is
+	// left of it.
+	operatorWriteTimeout = 30 * time.Second
 	// maxOperatorConnections bounds the connections of operators, the balancer's included.
 	maxOperatorConnections = 32
 )
@@ -57,7 +60,7 @@
 		return errors.Wrap(err, "listen_operators")
 	}
 	conns := httpconn.NewTracker()
-	conns.SetLimits(httpconn.Limits{Connections: maxOperatorConnections})
+	conns.SetLimits(httpconn.Limits{Connections: maxOperatorConnections, WriteTimeout: operatorWriteTimeout})
 	l = conns.Listener(l)
 	if a.cfg.TLS != nil {
 		l = tls.NewListener(l, a.cfg.TLS.Operators())
