Bound what callers that do not take their answers make an entry hold

An entry holds up to 4 MiB of the answer of a caller that reads slowly, and nothing bounded their sum; what was being written didn't count. The first write of an answer had no deadline, nor had errors, stored answers and whole completions, so that a silent caller held its answer, its place and its connection until TCP gave up. A caller that was cut off for its backlog kept it while its handler was blocked in a write.

Backlogs are charged to an account of a sixth of limits.memory_bytes, until they are written. Each write to a caller or an operator gets a deadline below the server: 30 s for 64 KiB or what is left.

--- a/internal/entry/shell/completions.go
+++ b/internal/entry/shell/completions.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"trefoilpath.org/trefoilpath/internal/entry"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
@@ -30,7 +32,8 @@
 		writeError(w, invalidRequest(err.Error()))
 		return
 	}
-	x := newExchange(r.Context(), e.nextRequest(), body)
+	x := newExchange(r.Context(), e.nextRequest(), body, e.backlogs, cutWrites(w))
+	defer x.close()
 	x.continueRequest = func(text []byte) ([]byte, error) { return continueBody(body, s, text) }
 	in := &entry.Request{
 		ID: x.id, ExternalID: c.externalID, Account: c.account.ID, Kind: wire.KindEngine,
@@ -42,8 +45,7 @@
 		writeError(w, refusal(entry.CodeShutdown, "", time.Second))
 		return
 	}
-	out := newRenderer(w, req, c.externalID)
-	e.relayAnswer(r, x, out)
+	e.relayAnswer(r, c.externalID, x, newRenderer(w, req, c.externalID))
 }
 
 // sink writes an answer to the HTTP caller: pieces as they arrive, then the outcome.
@@ -54,7 +56,7 @@
 }
 
 // relayAnswer writes the answer to out until it ends or the caller disconnects.
-func (e *Entry) relayAnswer(r *http.Request, x *exchange, out sink) {
+func (e *Entry) relayAnswer(r *http.Request, externalID string, x *exchange, out sink) {
 	for {
 		select {
 		case <-x.wake:
@@ -63,9 +65,13 @@
 			return
 		}
 		pieces, head, final := x.take()
-		if err := writePieces(out, head, pieces); err != nil {
+		if err := writePieces(x, out, head, pieces); err != nil {
 			e.input(entry.Input{CallerGone: &entry.CallerGone{ID: x.id}})
-			return
+			if errors.Is(err, errTooSlow) {
+				e.meters.answersCut.Inc(1)
+				e.cfg.Log.Info().Str("event", "answer-cut").Str("request", externalID).Str("detail", err.Error()).Send()
+			}
+			panic(http.ErrAbortHandler) // breaks the connection, so that the answer is not taken as complete
 		}
 		if final != nil {
 			out.final(final)
@@ -74,12 +80,28 @@
 	}
 }
 
-func writePieces(out sink, head *wire.ReplyHead, pieces []piece) error {
+// cutWrites returns a function that ends the write to the caller that is in progress.
+func cutWrites(w http.ResponseWriter) func() {
+	control := http.NewResponseController(w)
+	return func() { _ = control.SetWriteDeadline(pastDeadline) } // httptest recorders don't support it
+}
+
+// errTooSlow reports that there is no room for the answer of a caller that does not take it.
+var errTooSlow = errors.New("the caller does not take its answer")
+
+func writePieces(x *exchange, out sink, head *wire.ReplyHead, pieces []piece) error {
 	if len(pieces) == 0 {
 		return nil
 	}
-	for _, p := range pieces {
-		if err := out.piece(head, p); err != nil {
+	for i := range pieces {
+		if x.memory.Evicted() {
+			return errTooSlow
+		}
+		err := out.piece(head, pieces[i])
+		if !x.written(&pieces[i]) {
+			return errTooSlow
+		}
+		if err != nil {
 			return err
 		}
 	}
--- a/internal/entry/shell/entry.go
+++ b/internal/entry/shell/entry.go
@@ -53,6 +53,7 @@
 	vms          *membership.VMListClient
 	requestLimit *requestLimit
 	memory       *bytebudget.Account // of request bodies
+	backlogs     *bytebudget.Account // of answers that callers have not taken
 	meters       *meters
 	drained      chan struct{}  // closed when the core has drained
 	background   sync.WaitGroup // goroutines that end before Run returns
@@ -81,6 +82,7 @@
 		storeSlots:   make(chan struct{}, maxStoreCalls),
 	}
 	e.memory = bytebudget.New(bytebudget.Capacity(cfg.Limits.MemoryBytes))
+	e.backlogs = newBacklogs(cfg.Limits.MemoryBytes)
 	e.agents = newAgentStreams(e)
 	e.peers, err = newPeerMessenger(e)
 	if err != nil {
--- a/internal/entry/shell/exchange.go
+++ b/internal/entry/shell/exchange.go
@@ -5,13 +5,24 @@
 	"sync"
 
 	"trefoilpath.org/trefoilpath/internal/answer"
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/entry"
 	"trefoilpath.org/trefoilpath/internal/idempotency"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
-// maxBacklogBytes bounds the answer data buffered for a caller that reads slowly.
-const maxBacklogBytes = 4 << 20
+const (
+	// maxBacklogBytes bounds the answer data held for a caller that reads slowly.
+	maxBacklogBytes = 4 << 20
+	// pieceOverhead is the memory in bytes that a piece takes besides its data.
+	pieceOverhead = 64
+	// backlogFraction of a process's memory is for the backlogs of all callers together.
+	backlogFraction = 1.0 / 6
+)
+
+func newBacklogs(memoryBytes int64) *bytebudget.Account {
+	return bytebudget.New(int64(backlogFraction * float64(memoryBytes)))
+}
 
 // exchange is a caller's request and the part of its answer received so far.
 type exchange struct {
@@ -28,7 +39,11 @@
 	attempt      wire.AttemptID
 	resumeFrom   int64 // output tokens of earlier attempts, which this one does not repeat
 	pieces       []piece
-	backlogBytes int
+	memory       *bytebudget.Holder // of pieces and of those that are being written
+	backlogBytes int64              // the same
+	closed       bool               // the caller gets nothing more
+	tooSlow      bool               // it is closed since there was no room for its backlog
+	cut          func()             // ends a write to the caller
 	// text is the data queued for the caller so far, for continuation and stored
 	// replies. For a service it stops growing above MaxStoredBody, since larger
 	// replies are not stored.
@@ -44,8 +59,19 @@
 	tokens int // output tokens in data
 }
 
-func newExchange(ctx context.Context, id entry.RequestID, request []byte) *exchange {
-	return &exchange{ctx: ctx, id: id, request: request, wake: make(chan struct{}, 1)}
+func (p *piece) bytes() int64 { return int64(len(p.data)) + pieceOverhead }
+
+// newExchange returns the exchange of a request. cut ends a write to its caller. The exchange must
+// be closed.
+func newExchange(ctx context.Context, id entry.RequestID, request []byte, backlogs *bytebudget.Account, cut func()) *exchange {
+	return &exchange{ctx: ctx, id: id, request: request, memory: backlogs.Open(), cut: cut, wake: make(chan struct{}, 1)}
+}
+
+// evict breaks off the answer of a caller that does not take it. It doesn't lock x.mu: another
+// exchange may call it that is locked.
+func (x *exchange) evict() {
+	x.cut()
+	x.notify()
 }
 
 func (x *exchange) notify() {
@@ -55,23 +81,56 @@
 	}
 }
 
-// take removes and returns the pieces that arrived since the last call. It also
-// returns the head and the final answer once they have arrived.
+// take removes and returns the pieces that arrived since the last call. They belong to the backlog
+// until they are passed to written. It also returns the head and the final answer once they have
+// arrived.
 func (x *exchange) take() (pieces []piece, head *wire.ReplyHead, final *entry.Answer) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	pieces, x.pieces = x.pieces, nil
-	x.backlogBytes = 0
 	return pieces, x.head, x.final
 }
 
+// written takes a piece out of the backlog, and reports whether the caller may get more.
+func (x *exchange) written(p *piece) bool {
+	x.memory.Shrink(p.bytes())
+	x.memory.Progress()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.backlogBytes -= p.bytes()
+	if x.backlogBytes == 0 {
+		return x.memory.Settle() && !x.tooSlow
+	}
+	return !x.memory.Evicted() && !x.tooSlow
+}
+
+// close drops the backlog; nothing more is queued for the caller.
+func (x *exchange) close() {
+	x.mu.Lock()
+	x.closed = true
+	x.pieces = nil
+	x.mu.Unlock()
+	x.memory.Close()
+}
+
 // accept processes one frame. It returns the progress to report to the core, if
-// any, and whether the backlog exceeds maxBacklogBytes.
+// any, and whether the backlog is too large. Then the caller gets nothing more.
 func (x *exchange) accept(f *wire.Frame) (progress *entry.StreamProgress, tooSlow bool) {
+	p := piece{data: f.Data, tokens: int(f.Tokens)}
+	room := x.memory.Grow(p.bytes()) == nil // may wait for the memory of others, so before the lock
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	before := x.backlogBytes
 	progress = x.assemble(f)
-	return progress, x.backlogBytes > maxBacklogBytes
+	if room && x.backlogBytes == before {
+		x.memory.Shrink(p.bytes()) // not queued
+	}
+	if x.closed || room && x.backlogBytes <= maxBacklogBytes {
+		return progress, false
+	}
+	x.closed, x.tooSlow = true, true
+	x.evict()
+	return progress, true
 }
 
 // assemble adds a frame to the answer and queues its new data. The caller holds
@@ -131,8 +190,15 @@
 	if !x.service || len(x.text) <= idempotency.MaxStoredBody {
 		x.text = append(x.text, data...)
 	}
-	x.pieces = append(x.pieces, piece{data: data, tokens: tokens})
-	x.backlogBytes += len(data)
+	if x.closed {
+		return
+	}
+	p := piece{data: data, tokens: tokens}
+	x.pieces = append(x.pieces, p)
+	if x.backlogBytes == 0 {
+		x.memory.Evictable(x.evict)
+	}
+	x.backlogBytes += p.bytes()
 	x.notify()
 }
 
--- a/internal/entry/shell/exchange_test.go
+++ b/internal/entry/shell/exchange_test.go
@@ -12,7 +12,7 @@
 
 func TestResumeStartsAfterDeliveredTokens(t *testing.T) {
 	xs := newExchanges()
-	x := newExchange(t.Context(), 1, []byte("request"))
+	x := newExchange(t.Context(), 1, []byte("request"), newBacklogs(0), func() {})
 	x.continueRequest = func(text []byte) ([]byte, error) { return append([]byte("request+"), text...), nil }
 	xs.add(x)
 	first := wire.AttemptID{Entry: "e", Incarnation: 1, Sequence: 1}
--- a/internal/entry/shell/fakeagent_test.go
+++ b/internal/entry/shell/fakeagent_test.go
@@ -17,6 +17,7 @@
 	hello  wire.Hello
 	text   []string
 	hold   bool // start attempts but never answer
+	brief  bool // answer for a service with "got " only
 	stream *transport.EntryStream
 
 	mu         sync.Mutex
@@ -84,6 +85,9 @@
 	total := wire.FrameTotal{FinishReason: "stop", PromptTokens: 11, OutputTokens: int64(len(a.text))}
 	if a.hello.Kind == wire.KindService {
 		a.frame(f.Head(wire.ReplyHead{Status: http.StatusCreated, Headers: []wire.Header{{Name: "Content-Type", Value: "text/plain"}}}))
+		if a.brief {
+			body = nil
+		}
 		a.frame(f.Data(append([]byte("got "), body...), 0))
 	}
 	for _, word := range a.text {
--- a/internal/entry/shell/memory_test.go
+++ b/internal/entry/shell/memory_test.go
@@ -41,7 +41,7 @@
 
 func TestStalledBodyIsEvictedForAnother(t *testing.T) {
 	r := startRig(t, tightMemory)
-	r.service(&fakeAgent{})
+	r.service(&fakeAgent{brief: true})
 	c, err := net.Dial("tcp", strings.TrimPrefix(r.base, "http://"))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/entry/shell/metrics.go
+++ b/internal/entry/shell/metrics.go
@@ -25,6 +25,7 @@
 
 	bodiesRefused    metrics.Counter // requests refused since there was no memory for their bodies
 	bodiesIncomplete metrics.Counter // bodies that did not arrive whole in time
+	answersCut       metrics.Counter // answers broken off since their callers did not take them
 	connectionsShed  metrics.Counter // connections closed for lack of a place
 }
 
@@ -32,12 +33,14 @@
 	m := &meters{
 		registry: metrics.NewRegistry(), inputs: metrics.NewCounter(), ticks: newTimer(), first: newTimer(),
 		bodiesRefused: metrics.NewCounter(), bodiesIncomplete: metrics.NewCounter(), connectionsShed: metrics.NewCounter(),
+		answersCut: metrics.NewCounter(),
 	}
 	_ = m.registry.Register("core.inputs", m.inputs) // the names are distinct
 	_ = m.registry.Register("core.tick", m.ticks)
 	_ = m.registry.Register("requests.first_token", m.first)
 	_ = m.registry.Register("callers.bodies_refused", m.bodiesRefused)
 	_ = m.registry.Register("callers.bodies_incomplete", m.bodiesIncomplete)
+	_ = m.registry.Register("callers.answers_cut", m.answersCut)
 	_ = m.registry.Register("connections.shed", m.connectionsShed)
 	return m
 }
--- a/internal/entry/shell/render.go
+++ b/internal/entry/shell/render.go
@@ -12,9 +12,6 @@
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
-// writeTimeout is the write deadline that each flush sets.
-const writeTimeout = 30 * time.Second
-
 type modelList struct {
 	Object string      `json:"object"`
 	Data   []modelInfo `json:"data"`
@@ -151,7 +148,6 @@
 	if !r.headersSent {
 		return nil
 	}
-	_ = r.control.SetWriteDeadline(time.Now().Add(writeTimeout)) // httptest recorders don't support it
 	if _, err := r.events.WriteTo(r.w); err != nil {
 		return errors.WithStack(err)
 	}
--- a/internal/entry/shell/run.go
+++ b/internal/entry/shell/run.go
@@ -23,6 +23,8 @@
 	stopTimeout = 2 * time.Second
 	// memoryLimitFraction of the process's memory is the garbage collector's limit.
 	memoryLimitFraction = 0.6
+	// writeTimeout is how long a client may take for 64 KiB of an answer, or for what is left of it.
+	writeTimeout = 30 * time.Second
 	// maxOperatorConnections bounds the connections of operators, the balancer's included.
 	maxOperatorConnections = 32
 )
@@ -90,7 +92,7 @@
 	if e.cfg.OperatorsTLS {
 		operatorsTLS = e.cfg.TLS.Operators()
 	}
-	operators := e.serve(l.Operators, operatorsTLS, e.OperatorHandler(), httpconn.Limits{Connections: maxOperatorConnections})
+	operators := e.serve(l.Operators, operatorsTLS, e.OperatorHandler(), httpconn.Limits{Connections: maxOperatorConnections, WriteTimeout: writeTimeout})
 	e.watchShed(run, "callers", callers)
 	e.watchShed(run, "operators", operators)
 	unhook := context.AfterFunc(ctx, func() {
@@ -122,7 +124,7 @@
 	limits := e.cfg.Limits
 	return httpconn.Limits{
 		Connections: httpconn.MaxConnections(httpconn.Descriptors(limits.MaxDescriptors), limits.MemoryBytes),
-		Memory:      e.memory,
+		Memory:      e.memory, WriteTimeout: writeTimeout,
 	}
 }
 
--- a/internal/entry/shell/services.go
+++ b/internal/entry/shell/services.go
@@ -48,7 +48,8 @@
 		Service: r.PathValue("name"), Method: r.Method, Path: "/" + r.PathValue("path"), Query: r.URL.RawQuery,
 		Headers: forwardedHeaders(r.Header, c.externalID), IdempotencyKey: key,
 	}
-	x := newExchange(r.Context(), e.nextRequest(), body)
+	x := newExchange(r.Context(), e.nextRequest(), body, e.backlogs, cutWrites(w))
+	defer x.close()
 	x.service = true
 	in := &entry.Request{
 		ID: x.id, ExternalID: c.externalID, Account: c.account.ID, Kind: wire.KindService,
@@ -58,7 +59,7 @@
 		writeError(w, refusal(entry.CodeShutdown, "", time.Second))
 		return
 	}
-	e.relayAnswer(r, x, &serviceSink{w: w, control: http.NewResponseController(w), x: x})
+	e.relayAnswer(r, c.externalID, x, &serviceSink{w: w, control: http.NewResponseController(w), x: x})
 }
 
 // callDigest hashes a call, to detect an idempotency key that is reused for
@@ -137,7 +138,6 @@
 
 // flush implements sink.
 func (s *serviceSink) flush() error {
-	_ = s.control.SetWriteDeadline(time.Now().Add(writeTimeout)) // httptest recorders don't support it
 	return s.control.Flush()
 }
 
