Refuse attempts at once whose bodies find no room at an agent

A call with a body of the limit got 504 after a crowd had left: the agent's room was still taken by calls that the service hadn't answered, and a body without room was ignored, so that its attempt waited for a body that couldn't come until the latest time of its start. Seen in one of two runs of TestEntryKeepsWholeBodiesAtASlowServiceWithinMemory, at a load of 14.

The shell tells the core with the Dispatch that there is no room, and the core refuses it for lack of capacity with a retry after 1 s; nothing has run. The entry tries other endpoints, and this one again. This holds for bodies beyond the limits of size and number too.

--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -20,25 +20,30 @@
 	memoryRetryAfter  = time.Second     // the group reservation is missing, in use or too small
 	failingRetryAfter = 2 * time.Second // the engine does not answer
 	serviceRetryAfter = time.Second     // the queue of the plain service is full
+	bodyRetryAfter    = time.Second     // there is no room for the body
 )
 
 // admit accepts or refuses each attempt that arrived in this tick. A refused
 // attempt has not run, unless it is refused as a duplicate.
 func (c *Core) admit() {
 	c.arrivals.Each(func(id wire.AttemptID, in *arrival) bool {
-		c.admitOne(in.dispatch, in.bodyReady)
+		c.admitOne(in)
 		c.arrivals.Delete(id)
 		return true
 	})
 }
 
-func (c *Core) admitOne(d wire.Dispatch, bodyReady bool) {
+func (c *Core) admitOne(in *arrival) {
+	d := in.dispatch
 	if r := c.checkDuplicate(d.Attempt); r.reason != 0 {
 		c.refuse(d, r)
 		return
 	}
 	a := c.newAttempt(d)
 	r := c.checkAdmission(&a)
+	if r.reason == 0 && in.noRoom {
+		r = refusal{reason: wire.RefuseNoCapacity, retryAfter: bodyRetryAfter}
+	}
 	if r.reason != 0 {
 		c.refuse(d, r)
 		c.addTombstone(d.Attempt, false)
@@ -46,7 +51,7 @@
 	}
 	row := c.attempts.Put(d.Attempt, a)
 	c.logAttempt(EventQueued, row, "", row.promptTokens)
-	if bodyReady || d.BodyBytes == 0 {
+	if in.bodyReady || d.BodyBytes == 0 {
 		c.enqueue(row)
 	}
 	c.setTimer(row.timer(), c.nextDue(row))
--- a/internal/agent/ingest.go
+++ b/internal/agent/ingest.go
@@ -12,7 +12,7 @@
 	case in.EntryDown != nil:
 		c.ingestEntryDown(in.EntryDown.Entry)
 	case in.FromEntry != nil:
-		c.ingestFromEntry(in.FromEntry.Entry, &in.FromEntry.Msg)
+		c.ingestFromEntry(in.FromEntry)
 	case in.BodyReady != nil:
 		c.ingestBody(in.BodyReady.Attempt)
 	case in.Engine != nil:
@@ -85,7 +85,8 @@
 	}
 }
 
-func (c *Core) ingestFromEntry(from wire.NodeID, msg *wire.ToAgent) {
+func (c *Core) ingestFromEntry(in *FromEntry) {
+	from, msg := in.Entry, &in.Msg
 	if owner, ok := attemptOwner(msg); ok && owner != from {
 		return
 	}
@@ -99,7 +100,7 @@
 		c.updateIncarnation(e, msg.Welcome.Incarnation, msg.Welcome.FirstAttempt)
 		c.revision = max(c.revision, msg.Welcome.Revision)
 	case msg.Dispatch != nil:
-		c.ingestDispatch(e, *msg.Dispatch)
+		c.ingestDispatch(e, *msg.Dispatch, in.NoRoom)
 	case msg.Cancel != nil:
 		c.updateIncarnation(e, msg.Cancel.Attempt.Incarnation, 0)
 		c.cancel(msg.Cancel.Attempt)
@@ -145,7 +146,7 @@
 	e.lastSequence = 0
 }
 
-func (c *Core) ingestDispatch(e *entryRow, d wire.Dispatch) {
+func (c *Core) ingestDispatch(e *entryRow, d wire.Dispatch, noRoom bool) {
 	c.updateIncarnation(e, d.Attempt.Incarnation, 0)
 	if d.Attempt.Incarnation == e.incarnation {
 		e.lastSequence = max(e.lastSequence, d.Attempt.Sequence)
@@ -154,7 +155,7 @@
 		c.refuse(d, refusal{reason: wire.RefuseDuplicate})
 		return
 	}
-	c.arrivals.Put(d.Attempt, arrival{dispatch: d})
+	c.arrivals.Put(d.Attempt, arrival{dispatch: d, noRoom: noRoom})
 }
 
 func (c *Core) ingestHeartbeat(e *entryRow, h *wire.Heartbeat) {
--- a/internal/agent/io.go
+++ b/internal/agent/io.go
@@ -33,10 +33,12 @@
 // EntryDown reports the loss of the stream to an entry.
 type EntryDown struct{ Entry wire.NodeID }
 
-// FromEntry is a message from an entry. Body chunks stay in the shell.
+// FromEntry is a message from an entry. Body chunks stay in the shell. NoRoom is set for a Dispatch
+// whose body the shell can't hold.
 type FromEntry struct {
-	Entry wire.NodeID
-	Msg   wire.ToAgent
+	Entry  wire.NodeID
+	Msg    wire.ToAgent
+	NoRoom bool
 }
 
 // BodyReady reports that the whole body of an attempt has arrived.
--- a/internal/agent/shell/agent.go
+++ b/internal/agent/shell/agent.go
@@ -263,17 +263,17 @@
 }
 
 func (a *Agent) receive(ctx context.Context, from wire.NodeID, msg *wire.ToAgent) {
-	switch {
-	case msg.Body != nil:
+	if msg.Body != nil {
 		if a.bodies.add(msg.Body) {
 			a.enqueue(ctx, agent.Input{BodyReady: &agent.BodyReady{Attempt: msg.Body.Attempt}})
 		}
 		return
-	case msg.Dispatch != nil && msg.Dispatch.BodyBytes > 0:
-		if d := msg.Dispatch; !a.bodies.expect(d.Attempt, d.BodyBytes) {
-			a.metrics.bodiesRefused.Inc(1)
-			a.cfg.Log.Warn().Str("event", "body-refused").Stringer("attempt", d.Attempt).Str("request", d.RequestID).Int64("bytes", d.BodyBytes).Send()
-		}
 	}
-	a.enqueue(ctx, agent.Input{FromEntry: &agent.FromEntry{Entry: from, Msg: *msg}})
+	in := &agent.FromEntry{Entry: from, Msg: *msg}
+	if d := msg.Dispatch; d != nil && d.BodyBytes > 0 && !a.bodies.expect(d.Attempt, d.BodyBytes) {
+		in.NoRoom = true
+		a.metrics.bodiesRefused.Inc(1)
+		a.cfg.Log.Warn().Str("event", "body-refused").Stringer("attempt", d.Attempt).Str("request", d.RequestID).Int64("bytes", d.BodyBytes).Send()
+	}
+	a.enqueue(ctx, agent.Input{FromEntry: in})
 }
--- a/internal/agent/shell/bodies.go
+++ b/internal/agent/shell/bodies.go
@@ -32,9 +32,8 @@
 	}
 }
 
-// expect registers a body of size bytes, and reports whether the agent can hold it. It ignores a
-// body above maxBytes, beyond maxCount or without room: the attempt never becomes ready and is
-// refused at its start-by time.
+// expect registers a body of size bytes, and reports whether the agent can hold it: it ignores a
+// body above maxBytes, beyond maxCount or without room.
 func (b *bodies) expect(id wire.AttemptID, size int64) bool {
 	if size > b.maxBytes {
 		return false
--- a/internal/agent/shell/bodies_test.go
+++ b/internal/agent/shell/bodies_test.go
@@ -1,9 +1,12 @@
 package shell
 
 import (
+	"strings"
 	"testing"
 
+	"trefoilpath.org/trefoilpath/internal/agent"
 	"trefoilpath.org/trefoilpath/internal/bytebudget"
+	"trefoilpath.org/trefoilpath/internal/standin"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
@@ -39,3 +42,23 @@
 		t.Errorf("%d bytes are charged for no body", memory.Used())
 	}
 }
+
+func TestAttemptWithoutRoomForItsBodyIsRefusedAtOnce(t *testing.T) {
+	svc, err := standin.NewService()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer svc.Close()
+	e := newFakeEntry(t)
+	startAgent(t, e, Config{Core: agent.Config{Kind: wire.KindService, Service: "mostrador-pedidos"}, EndpointURL: svc.URL(), MemoryBytes: 600 << 10})
+	e.sendDispatch(serviceDispatch(1), strings.Repeat("x", 190<<10))
+	e.until("outcome", func() bool { return e.outcome[attemptID(1)] != "" })
+	e.mu.Lock()
+	got := e.outcome[attemptID(1)]
+	e.mu.Unlock()
+	if want := "refused " + wire.RefuseNoCapacity.String(); got != want {
+		t.Errorf("outcome is %q, want %q", got, want)
+	}
+	e.sendDispatch(serviceDispatch(2), "a small body")
+	e.until("answer", func() bool { return e.outcome[attemptID(2)] == "finished" })
+}
--- a/internal/agent/tables.go
+++ b/internal/agent/tables.go
@@ -47,6 +47,7 @@
 type arrival struct {
 	dispatch  wire.Dispatch
 	bodyReady bool
+	noRoom    bool // for its body
 }
 
 // attempt is one row of the Attempts table.
