Bound the head of an endpoint's answer at an agent

A faulty engine or service that sends a head without end made its agent keep up to 10 MiB of it for each call, the default of http.Transport: 640 MiB for 64 calls at once. The agent now reads 256 KiB of a head at most; the call then has an unknown outcome, as with any broken answer.

--- a/internal/agent/shell/agent.go
+++ b/internal/agent/shell/agent.go
@@ -19,6 +19,8 @@
 const (
 	inputQueueLen = 8192 // inputs that wait for the core
 	maxBatchLen   = 512  // inputs of one tick
+	// maxEndpointHeaderBytes bounds the head of an answer of the endpoint.
+	maxEndpointHeaderBytes = 256 << 10
 	// flushWait is the time for streams to deliver a drained agent's last messages.
 	flushWait = 300 * time.Millisecond
 )
@@ -54,7 +56,9 @@
 		return nil, err
 	}
 	if cfg.EndpointClient == nil {
-		cfg.EndpointClient = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+		transport := http.DefaultTransport.(*http.Transport).Clone()
+		transport.MaxResponseHeaderBytes = maxEndpointHeaderBytes
+		cfg.EndpointClient = &http.Client{Transport: transport}
 	}
 	a := &Agent{
 		cfg:          cfg,
