Break off an engine's answer that is longer than its output limit allows

A faulty engine that sends output without end made the entry keep its text for the continuation of the answer until the deadline: neither the agent nor the entry compared the output with the limit that had been asked for, and the size of a token was bounded by that of a line only, 1 MiB.

The agent ends an answer with more tokens than its limit, or with more text than 64 KiB and 1 KiB for each token of the limit, as lost, and cancels the sequence.

--- a/internal/agent/shell/answers.go
+++ b/internal/agent/shell/answers.go
@@ -21,6 +21,10 @@
 	// newest frame is always kept. An entry that lost older frames has to retry
 	// the attempt.
 	maxAnswerBytes = 1 << 20
+	// The text of an answer is at most textSlackBytes longer than maxTokenBytes for each token of its
+	// output limit.
+	maxTokenBytes  = 1 << 10
+	textSlackBytes = 64 << 10
 	// frameOverhead is the memory in bytes that a frame takes besides its data.
 	frameOverhead = 256
 )
@@ -49,6 +53,7 @@
 	bytes   int                    // of frames
 	memory  *bytebudget.Holder     // of frames
 	tokens  int64                  // output tokens received
+	text    int64                  // bytes of text received
 	resumes int                    // tries to resume reading the endpoint's answer
 	stream  *transport.EntryStream // of the last successful send
 
@@ -124,14 +129,25 @@
 	ans.push(ctx, ans.framer.Head(head))
 }
 
-func (ans *answerStream) data(ctx context.Context, data []byte, tokens int) {
+// data adds data to the answer, and reports whether it is within the answer's limits.
+func (ans *answerStream) data(ctx context.Context, data []byte, tokens int) bool {
 	ans.mu.Lock()
 	defer ans.mu.Unlock()
 	if ans.endedAt.Load() != 0 {
-		return
+		return true
 	}
 	ans.tokens += int64(tokens)
+	ans.text += int64(len(data))
+	if exceedsOutput(ans.maxOutput, ans.tokens, ans.text) {
+		return false
+	}
 	ans.push(ctx, ans.framer.Data(data, int32(tokens)))
+	return true
+}
+
+// exceedsOutput reports whether an answer is longer than its limit of tokens allows; 0: no limit.
+func exceedsOutput(maxOutput, tokens, textBytes int64) bool {
+	return maxOutput > 0 && (tokens > maxOutput || textBytes > textSlackBytes+maxOutput*maxTokenBytes)
 }
 
 func (ans *answerStream) close(ctx context.Context, total wire.FrameTotal) {
--- a/internal/agent/shell/endless_test.go
+++ b/internal/agent/shell/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -82,3 +83,56 @@
 		t.Errorf("the agent read a head of %d bytes", n)
 	}
 }
+
+func TestAnswerOfAnEngineBeyondItsOutputLimitIsBrokenOff(t *testing.T) {
+	const limit = 100
+	for name, token := range map[string]struct {
+		text  string
+		count int
+		most  int // bytes that the entry may get
+	}{
+		"many tokens": {"word ", 10 * limit, 5 * limit},
+		"long tokens": {strings.Repeat("x", 100<<10), limit / 2, 1 << 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			srv := http.NewServeMux()
+			srv.HandleFunc("GET /v1/state", func(w http.ResponseWriter, _ *http.Request) {
+				fmt.Fprintf(w, `{"Capacity":100000,"Have":{"Model":%q,"Role":%q}}`, testModel, wire.RoleServe)
+			})
+			srv.HandleFunc("GET /v1/cache-events", func(w http.ResponseWriter, r *http.Request) {
+				_ = http.NewResponseController(w).Flush()
+				<-r.Context().Done()
+			})
+			srv.HandleFunc("POST /v1/sequences", func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.Copy(io.Discard, r.Body); err != nil {
+					return
+				}
+				for n := range token.count {
+					if _, err := fmt.Fprintf(w, "{\"from\":%d,\"tokens\":1,\"text\":%q}\n", n, token.text); err != nil {
+						return
+					}
+				}
+				<-r.Context().Done()
+			})
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			hs := &http.Server{Handler: srv}
+			go func() { _ = hs.Serve(l) }()
+			t.Cleanup(func() { hs.Close() })
+			e := newFakeEntry(t)
+			startAgent(t, e, Config{Core: agent.Config{Kind: wire.KindEngine}, EndpointURL: "http://" + l.Addr().String()})
+			e.sendDispatch(dispatch(1, limit), testPrompt)
+			e.until("outcome", func() bool { return e.outcome[attemptID(1)] != "" })
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if got := e.outcome[attemptID(1)]; got != "failed endpoint-lost" {
+				t.Errorf("outcome is %q, want failed endpoint-lost", got)
+			}
+			if n := len(e.text[attemptID(1)]); n > token.most {
+				t.Errorf("the entry got %d bytes, want at most %d", n, token.most)
+			}
+		})
+	}
+}
--- a/internal/agent/shell/engine.go
+++ b/internal/agent/shell/engine.go
@@ -44,9 +44,18 @@
 
 // Text implements enginehttp.Handler.
 func (h *engineHandler) Text(id engine.SequenceID, tokens int, data []byte) {
-	if ans := h.agent.answerOf(id); ans != nil {
-		ans.data(h.agent.runContext(), data, tokens)
+	ans := h.agent.answerOf(id)
+	if ans == nil || ans.ctx.Err() != nil || ans.data(h.agent.runContext(), data, tokens) {
+		return
 	}
+	h.agent.breakOff(id, ans)
+}
+
+// breakOff ends the answer of an engine that sends more than the output limit allows.
+func (a *Agent) breakOff(id engine.SequenceID, ans *answerStream) {
+	ans.cancel()
+	a.cfg.Log.Warn().Str("event", "answer-too-long").Stringer("attempt", ans.id).Int64("limit", ans.maxOutput).Send()
+	a.enqueue(a.runContext(), agent.Input{Engine: &engine.Event{Failed: &engine.Failed{ID: id, Reason: engine.FailLost}}})
 }
 
 func (a *Agent) answerOf(id engine.SequenceID) *answerStream {
