Refuse settings with a body limit that the memory has no room for

With the smallest memory and the default limit of bodies a single request of the largest size would have been refused for lack of memory even in calm: large bodies have three quarters of the account, and a buffer that grows holds its old half as well. max_body_bytes is at most a sixteenth of memory_bytes now; the defaults are far from it.

--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -106,7 +106,7 @@
 	c.credential("operator_key_sha256", s.OperatorKey)
 	c.integer("limits.memory_bytes", s.Limits.MemoryBytes, minMemoryBytes, maxMemoryBytes)
 	c.descriptors("limits.max_descriptors", s.Limits.MaxDescriptors)
-	c.integer("limits.max_body_bytes", s.Limits.MaxBodyBytes, minBodyBytes, maxBodyBytes)
+	c.body("limits.max_body_bytes", s.Limits.MaxBodyBytes, s.Limits.MemoryBytes)
 	c.integer("limits.max_streams", s.Limits.MaxStreams, 1, maxStreams)
 	s.Routing.check(c)
 	c.integer("drain_wait_ms", s.DrainWaitMS, 0, maxWaitMS)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -17,6 +17,7 @@
 	maxMemoryBytes   = 1 << 40
 	minDescriptors   = 128
 	maxDescriptors   = 1 << 30
+	memoryPerBody    = 16 // memory of a process, in its largest bodies
 	minBodyBytes     = 1 << 10
 	maxBodyBytes     = 1 << 30
 	minHeaderBytes   = 1 << 10
@@ -121,6 +122,11 @@
 	}
 }
 
+// body wants a limit for bodies that the part of the memory for them has room for.
+func (c *checker) body(field string, v, memoryBytes int64) {
+	c.integer(field, v, minBodyBytes, min(maxBodyBytes, max(memoryBytes, minMemoryBytes)/memoryPerBody))
+}
+
 // descriptors wants 0 or a limit with which a process can run.
 func (c *checker) descriptors(field string, v int64) {
 	if v != 0 {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -130,7 +130,7 @@
 func (l *EntryLimits) check(c *checker) {
 	c.integer("limits.memory_bytes", l.MemoryBytes, minMemoryBytes, maxMemoryBytes)
 	c.descriptors("limits.max_descriptors", l.MaxDescriptors)
-	c.integer("limits.max_body_bytes", l.MaxBodyBytes, minBodyBytes, maxBodyBytes)
+	c.body("limits.max_body_bytes", l.MaxBodyBytes, l.MemoryBytes)
 	c.integer("limits.max_header_bytes", l.MaxHeaderBytes, minHeaderBytes, maxHeaderBytes)
 	c.integer("limits.max_streams", l.MaxStreams, 1, maxStreams)
 	c.integer("limits.max_streams_per_account", l.MaxStreamsPerAccount, 1, maxStreams)
