--- a/internal/agent/shell/agent.go
+++ b/internal/agent/shell/agent.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"trefoilpath.org/trefoilpath/internal/agent"
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/engine/enginehttp"
 	"trefoilpath.org/trefoilpath/internal/invariant"
 	"trefoilpath.org/trefoilpath/internal/wire"
@@ -65,8 +66,9 @@
 		metrics:      newMeters(),
 	}
 	a.links = newLinks(a)
-	a.bodies = newBodies(cfg.MaxBodyBytes, cfg.MaxBodies)
-	a.answers = newAnswers(a.links)
+	memory := bytebudget.New(bytebudget.Capacity(cfg.MemoryBytes))
+	a.bodies = newBodies(cfg.MaxBodyBytes, cfg.MaxBodies, memory)
+	a.answers = newAnswers(a.links, memory)
 	if cfg.Core.Kind == wire.KindService {
 		a.calls = newCalls(a, cfg.EndpointURL, cfg.EndpointClient)
 		return a, nil
@@ -260,14 +262,17 @@
 }
 
 func (a *Agent) receive(ctx context.Context, from wire.NodeID, msg *wire.ToAgent) {
-	switch {
-	case msg.Body != nil:
+	if msg.Body != nil {
 		if a.bodies.add(msg.Body) {
 			a.enqueue(ctx, agent.Input{BodyReady: &agent.BodyReady{Attempt: msg.Body.Attempt}})
 		}
 		return
-	case msg.Dispatch != nil && msg.Dispatch.BodyBytes > 0:
-		a.bodies.expect(msg.Dispatch.Attempt, msg.Dispatch.BodyBytes)
 	}
-	a.enqueue(ctx, agent.Input{FromEntry: &agent.FromEntry{Entry: from, Msg: *msg}})
+	in := &agent.FromEntry{Entry: from, Msg: *msg}
+	if d := msg.Dispatch; d != nil && d.BodyBytes > 0 && !a.bodies.expect(d.Attempt, d.BodyBytes) {
+		in.NoRoom = true
+		a.metrics.bodiesRefused.Inc(1)
+		a.cfg.Log.Warn().Str("event", "body-refused").Stringer("attempt", d.Attempt).Str("request", d.RequestID).Int64("bytes", d.BodyBytes).Send()
+	}
+	a.enqueue(ctx, agent.Input{FromEntry: in})
 }
--- a/internal/agent/shell/answers_test.go
+++ b/internal/agent/shell/answers_test.go
@@ -6,16 +6,66 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
+	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
+// newTestAnswers returns answers whose entries have no streams.
+func newTestAnswers(memory *bytebudget.Account) *answers {
+	a := &Agent{}
+	a.links = newLinks(a)
+	return newAnswers(a.links, memory)
+}
+
+func TestFramesOfEndedAnswersMakeRoomForOthers(t *testing.T) {
+	const size = 600 << 10
+	ctx := t.Context()
+	memory := bytebudget.New(1 << 20)
+	s := newTestAnswers(memory)
+	ended := s.open(ctx, attemptID(1), 0)
+	ended.data(ctx, make([]byte, size), 0)
+	s.markEnded(attemptID(1))
+	time.Sleep(bytebudget.StallTime + 100*time.Millisecond)
+	running := s.open(ctx, attemptID(2), 0)
+	for range 2 {
+		running.data(ctx, make([]byte, size/2), 0)
+	}
+	if n := len(running.frames); n != 2 {
+		t.Errorf("%d frames of the running answer are kept, want 2", n)
+	}
+	ended.mu.Lock()
+	defer ended.mu.Unlock()
+	if len(ended.frames) != 0 {
+		t.Error("the frames of the ended answer are still kept")
+	}
+}
+
+func TestAnswersWithoutRoomKeepTheirNewestFrame(t *testing.T) {
+	const size = 200 << 10
+	memory := bytebudget.New(1 << 20)
+	s := newTestAnswers(memory)
+	for n := range 8 {
+		ans := s.open(context.Background(), attemptID(uint64(n+1)), 0)
+		for range 4 {
+			ans.data(context.Background(), make([]byte, size), 0)
+		}
+		if len(ans.frames) == 0 {
+			t.Errorf("answer %d keeps no frame", n)
+		}
+	}
+	if used := memory.Used(); used > 1<<20 {
+		t.Errorf("%d bytes are charged, want at most %d", used, 1<<20)
+	}
+}
+
 // TestCountlessShortPiecesOfAnAnswerAreNotKept guards against an engine that sends tokens without text, or
 // with little, without an end.
 func TestCountlessShortPiecesOfAnAnswerAreNotKept(t *testing.T) {
 	const pieces, maxKept = 200_000, 20_000
 	for _, text := range []string{"", "x"} {
-		answers := newAnswers(&links{byEntry: make(map[wire.NodeID]*link)})
+		answers := newTestAnswers(bytebudget.New(0))
 		ans := answers.open(context.Background(), wire.AttemptID{}, 0)
 		for range pieces {
 			ans.data(context.Background(), []byte(text), 1)
@@ -29,7 +79,7 @@
 // TestShortReadsOfAServiceKeepLittleMemory guards against a service that sends its answer in pieces of a byte.
 func TestShortReadsOfAServiceKeepLittleMemory(t *testing.T) {
 	const pieces, maxBytes = 4000, 8 << 20
-	answers := newAnswers(&links{byEntry: make(map[wire.NodeID]*link)})
+	answers := newTestAnswers(bytebudget.New(0))
 	ans := answers.open(context.Background(), wire.AttemptID{}, 0)
 	before := liveHeap()
 	if err := copyReply(context.Background(), ans, iotest.OneByteReader(strings.NewReader(strings.Repeat("x", pieces)))); err != nil {
