Let assured prompts wait for work that yields to them

Callers saw: under overload one prompt in sixteen keeps its place once late (assured), so that none starve. Large ones were refused on their arrival all the same: "overload", to return in eight or nine seconds.

Cause: a prompt was refused for the work of all prompts before it in the order, also of those that are late before they begin and then yield to an assured one.

Evidence: TestAssuredPromptIsNotRefusedForThoseThatYield failed before.

Change: work before an assured prompt counts if it is that of prompts which are assured, late already or predicted to begin in time.

All others of ./internal/gateway and ./internal/admission pass.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -197,6 +197,35 @@
 	}
 }
 
+// TestAssuredRequestIsNotRefusedForThoseThatYield guards against an assured request that is refused
+// for the work of requests that are late, and come after it, before they are served.
+func TestAssuredRequestIsNotRefusedForThoseThatYield(t *testing.T) {
+	c := Capacity{Engines: 1}
+	var ahead Ahead
+	for range 10 { // of 2 s each, due in 4 s: two can be in time
+		d := longRequest(0).demand
+		ahead.Add(&d, 0, c.Begins(ahead.Before(&d)))
+	}
+	d := longRequest(0).demand
+	if got := ahead.Before(&d); got != 20*time.Second {
+		t.Errorf("%v before another request, want 20 s", got)
+	}
+	d.Assured = true
+	if got := ahead.Before(&d); got != 4*time.Second {
+		t.Errorf("%v before an assured one, want 4 s", got)
+	}
+	if v := Decide(&d, 0, c.Begins(ahead.Before(&d))); v.Refused {
+		t.Error("an assured request is refused, want a wait")
+	}
+	ahead.Add(&d, 0, c.Begins(ahead.Before(&d)))
+	late := longRequest(0).demand
+	late.Due = time.Second
+	ahead.Add(&late, 0, Unknown)
+	if got := ahead.Before(&d); got != 8*time.Second {
+		t.Errorf("%v behind another assured one and a late one, want 8 s", got)
+	}
+}
+
 // TestCallerIsToldInTimeToComeBack checks that a request waits no longer than its caller needs
 // to come back, unless it has come back already.
 func TestCallerIsToldInTimeToComeBack(t *testing.T) {
--- a/internal/admission/backlog.go
+++ b/internal/admission/backlog.go
@@ -43,6 +43,29 @@
 	return time.Duration(float64(c.Queued+ahead) / c.Engines)
 }
 
+// Ahead sums the engine time of requests in their order.
+type Ahead struct {
+	all  time.Duration
+	kept time.Duration // of those that stay before an assured request until they are served
+}
+
+// Before returns the engine time of the requests so far that are served before d, which comes next.
+func (a *Ahead) Before(d *Demand) time.Duration {
+	if d.Assured {
+		return a.kept
+	}
+	return a.all
+}
+
+// Add adds d, whose work is predicted to begin after a time. If it is late by then, it yields to
+// an assured request that comes after it.
+func (a *Ahead) Add(d *Demand, now, begins time.Duration) {
+	a.all += d.Work
+	if d.Assured || d.Late(now) || !d.Late(now+max(begins, 0)) {
+		a.kept += d.Work
+	}
+}
+
 // Drain measures how fast a queue of a gateway is served while requests wait in it. Unlike
 // Capacity it needs no model of what binds: slots, memory, pauses of streams or permits.
 type Drain struct {
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -57,6 +57,26 @@
 	}
 }
 
+// TestAssuredPromptIsNotRefusedForThoseThatYield guards against a prompt that keeps its place once
+// it is late and is refused on its arrival for the work of others that yield to it before they begin.
+func TestAssuredPromptIsNotRefusedForThoseThatYield(t *testing.T) {
+	for id, refused := range map[RequestID]bool{assuredID: false, assuredID + 1: true} {
+		c := newTestCore(t, 0, 2)
+		occupyEngines(c, time.Second, 4*time.Second)
+		now := time.Second + 10*time.Millisecond
+		for i := range RequestID(25) {
+			arriveLong(c, now, 1000+16*i+1, 300_000, 14*time.Second)
+		}
+		f := finishOf(arriveLong(c, now, id, 440_000, 14*time.Second))
+		if got := f != nil && f.Verdict == VerdictRefused; got != refused {
+			t.Errorf("request %d refused: %v, want %v", id, got, refused)
+		}
+	}
+}
+
+// assuredID is the ID of an assured request.
+const assuredID = RequestID(1 << 20)
+
 // TestPromptIsToldInTimeToComeBack checks that a prompt that finds no engine for long is refused
 // while its caller can still come back and be served within its objective, and that it is not
 // refused again for that reason when it has come back.
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -30,6 +30,7 @@
 // streams that are not latency-sensitive.
 type job struct {
 	order       orderKey
+	demand      admission.Demand
 	request     *request      // nil if it waits at another gateway
 	prompt      int64         // tokens
 	output      int64         // tokens, the limit
@@ -113,13 +114,17 @@
 // refuseByCapacity refuses this gateway's own jobs that the plan has no engines for and that
 // can't be served in time behind those that come first.
 func (c *Core) refuseByCapacity(jobs []job, capacity admission.Capacity) {
-	ahead := time.Duration(0)
+	var ahead admission.Ahead
 	for i := range jobs {
 		j := &jobs[i]
-		if j.request != nil && !j.planned && j.request.phase == phaseWaiting && c.refuseIfTooLate(j.request, capacity.Begins(ahead)) {
-			continue
+		begins := time.Duration(0)
+		if !j.planned {
+			begins = capacity.Begins(ahead.Before(&j.demand))
+			if j.request != nil && j.request.phase == phaseWaiting && c.refuseIfTooLate(j.request, begins) {
+				continue
+			}
 		}
-		ahead += j.prefillTime
+		ahead.Add(&j.demand, c.now, begins)
 	}
 }
 
@@ -154,7 +159,7 @@
 func (c *Core) job(s *service, d admission.Demand, gateway netip.AddrPort, id uint64, prompt, output int64, regions regionSet) job {
 	setWork(&d, s.engine(), prompt, s.maxParts())
 	return job{
-		order: orderKey{c.demandKey(&d), gateway, id}, prompt: prompt, output: output, regions: regions,
+		order: orderKey{c.demandKey(&d), gateway, id}, demand: d, prompt: prompt, output: output, regions: regions,
 		prefillTime: d.Work, objective: d.Objective, untilDue: d.Due - c.now, untilGiveUp: d.GiveUp - c.now, late: d.Late(c.now),
 	}
 }
