Tell the soak when a queued fault of a replica strikes

Traced: replica llm-1 had 600 failures queued at 0 s, and at 4.8 s the faults that cut responses behind them; these struck after 11 s, when the gateways no longer counted as disturbed. The log of g-2 has the replica's own cut (result=broken, cause unexpected EOF, 12.9 ms after the dispatch) and no budget for another attempt (retries=9/9.9), so that the stream had to end. The promise allows it, as it does for faults that strike at once.

Change: a gateway counts as disturbed at the moment of each fault that can cut a response; requests that begin after it are checked as before.

--- a/internal/fleetsoak/fleet.go
+++ b/internal/fleetsoak/fleet.go
@@ -124,12 +124,24 @@
 	}
 	r.CutAfter, r.CutByReset = 12*len(f.replicas), zone == 0
 	r.Status = http.StatusServiceUnavailable
+	r.OnFault = f.faultStrikes
 	added := &replica{Replica: r, proxy: proxy, service: service, zone: zone}
 	f.replicas = append(f.replicas, added)
 	f.register(added, "ready")
 	return nil
 }
 
+// faultStrikes marks all gateways as disturbed at the moment at which a replica injects a fault into a request.
+// Other faults may have been queued before it. Its own failure cuts no response.
+func (f *fleet) faultStrikes(fault standin.Fault) {
+	if fault == standin.FaultError {
+		return
+	}
+	for _, p := range f.gateways {
+		p.markDisturbed(0)
+	}
+}
+
 func (f *fleet) register(r *replica, state string) {
 	f.store.RegisterIn(fmt.Sprintf("z%d", r.zone), r.ID, r.service, r.proxy.addr(), state)
 }
