Read the messages of a completion one by one

A body of many empty messages or parts took many times its size while it was parsed: the whole list was decoded before its first element was looked at, and its buffers doubled. Bodies are bounded in sum, what parsing makes of them was not. Messages and parts are decoded one after the other into their text now, without a list.

--- a/internal/entry/shell/completionbody.go
+++ b/internal/entry/shell/completionbody.go
@@ -37,7 +37,7 @@
 type completionBody struct {
 	Model               string          `json:"model"`
 	Prompt              json.RawMessage `json:"prompt"`
-	Messages            []chatMessage   `json:"messages"`
+	Messages            promptMessages  `json:"messages"`
 	MaxTokens           *int64          `json:"max_tokens"`
 	MaxCompletionTokens *int64          `json:"max_completion_tokens"`
 	Stream              bool            `json:"stream"`
@@ -54,6 +54,48 @@
 	Content json.RawMessage `json:"content"`
 }
 
+// promptMessages is the text of a list of messages. It is decoded without the list, which may take
+// many times its size.
+type promptMessages struct {
+	text  string
+	count int
+	err   error
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (l *promptMessages) UnmarshalJSON(list []byte) error {
+	*l = promptMessages{}
+	var all strings.Builder
+	l.err = eachElement(list, func(m *promptMessage) error {
+		if !m.Content.valid {
+			return errors.Errorf(`"messages[%d].content" must be a string or a list of text parts`, l.count)
+		}
+		l.count++
+		all.WriteString(m.Content.text)
+		return nil
+	})
+	l.text = all.String()
+	return nil
+}
+
+type promptMessage struct {
+	Role    string         `json:"role"`
+	Content messageContent `json:"content"`
+}
+
+// messageContent is the text of a message's content.
+type messageContent struct {
+	text  string
+	valid bool
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *messageContent) UnmarshalJSON(raw []byte) error {
+	text, err := contentText(raw)
+	*c = messageContent{text: text, valid: err == nil}
+	return nil
+}
+
 type contentPart struct {
 	Type string `json:"type"`
 	Text string `json:"text"`
@@ -120,37 +162,55 @@
 		c.prompt = text
 		return nil
 	}
-	if len(b.Messages) == 0 {
+	if b.Messages.err != nil {
+		return b.Messages.err
+	}
+	if b.Messages.count == 0 {
 		return errors.New(`"messages" must hold at least one message`)
 	}
-	var all strings.Builder
-	for i, m := range b.Messages {
-		text, err := contentText(m.Content)
-		if err != nil {
-			return errors.Errorf(`"messages[%d].content" must be a string or a list of text parts`, i)
+	c.prompt = b.Messages.text
+	return nil
+}
+
+// eachElement decodes the elements of a list one after the other, since a list of many small ones
+// takes many times its size. do must not keep its argument. No list is an empty one.
+func eachElement[T any](list json.RawMessage, do func(*T) error) error {
+	if len(list) == 0 || string(list) == "null" {
+		return nil
+	}
+	dec := json.NewDecoder(bytes.NewReader(list))
+	if start, err := dec.Token(); err != nil || start != json.Delim('[') {
+		return errors.New("the body is not a valid request: a list is expected")
+	}
+	v, zero := new(T), *new(T)
+	for dec.More() {
+		*v = zero
+		if err := dec.Decode(v); err != nil {
+			return errors.Wrap(err, "the body is not a valid request")
+		}
+		if err := do(v); err != nil {
+			return err
 		}
-		all.WriteString(text)
 	}
-	c.prompt = all.String()
 	return nil
 }
 
 // contentText returns a string, or the joined text of a list of parts. It ignores
 // the type of a part; a part without text adds nothing.
 func contentText(raw json.RawMessage) (string, error) {
+	if len(raw) == 0 {
+		return "", errors.New("no content")
+	}
 	var text string
 	if err := json.Unmarshal(raw, &text); err == nil {
 		return text, nil
 	}
-	var parts []contentPart
-	if err := json.Unmarshal(raw, &parts); err != nil {
-		return "", errors.WithStack(err)
-	}
 	var all strings.Builder
-	for _, p := range parts {
+	err := eachElement(raw, func(p *contentPart) error {
 		all.WriteString(p.Text)
-	}
-	return all.String(), nil
+		return nil
+	})
+	return all.String(), err
 }
 
 // prefixes returns one hash for each whole block of the prompt. A hash covers the
--- a/internal/entry/shell/completionbody_test.go
+++ b/internal/entry/shell/completionbody_test.go
@@ -1,6 +1,8 @@
 package shell
 
 import (
+	"runtime"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -60,3 +62,20 @@
 		}
 	})
 }
+
+func TestManySmallMessagesTakeNoMoreThanAFewTimesTheirSize(t *testing.T) {
+	const size, most = 1 << 20, 6 // bytes of the list, and times that may be allocated
+	list := strings.Repeat("{},", size/3) + "{}"
+	for name, body := range map[string]string{
+		"messages": `{"model":"m","messages":[` + list + `]}`,
+		"parts":    `{"model":"m","messages":[{"content":[` + list + `]}]}`,
+	} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := parseCompletion([]byte(body), shapeChat)
+		runtime.ReadMemStats(&after)
+		if allocated := after.TotalAlloc - before.TotalAlloc; allocated > most*size {
+			t.Errorf("%s: %d bytes are allocated for %d (result: %v)", name, allocated, len(body), err)
+		}
+	}
+}
