Count requests for the retry budget over no more than its window

Operators could see (rule BUDGET): more repeats than the fleet's budget in a window in which all gateways lose their counts, after they had spent all of it.

Cause: retries and requests were both counted over one bucket more than the window, so that no retry is missed. For requests that allows up to a tenth too much: 0.66 of the budget instead of the 0.6 that leave 0.4 for the processes of the next ten seconds.

Evidence: TestSpentBudgetBeforeARestartIsNotExceeded, which plays the worst case (all spend at once, lose their counts, and do so up to three times more in the window), failed before in 70 of 200 cases.

Change: the oldest bucket counts for retries only.

--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -6,8 +6,9 @@
 
 import "time"
 
-// buckets is the number of parts of the window. The counts cover one bucket more,
-// so that they include at least the true sliding window.
+// buckets is the number of parts of the window. Retries are counted over one bucket more, which
+// includes at least the true sliding window, and requests over one bucket less than retries,
+// which is at most that window.
 const buckets = 10
 
 // Config is the retry budget of the whole fleet.
@@ -76,9 +77,12 @@
 func (b *Budget) Use(now time.Duration, gateways int) (retries int, allowed float64) {
 	b.advance(now)
 	requests := 0
+	oldest := int((b.bucket + 1) % (buckets + 1))
 	for i := range b.requests {
-		requests += b.requests[i]
 		retries += b.retries[i]
+		if i != oldest {
+			requests += b.requests[i]
+		}
 	}
 	ofRequests, ofConstant := b.shares(now)
 	constant := b.cfg.FleetRetriesPerWindow / float64(max(gateways, 1))
