Count connections in a test before their places are free

TestConnectionsClosedAfterTheirResponseAreServedWithoutBound failed once in a run with the race detector and the other tests of the package: 49 connections at once, want at most 48.

Cause, by reading: the test's hook let the tracker free the place of an ended connection before it took that connection off its own count, so that the next one could be accepted and counted in between. The bound and the check are the same as before.

--- a/internal/httpconn/linger_test.go
+++ b/internal/httpconn/linger_test.go
@@ -25,14 +25,12 @@
 	srv := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") }),
 		ConnState: func(c net.Conn, s http.ConnState) {
+			if s == http.StateClosed {
+				served.Add(-1) // before its place is free
+			}
 			tracker.OnStateChange(c, s)
-			switch s {
-			case http.StateNew:
-				if n := served.Add(1); n > peak.Load() {
-					peak.Store(n) // connections are accepted one after the other
-				}
-			case http.StateClosed:
-				served.Add(-1)
+			if s == http.StateNew {
+				peak.Store(max(peak.Load(), served.Add(1))) // connections are accepted one after the other
 			}
 		},
 	}
