Use outgrown buffers again, and collect garbage from half of the memory on

Cause: each buffer that grows leaves as much garbage as it holds in the end, and at 0.6 of the memory the collector may not use more than half of the processor, so that on a busy machine the heap outgrows its limit. With 18 MB for the rest of the process that left too little.

Change: outgrown buffers are used again for others that grow, and the collector's limit is 0.5. In calm a gateway uses a tenth of it and is not affected.

--- a/internal/bytebudget/read.go
+++ b/internal/bytebudget/read.go
@@ -1,6 +1,10 @@
 package bytebudget
 
-import "io"
+import (
+	"io"
+	"math/bits"
+	"sync"
+)
 
 const (
 	// firstBuffer is the initial size in bytes of the buffer of ReadAll.
@@ -44,13 +48,41 @@
 	return buf, nil
 }
 
-// reallocate returns a copy of buf with a larger capacity, for which the holder is charged instead.
+// reallocate returns a copy of buf with a larger capacity, for which the holder is charged instead. buf
+// must not be used after it.
 func (h *Holder) reallocate(buf []byte, size int64) ([]byte, error) {
 	if err := h.Grow(size); err != nil {
 		return nil, err
 	}
-	grown := make([]byte, len(buf), size)
-	copy(grown, buf)
+	grown := append(newBuffer(size), buf...)
 	h.Shrink(int64(cap(buf)))
+	recycle(buf)
 	return grown, nil
 }
+
+// minRecycled is the least capacity in bytes of a buffer that is used again.
+const minRecycled = 4 << 10
+
+// recycled holds buffers that have been outgrown, by the binary logarithm of their capacity, which is a
+// power of two. Without it, a crowd of growing buffers leaves as much garbage as it holds.
+var recycled [bits.UintSize]sync.Pool
+
+// newBuffer returns an empty buffer of a capacity in bytes.
+func newBuffer(size int64) []byte {
+	if isRecyclable(int(size)) {
+		if buf, ok := recycled[bits.Len(uint(size))-1].Get().(*[]byte); ok {
+			return (*buf)[:0]
+		}
+	}
+	return make([]byte, 0, size)
+}
+
+func recycle(buf []byte) {
+	if isRecyclable(cap(buf)) {
+		recycled[bits.Len(uint(cap(buf)))-1].Put(&buf)
+	}
+}
+
+func isRecyclable(capacity int) bool {
+	return capacity >= minRecycled && bits.OnesCount(uint(capacity)) == 1
+}
--- a/internal/gateway/shell/run.go
+++ b/internal/gateway/shell/run.go
@@ -27,7 +27,7 @@
 	headerBytes   = 32 << 10
 	idleTimeout   = 20 * time.Second
 	// memoryLimitFraction of the process's memory is the garbage collector's limit.
-	memoryLimitFraction = 0.6
+	memoryLimitFraction = 0.5
 	// housekeepingInterval is how often housekeep runs.
 	housekeepingInterval = 250 * time.Millisecond
 	// suspensionThreshold is the growth of suspendedTime from which on the VM counts
