--- /dev/null
+++ b/internal/storecopy/listing.go
@@ -0,0 +1,67 @@
+package storecopy
+
+import (
+	"context"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/store"
+)
+
+// listPages reads all pages of a listing. The result has the revision of the first page,
+// so that a watch from there also delivers changes made between two pages. A listing beyond
+// the bounds of a copy, or one that does not get ahead, is an answer that can't be used.
+func (s *Syncer) listPages(ctx context.Context) store.Result {
+	r := s.listPage(ctx, "")
+	size := pairsSize(r.Pairs)
+	for last, pages := r, 1; last.Status == store.StatusOK && last.More; pages++ {
+		after := last.Pairs[len(last.Pairs)-1].Key
+		last = s.listPage(ctx, after)
+		size += pairsSize(last.Pairs)
+		if !continues(last, after) || last.Era != r.Era || // pages of two eras don't belong together
+			pages >= maxPages || size > MaxCopyBytes {
+			return store.Result{Status: store.StatusUnavailable, Era: last.Era}
+		}
+		r.Pairs = append(r.Pairs, last.Pairs...)
+	}
+	return r
+}
+
+// continues reports whether a page is the one after a key, with keys of its own unless it is the last.
+func continues(page store.Result, after string) bool {
+	if page.Status != store.StatusOK {
+		return false
+	}
+	if len(page.Pairs) == 0 {
+		return !page.More
+	}
+	return page.Pairs[len(page.Pairs)-1].Key > after
+}
+
+// listPage reads the page of a listing after a key. The call is repeated after repeatAfter, and the
+// first success counts; a failure before that is one of the store or of the way to it.
+func (s *Syncer) listPage(ctx context.Context, after string) store.Result {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	results := make(chan store.Result, 2)
+	read := func() {
+		results <- s.cfg.Client.Do(call, store.Op{ID: s.op.Add(1), Kind: store.OpList, Key: s.cfg.Prefix, After: after})
+	}
+	go read()
+	repeat := time.NewTimer(repeatAfter)
+	defer repeat.Stop()
+	if s.Version().Revision == 0 {
+		repeat.Stop()
+	}
+	for pending := 1; ; {
+		select {
+		case r := <-results:
+			pending--
+			if r.Status == store.StatusOK || pending == 0 {
+				return r
+			}
+		case <-repeat.C:
+			pending++
+			go read()
+		}
+	}
+}
