Tell a reset from the end of an answer while the request is written

Cause: the kernel reports the failure of a connection once, to whichever call comes next. The request is written while the answer is read. If the write gets ECONNRESET, the read returns io.EOF, which ends a body with neither a length nor chunks. The same holds for any other failure of the connection that the write sees first.

Change: httpconn.ClientConn keeps the error of a write, and its Read returns io.EOF only if no write has seen a failure. EPIPE after io.EOF means that the close came first. At io.EOF a write that waits is ended, so that its result is known.

Why this works: the failure is reported to the read, which ends the answer by itself, or to the write, whose result the read takes into account. Nothing depends on which is first.

The tests of upstream ask the inner connection for its options now.

--- a/internal/crowdtest/gateway_test.go
+++ b/internal/crowdtest/gateway_test.go
@@ -48,6 +48,12 @@
 
 // startGateway starts a gateway with a limit of descriptors, and flags, and waits until it serves.
 func startGateway(t *testing.T, descriptors int, flags ...string) *gateway {
+	t.Helper()
+	return startGatewayOn(t, config, descriptors, flags...)
+}
+
+// startGatewayOn is startGateway with another configuration.
+func startGatewayOn(t *testing.T, config string, descriptors int, flags ...string) *gateway {
 	t.Helper()
 	g := &gateway{store: standin.NewStore(), descriptors: descriptors}
 	t.Cleanup(g.store.Close)
--- /dev/null
+++ b/internal/httpconn/clientconn.go
@@ -0,0 +1,69 @@
+package httpconn
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// ClientConn is a client's TCP connection whose Read returns io.EOF only if the other side has closed its
+// side. The kernel reports a failure of a connection, such as a reset, to one call; if that is a Write, a Read returns
+// io.EOF. An answer that ends with the connection would then look whole. Create it with NewClientConn.
+type ClientConn struct {
+	net.Conn
+
+	writing sync.Mutex // held during a write; guards failure
+	failure error      // of the latest write; nil: none
+}
+
+// NewClientConn returns a ClientConn on conn. Read and Write may be called at the same time.
+func NewClientConn(conn net.Conn) *ClientConn { return &ClientConn{Conn: conn} }
+
+// Read implements net.Conn.
+func (c *ClientConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		err = c.endOfInput()
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *ClientConn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	c.failure = err
+	return n, err
+}
+
+// WriteBuffers is net.Buffers.WriteTo on the connection.
+func (c *ClientConn) WriteBuffers(buffers *net.Buffers) (int64, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := buffers.WriteTo(c.Conn)
+	c.failure = err
+	return n, err
+}
+
+// endOfInput returns io.EOF if the other side has closed its side, or else the failure that a write has seen. A write
+// that waits is ended: its connection can carry no other answer.
+func (c *ClientConn) endOfInput() error {
+	_ = c.SetWriteDeadline(pastDeadline) // fails only on a closed connection, on which no write waits
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if endedByPeer(c.failure) {
+		return io.EOF
+	}
+	return errors.Wrap(c.failure, "connection failed")
+}
+
+// endedByPeer reports whether the other side has closed its side if a write ended with an error and a read with io.EOF.
+// A write to a connection that is reset after that gets EPIPE.
+func endedByPeer(writeErr error) bool {
+	return writeErr == nil || errors.Is(writeErr, syscall.EPIPE) || errors.Is(writeErr, os.ErrDeadlineExceeded)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,6 +14,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 )
 
 const (
@@ -52,7 +54,7 @@
 type Conn struct {
 	pool      *Pool
 	addr      string
-	net       net.Conn
+	net       *httpconn.ClientConn
 	limited   *io.LimitedReader
 	r         *bufio.Reader
 	idleSince time.Time // when the connection was returned to the pool
@@ -134,7 +136,7 @@
 	c.writeResult = make(chan error, 1)
 	go func() {
 		buffers := net.Buffers{head, r.Body}
-		_, err := buffers.WriteTo(c.net)
+		_, err := c.net.WriteBuffers(&buffers)
 		c.writeResult <- err
 	}()
 	return nil
@@ -280,7 +282,7 @@
 // does not receive a request whose caller has left or whose time is over. Like Close it
 // may be called concurrently with other methods.
 func (c *Conn) Abort() {
-	if tcp, ok := c.net.(*net.TCPConn); ok {
+	if tcp, ok := c.net.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails only on a closed connection
 	}
 	c.Close()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -96,7 +96,7 @@
 		if c == nil {
 			return p.dial(ctx, addr)
 		}
-		if httpconn.OpenAndSilent(c.net) {
+		if httpconn.OpenAndSilent(c.net.Conn) {
 			return c, nil
 		}
 		c.Close()
@@ -135,8 +135,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect")
 	}
-	limited := &io.LimitedReader{R: nc, N: unlimited}
-	c := &Conn{pool: p, addr: addr, net: nc, limited: limited, r: bufio.NewReaderSize(limited, readBufferSize)}
+	conn := httpconn.NewClientConn(nc)
+	limited := &io.LimitedReader{R: conn, N: unlimited}
+	c := &Conn{pool: p, addr: addr, net: conn, limited: limited, r: bufio.NewReaderSize(limited, readBufferSize)}
 	p.mu.Lock()
 	p.open++
 	p.dialed++
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -376,7 +376,7 @@
 	}
 	r := request("1")
 	r.Method, r.Body = "POST", make([]byte, 1<<20)
-	if err := conn.net.(*net.TCPConn).SetWriteBuffer(2 << 20); err != nil {
+	if err := conn.net.Conn.(*net.TCPConn).SetWriteBuffer(2 << 20); err != nil {
 		t.Fatal(err)
 	}
 	if err := conn.Write(r); err != nil {
@@ -463,17 +463,17 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	if tcpOption(t, c.net, unix.SOL_SOCKET, unix.SO_KEEPALIVE) == 0 {
+	if tcpOption(t, c.net.Conn, unix.SOL_SOCKET, unix.SO_KEEPALIVE) == 0 {
 		t.Fatal("no keep-alive probes")
 	}
 	seconds := func(option int) time.Duration {
-		return time.Duration(tcpOption(t, c.net, unix.IPPROTO_TCP, option)) * time.Second
+		return time.Duration(tcpOption(t, c.net.Conn, unix.IPPROTO_TCP, option)) * time.Second
 	}
 	idle, interval := seconds(unix.TCP_KEEPIDLE), seconds(unix.TCP_KEEPINTVL)
-	count := tcpOption(t, c.net, unix.IPPROTO_TCP, unix.TCP_KEEPCNT)
+	count := tcpOption(t, c.net.Conn, unix.IPPROTO_TCP, unix.TCP_KEEPCNT)
 	// The last sign of a VM may be as old as idle when it stops.
 	for name, end := range map[string]time.Duration{
-		"data unacknowledged": time.Duration(tcpOption(t, c.net, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)) * time.Millisecond,
+		"data unacknowledged": time.Duration(tcpOption(t, c.net.Conn, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)) * time.Millisecond,
 		"probes unanswered":   idle + time.Duration(count)*interval,
 	} {
 		if end <= standstill+idle || end > vanished {
