Tell a reset of a service from the end of its answer

Callers saw: at the product's own interface, a part of a service's answer without a length was passed on as a complete one, if the service reset the connection during the upload.

Change: httpconn.Strict is an http.Transport on connections that tell the two apart. Agents call engines and services with it. startAgent of the tests uses the agent's own client now, as the program does.

Engines' answers don't depend on it: streams end with a final event, others are decoded whole.

--- a/internal/agent/shell/shell_test.go
+++ b/internal/agent/shell/shell_test.go
@@ -216,7 +216,6 @@
 	cfg.Log = zerolog.Nop()
 	cfg.Core.Endpoint = "luthier-01"
 	cfg.Core.Incarnation = 1
-	cfg.EndpointClient = &http.Client{Transport: &http.Transport{}}
 	a, err := New(cfg)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/engine/enginehttp/client.go
+++ b/internal/engine/enginehttp/client.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"trefoilpath.org/trefoilpath/internal/engine"
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 	"trefoilpath.org/trefoilpath/internal/httponce"
 )
 
@@ -43,7 +44,7 @@
 func NewHTTPClient() *http.Client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxResponseHeaderBytes = maxHeadBytes
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: httpconn.NewStrict(t)}
 }
 
 // New returns a client for the engine at baseURL; a nil hc is NewHTTPClient. The timeout of hc must be
