Take no answer whose head has a line without a field name

Callers saw: an endpoint's answer in whose head the name of a field held a blank arrived as an answer: without that line ("X Trace: 1"); with the chunk sizes in the body ("Transfer-Encoding : chunked"); with another signature, if the blank stood before the name, since the line was joined to the one before. A control byte in a name was turned away already.

Cause: net/http takes blanks in and after a name for a part of it, and a line that begins with a blank for a continuation, so that fields may be hidden that frame the body. In an answer to another request, which is skipped, the hidden framing let the gateway take bytes of its body for the answer to the request itself. Interim answers, trailers, and the answers of engines to orders and reports were read the same way.

Change: the connection checks the lines of each head, of interim and of skipped answers too, as the bytes arrive; CheckTrailers does it for names of trailers. Such an answer is a broken one. RFC 9112 leaves it to a gateway to discard an answer with continuation lines (section 5.2); one whose name is followed by a blank has no sound reading either.

Why this works: the check sees the bytes before net/http does, and no answer is passed on or believed whose head did not pass it.

--- a/internal/httpconn/clientconn.go
+++ b/internal/httpconn/clientconn.go
@@ -10,14 +10,21 @@
 	"github.com/pkg/errors"
 )
 
-// ClientConn is a client's TCP connection whose Read returns io.EOF only if the other side has closed its
-// side. The kernel reports a failure of a connection, such as a reset, to one call; if that is a Write, a Read returns
-// io.EOF. An answer that ends with the connection would then look whole. Create it with NewClientConn.
+// ClientConn is a client's TCP connection that fails where broken answers may look whole. Create it with NewClientConn.
+//
+// Its Read returns io.EOF only if the other side has closed its side. The kernel reports a failure of a connection,
+// such as a reset, to one call; if that is a Write, a Read returns io.EOF. An answer that ends with the connection would
+// then look whole.
+//
+// Its Read fails with ErrFieldName in the head of a response that ExpectResponse has announced.
 type ClientConn struct {
 	net.Conn
 
 	writing sync.Mutex // held during a write; guards failure
 	failure error      // of the latest write; nil: none
+
+	scanning sync.Mutex // guards head
+	head     headScanner
 }
 
 // NewClientConn returns a ClientConn on conn. Read and Write may be called at the same time.
@@ -29,9 +36,27 @@
 	if err == io.EOF {
 		err = c.endOfInput()
 	}
+	if failed := c.scan(p[:n]); failed != nil {
+		return 0, failed
+	}
 	return n, err
 }
 
+// ExpectResponse lets Read check the next response and the interim ones before it. read are bytes of it that have been
+// read already; the error is ErrFieldName if a line among them has no field name.
+func (c *ClientConn) ExpectResponse(read []byte) error {
+	c.scanning.Lock()
+	defer c.scanning.Unlock()
+	c.head.expect()
+	return c.head.scan(read)
+}
+
+func (c *ClientConn) scan(p []byte) error {
+	c.scanning.Lock()
+	defer c.scanning.Unlock()
+	return c.head.scan(p)
+}
+
 // Write implements net.Conn.
 func (c *ClientConn) Write(p []byte) (int, error) {
 	c.writing.Lock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -185,6 +185,10 @@
 // readHead reads the next response head; interim 1xx responses are skipped.
 func (c *Conn) readHead(r *Request) (*http.Response, error) {
 	c.limited.N = maxHeadBytes
+	buffered, _ := c.r.Peek(c.r.Buffered()) // does not read, so that it can't fail
+	if err := c.net.ExpectResponse(buffered); err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
 	for {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
 		if err != nil {
@@ -198,6 +202,7 @@
 		}
 		if resp.StatusCode >= 200 {
 			c.limited.N = unlimited
+			httpconn.CheckTrailers(resp)
 			return resp, nil
 		}
 	}
