--- a/internal/crowdtest/malformed_head_test.go
+++ b/internal/crowdtest/malformed_head_test.go
@@ -61,3 +61,12 @@
 		testNoAnswer(t, "HTTP/1.1 103 Early Hints\r\nX Trace: 1\r\n\r\nHTTP/1.1 200 OK", framed(body))
 	})
 }
+
+// TestStatus000IsNoAnswer guards against an answer without a status that reaches the caller.
+func TestStatus000IsNoAnswer(t *testing.T) {
+	for name, rest := range map[string]string{
+		"with a body": framed(standin.WholeStream(2)), "without a body": framed(""), "without a length": "\r\n" + standin.WholeStream(2),
+	} {
+		t.Run(name, func(t *testing.T) { testNoAnswer(t, "HTTP/1.1 000 ", rest) })
+	}
+}
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -114,3 +114,19 @@
 		t.Errorf("HEAD: %q, %v, want no body", body, err)
 	}
 }
+
+// TestStatus000IsNoAnswer guards against an answer without a status, and against bytes after one that are read as the
+// answer.
+func TestStatus000IsNoAnswer(t *testing.T) {
+	for place, raw := range map[string]string{
+		"answer":           "HTTP/1.1 000 \r\n" + ownFields + "Content-Length: 3\r\n\r\nown",
+		"without a reason": "HTTP/1.1 000\r\n" + ownFields + "\r\nown",
+		"skipped answer":   "HTTP/1.1 000 \r\n" + otherFields + "Content-Length: 5\r\n\r\nother" + ownAnswer,
+		"interim answer":   "HTTP/1.1 000 \r\n\r\n" + ownAnswer,
+		"after an interim": "HTTP/1.1 103 \r\n\r\nHTTP/1.1 000 \r\n" + ownFields + "\r\n",
+	} {
+		if body, err := readRaw(t, http.MethodGet, raw, false); err == nil {
+			t.Errorf("%s: answer %q", place, body)
+		}
+	}
+}
