Believe no answer of a service, the store or a peer whose head has a line without a field name

Callers saw: at the product's own interface, a service's answer with a blank in the name of a field arrived as an answer, without that line or with the sizes of chunks in its body. Listings and watches of the store, copies of other gateways, reports of engines and lists of VMs with such heads were believed; nothing wrong in their effect was seen, since their bodies are decoded whole.

Change: httpconn.Strict checks heads, those of interim answers, and names of trailers, on new and kept connections, and above TLS, for which it makes the connections itself. All clients of the product that speak HTTP/1 use it now; entries and agents among each other speak HTTP/2, whose library checks names.

--- a/cmd/trefoilpath/flags.go
+++ b/cmd/trefoilpath/flags.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 	"trefoilpath.org/trefoilpath/internal/operator"
 	"trefoilpath.org/trefoilpath/internal/store"
 )
@@ -59,7 +60,7 @@
 		}
 		cfg.Certificates = []tls.Certificate{cert}
 	}
-	return &http.Client{Timeout: callTimeout, Transport: &http.Transport{TLSClientConfig: cfg}}, nil
+	return &http.Client{Timeout: callTimeout, Transport: httpconn.NewStrict(&http.Transport{TLSClientConfig: cfg})}, nil
 }
 
 // storeFlags holds the flags that name the platform's store.
--- a/internal/agent/shell/links.go
+++ b/internal/agent/shell/links.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"trefoilpath.org/trefoilpath/internal/agent"
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 	"trefoilpath.org/trefoilpath/internal/membership"
 	"trefoilpath.org/trefoilpath/internal/sleep"
 	"trefoilpath.org/trefoilpath/internal/transport"
@@ -50,7 +51,7 @@
 func newLinks(a *Agent) *links {
 	l := &links{agent: a, byEntry: make(map[wire.NodeID]*link), client: transport.NewHTTPClient(a.cfg.TLS)}
 	if a.cfg.VMListURL != "" {
-		l.vms = membership.NewVMListClient(a.cfg.VMListURL, &http.Client{Timeout: vmListTimeout, Transport: http.DefaultTransport.(*http.Transport).Clone()})
+		l.vms = membership.NewVMListClient(a.cfg.VMListURL, &http.Client{Timeout: vmListTimeout, Transport: httpconn.NewStrict(http.DefaultTransport.(*http.Transport).Clone())})
 	}
 	return l
 }
--- /dev/null
+++ b/internal/agent/shell/malformed_test.go
@@ -0,0 +1,36 @@
+package shell
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// TestMalformedHeadOfAServiceIsNoAnswer guards against a service's answer that is passed on, without a line of its head or
+// with a body that is framed in another way, although that line is no field.
+func TestMalformedHeadOfAServiceIsNoAnswer(t *testing.T) {
+	const length, chunked = "Content-Length: 6\r\n\r\nanswer", "\r\n\r\n6\r\nanswer\r\n0\r\n"
+	for name, test := range map[string]struct {
+		raw   string
+		sound bool
+	}{
+		"sound":                    {"HTTP/1.1 200 OK\r\nX-Trace: 1\r\n" + length, true},
+		"sound interim":            {"HTTP/1.1 103 \r\nX-Trace: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + length, true},
+		"sound trailers":           {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" + chunked + "X-Trace: 1\r\n\r\n", true},
+		"blank in a name":          {"HTTP/1.1 200 OK\r\nX Trace: 1\r\n" + length, false},
+		"blank after the coding":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked" + chunked + "\r\n", false},
+		"blank before a name":      {"HTTP/1.1 200 OK\r\nX-A: 1\r\n X-Trace: 1\r\n" + length, false},
+		"control byte":             {"HTTP/1.1 200 OK\r\nX-\x01Trace: 1\r\n" + length, false},
+		"blank in an interim head": {"HTTP/1.1 103 \r\nX Trace: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + length, false},
+		"blank in a trailer":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" + chunked + "X Trace: 1\r\n\r\n", false},
+	} {
+		url := startRaw(t, func(c *net.TCPConn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // as does the write, it fails only if the call has ended
+			_, _ = io.WriteString(c, test.raw)
+		})
+		if text, whole := callService(t, url, []byte("order")); whole != test.sound || test.sound && text != "answer" {
+			t.Errorf("%s: %q, whole=%t", name, text, whole)
+		}
+	}
+}
--- a/internal/dev/platform.go
+++ b/internal/dev/platform.go
@@ -11,6 +11,7 @@
 
 	"trefoilpath.org/trefoilpath/examples"
 	"trefoilpath.org/trefoilpath/internal/declaration"
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 	"trefoilpath.org/trefoilpath/internal/standin"
 	"trefoilpath.org/trefoilpath/internal/standin/enginemodel"
 	"trefoilpath.org/trefoilpath/internal/store"
@@ -154,7 +155,7 @@
 	if err != nil {
 		return 0, err
 	}
-	hc := &http.Client{Transport: &http.Transport{}}
+	hc := &http.Client{Transport: httpconn.NewStrict(&http.Transport{})}
 	defer hc.CloseIdleConnections()
 	receipt, err := declaration.Accept(ctx, store.NewHTTPClient(p.store.URL(), hc), declaration.Update{
 		Lists:  lists,
--- a/internal/entry/shell/entry.go
+++ b/internal/entry/shell/entry.go
@@ -13,6 +13,7 @@
 	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/declaration"
 	"trefoilpath.org/trefoilpath/internal/entry"
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 	"trefoilpath.org/trefoilpath/internal/invariant"
 	"trefoilpath.org/trefoilpath/internal/membership"
 	"trefoilpath.org/trefoilpath/internal/store"
@@ -101,7 +102,7 @@
 // plainClient returns a client for the platform's services, without the TLS
 // settings for entries and agents.
 func plainClient() *http.Client {
-	return &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+	return &http.Client{Transport: httpconn.NewStrict(http.DefaultTransport.(*http.Transport).Clone())}
 }
 
 // PeerHandler returns the handler for agents and other entries.
--- a/internal/gateway/shell/peers.go
+++ b/internal/gateway/shell/peers.go
@@ -19,6 +19,7 @@
 
 	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/gateway"
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 	"trefoilpath.org/trefoilpath/internal/sleep"
 	"trefoilpath.org/trefoilpath/internal/storecopy"
 )
@@ -307,7 +308,7 @@
 var peerCopies = bytebudget.New(copyMemory)
 
 // peerClient fetches cached copies. That is rare, so it keeps no idle connections.
-var peerClient = &http.Client{Transport: &http.Transport{
+var peerClient = &http.Client{Transport: httpconn.NewStrict(&http.Transport{
 	DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: copyHeadTimeout}).DialContext, ResponseHeaderTimeout: copyHeadTimeout,
 	MaxResponseHeaderBytes: maxCopyHead,
-}}
+})}
--- a/internal/httpconn/strict.go
+++ b/internal/httpconn/strict.go
@@ -1,14 +1,18 @@
 package httpconn
 
 import (
+	"cmp"
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
-// Strict is an http.Transport that fails for a broken response where http.Transport may take it for a whole one: for
-// one without a length whose connection was reset while the request was written. Create it with NewStrict. It is safe
-// for concurrent use.
+// Strict is an http.Transport that fails for broken responses that http.Transport may take for whole ones: those without
+// a length whose connection was reset while the request was written, and those with a line in their head, in that of an
+// interim response or in their trailers that does not begin with a field name. It speaks HTTP/1. Create it with
+// NewStrict. It is safe for concurrent use.
 type Strict struct{ base *http.Transport }
 
 // NewStrict returns a Strict with the settings of t, which must not be used otherwise.
@@ -24,11 +28,58 @@
 		}
 		return NewClientConn(conn), nil
 	}
+	if t.DialTLSContext == nil {
+		t.DialTLSContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dial(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return startTLS(ctx, conn, addr, t)
+		}
+	}
 	return &Strict{base: t}
 }
 
+// startTLS makes a TLS connection to the host of addr on conn as t would, but for HTTP/1 only.
+func startTLS(ctx context.Context, conn net.Conn, addr string, t *http.Transport) (net.Conn, error) {
+	if t.TLSHandshakeTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, t.TLSHandshakeTimeout)
+		defer cancel()
+	}
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	cfg := t.TLSClientConfig.Clone()
+	if cfg == nil {
+		cfg = new(tls.Config)
+	}
+	cfg.ServerName = cmp.Or(cfg.ServerName, host)
+	cfg.NextProtos = nil
+	secured := tls.Client(conn, cfg)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return NewClientConn(secured), nil
+}
+
 // RoundTrip implements http.RoundTripper.
-func (s *Strict) RoundTrip(r *http.Request) (*http.Response, error) { return s.base.RoundTrip(r) }
+func (s *Strict) RoundTrip(r *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*ClientConn); ok {
+			_ = conn.ExpectResponse(nil) // fails only for bytes that have been read
+		}
+	}}
+	resp, err := s.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	CheckTrailers(resp)
+	return resp, nil
+}
 
 // CloseIdleConnections closes the connections that wait for a request.
 func (s *Strict) CloseIdleConnections() { s.base.CloseIdleConnections() }
--- a/internal/httpconn/transport.go
+++ b/internal/httpconn/transport.go
@@ -17,19 +17,19 @@
 )
 
 // Transport sends a request whose Close field is set on a new connection, and reuses
-// connections for others. http.Transport sends both kinds on an idle connection, which
+// connections for others. It fails for the responses for which Strict does. http.Transport sends both kinds on an idle connection, which
 // may have fallen silent. Create it with NewTransport. It is safe for concurrent use.
-type Transport struct{ kept, single *http.Transport }
+type Transport struct{ kept, single *Strict }
 
 // NewTransport returns a Transport whose connections are made by dial.
 func NewTransport(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *Transport {
-	t := &Transport{kept: &http.Transport{
+	kept := &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: maxIdle, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
-	t.single = t.kept.Clone()
-	t.single.DisableKeepAlives = true
-	return t
+	}
+	single := kept.Clone()
+	single.DisableKeepAlives = true
+	return &Transport{kept: NewStrict(kept), single: NewStrict(single)}
 }
 
 // RoundTrip implements http.RoundTripper.
--- a/internal/incarnation/incarnation.go
+++ b/internal/incarnation/incarnation.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"trefoilpath.org/trefoilpath/internal/httpconn"
 	"trefoilpath.org/trefoilpath/internal/sleep"
 	"trefoilpath.org/trefoilpath/internal/store"
 	"trefoilpath.org/trefoilpath/internal/wire"
@@ -63,7 +64,7 @@
 	if storeURL == "" {
 		return FromClock()
 	}
-	hc := &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+	hc := &http.Client{Transport: httpconn.NewStrict(http.DefaultTransport.(*http.Transport).Clone())}
 	defer hc.CloseIdleConnections()
 	return Next(ctx, store.NewHTTPClient(storeURL, hc), role, name, log)
 }
