Take no status below 200 for a service's answer

Callers saw: at the product's own interface, a service's answer with the status 000 cut the caller's connection, since net/http panics for such a status; the call counted as completed, so that a repeat of it with its key was cut too (this by reading). A 101 arrived as an answer.

Cause: http.Transport returns any status of three digits, and 101 as a final one; the agent passed it on.

Change: the agent takes an answer with a status below 200 for a broken one. The call fails and is answered by the entry; it may have run.

--- a/internal/agent/shell/calls.go
+++ b/internal/agent/shell/calls.go
@@ -94,6 +94,9 @@
 		return connected.Load(), errors.Wrap(err, "call service")
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode < http.StatusOK {
+		return true, errors.Errorf("the service answered with the status %03d, which is no final one", resp.StatusCode)
+	}
 	ans.head(ctx, wire.ReplyHead{Status: resp.StatusCode, Headers: replyHeaders(resp.Header)})
 	return true, copyReply(ctx, ans, resp.Body)
 }
--- a/internal/agent/shell/malformed_test.go
+++ b/internal/agent/shell/malformed_test.go
@@ -34,3 +34,19 @@
 		}
 	}
 }
+
+// TestStatusBelow200OfAServiceIsNoAnswer guards against a status that is passed on although no caller can be answered with
+// it, for a call that counts as completed.
+func TestStatusBelow200OfAServiceIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "042", "101"} {
+		for _, rest := range []string{"Content-Length: 6\r\n\r\nanswer", "Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n"} {
+			url := startRaw(t, func(c *net.TCPConn, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body) // as does the write, it fails only if the call has ended
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" \r\n"+rest)
+			})
+			if text, whole := callService(t, url, []byte("order")); whole {
+				t.Errorf("status %s, %q: %q was passed on", status, rest, text)
+			}
+		}
+	}
+}
