--- a/internal/agent/shell/earlyanswer_test.go
+++ b/internal/agent/shell/earlyanswer_test.go
@@ -1,12 +1,10 @@
 package shell
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,39 +12,10 @@
 	"trefoilpath.org/trefoilpath/internal/agent"
 	"trefoilpath.org/trefoilpath/internal/bytebudget"
 	"trefoilpath.org/trefoilpath/internal/engine/enginehttp"
+	"trefoilpath.org/trefoilpath/internal/rawserver"
 	"trefoilpath.org/trefoilpath/internal/wire"
 )
 
-// startRaw starts a server that reads the head of each request and lets answer write the response. It closes the
-// connection after that. It returns its URL.
-func startRaw(t *testing.T, answer func(c *net.TCPConn, r *http.Request)) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var serving sync.WaitGroup
-	t.Cleanup(func() {
-		l.Close()
-		serving.Wait()
-	})
-	serving.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			serving.Go(func() {
-				defer c.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					answer(c.(*net.TCPConn), r)
-				}
-			})
-		}
-	})
-	return "http://" + l.Addr().String()
-}
-
 // callService calls a service with a body, and returns its answer and whether that was passed on as a whole one.
 func callService(t *testing.T, url string, body []byte) (text string, whole bool) {
 	t.Helper()
@@ -77,7 +46,7 @@
 
 // uploadOrder answers a call in the i-th order of events: a part of the request is read before the answer, and a time
 // passes after it.
-func uploadOrder(i int64, c *net.TCPConn, r *http.Request, text string) {
+func uploadOrder(i int64, c net.Conn, r *http.Request, text string) {
 	_, _ = io.CopyN(io.Discard, r.Body, i%3*(256<<10)) // as does the write, it fails only if the call has ended
 	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+text)
 	for end := time.Now().Add(time.Duration(i/3) * 5 * time.Microsecond); time.Now().Before(end); {
@@ -88,9 +57,10 @@
 // is passed on as the whole, since the write of the call has seen the connection's reset first.
 func TestResetOfAServiceDuringAnUploadIsNoEndOfItsAnswer(t *testing.T) {
 	var order atomic.Int64
-	url := startRaw(t, func(c *net.TCPConn, r *http.Request) {
+	url := rawserver.Start(t, nil, func(c net.Conn, r *http.Request) bool {
 		uploadOrder(order.Load(), c, r, "part")
-		_ = c.SetLinger(0)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
 	})
 	upload, failed := make([]byte, uploadBytes), 0
 	for i := range uploadOrders {
@@ -109,14 +79,15 @@
 func TestAnswerOfAServiceDuringAnUploadArrivesWhole(t *testing.T) {
 	const text = "the whole answer"
 	var order atomic.Int64
-	url := startRaw(t, func(c *net.TCPConn, r *http.Request) {
+	url := rawserver.Start(t, nil, func(c net.Conn, r *http.Request) bool {
 		uploadOrder(order.Load(), c, r, text)
 		if order.Load()%2 == 0 {
-			_ = c.CloseWrite()
+			_ = c.(*net.TCPConn).CloseWrite()
 			_, _ = io.Copy(io.Discard, c) // ends when the agent closes the connection
-			return
+			return false
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
+		return false
 	})
 	upload := make([]byte, uploadBytes)
 	for i := range uploadOrders {
--- a/internal/agent/shell/malformed_test.go
+++ b/internal/agent/shell/malformed_test.go
@@ -1,10 +1,9 @@
 package shell
 
 import (
-	"io"
-	"net"
-	"net/http"
 	"testing"
+
+	"trefoilpath.org/trefoilpath/internal/rawserver"
 )
 
 // TestMalformedHeadOfAServiceIsNoAnswer guards against a service's answer that is passed on, without a line of its head or
@@ -25,10 +24,7 @@
 		"blank in an interim head": {"HTTP/1.1 103 \r\nX Trace: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + length, false},
 		"blank in a trailer":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked" + chunked + "X Trace: 1\r\n\r\n", false},
 	} {
-		url := startRaw(t, func(c *net.TCPConn, r *http.Request) {
-			_, _ = io.Copy(io.Discard, r.Body) // as does the write, it fails only if the call has ended
-			_, _ = io.WriteString(c, test.raw)
-		})
+		url := rawserver.Send(t, func() string { return test.raw })
 		if text, whole := callService(t, url, []byte("order")); whole != test.sound || test.sound && text != "answer" {
 			t.Errorf("%s: %q, whole=%t", name, text, whole)
 		}
@@ -40,10 +36,7 @@
 func TestStatusBelow200OfAServiceIsNoAnswer(t *testing.T) {
 	for _, status := range []string{"000", "042", "101"} {
 		for _, rest := range []string{"Content-Length: 6\r\n\r\nanswer", "Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n"} {
-			url := startRaw(t, func(c *net.TCPConn, r *http.Request) {
-				_, _ = io.Copy(io.Discard, r.Body) // as does the write, it fails only if the call has ended
-				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" \r\n"+rest)
-			})
+			url := rawserver.Send(t, func() string { return "HTTP/1.1 " + status + " \r\n" + rest })
 			if text, whole := callService(t, url, []byte("order")); whole {
 				t.Errorf("status %s, %q: %q was passed on", status, rest, text)
 			}
--- a/internal/httpconn/strict_test.go
+++ b/internal/httpconn/strict_test.go
@@ -1,7 +1,6 @@
 package httpconn
 
 import (
-	"bufio"
 	"bytes"
 	"crypto/tls"
 	"crypto/x509"
@@ -9,50 +8,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"sync"
 	"testing"
 	"time"
-)
 
-// startRaw starts a server that reads the heads of requests and lets answer write the response, with TLS if config is set.
-// It closes a connection if answer returns false. It returns the URL.
-func startRaw(t *testing.T, config *tls.Config, answer func(c net.Conn, r *http.Request) bool) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var serving sync.WaitGroup
-	t.Cleanup(func() {
-		l.Close()
-		serving.Wait()
-	})
-	serving.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if config != nil {
-				c = tls.Server(c, config)
-			}
-			serving.Go(func() {
-				defer c.Close()
-				in := bufio.NewReader(c)
-				for {
-					r, err := http.ReadRequest(in)
-					if err != nil || !answer(c, r) {
-						return
-					}
-				}
-			})
-		}
-	})
-	if config != nil {
-		return "https://" + l.Addr().String()
-	}
-	return "http://" + l.Addr().String()
-}
+	"trefoilpath.org/trefoilpath/internal/rawserver"
+)
 
 // testTLS returns the configurations of a server and of a client that trusts it.
 func testTLS(t *testing.T) (server, client *tls.Config) {
@@ -70,7 +30,7 @@
 	for name, config := range map[string]*tls.Config{"http": nil, "https": server} {
 		t.Run(name, func(t *testing.T) {
 			client := &http.Client{Transport: NewStrict(&http.Transport{TLSClientConfig: trust})}
-			defer client.CloseIdleConnections() // before the cleanup, which waits for the end of the connections
+			t.Cleanup(client.CloseIdleConnections)
 			test(t, config, client)
 		})
 	}
@@ -103,7 +63,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			forEachScheme(t, func(t *testing.T, server *tls.Config, client *http.Client) {
-				url := startRaw(t, server, func(c net.Conn, r *http.Request) bool {
+				url := rawserver.Start(t, server, func(c net.Conn, r *http.Request) bool {
 					text := map[string]string{"/sound": sound, "/interim": "HTTP/1.1 103 \r\nA: b\r\n\r\n" + sound, "/trailers": chunked + "A: b\r\n\r\n"}[r.URL.Path]
 					if text == "" {
 						text = broken
@@ -127,7 +87,7 @@
 func TestStrictFailsForAResetDuringTheRequest(t *testing.T) {
 	const orders = 200
 	forEachScheme(t, func(t *testing.T, server *tls.Config, client *http.Client) {
-		url := startRaw(t, server, func(c net.Conn, r *http.Request) bool {
+		url := rawserver.Start(t, server, func(c net.Conn, r *http.Request) bool {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart") // fails only if the client has ended
 			time.Sleep(time.Duration(r.ContentLength%20) * 50 * time.Microsecond)
 			if over, ok := c.(*tls.Conn); ok {
