Read a service's answer also if the write of the call has failed

Callers saw: at the product's own interface, a call failed although the service had answered it whole, if the service closed the connection without having read the upload.

Cause: http.Transport gives up a response that it has not read when the write of its request fails.

Change: on the connections of httpconn.Strict a failed write returns once the read has ended, or the connection is closed.

Why this works: what has arrived is read first. A socket on which a write has failed gives its reader what has arrived and then an end, so that the write doesn't wait for long; the deadline of a call closes its connection.

Resets are still told from ends in all orders.

--- a/internal/agent/shell/earlyanswer_test.go
+++ b/internal/agent/shell/earlyanswer_test.go
@@ -44,11 +44,14 @@
 	uploadOrders = 300
 )
 
+// unframed is the head of an answer without a length.
+const unframed = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+
 // uploadOrder answers a call in the i-th order of events: a part of the request is read before the answer, and a time
 // passes after it.
-func uploadOrder(i int64, c net.Conn, r *http.Request, text string) {
+func uploadOrder(i int64, c net.Conn, r *http.Request, answer string) {
 	_, _ = io.CopyN(io.Discard, r.Body, i%3*(256<<10)) // as does the write, it fails only if the call has ended
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+text)
+	_, _ = io.WriteString(c, answer)
 	for end := time.Now().Add(time.Duration(i/3) * 5 * time.Microsecond); time.Now().Before(end); {
 	}
 }
@@ -58,7 +61,7 @@
 func TestResetOfAServiceDuringAnUploadIsNoEndOfItsAnswer(t *testing.T) {
 	var order atomic.Int64
 	url := rawserver.Start(t, nil, func(c net.Conn, r *http.Request) bool {
-		uploadOrder(order.Load(), c, r, "part")
+		uploadOrder(order.Load(), c, r, unframed+"part")
 		_ = c.(*net.TCPConn).SetLinger(0)
 		return false
 	})
@@ -80,7 +83,7 @@
 	const text = "the whole answer"
 	var order atomic.Int64
 	url := rawserver.Start(t, nil, func(c net.Conn, r *http.Request) bool {
-		uploadOrder(order.Load(), c, r, text)
+		uploadOrder(order.Load(), c, r, unframed+text)
 		if order.Load()%2 == 0 {
 			_ = c.(*net.TCPConn).CloseWrite()
 			_, _ = io.Copy(io.Discard, c) // ends when the agent closes the connection
@@ -97,3 +100,27 @@
 		}
 	}
 }
+
+// TestAnswerOfAServiceThatDoesNotReadTheUploadArrivesWhole guards against a whole answer that is lost because the write of
+// the call fails before it has been read.
+func TestAnswerOfAServiceThatDoesNotReadTheUploadArrivesWhole(t *testing.T) {
+	const text = "the whole answer"
+	for _, head := range []string{unframed, "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n"} {
+		var order atomic.Int64
+		url := rawserver.Start(t, nil, func(c net.Conn, r *http.Request) bool {
+			uploadOrder(order.Load(), c, r, head+text)
+			_ = c.(*net.TCPConn).CloseWrite()
+			return false
+		})
+		upload, lost := make([]byte, uploadBytes), 0
+		for i := range uploadOrders {
+			order.Store(int64(i))
+			if got, whole := callService(t, url, upload); !whole || got != text {
+				lost++
+			}
+		}
+		if lost > 0 {
+			t.Errorf("%q: the answer was lost in %d of %d orders", head, lost, uploadOrders)
+		}
+	}
+}
--- a/internal/httpconn/clientconn.go
+++ b/internal/httpconn/clientconn.go
@@ -25,10 +25,22 @@
 
 	scanning sync.Mutex // guards head
 	head     headScanner
+
+	holdsWrites bool          // a failed Write waits for readEnded
+	readEnded   chan struct{} // closed when Read has failed or the connection was closed
+	endRead     func()        // closes readEnded
 }
 
 // NewClientConn returns a ClientConn on conn. Read and Write may be called at the same time.
-func NewClientConn(conn net.Conn) *ClientConn { return &ClientConn{Conn: conn} }
+func NewClientConn(conn net.Conn) *ClientConn {
+	c := &ClientConn{Conn: conn, readEnded: make(chan struct{})}
+	c.endRead = sync.OnceFunc(func() { close(c.readEnded) })
+	return c
+}
+
+// holdWrites lets a Write that fails return only when Read has failed too, or the connection is closed. http.Transport gives
+// up a response that it has not read when the write of its request fails.
+func (c *ClientConn) holdWrites() { c.holdsWrites = true }
 
 // Read implements net.Conn.
 func (c *ClientConn) Read(p []byte) (int, error) {
@@ -36,7 +48,11 @@
 	if err == io.EOF {
 		err = c.endOfInput()
 	}
+	if err != nil {
+		c.endRead()
+	}
 	if failed := c.scan(p[:n]); failed != nil {
+		c.endRead()
 		return 0, failed
 	}
 	return n, err
@@ -59,6 +75,14 @@
 
 // Write implements net.Conn.
 func (c *ClientConn) Write(p []byte) (int, error) {
+	n, err := c.write(p)
+	if err != nil && c.holdsWrites {
+		<-c.readEnded
+	}
+	return n, err
+}
+
+func (c *ClientConn) write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
@@ -66,6 +90,12 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *ClientConn) Close() error {
+	c.endRead()
+	return c.Conn.Close()
+}
+
 // WriteBuffers is net.Buffers.WriteTo on the connection.
 func (c *ClientConn) WriteBuffers(buffers *net.Buffers) (int64, error) {
 	c.writing.Lock()
--- a/internal/httpconn/clientconn_test.go
+++ b/internal/httpconn/clientconn_test.go
@@ -123,3 +123,40 @@
 		t.Error("the write waits")
 	}
 }
+
+// TestHeldWriteEndsWithTheConnection guards against a failed write that waits for a read that nobody makes.
+func TestHeldWriteEndsWithTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go endPeer(l, 0, false)
+	raw, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := NewClientConn(raw)
+	c.holdWrites()
+	written := make(chan error, 1)
+	go func() {
+		_, err := c.Write(make([]byte, moreThanBuffers))
+		written <- err
+	}()
+	select {
+	case err := <-written:
+		t.Errorf("the write has ended before a read: %v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	if err := c.Close(); err != nil {
+		t.Error(err)
+	}
+	select {
+	case err := <-written:
+		if err == nil {
+			t.Error("the write has succeeded")
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the write waits")
+	}
+}
--- a/internal/httpconn/strict.go
+++ b/internal/httpconn/strict.go
@@ -11,8 +11,8 @@
 
 // Strict is an http.Transport that fails for broken responses that http.Transport may take for whole ones: those without
 // a length whose connection was reset while the request was written, and those with a line in their head, in that of an
-// interim response or in their trailers that does not begin with a field name. It speaks HTTP/1. Create it with
-// NewStrict. It is safe for concurrent use.
+// interim response or in their trailers that does not begin with a field name. It returns a response also if the write
+// of the request fails before that has been read. It speaks HTTP/1. Create it with NewStrict. It is safe for concurrent use.
 type Strict struct{ base *http.Transport }
 
 // NewStrict returns a Strict with the settings of t, which must not be used otherwise.
@@ -26,7 +26,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return NewClientConn(conn), nil
+		return newTransportConn(conn), nil
 	}
 	if t.DialTLSContext == nil {
 		t.DialTLSContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -63,7 +63,13 @@
 		conn.Close()
 		return nil, err
 	}
-	return NewClientConn(secured), nil
+	return newTransportConn(secured), nil
+}
+
+func newTransportConn(conn net.Conn) *ClientConn {
+	c := NewClientConn(conn)
+	c.holdWrites()
+	return c
 }
 
 // RoundTrip implements http.RoundTripper.
