--- a/internal/httpconn/fieldnames.go
+++ b/internal/httpconn/fieldnames.go
@@ -12,7 +12,7 @@
 // ErrFieldName is returned for a response whose head or trailer section has a line that does not begin with the
 // name of a field. net/http takes a blank for a part of a name, and a line that begins with one for a
 // continuation, so that such a line may hide how the body is framed, or change another field.
-var ErrFieldName = errors.New("a line of the answer's head does not begin with a field name")
+var ErrFieldName = errors.New("a line of the answer's head or trailers does not begin with a field name")
 
 // scanState is what a headScanner expects next.
 type scanState int
