--- a/internal/httpconn/clientconn.go
+++ b/internal/httpconn/clientconn.go
@@ -10,7 +10,8 @@
 	"github.com/pkg/errors"
 )
 
-// ClientConn is a client's TCP connection that fails where broken answers may look whole. Create it with NewClientConn.
+// ClientConn is a client's connection, over TCP or TLS, that fails where broken answers may look whole. Create it with
+// NewClientConn.
 //
 // Its Read returns io.EOF only if the other side has closed its side. The kernel reports a failure of a connection,
 // such as a reset, to one call; if that is a Write, a Read returns io.EOF. An answer that ends with the connection would
--- a/internal/httpconn/transport.go
+++ b/internal/httpconn/transport.go
@@ -17,8 +17,9 @@
 )
 
 // Transport sends a request whose Close field is set on a new connection, and reuses
-// connections for others. It fails for the responses for which Strict does. http.Transport sends both kinds on an idle connection, which
-// may have fallen silent. Create it with NewTransport. It is safe for concurrent use.
+// connections for others. http.Transport sends both kinds on an idle connection, which
+// may have fallen silent. It fails for the responses for which Strict does. Create it
+// with NewTransport. It is safe for concurrent use.
 type Transport struct{ kept, single *Strict }
 
 // NewTransport returns a Transport whose connections are made by dial.
