Read a response whole that TLS has ended before a reset

Callers saw: at the product's own interface, a whole answer without a length of a service behind https counted as broken, if the service closed the connection without having read the upload.

Cause: Strict judged the end of a TLS connection by the failed write. TLS reports the end that its peer has announced, and the reset after it says nothing of the answer.

Change: resets are told from ends on the connection below TLS; the one above takes an end as TLS reports it, and checks heads.

Why this works: below TLS, nothing is read after the announced end, and a reset without it is still the error that the write has seen.

--- a/internal/httpconn/clientconn.go
+++ b/internal/httpconn/clientconn.go
@@ -1,6 +1,7 @@
 package httpconn
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"os"
@@ -10,8 +11,8 @@
 	"github.com/pkg/errors"
 )
 
-// ClientConn is a client's connection, over TCP or TLS, that fails where broken answers may look whole. Create it with
-// NewClientConn.
+// ClientConn is a client's connection, over TCP or TLS, that fails where broken answers may look whole. The connection
+// below TLS has to be a ClientConn too. Create it with NewClientConn.
 //
 // Its Read returns io.EOF only if the other side has closed its side. The kernel reports a failure of a connection,
 // such as a reset, to one call; if that is a Write, a Read returns io.EOF. An answer that ends with the connection would
@@ -107,12 +108,13 @@
 }
 
 // endOfInput returns io.EOF if the other side has closed its side, or else the failure that a write has seen. A write
-// that waits is ended: its connection can carry no other answer.
+// that waits is ended: its connection can carry no other answer. TLS says itself that the other side has ended, and
+// the connection may be reset after that.
 func (c *ClientConn) endOfInput() error {
 	_ = c.SetWriteDeadline(pastDeadline) // fails only on a closed connection, on which no write waits
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if endedByPeer(c.failure) {
+	if _, overTLS := c.Conn.(*tls.Conn); overTLS || endedByPeer(c.failure) {
 		return io.EOF
 	}
 	return errors.Wrap(c.failure, "connection failed")
--- a/internal/httpconn/strict.go
+++ b/internal/httpconn/strict.go
@@ -58,7 +58,7 @@
 	}
 	cfg.ServerName = cmp.Or(cfg.ServerName, host)
 	cfg.NextProtos = nil
-	secured := tls.Client(conn, cfg)
+	secured := tls.Client(NewClientConn(conn), cfg)
 	if err := secured.HandshakeContext(ctx); err != nil {
 		conn.Close()
 		return nil, err
--- a/internal/httpconn/strict_test.go
+++ b/internal/httpconn/strict_test.go
@@ -104,3 +104,32 @@
 		}
 	})
 }
+
+// TestStrictReadsAResponseBeforeAReset guards against a whole response that is taken for a broken one, since the connection
+// was reset after the server had ended it.
+func TestStrictReadsAResponseBeforeAReset(t *testing.T) {
+	const orders = 200
+	forEachScheme(t, func(t *testing.T, server *tls.Config, client *http.Client) {
+		url := startEarly(t, server)
+		lost := 0
+		for i := range orders {
+			if body, err := read(t, client, url, make([]byte, moreThanBuffers+i)); err != nil || body != "whole" {
+				lost++
+			}
+		}
+		if lost > 0 {
+			t.Errorf("the response was lost in %d of %d orders", lost, orders)
+		}
+	})
+}
+
+// startEarly starts a server that ends a response and then the connection, without having read the request.
+func startEarly(t *testing.T, config *tls.Config) (url string) {
+	t.Helper()
+	return rawserver.Start(t, config, func(c net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole") // fails only if the client has ended
+		time.Sleep(time.Duration(r.ContentLength%20) * 50 * time.Microsecond)
+		_ = c.(interface{ CloseWrite() error }).CloseWrite()
+		return false
+	})
+}
