Log why a listing of the store is given up although the store answers

Cause (of the gap): a listing that exceeds a bound, does not get ahead or spans a restore ended as StatusUnavailable, so that the log had store-reachable ok=false, as for a store that is down, slow or turns the gateway away. Hypotheses that the log could not tell apart: the sum of all values, the size of one page, the time a page takes, refusals of the store.

Change: event listing-given-up with prefix, reason, pages and bytes. No decision changes.

--- a/internal/gateway/shell/syncers.go
+++ b/internal/gateway/shell/syncers.go
@@ -27,6 +27,10 @@
 			Watching: func(watches bool) {
 				g.log.Info().Str("event", "store-watch").Str("prefix", prefix).Bool("ok", watches).Send()
 			},
+			GaveUp: func(l storecopy.GivenUp) {
+				g.log.Warn().Str("event", "listing-given-up").Str("prefix", prefix).Str("detail", string(l.Reason)).
+					Int("pages", l.Pages).Int64("bytes", l.Bytes).Send()
+			},
 			Fetch:       g.fetchCopy,
 			FetchFailed: g.peerFailed,
 			Reachable: func(ok bool, status store.Status) {
--- a/internal/storecopy/listing.go
+++ b/internal/storecopy/listing.go
@@ -17,20 +17,49 @@
 		after := last.Pairs[len(last.Pairs)-1].Key
 		last = s.listPage(ctx, after)
 		size += pairsSize(last.Pairs)
-		if !continues(last, after) || last.Era != r.Era || // pages of two eras don't belong together
-			pages >= maxPages || size > MaxCopyBytes {
-			return store.Result{Status: store.StatusUnavailable, Era: last.Era}
+		reason := GiveUpReason("")
+		switch {
+		case last.Status != store.StatusOK:
+		case last.Era != r.Era: // pages of two eras don't belong together
+			reason = GiveUpEra
+		case !continues(last, after):
+			reason = GiveUpOrder
+		case pages >= maxPages:
+			reason = GiveUpPages
+		case size > MaxCopyBytes:
+			reason = GiveUpSize
+		default:
+			r.Pairs = append(r.Pairs, last.Pairs...)
+			continue
 		}
-		r.Pairs = append(r.Pairs, last.Pairs...)
+		if reason != "" && s.cfg.GaveUp != nil {
+			s.cfg.GaveUp(GivenUp{Reason: reason, Pages: pages + 1, Bytes: size})
+		}
+		return store.Result{Status: store.StatusUnavailable, Era: last.Era}
 	}
 	return r
 }
 
+// GiveUpReason says why a listing is given up although the store answers.
+type GiveUpReason string
+
+// The reasons to give a listing up.
+const (
+	GiveUpEra   GiveUpReason = "era"   // the store has been restored between two pages
+	GiveUpOrder GiveUpReason = "order" // a page has no keys after those of the page before
+	GiveUpPages GiveUpReason = "pages" // more than maxPages
+	GiveUpSize  GiveUpReason = "size"  // more than MaxCopyBytes
+)
+
+// GivenUp describes a listing that is given up although the store answers.
+type GivenUp struct {
+	Reason GiveUpReason
+	Pages  int   // read until then
+	Bytes  int64 // of their keys and values
+}
+
 // continues reports whether a page is the one after a key, with keys of its own unless it is the last.
 func continues(page store.Result, after string) bool {
-	if page.Status != store.StatusOK {
-		return false
-	}
 	if len(page.Pairs) == 0 {
 		return !page.More
 	}
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -101,6 +101,9 @@
 	// Reachable is called when the store becomes unreachable or reachable again.
 	// It is called with the copy locked, like Changed.
 	Reachable func(ok bool, status store.Status)
+	// GaveUp is called with each listing that is given up although the store answers. Nil means that
+	// nobody is told.
+	GaveUp func(GivenUp)
 	// EraBegan is called with the copy locked after the first listing of a later era.
 	EraBegan func(EraChange)
 	// FetchFailed is called with each error of Fetch.
