Leave what another writer has written out of the copies of the store as it is read

Cause: MaxCopyBytes bounds the sum of all values under a prefix, whoever wrote them, and a listing beyond it ends as if the store did not answer. The bound is for the memory of the copy; but values that name no endpoint were held in it too, until each use left them out. The bound of 256 pages had the same effect: 128,000 keys of any size.

Change: a pair that says nothing to the process is left out where it is read: Op.Keep is called for each pair by the store's client, and for those of peers by the syncer. A key whose value is not held counts as deleted, so that an endpoint's entry that is overwritten ends there too. Listings of the one key of the configuration end with its page. The size of a copy counts what it holds; a listing may have 4,096 pages. The stand-in of the store ends pages after 1 MB, as the platform's does.

Why this works: what is left of a page is what the copy holds, so that the bound is one of the own endpoints, whatever stands beside them.

Gateways of earlier builds among later ones have other digests of their copies beside such entries, and fetch whole copies until all are replaced.

--- a/internal/gateway/shell/gateway.go
+++ b/internal/gateway/shell/gateway.go
@@ -63,6 +63,9 @@
 	releasing          atomic.Int64  // attempts whose reservations are being released
 	copyServing        chan struct{} // holds an element for each copy that is being sent to a peer
 
+	unusableRegistrations unusablePairs
+	unusableEvacuations   unusablePairs
+
 	versionsMu sync.Mutex
 	versions   gateway.Versions // of the cached copies
 
--- a/internal/gateway/shell/syncers.go
+++ b/internal/gateway/shell/syncers.go
@@ -13,9 +13,12 @@
 // newSyncers creates the syncers of the configuration, the registrations and the evacuations.
 func (g *Gateway) newSyncers() {
 	g.copyServing = make(chan struct{}, maxCopiesServed)
-	syncer := func(kind gateway.CopyKind, prefix string, policy storecopy.Policy, sparing bool, changed func(storecopy.Update)) *storecopy.Syncer {
+	g.unusableRegistrations.event, g.unusableEvacuations.event = "registration-unusable", "evacuation-unusable"
+	syncer := func(kind gateway.CopyKind, cfg storecopy.Config) *storecopy.Syncer {
+		prefix := cfg.Prefix
 		return storecopy.NewSyncer(storecopy.Config{
-			Prefix: prefix, Policy: policy, Sparing: sparing, Client: g.cfg.Store, Now: g.now, Changed: changed, EraBegan: g.eraBegan,
+			Prefix: prefix, Single: cfg.Single, Policy: cfg.Policy, Sparing: cfg.Sparing, Keep: cfg.Keep, Changed: cfg.Changed,
+			Client: g.cfg.Store, Now: g.now, EraBegan: g.eraBegan,
 			Watchers: func() int { return readCore(g, (*gateway.Core).Watchers) },
 			Watches:  func() bool { return readCore(g, (*gateway.Core).Watches) },
 			Confirmed: func() time.Duration {
@@ -40,12 +43,18 @@
 			},
 		})
 	}
-	g.configSyncer = syncer(gateway.CopyConfig, g.cfg.Decoder.ConfigPrefix(),
-		storecopy.Policy{Compare: g.compareConfigs, ContentVersions: true}, false, g.configChanged)
-	g.registrationSyncer = syncer(gateway.CopyRegistrations, g.cfg.Decoder.RegistrationPrefix(),
-		storecopy.Policy{Compare: g.compareRegistrations}, false, g.registrationsChanged)
+	g.configSyncer = syncer(gateway.CopyConfig, storecopy.Config{
+		Prefix: g.cfg.Decoder.ConfigPrefix(), Single: true, Keep: g.keepConfig, Changed: g.configChanged,
+		Policy: storecopy.Policy{Compare: g.compareConfigs, ContentVersions: true},
+	})
+	g.registrationSyncer = syncer(gateway.CopyRegistrations, storecopy.Config{
+		Prefix: g.cfg.Decoder.RegistrationPrefix(), Keep: g.keepRegistration, Changed: g.registrationsChanged,
+		Policy: storecopy.Policy{Compare: g.compareRegistrations},
+	})
 	if g.cfg.Settings.Evacuations {
-		g.evacuationSyncer = syncer(gateway.CopyEvacuations, g.cfg.Decoder.EvacuationPrefix(), storecopy.Policy{}, true, g.evacuationsChanged)
+		g.evacuationSyncer = syncer(gateway.CopyEvacuations, storecopy.Config{
+			Prefix: g.cfg.Decoder.EvacuationPrefix(), Sparing: true, Keep: g.keepEvacuation, Changed: g.evacuationsChanged,
+		})
 	}
 }
 
@@ -105,9 +114,6 @@
 func (g *Gateway) configChanged(u storecopy.Update) {
 	g.meters.storeCall.Update(u.Took.Milliseconds())
 	for _, p := range u.Listing.Pairs {
-		if p.Key != g.cfg.Decoder.ConfigPrefix() {
-			continue
-		}
 		began := time.Now()
 		cfg, err := g.cfg.Decoder.Config(p.Value)
 		if err != nil {
@@ -130,15 +136,14 @@
 	g.publishVersions(u)
 }
 
-// registrationsChanged passes a new set of endpoints to the core. A registration
-// that can't be decoded is left out.
+// registrationsChanged passes a new set of endpoints to the core.
 func (g *Gateway) registrationsChanged(u storecopy.Update) {
 	g.meters.storeCall.Update(u.Took.Milliseconds())
 	in := &gateway.Endpoints{Revision: u.Listing.Revision}
 	for _, p := range u.Listing.Pairs {
 		reg, err := g.cfg.Decoder.Registration(p.Key, p.Value)
 		if err != nil {
-			g.log.Warn().Str("event", "registration-unusable").Uint64("revision", p.Version).Err(err).Send()
+			g.unusableRegistrations.add(&g.log, g.now(), p, err)
 			continue
 		}
 		reg.Revision = p.Version
@@ -150,15 +155,14 @@
 	g.publishVersions(u)
 }
 
-// evacuationsChanged passes the failure domains that are out of use to the core. A key that
-// names none is left out.
+// evacuationsChanged passes the failure domains that are out of use to the core.
 func (g *Gateway) evacuationsChanged(u storecopy.Update) {
 	g.meters.storeCall.Update(u.Took.Milliseconds())
 	in := &gateway.Evacuations{Revision: u.Listing.Revision, Source: string(u.Source)}
 	for _, p := range u.Listing.Pairs {
 		domain, err := g.cfg.Decoder.Evacuation(p.Key)
 		if err != nil {
-			g.log.Warn().Str("event", "evacuation-unusable").Uint64("revision", p.Version).Err(err).Send()
+			g.unusableEvacuations.add(&g.log, g.now(), p, err)
 			continue
 		}
 		in.Domains = append(in.Domains, domain)
--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -33,6 +33,24 @@
 	Expect uint64        `json:"expect,omitempty"` // OpPut, OpDelete: version that the key must have, 0: no such key (OpPut); OpWatch: last version already seen
 	Lease  uint64        `json:"lease,omitempty"`  // OpPut: attach the key to it; OpRenew, OpRevoke: the lease to extend or end
 	TTL    time.Duration `json:"ttl,omitempty"`    // OpGrant: of the lease; OpWatch: longest wait
+
+	// Keep returns the value to hold for a pair that OpList or OpWatch has read, and false if there is
+	// none: the key then counts as deleted. Clients that implement it call it for each pair as they read
+	// it (see Select), so that values that nobody needs take no memory. Nil holds all values.
+	Keep func(Pair) (value []byte, ok bool) `json:"-"`
+}
+
+// Select applies Keep to a pair that has been read.
+func (o Op) Select(p Pair) Pair {
+	if o.Keep == nil || p.Deleted {
+		return p
+	}
+	value, ok := o.Keep(p)
+	if !ok {
+		return Pair{Key: p.Key, Version: p.Version, Deleted: true}
+	}
+	p.Value = value
+	return p
 }
 
 // Writes reports whether the operation may change the store.
@@ -85,7 +103,7 @@
 	Key     string `json:"key"`
 	Value   []byte `json:"value,omitempty"`
 	Version uint64 `json:"version"`
-	Deleted bool   `json:"deleted,omitempty"` // OpWatch only
+	Deleted bool   `json:"deleted,omitempty"` // OpWatch, and keys without a value to hold (Op.Keep)
 }
 
 // MaxValueBytes is the largest value that the service holds.
--- a/internal/storecopy/listing.go
+++ b/internal/storecopy/listing.go
@@ -7,16 +7,20 @@
 	"trefoilpath.org/trefoilpath/internal/store"
 )
 
-// listPages reads all pages of a listing. The result has the revision of the first page,
-// so that a watch from there also delivers changes made between two pages. A listing beyond
-// the bounds of a copy, or one that does not get ahead, is an answer that can't be used.
+// listPages reads all pages of a listing, without the keys that have no value to hold. The result has
+// the revision of the first page, so that a watch from there also delivers changes made between two
+// pages. A listing beyond the bounds of a copy, or one that does not get ahead, is an answer that can't
+// be used.
 func (s *Syncer) listPages(ctx context.Context) store.Result {
 	r := s.listPage(ctx, "")
+	last := r
+	r.Pairs = present(r.Pairs)
 	size := pairsSize(r.Pairs)
-	for last, pages := r, 1; last.Status == store.StatusOK && last.More; pages++ {
+	for pages := 1; last.Status == store.StatusOK && last.More && !s.cfg.Single; pages++ {
 		after := last.Pairs[len(last.Pairs)-1].Key
 		last = s.listPage(ctx, after)
-		size += pairsSize(last.Pairs)
+		pairs := present(last.Pairs)
+		size += pairsSize(pairs)
 		reason := GiveUpReason("")
 		switch {
 		case last.Status != store.StatusOK:
@@ -29,7 +33,7 @@
 		case size > MaxCopyBytes:
 			reason = GiveUpSize
 		default:
-			r.Pairs = append(r.Pairs, last.Pairs...)
+			r.Pairs = append(r.Pairs, pairs...)
 			continue
 		}
 		if reason != "" && s.cfg.GaveUp != nil {
@@ -40,6 +44,17 @@
 	return r
 }
 
+// present returns the pairs that are not deleted.
+func present(pairs []store.Pair) []store.Pair {
+	held := make([]store.Pair, 0, len(pairs))
+	for _, p := range pairs {
+		if !p.Deleted {
+			held = append(held, p)
+		}
+	}
+	return held
+}
+
 // GiveUpReason says why a listing is given up although the store answers.
 type GiveUpReason string
 
@@ -73,7 +88,7 @@
 	defer cancel()
 	results := make(chan store.Result, 2)
 	read := func() {
-		results <- s.cfg.Client.Do(call, store.Op{ID: s.op.Add(1), Kind: store.OpList, Key: s.cfg.Prefix, After: after})
+		results <- s.cfg.Client.Do(call, store.Op{ID: s.op.Add(1), Kind: store.OpList, Key: s.cfg.Prefix, After: after, Keep: s.cfg.Keep})
 	}
 	go read()
 	repeat := time.NewTimer(repeatAfter)
--- /dev/null
+++ b/internal/storecopy/otherwriters_test.go
@@ -0,0 +1,143 @@
+package storecopy
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoilpath.org/trefoilpath/internal/store"
+)
+
+// The bounds of a page of the platform's store.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
+
+// keyedStore is a store whose listings have pages. Its watches wait.
+type keyedStore struct {
+	mu    sync.Mutex
+	pairs []store.Pair // sorted by key
+	lists int
+	delay time.Duration // of each page
+}
+
+// Do implements store.Client for OpList and OpWatch.
+func (s *keyedStore) Do(ctx context.Context, op store.Op) store.Result {
+	if op.Kind == store.OpWatch {
+		<-ctx.Done()
+		return store.Result{ID: op.ID, Status: store.StatusUnavailable}
+	}
+	time.Sleep(s.delay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	r := store.Result{ID: op.ID, Status: store.StatusOK, Latest: 10}
+	from, _ := slices.BinarySearchFunc(s.pairs, op.After+"\x00", func(p store.Pair, key string) int { return strings.Compare(p.Key, key) })
+	size := 0
+	for _, p := range s.pairs[from:] {
+		if len(r.Pairs) == pageItems || size >= pageBytes {
+			r.More = true
+			break
+		}
+		size += len(p.Value)
+		r.Pairs = append(r.Pairs, op.Select(p))
+	}
+	return r
+}
+
+var ownValue = []byte("own")
+
+// keepOwn holds the values of the own writers.
+func keepOwn(p store.Pair) ([]byte, bool) { return p.Value, bytes.Equal(p.Value, ownValue) }
+
+// storeOf returns a store with an own key before n keys of another writer with values of a size, and
+// one after them.
+func storeOf(n, size int) *keyedStore {
+	s := &keyedStore{pairs: []store.Pair{{Key: "k/a", Value: ownValue, Version: 1}}}
+	value := make([]byte, size)
+	for i := range n {
+		s.pairs = append(s.pairs, store.Pair{Key: fmt.Sprintf("k/b/%06d", i), Value: value, Version: 2})
+	}
+	s.pairs = append(s.pairs, store.Pair{Key: "k/c", Value: ownValue, Version: 3})
+	return s
+}
+
+// syncerOf returns a syncer of a store that keeps own values, and a function that returns the keys of
+// its last change.
+func syncerOf(s store.Client) (*Syncer, func() []string) {
+	start := time.Now()
+	var mu sync.Mutex
+	var keys []string
+	syncer := NewSyncer(Config{
+		Prefix: "k/", Client: s, Keep: keepOwn, Now: func() time.Duration { return time.Since(start) },
+		Watchers: func() int { return 1 },
+		Fetch:    func(context.Context, string, Version) (Listing, error) { return Listing{}, nil },
+		Changed: func(u Update) {
+			mu.Lock()
+			defer mu.Unlock()
+			keys = nil
+			for _, p := range u.Listing.Pairs {
+				keys = append(keys, p.Key)
+			}
+		},
+		Reachable: func(bool, store.Status) {}, FetchFailed: func(error) {},
+	})
+	return syncer, func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(keys)
+	}
+}
+
+// TestKeysOfAnotherWriterDoNotEndAListing guards against bounds on the size and the pages of a listing
+// that count the keys of other writers.
+func TestKeysOfAnotherWriterDoNotEndAListing(t *testing.T) {
+	for name, s := range map[string]*keyedStore{"large values": storeOf(40, 1<<20), "many keys": storeOf(150_000, 0)} {
+		syncer, keys := syncerOf(s)
+		if !syncer.list(t.Context()) {
+			t.Errorf("%s: the listing was given up after %d pages", name, s.lists)
+		}
+		if got := keys(); !slices.Equal(got, []string{"k/a", "k/c"}) {
+			t.Errorf("%s: the copy has %d keys, want the own two", name, len(got))
+		}
+	}
+}
+
+// TestKeysOfAnotherWriterInAPeersCopyAreLeftOut guards against a peer of an earlier build that fills the
+// copy of a process that starts.
+func TestKeysOfAnotherWriterInAPeersCopyAreLeftOut(t *testing.T) {
+	syncer, keys := syncerOf(&keyedStore{})
+	syncer.cfg.Fetch = func(_ context.Context, _ string, since Version) (Listing, error) {
+		l := Listing{Revision: 10, Pairs: storeOf(3, 100).pairs}
+		if since.Revision != 0 {
+			l.Revision, l.After, l.Pairs = 11, since.Revision, []store.Pair{{Key: "k/b/7", Version: 11}, {Key: "k/c", Value: []byte("unreadable"), Version: 11}}
+		}
+		return l, nil
+	}
+	syncer.fetch(t.Context())
+	if got := keys(); !slices.Equal(got, []string{"k/a", "k/c"}) {
+		t.Errorf("the copy has %q, want the own two", got)
+	}
+	syncer.fetchSince(t.Context(), syncer.Version())
+	if got := keys(); !slices.Equal(got, []string{"k/a"}) {
+		t.Errorf("the copy has %q, want only the key whose latest value can be read", got)
+	}
+}
+
+// TestSingleKeyIsListedFromOnePage guards against a configuration that waits for the keys of other
+// writers that begin with its key.
+func TestSingleKeyIsListedFromOnePage(t *testing.T) {
+	s := storeOf(40, 1<<20)
+	s.pairs[0].Key = "k/"
+	syncer, keys := syncerOf(s)
+	syncer.cfg.Single = true
+	if !syncer.list(t.Context()) || s.lists != 1 || !slices.Equal(keys(), []string{"k/"}) {
+		t.Errorf("%d pages were read for %q, want one for the key", s.lists, keys())
+	}
+}
--- a/internal/storecopy/size.go
+++ b/internal/storecopy/size.go
@@ -8,8 +8,9 @@
 	MaxCopyBytes = 8 << 20
 	// pairOverhead is about the size in bytes of a pair without its key and value.
 	pairOverhead = 100
-	// maxPages bounds the pages of a listing, which hold about 500 keys or 1 MB each.
-	maxPages = 256
+	// maxPages bounds the pages of a listing, which hold about 500 keys or 1 MB each. Most of them may
+	// be of other writers: 2 million keys, or 4 GB.
+	maxPages = 4096
 )
 
 // pairsSize returns the size in bytes of pairs.
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -71,6 +71,9 @@
 // Config holds the settings and dependencies of a Syncer.
 type Config struct {
 	Prefix string
+	// Single is set if Prefix is the key of the only pair. It is the first of all keys with the
+	// prefix, so that a listing ends with its page.
+	Single bool
 	Client store.Client
 	Now    func() time.Duration // time on a monotonic clock
 	// Watchers returns the number of processes that watch the store.
@@ -78,6 +81,10 @@
 	// Sparing halves the rate of listings and of repeated calls, for keys whose changes need not
 	// be known as soon as others.
 	Sparing bool
+	// Keep returns the value to hold for a pair, and false if the pair says nothing to this process,
+	// as those that another program has written under the prefix. It is called from several
+	// goroutines. Nil holds all values.
+	Keep func(store.Pair) (value []byte, ok bool)
 	// Policy orders values of different eras of the store.
 	Policy Policy
 	// Watches reports whether this process watches the store. Processes that do not
@@ -247,7 +254,7 @@
 	s.cancelWatch.Store(&cancel)
 	began := s.cfg.Now()
 	r := s.cfg.Client.Do(call, store.Op{
-		ID: s.op.Add(1), Kind: store.OpWatch, Key: s.cfg.Prefix, Expect: since.Revision, TTL: watchWait,
+		ID: s.op.Add(1), Kind: store.OpWatch, Key: s.cfg.Prefix, Expect: since.Revision, TTL: watchWait, Keep: s.cfg.Keep,
 	})
 	if r.Era != 0 && r.Era != since.Era {
 		return false
@@ -398,6 +405,7 @@
 	if l.Revision == 0 {
 		return true
 	}
+	l.Pairs = s.selectPairs(l)
 	if l.After != 0 && !s.hasRoom(l.Pairs) {
 		return false
 	}
@@ -412,6 +420,20 @@
 	return equal
 }
 
+// selectPairs returns the pairs of a peer's listing, or of its changes, as they are held. A peer of an
+// earlier build also sends those that say nothing.
+func (s *Syncer) selectPairs(l Listing) []store.Pair {
+	op := store.Op{Keep: s.cfg.Keep}
+	selected := make([]store.Pair, len(l.Pairs))
+	for i, p := range l.Pairs {
+		selected[i] = op.Select(p)
+	}
+	if l.After == 0 {
+		return present(selected)
+	}
+	return selected
+}
+
 // apply runs change on the copy and calls Config.Changed if it reports a change.
 // It returns what change returns. took is the duration of the call to the source.
 func (s *Syncer) apply(source Source, took time.Duration, change func(now time.Duration) bool) bool {
