Bound the registrations of services that no configuration names

Callers saw: beside 30,000 registrations of services that no configuration names, or 400 of 60 KB, an endpoint that leaves goes unnoticed (30 s and more; 2 s are allowed) and a gateway that starts answers 503.

Such registrations can be decoded, and a configuration may name their service later, so they were held like those of the own endpoints and filled MaxCopyBytes. Besides, the core had a row for each of their services, which is never dropped: names that change each time fill the memory.

Change: Op.Keep tells what use a pair is. Spare ones, of services that the configuration in force doesn't name and of failure domains that the settings don't, have 128 KiB of a copy. A listing with more of them leaves them all out, and so do changes after it, until a listing has room again, so that all gateways hold the same keys. If any were left out, a new configuration lists the registrations again. The core keeps rows of endpoints only if their service has been named, and registers the others when it is.

Why this works: how much the entries beside the own ones take is bounded before they are held, and no decision depends on those that are left out.

--- a/internal/crowdtest/process_test.go
+++ b/internal/crowdtest/process_test.go
@@ -23,6 +23,7 @@
 // process is a process under test.
 type process struct {
 	t       *testing.T
+	args    []string
 	cmd     *exec.Cmd
 	log     string // path
 	exited  chan struct{}
@@ -33,7 +34,7 @@
 // startProcess starts the program. It is killed at the end of the test.
 func startProcess(t *testing.T, args ...string) *process {
 	t.Helper()
-	p := &process{t: t, cmd: exec.Command(binary, args...), log: filepath.Join(t.TempDir(), "log"), exited: make(chan struct{})}
+	p := &process{t: t, args: args, cmd: exec.Command(binary, args...), log: filepath.Join(t.TempDir(), "log"), exited: make(chan struct{})}
 	out, err := os.Create(p.log)
 	if err != nil {
 		t.Fatal(err)
@@ -59,6 +60,16 @@
 	return p
 }
 
+// restart kills the process and returns another one with the same arguments.
+func (p *process) restart() *process {
+	p.t.Helper()
+	if err := p.cmd.Process.Kill(); err != nil {
+		p.t.Fatalf("kill the process: %v", err)
+	}
+	<-p.exited
+	return startProcess(p.t, p.args...)
+}
+
 func (p *process) sampleDescriptors() {
 	ticker := time.NewTicker(sampleInterval)
 	defer ticker.Stop()
--- a/internal/gateway/configure.go
+++ b/internal/gateway/configure.go
@@ -19,6 +19,7 @@
 		return
 	}
 	c.routing = table
+	c.nameServices(table)
 	for e := range c.endpoints.Values() {
 		c.applyEngineParams(e)
 		c.updateCold(e, "configuration")
@@ -27,6 +28,17 @@
 	c.placementDue = true
 }
 
+// nameServices registers the endpoints of services that a configuration is the first to name.
+func (c *Core) nameServices(table *route.Table) {
+	before := len(c.namedServices)
+	for name := range table.Services() {
+		c.namedServices[name] = true
+	}
+	if len(c.namedServices) > before && c.endpointsReceived {
+		c.registerRows(false)
+	}
+}
+
 // activeVersion returns the version of the configuration in force; 0: none.
 func (c *Core) activeVersion() uint64 {
 	if c.routing == nil {
@@ -49,11 +61,21 @@
 // register replaces the set of endpoints. Requests that run at endpoints that are no
 // longer registered continue; these endpoints get no new ones.
 func (c *Core) register(in *Endpoints) {
-	running := c.endpointsReceived
-	c.endpointsReceived = true
 	c.endpointsRevision = in.Revision
-	registeredIDs := make(map[wire.EndpointID]bool, len(in.Rows))
-	for _, reg := range in.Rows {
+	c.registered = in.Rows
+	c.registerRows(c.endpointsReceived)
+	c.endpointsReceived = true
+}
+
+// registerRows makes the latest list of endpoints the set of endpoints. Those of services that no
+// configuration has named are left out: other programs may register any number of them. running tells
+// that this gateway was already running when those that are new registered.
+func (c *Core) registerRows(running bool) {
+	registeredIDs := make(map[wire.EndpointID]bool, len(c.registered))
+	for _, reg := range c.registered {
+		if !c.namedServices[reg.Service] {
+			continue
+		}
 		registeredIDs[reg.ID] = true
 		c.registerEndpoint(reg)
 		c.coldRegistered(c.endpoints.Get(reg.ID), running)
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -30,10 +30,12 @@
 	peers           *table.Table[netip.AddrPort, peer]
 	timers          *timer.Queue[timerKey]
 
-	checkedVersion    uint64   // of the configuration that was in force at the last check
-	endpointsReceived bool     // a list of endpoints has been received
-	endpointsRevision uint64   // of the store, at the latest list of endpoints
-	versions          Versions // of the cached copies, as sent to peers
+	checkedVersion    uint64          // of the configuration that was in force at the last check
+	endpointsReceived bool            // a list of endpoints has been received
+	registered        []Registration  // the latest list, also of services that are not named
+	endpointsRevision uint64          // of the store, at the latest list of endpoints
+	namedServices     map[string]bool // by the configurations that have been in force
+	versions          Versions        // of the cached copies, as sent to peers
 	confirmed         confirmations
 	evacuated         evacuated
 	ready             Ready
@@ -94,6 +96,7 @@
 		requests:        table.New[RequestID, request](),
 		peers:           table.New[netip.AddrPort, peer](),
 		timers:          timer.New[timerKey](),
+		namedServices:   make(map[string]bool),
 		ready:           Ready{Reason: "starting"},
 	}
 	c.parts = table.New[uint64, serviceParts]()
--- a/internal/gateway/shell/keep.go
+++ b/internal/gateway/shell/keep.go
@@ -13,26 +13,40 @@
 // as it is read from the store or from a peer, so that it takes no room in the copies.
 
 // keepConfig keeps the key of the configuration.
-func (g *Gateway) keepConfig(p store.Pair) ([]byte, bool) {
-	return p.Value, p.Key == g.cfg.Decoder.ConfigPrefix()
+func (g *Gateway) keepConfig(p store.Pair) ([]byte, store.Use) {
+	if p.Key != g.cfg.Decoder.ConfigPrefix() {
+		return nil, store.Unusable
+	}
+	return p.Value, store.Needed
 }
 
-// keepRegistration keeps registrations that name an endpoint.
-func (g *Gateway) keepRegistration(p store.Pair) ([]byte, bool) {
-	if _, err := g.cfg.Decoder.Registration(p.Key, p.Value); err != nil {
+// keepRegistration keeps registrations that name an endpoint. Those of services that no configuration
+// in force has named are spare.
+func (g *Gateway) keepRegistration(p store.Pair) ([]byte, store.Use) {
+	reg, err := g.cfg.Decoder.Registration(p.Key, p.Value)
+	if err != nil {
 		g.unusableRegistrations.add(&g.log, g.now(), p, err)
-		return nil, false
+		return nil, store.Unusable
+	}
+	if table := g.table.Load(); table != nil && !table.Names(reg.Service) {
+		return p.Value, store.Spare
 	}
-	return p.Value, true
+	return p.Value, store.Needed
 }
 
-// keepEvacuation keeps the keys of failure domains. Their values say nothing.
-func (g *Gateway) keepEvacuation(p store.Pair) ([]byte, bool) {
-	if _, err := g.cfg.Decoder.Evacuation(p.Key); err != nil {
+// keepEvacuation keeps the keys of failure domains. Their values say nothing. Domains that the
+// settings don't name are spare.
+func (g *Gateway) keepEvacuation(p store.Pair) ([]byte, store.Use) {
+	domain, err := g.cfg.Decoder.Evacuation(p.Key)
+	if err != nil {
 		g.unusableEvacuations.add(&g.log, g.now(), p, err)
-		return nil, false
+		return nil, store.Unusable
+	}
+	regions := g.cfg.Settings.Regions
+	if _, ok := regions[domain]; len(regions) > 0 && !ok {
+		return nil, store.Spare
 	}
-	return nil, true
+	return nil, store.Needed
 }
 
 // unusableLogInterval is the shortest time between two log lines of one kind of unusable pairs: there
--- a/internal/gateway/shell/syncers.go
+++ b/internal/gateway/shell/syncers.go
@@ -44,7 +44,13 @@
 		})
 	}
 	g.configSyncer = syncer(gateway.CopyConfig, storecopy.Config{
-		Prefix: g.cfg.Decoder.ConfigPrefix(), Single: true, Keep: g.keepConfig, Changed: g.configChanged,
+		Prefix: g.cfg.Decoder.ConfigPrefix(), Single: true, Keep: g.keepConfig,
+		Changed: func(u storecopy.Update) {
+			g.configChanged(u)
+			if g.registrationSyncer.LacksSpare() {
+				g.registrationSyncer.Reconcile() // endpoints of a service that is named now may be left out
+			}
+		},
 		Policy: storecopy.Policy{Compare: g.compareConfigs, ContentVersions: true},
 	})
 	g.registrationSyncer = syncer(gateway.CopyRegistrations, storecopy.Config{
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"iter"
+	"maps"
 	"slices"
 	"strings"
 
@@ -13,6 +15,7 @@
 	version  uint64
 	hosts    map[string][]*Route // by lower-case host, longest prefix first
 	services map[string]*Service
+	named    map[string]bool     // services of the list and targets of routes
 	accounts map[string]*Account // by key
 	keyed    bool                // callers need a key
 	limits   Limits
@@ -26,6 +29,7 @@
 		version:  cfg.Version,
 		hosts:    make(map[string][]*Route),
 		services: make(map[string]*Service, len(cfg.Services)),
+		named:    make(map[string]bool, len(cfg.Services)),
 		accounts: make(map[string]*Account),
 		keyed:    cfg.Accounts != nil,
 		limits:   cfg.Limits,
@@ -33,12 +37,16 @@
 	}
 	for i := range cfg.Services {
 		t.services[cfg.Services[i].Name] = &cfg.Services[i]
+		t.named[cfg.Services[i].Name] = true
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
 		if err := checkRoute(r); err != nil {
 			return nil, err
 		}
+		for _, target := range r.Targets {
+			t.named[target.Service] = true
+		}
 		host := strings.ToLower(r.Host)
 		t.hosts[host] = append(t.hosts[host], r)
 	}
@@ -78,6 +86,12 @@
 // Service returns the service of that name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Names reports whether the configuration names a service, in its list or as the target of a route.
+func (t *Table) Names(service string) bool { return t.named[service] }
+
+// Services returns the names of all services that the configuration names.
+func (t *Table) Services() iter.Seq[string] { return maps.Keys(t.named) }
+
 // Match returns the route with the longest prefix of path under host, or nil.
 // A port in host is ignored.
 func (t *Table) Match(host, path string) *Route {
--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -34,22 +34,32 @@
 	Lease  uint64        `json:"lease,omitempty"`  // OpPut: attach the key to it; OpRenew, OpRevoke: the lease to extend or end
 	TTL    time.Duration `json:"ttl,omitempty"`    // OpGrant: of the lease; OpWatch: longest wait
 
-	// Keep returns the value to hold for a pair that OpList or OpWatch has read, and false if there is
-	// none: the key then counts as deleted. Clients that implement it call it for each pair as they read
+	// Keep returns the value to hold for a pair that OpList or OpWatch has read, and what use it is. A key
+	// without a use counts as deleted. Clients that implement it call it for each pair as they read
 	// it (see Select), so that values that nobody needs take no memory. Nil holds all values.
-	Keep func(Pair) (value []byte, ok bool) `json:"-"`
+	Keep func(Pair) (value []byte, use Use) `json:"-"`
 }
 
+// Use says what use a pair is to the process that reads it.
+type Use uint8
+
+// The uses of a pair.
+const (
+	Unusable Use = iota // it says nothing, as what another program has written
+	Spare               // it says something that isn't needed now, but may be later
+	Needed
+)
+
 // Select applies Keep to a pair that has been read.
 func (o Op) Select(p Pair) Pair {
 	if o.Keep == nil || p.Deleted {
 		return p
 	}
-	value, ok := o.Keep(p)
-	if !ok {
+	value, use := o.Keep(p)
+	if use == Unusable {
 		return Pair{Key: p.Key, Version: p.Version, Deleted: true}
 	}
-	p.Value = value
+	p.Value, p.Spare = value, use == Spare
 	return p
 }
 
@@ -103,7 +113,8 @@
 	Key     string `json:"key"`
 	Value   []byte `json:"value,omitempty"`
 	Version uint64 `json:"version"`
-	Deleted bool   `json:"deleted,omitempty"` // OpWatch, and keys without a value to hold (Op.Keep)
+	Deleted bool   `json:"deleted,omitempty"` // OpWatch, and keys without a use (Op.Keep)
+	Spare   bool   `json:"-" cbor:"-"`        // Op.Keep: not needed now
 }
 
 // MaxValueBytes is the largest value that the service holds.
--- a/internal/storecopy/listing.go
+++ b/internal/storecopy/listing.go
@@ -7,20 +7,19 @@
 	"trefoilpath.org/trefoilpath/internal/store"
 )
 
-// listPages reads all pages of a listing, without the keys that have no value to hold. The result has
+// listPages reads all pages of a listing, without the keys that have no use. The result has
 // the revision of the first page, so that a watch from there also delivers changes made between two
 // pages. A listing beyond the bounds of a copy, or one that does not get ahead, is an answer that can't
 // be used.
 func (s *Syncer) listPages(ctx context.Context) store.Result {
 	r := s.listPage(ctx, "")
 	last := r
-	r.Pairs = present(r.Pairs)
-	size := pairsSize(r.Pairs)
+	var listed collection
+	listed.add(r.Pairs)
 	for pages := 1; last.Status == store.StatusOK && last.More && !s.cfg.Single; pages++ {
 		after := last.Pairs[len(last.Pairs)-1].Key
 		last = s.listPage(ctx, after)
-		pairs := present(last.Pairs)
-		size += pairsSize(pairs)
+		listed.add(last.Pairs)
 		reason := GiveUpReason("")
 		switch {
 		case last.Status != store.StatusOK:
@@ -30,29 +29,21 @@
 			reason = GiveUpOrder
 		case pages >= maxPages:
 			reason = GiveUpPages
-		case size > MaxCopyBytes:
+		case listed.size > MaxCopyBytes:
 			reason = GiveUpSize
 		default:
-			r.Pairs = append(r.Pairs, pairs...)
 			continue
 		}
 		if reason != "" && s.cfg.GaveUp != nil {
-			s.cfg.GaveUp(GivenUp{Reason: reason, Pages: pages + 1, Bytes: size})
+			s.cfg.GaveUp(GivenUp{Reason: reason, Pages: pages + 1, Bytes: listed.size})
 		}
 		return store.Result{Status: store.StatusUnavailable, Era: last.Era}
 	}
-	return r
-}
-
-// present returns the pairs that are not deleted.
-func present(pairs []store.Pair) []store.Pair {
-	held := make([]store.Pair, 0, len(pairs))
-	for _, p := range pairs {
-		if !p.Deleted {
-			held = append(held, p)
-		}
+	if r.Status == store.StatusOK {
+		s.spareBytes.Store(listed.spare)
 	}
-	return held
+	r.Pairs = listed.pairs
+	return r
 }
 
 // GiveUpReason says why a listing is given up although the store answers.
--- a/internal/storecopy/otherwriters_test.go
+++ b/internal/storecopy/otherwriters_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -21,10 +22,10 @@
 
 // keyedStore is a store whose listings have pages. Its watches wait.
 type keyedStore struct {
-	mu    sync.Mutex
-	pairs []store.Pair // sorted by key
-	lists int
-	delay time.Duration // of each page
+	mu     sync.Mutex
+	pairs  []store.Pair // sorted by key
+	lists  int
+	latest uint64 // revision; 0: 10
 }
 
 // Do implements store.Client for OpList and OpWatch.
@@ -33,11 +34,10 @@
 		<-ctx.Done()
 		return store.Result{ID: op.ID, Status: store.StatusUnavailable}
 	}
-	time.Sleep(s.delay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
-	r := store.Result{ID: op.ID, Status: store.StatusOK, Latest: 10}
+	r := store.Result{ID: op.ID, Status: store.StatusOK, Latest: cmp.Or(s.latest, 10)}
 	from, _ := slices.BinarySearchFunc(s.pairs, op.After+"\x00", func(p store.Pair, key string) int { return strings.Compare(p.Key, key) })
 	size := 0
 	for _, p := range s.pairs[from:] {
@@ -54,7 +54,12 @@
 var ownValue = []byte("own")
 
 // keepOwn holds the values of the own writers.
-func keepOwn(p store.Pair) ([]byte, bool) { return p.Value, bytes.Equal(p.Value, ownValue) }
+func keepOwn(p store.Pair) ([]byte, store.Use) {
+	if !bytes.Equal(p.Value, ownValue) {
+		return nil, store.Unusable
+	}
+	return p.Value, store.Needed
+}
 
 // storeOf returns a store with an own key before n keys of another writer with values of a size, and
 // one after them.
@@ -141,3 +146,62 @@
 		t.Errorf("%d pages were read for %q, want one for the key", s.lists, keys())
 	}
 }
+
+// keepSpare holds all values, and needs the own ones.
+func keepSpare(p store.Pair) ([]byte, store.Use) {
+	if !bytes.Equal(p.Value, ownValue) {
+		return p.Value, store.Spare
+	}
+	return p.Value, store.Needed
+}
+
+// TestPairsThatAreNotNeededDoNotFillTheCopy guards against registrations of services of nobody that take
+// the room of the own ones, in a listing, in changes and in a peer's copy.
+func TestPairsThatAreNotNeededDoNotFillTheCopy(t *testing.T) {
+	s := storeOf(5000, 200)
+	syncer, keys := syncerOf(s)
+	syncer.cfg.Keep = keepSpare
+	if !syncer.list(t.Context()) || !syncer.LacksSpare() || !slices.Equal(keys(), []string{"k/a", "k/c"}) {
+		t.Errorf("listing: the copy has %d keys, want the own two", len(keys()))
+	}
+	change := func(version uint64) []store.Pair {
+		op := store.Op{Keep: keepSpare}
+		return []store.Pair{op.Select(store.Pair{Key: "k/b/1", Value: []byte("new"), Version: version}), op.Select(store.Pair{Key: "k/d", Value: ownValue, Version: version})}
+	}
+	if got := syncer.boundSpare(change(11)); !got[0].Deleted || got[1].Deleted {
+		t.Errorf("changes after a listing without room: %+v, want only the own one", got)
+	}
+	syncer.cfg.Fetch = func(context.Context, string, Version) (Listing, error) {
+		return Listing{Revision: 12, Pairs: s.pairs}, nil
+	}
+	syncer.fetchSince(t.Context(), Version{})
+	if n := len(keys()); n != 2 {
+		t.Errorf("peer: the copy has %d keys, want the own two", n)
+	}
+	s.mu.Lock()
+	s.pairs = slices.Delete(s.pairs, 11, 5001)
+	s.mu.Unlock()
+	s.latest = 13
+	if !syncer.list(t.Context()) || syncer.LacksSpare() || len(keys()) != 12 {
+		t.Errorf("with room: the copy has %d keys, want all 12", len(keys()))
+	}
+	if got := syncer.boundSpare(change(14)); got[0].Deleted || got[1].Deleted {
+		t.Errorf("changes after a listing with room: %+v, want all", got)
+	}
+}
+
+// TestChangesThatAreNotNeededAreBoundedUntilAListing guards against changes that each have room, and
+// fill the copy together.
+func TestChangesThatAreNotNeededAreBoundedUntilAListing(t *testing.T) {
+	syncer, _ := syncerOf(storeOf(0, 0))
+	size := int64(0)
+	for i := range 10_000 {
+		p := store.Pair{Key: fmt.Sprintf("k/b/%06d", i), Value: []byte("spare"), Spare: true}
+		if got := syncer.boundSpare([]store.Pair{p}); !got[0].Deleted {
+			size += pairSize(p)
+		}
+	}
+	if size > MaxSpareBytes || size == 0 {
+		t.Errorf("%d bytes are held, want some and at most %d", size, MaxSpareBytes)
+	}
+}
--- a/internal/storecopy/size.go
+++ b/internal/storecopy/size.go
@@ -6,6 +6,9 @@
 	// MaxCopyBytes bounds the keys and values of a copy, with pairOverhead for each. A large fleet's
 	// configuration, or its registrations, take 1.2 MB.
 	MaxCopyBytes = 8 << 20
+	// MaxSpareBytes bounds those pairs of a copy that are not needed (store.Spare). It has room for the
+	// registrations of some hundred endpoints.
+	MaxSpareBytes = 128 << 10
 	// pairOverhead is about the size in bytes of a pair without its key and value.
 	pairOverhead = 100
 	// maxPages bounds the pages of a listing, which hold about 500 keys or 1 MB each. Most of them may
@@ -17,11 +20,13 @@
 func pairsSize(pairs []store.Pair) int64 {
 	var n int64
 	for _, p := range pairs {
-		n += int64(len(p.Key) + len(p.Value) + pairOverhead)
+		n += pairSize(p)
 	}
 	return n
 }
 
+func pairSize(p store.Pair) int64 { return int64(len(p.Key) + len(p.Value) + pairOverhead) }
+
 // hasRoom reports whether the copy stays within MaxCopyBytes with more pairs, even if all of them
 // have keys that it lacks.
 func (s *Syncer) hasRoom(pairs []store.Pair) bool {
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -81,10 +81,9 @@
 	// Sparing halves the rate of listings and of repeated calls, for keys whose changes need not
 	// be known as soon as others.
 	Sparing bool
-	// Keep returns the value to hold for a pair, and false if the pair says nothing to this process,
-	// as those that another program has written under the prefix. It is called from several
+	// Keep returns the value to hold for a pair and its use, as store.Op.Keep. It is called from several
 	// goroutines. Nil holds all values.
-	Keep func(store.Pair) (value []byte, ok bool)
+	Keep func(store.Pair) (value []byte, use store.Use)
 	// Policy orders values of different eras of the store.
 	Policy Policy
 	// Watches reports whether this process watches the store. Processes that do not
@@ -146,7 +145,10 @@
 
 	announced atomic.Pointer[announcement] // last version announced by a peer
 	op        atomic.Uint64                // ID of the last store operation
-	listedAt  atomic.Int64                 // start of the last listing that succeeded, on the clock of Config.Now
+	// spareBytes is the size in bytes of the pairs that are not needed, in the last listing and the changes
+	// since. Over MaxSpareBytes they are left out.
+	spareBytes atomic.Int64
+	listedAt   atomic.Int64 // start of the last listing that succeeded, on the clock of Config.Now
 }
 
 // NewSyncer returns a Syncer that does nothing until Run.
@@ -266,6 +268,7 @@
 	default:
 		return false
 	}
+	r.Pairs = s.boundSpare(r.Pairs)
 	if !s.hasRoom(r.Pairs) {
 		return false
 	}
@@ -421,17 +424,20 @@
 }
 
 // selectPairs returns the pairs of a peer's listing, or of its changes, as they are held. A peer of an
-// earlier build also sends those that say nothing.
+// earlier build also sends those without a use.
 func (s *Syncer) selectPairs(l Listing) []store.Pair {
 	op := store.Op{Keep: s.cfg.Keep}
 	selected := make([]store.Pair, len(l.Pairs))
 	for i, p := range l.Pairs {
 		selected[i] = op.Select(p)
 	}
-	if l.After == 0 {
-		return present(selected)
+	if l.After != 0 {
+		return s.boundSpare(selected)
 	}
-	return selected
+	var listed collection
+	listed.add(selected)
+	s.spareBytes.Store(listed.spare)
+	return listed.pairs
 }
 
 // apply runs change on the copy and calls Config.Changed if it reports a change.
