Read responses of the store item by item, without holding what is not kept

Cause: a response of the store was held whole and had 4 MiB at most. A listing has pages; a watch has none: it delivers all changes since the call before, whoever made them. Beyond the bound it counted as no answer, and what was left was a listing of everything after each. With 200 MB of foreign values that takes longer than an endpoint's leaving may.

Tests, failing before: TestRegistrationsOfAnotherWriterTakeNeitherMemoryNorEndpoints/very large and rewritten ("a request reached a leaving endpoint after 2.996440765s"; 2.56 and 3.00 s).

--- a/internal/crowdtest/writers_test.go
+++ b/internal/crowdtest/writers_test.go
@@ -59,6 +59,7 @@
 var writers = map[string]writer{
 	"large":                     {keys: 40, value: unreadable(largestValue)},
 	"large and rewritten":       {keys: 8, value: unreadable(largestValue), every: 20 * time.Millisecond},
+	"very large and rewritten":  {keys: 200, value: unreadable(largestValue), every: 20 * time.Millisecond},
 	"many":                      {keys: 50_000, value: unreadable(20)},
 	"many and rewritten":        {keys: 5_000, value: unreadable(20), every: time.Millisecond},
 	"in an unknown state":       {keys: 400, value: text(desk, "odd", 60<<10), every: 5 * time.Millisecond},
--- a/internal/gateway/shell/syncers.go
+++ b/internal/gateway/shell/syncers.go
@@ -17,7 +17,7 @@
 	syncer := func(kind gateway.CopyKind, cfg storecopy.Config) *storecopy.Syncer {
 		prefix := cfg.Prefix
 		return storecopy.NewSyncer(storecopy.Config{
-			Prefix: prefix, Single: cfg.Single, Policy: cfg.Policy, Sparing: cfg.Sparing, Keep: cfg.Keep, Changed: cfg.Changed,
+			Prefix: prefix, Single: cfg.Single, Policy: cfg.Policy, Sparing: cfg.Sparing, Keep: cfg.Keep, MaxValue: cfg.MaxValue, Changed: cfg.Changed,
 			Client: g.cfg.Store, Now: g.now, EraBegan: g.eraBegan,
 			Watchers: func() int { return readCore(g, (*gateway.Core).Watchers) },
 			Watches:  func() bool { return readCore(g, (*gateway.Core).Watches) },
@@ -54,12 +54,13 @@
 		Policy: storecopy.Policy{Compare: g.compareConfigs, ContentVersions: true},
 	})
 	g.registrationSyncer = syncer(gateway.CopyRegistrations, storecopy.Config{
-		Prefix: g.cfg.Decoder.RegistrationPrefix(), Keep: g.keepRegistration, Changed: g.registrationsChanged,
-		Policy: storecopy.Policy{Compare: g.compareRegistrations},
+		Prefix: g.cfg.Decoder.RegistrationPrefix(), Keep: g.keepRegistration, MaxValue: g.cfg.Decoder.MaxRegistration(),
+		Changed: g.registrationsChanged,
+		Policy:  storecopy.Policy{Compare: g.compareRegistrations},
 	})
 	if g.cfg.Settings.Evacuations {
 		g.evacuationSyncer = syncer(gateway.CopyEvacuations, storecopy.Config{
-			Prefix: g.cfg.Decoder.EvacuationPrefix(), Sparing: true, Keep: g.keepEvacuation, Changed: g.evacuationsChanged,
+			Prefix: g.cfg.Decoder.EvacuationPrefix(), Sparing: true, Keep: g.keepEvacuation, MaxValue: 1, Changed: g.evacuationsChanged,
 		})
 	}
 }
--- a/internal/gateway/shell/translate.go
+++ b/internal/gateway/shell/translate.go
@@ -46,6 +46,8 @@
 	Config(value []byte) (*route.Config, error)
 	// Registration decodes the registration of one endpoint.
 	Registration(key string, value []byte) (gateway.Registration, error)
+	// MaxRegistration returns the size in bytes of the largest value that Registration accepts.
+	MaxRegistration() int
 	// CompactRegistration returns, for a value that Registration accepts, one of bounded size that it decodes
 	// to the same.
 	CompactRegistration(value []byte) ([]byte, error)
--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -34,6 +34,9 @@
 	Lease  uint64        `json:"lease,omitempty"`  // OpPut: attach the key to it; OpRenew, OpRevoke: the lease to extend or end
 	TTL    time.Duration `json:"ttl,omitempty"`    // OpGrant: of the lease; OpWatch: longest wait
 
+	// MaxValue is the size in bytes of the largest value of use to Keep. A larger one may be read as nil.
+	// 0: any size.
+	MaxValue int `json:"-"`
 	// Keep returns the value to hold for a pair that OpList or OpWatch has read, and what use it is. A key
 	// without a use counts as deleted. Clients that implement it call it for each pair as they read
 	// it (see Select), so that values that nobody needs take no memory. Nil holds all values.
--- a/internal/storecopy/listing.go
+++ b/internal/storecopy/listing.go
@@ -79,7 +79,9 @@
 	defer cancel()
 	results := make(chan store.Result, 2)
 	read := func() {
-		results <- s.cfg.Client.Do(call, store.Op{ID: s.op.Add(1), Kind: store.OpList, Key: s.cfg.Prefix, After: after, Keep: s.cfg.Keep})
+		results <- s.cfg.Client.Do(call, store.Op{
+			ID: s.op.Add(1), Kind: store.OpList, Key: s.cfg.Prefix, After: after, MaxValue: s.cfg.MaxValue, Keep: s.cfg.Keep,
+		})
 	}
 	go read()
 	repeat := time.NewTimer(repeatAfter)
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -83,7 +83,8 @@
 	Sparing bool
 	// Keep returns the value to hold for a pair and its use, as store.Op.Keep. It is called from several
 	// goroutines. Nil holds all values.
-	Keep func(store.Pair) (value []byte, use store.Use)
+	Keep     func(store.Pair) (value []byte, use store.Use)
+	MaxValue int // as store.Op.MaxValue
 	// Policy orders values of different eras of the store.
 	Policy Policy
 	// Watches reports whether this process watches the store. Processes that do not
@@ -256,7 +257,7 @@
 	s.cancelWatch.Store(&cancel)
 	began := s.cfg.Now()
 	r := s.cfg.Client.Do(call, store.Op{
-		ID: s.op.Add(1), Kind: store.OpWatch, Key: s.cfg.Prefix, Expect: since.Revision, TTL: watchWait, Keep: s.cfg.Keep,
+		ID: s.op.Add(1), Kind: store.OpWatch, Key: s.cfg.Prefix, Expect: since.Revision, TTL: watchWait, MaxValue: s.cfg.MaxValue, Keep: s.cfg.Keep,
 	})
 	if r.Era != 0 && r.Era != since.Era {
 		return false
