List the store more rarely the more pages a listing has

Each gateway listed a prefix every 2 s, however much stands there: 60 MB of another writer, read by five gateways, are more than the store's link of 1,000 Mbit/s carries, so that every call of the store would be slow.

Cause: the period of listings followed from the number of gateways that watch alone.

Change: it is at least 100 ms times the pages of the last listing and the number of gateways that watch, which bounds the fleet to about 14 MB/s. Gateways that don't watch rely on the others accordingly longer. Listings of up to four pages are as often as before.

Why this works: the load of listings no longer grows with what other writers leave. Changes come by the watch; the listings, which find changes that it has missed, stay staggered over the fleet.

Tests, failing before: TestListingsOfManyPagesAreRare, a listing of 100 pages: more than two of them were read within 6 s.

Result: one or two within 6 s; the tests of the package passed.

--- a/internal/storecopy/confirmed.go
+++ b/internal/storecopy/confirmed.go
@@ -9,8 +9,8 @@
 
 const (
 	// maxUnconfirmed is how long a process that does not watch relies on the others to tell it
-	// of changes, after the latest listing that it knows of. Changes must take effect within
-	// three seconds in a fleet in which not all watch.
+	// of changes, after the latest listing that it knows of, if listings are not rarer (see pageTime).
+	// Changes must take effect within three seconds in a fleet in which not all watch.
 	maxUnconfirmed = 1600 * time.Millisecond
 	// confirmationCheck is how often such a process checks that.
 	confirmationCheck = 200 * time.Millisecond
@@ -19,7 +19,7 @@
 // waitForListing waits until a listing is due, which is at a time given if this process watches
 // the store, or for a signal on listNow.
 func (s *Syncer) waitForListing(ctx context.Context, due time.Duration) {
-	unconfirmed := jitter(s.spared(maxUnconfirmed))
+	unconfirmed := jitter(max(s.spared(maxUnconfirmed), 2*s.pageTime()))
 	for {
 		wait := confirmationCheck
 		if now := s.cfg.Now(); s.watches() {
--- a/internal/storecopy/listing.go
+++ b/internal/storecopy/listing.go
@@ -16,7 +16,8 @@
 	last := r
 	var listed collection
 	listed.add(r.Pairs)
-	for pages := 1; last.Status == store.StatusOK && last.More && !s.cfg.Single; pages++ {
+	pages := 1
+	for ; last.Status == store.StatusOK && last.More && !s.cfg.Single; pages++ {
 		after := last.Pairs[len(last.Pairs)-1].Key
 		last = s.listPage(ctx, after)
 		listed.add(last.Pairs)
@@ -41,6 +42,7 @@
 	}
 	if r.Status == store.StatusOK {
 		s.spareBytes.Store(listed.spare)
+		s.pages.Store(int64(pages))
 	}
 	r.Pairs = listed.pairs
 	return r
--- a/internal/storecopy/otherwriters_test.go
+++ b/internal/storecopy/otherwriters_test.go
@@ -25,7 +25,8 @@
 	mu     sync.Mutex
 	pairs  []store.Pair // sorted by key
 	lists  int
-	latest uint64 // revision; 0: 10
+	latest uint64        // revision; 0: 10
+	delay  time.Duration // of each page
 }
 
 // Do implements store.Client for OpList and OpWatch.
@@ -34,10 +35,11 @@
 		<-ctx.Done()
 		return store.Result{ID: op.ID, Status: store.StatusUnavailable}
 	}
+	time.Sleep(s.delay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
-	r := store.Result{ID: op.ID, Status: store.StatusOK, Latest: cmp.Or(s.latest, 10)}
+	r := store.Result{ID: op.ID, Status: store.StatusOK, Era: 1, Latest: cmp.Or(s.latest, 10)}
 	from, _ := slices.BinarySearchFunc(s.pairs, op.After+"\x00", func(p store.Pair, key string) int { return strings.Compare(p.Key, key) })
 	size := 0
 	for _, p := range s.pairs[from:] {
@@ -205,3 +207,20 @@
 		t.Errorf("%d bytes are held, want some and at most %d", size, MaxSpareBytes)
 	}
 }
+
+// TestListingsOfManyPagesAreRare guards against listings of the keys of another writer that take the
+// store's link from all other calls.
+func TestListingsOfManyPagesAreRare(t *testing.T) {
+	t.Parallel()
+	const pages = 100
+	s := storeOf(pages, pageBytes)
+	syncer, _ := syncerOf(s)
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	defer cancel()
+	syncer.Run(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lists < pages || s.lists > 2*(pages+2) {
+		t.Errorf("%d pages were read in 6 s, want those of one or two listings of about %d", s.lists, pages)
+	}
+}
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -38,6 +38,10 @@
 	// reconcilePerWatcher times the number of watching gateways is their period in larger
 	// fleets, which keeps the listing rate of the whole fleet constant.
 	reconcilePerWatcher = 400 * time.Millisecond
+	// reconcilePerPage times the pages of a listing and the number of watching gateways is their period if
+	// that is longer: listings of many pages, most of them of other writers, must leave the store and
+	// its link to other calls.
+	reconcilePerPage = 100 * time.Millisecond
 	// expireInterval is how often keys whose grace period is over are dropped.
 	expireInterval = 150 * time.Millisecond
 	// fetchTimeout bounds the fetch of a peer's copy, including tries at several peers.
@@ -149,6 +153,7 @@
 	// spareBytes is the size in bytes of the pairs that are not needed, in the last listing and the changes
 	// since. Over MaxSpareBytes they are left out.
 	spareBytes atomic.Int64
+	pages      atomic.Int64 // of the last listing that succeeded
 	listedAt   atomic.Int64 // start of the last listing that succeeded, on the clock of Config.Now
 }
 
@@ -309,9 +314,12 @@
 // listingPeriod returns the time between two listings of this process while it watches
 // the store and the store is healthy.
 func (s *Syncer) listingPeriod() time.Duration {
-	return max(reconcileMin, s.spared(reconcilePerWatcher)*time.Duration(s.cfg.Watchers()))
+	return max(reconcileMin, max(s.spared(reconcilePerWatcher), s.pageTime())*time.Duration(s.cfg.Watchers()))
 }
 
+// pageTime returns the least time between two listings of the fleet by their pages.
+func (s *Syncer) pageTime() time.Duration { return reconcilePerPage * time.Duration(s.pages.Load()) }
+
 // spared returns d, or twice d with Config.Sparing.
 func (s *Syncer) spared(d time.Duration) time.Duration {
 	if s.cfg.Sparing {
