Use the endpoints of the first pages of a long first listing

Cause: a listing counted only once it was complete.

Change: while there is no copy yet, the registrations of the pages that have been read count from 0.5 s on. The version stays zero, so that such a part is neither shared nor watched from. Evacuations and the configuration count as a whole only: a part of the evacuations would let a failure domain pass for one in use.

Why this works: a registration says itself whether its endpoint is leaving, so that a part of them names fewer endpoints, and none that gets no requests. What the complete listing lacks is dropped by it.

Tests: TestFirstPagesOfALongFirstListingCount; without the change no key is known in the middle of the listing.

--- a/internal/gateway/shell/syncers.go
+++ b/internal/gateway/shell/syncers.go
@@ -17,7 +17,7 @@
 	syncer := func(kind gateway.CopyKind, cfg storecopy.Config) *storecopy.Syncer {
 		prefix := cfg.Prefix
 		return storecopy.NewSyncer(storecopy.Config{
-			Prefix: prefix, Single: cfg.Single, Policy: cfg.Policy, Sparing: cfg.Sparing, Keep: cfg.Keep, MaxValue: cfg.MaxValue, Changed: cfg.Changed,
+			Prefix: prefix, Single: cfg.Single, Partial: cfg.Partial, Policy: cfg.Policy, Sparing: cfg.Sparing, Keep: cfg.Keep, MaxValue: cfg.MaxValue, Changed: cfg.Changed,
 			Client: g.cfg.Store, Now: g.now, EraBegan: g.eraBegan,
 			Watchers: func() int { return readCore(g, (*gateway.Core).Watchers) },
 			Watches:  func() bool { return readCore(g, (*gateway.Core).Watches) },
@@ -54,7 +54,7 @@
 		Policy: storecopy.Policy{Compare: g.compareConfigs, ContentVersions: true},
 	})
 	g.registrationSyncer = syncer(gateway.CopyRegistrations, storecopy.Config{
-		Prefix: g.cfg.Decoder.RegistrationPrefix(), Keep: g.keepRegistration, MaxValue: g.cfg.Decoder.MaxRegistration(),
+		Prefix: g.cfg.Decoder.RegistrationPrefix(), Partial: true, Keep: g.keepRegistration, MaxValue: g.cfg.Decoder.MaxRegistration(),
 		Changed: g.registrationsChanged,
 		Policy:  storecopy.Policy{Compare: g.compareRegistrations},
 	})
--- a/internal/storecopy/copy.go
+++ b/internal/storecopy/copy.go
@@ -232,6 +232,21 @@
 	return changed
 }
 
+// AddFirst adds pairs of a listing that is not complete to a copy that has not been listed, and reports
+// whether there were new ones. The version stays zero.
+func (c *Copy) AddFirst(pairs []store.Pair) bool {
+	if c.version.Revision != 0 {
+		return false
+	}
+	before := len(c.pairs)
+	for _, p := range pairs {
+		if _, ok := c.pairs[p.Key]; !ok {
+			c.pairs[p.Key] = p
+		}
+	}
+	return len(c.pairs) > before
+}
+
 // ApplyChanges applies changes up to a revision of the current era, as a watch or a
 // peer delivers them, and reports whether the keys or their values changed. They may be older
 // than the copy: a listing, or another answer, may have overtaken them.
--- a/internal/storecopy/listing.go
+++ b/internal/storecopy/listing.go
@@ -16,7 +16,7 @@
 	last := r
 	var listed collection
 	listed.add(r.Pairs)
-	pages := 1
+	pages, began := 1, s.cfg.Now()
 	for ; last.Status == store.StatusOK && last.More && !s.cfg.Single; pages++ {
 		after := last.Pairs[len(last.Pairs)-1].Key
 		last = s.listPage(ctx, after)
@@ -33,6 +33,7 @@
 		case listed.size > MaxCopyBytes:
 			reason = GiveUpSize
 		default:
+			s.applyFirstPages(listed.pairs, s.cfg.Now()-began)
 			continue
 		}
 		if reason != "" && s.cfg.GaveUp != nil {
@@ -48,6 +49,15 @@
 	return r
 }
 
+// applyFirstPages applies the pairs of the first pages while there is no copy yet and the listing takes
+// long: a process that has lost its copy serves with the endpoints that it has read.
+func (s *Syncer) applyFirstPages(pairs []store.Pair, took time.Duration) {
+	if !s.cfg.Partial || took < partialAfter {
+		return
+	}
+	s.apply(SourceListing, took, func(time.Duration) bool { return !s.hasCopy && s.copy.AddFirst(pairs) })
+}
+
 // GiveUpReason says why a listing is given up although the store answers.
 type GiveUpReason string
 
--- a/internal/storecopy/otherwriters_test.go
+++ b/internal/storecopy/otherwriters_test.go
@@ -224,3 +224,27 @@
 		t.Errorf("%d pages were read in 6 s, want those of one or two listings of about %d", s.lists, pages)
 	}
 }
+
+// TestFirstPagesOfALongFirstListingCount guards against a process that knows none of the own keys for as
+// long as those of another writer take to be read, and checks that the whole listing counts after it.
+func TestFirstPagesOfALongFirstListingCount(t *testing.T) {
+	for _, partial := range []bool{true, false} {
+		s := storeOf(20, pageBytes)
+		s.delay = 60 * time.Millisecond
+		syncer, keys := syncerOf(s)
+		syncer.cfg.Partial = partial
+		syncer.cfg.EraBegan = func(EraChange) { t.Error("an era has begun, want none: there was no copy") }
+		listed := make(chan bool)
+		go func() { listed <- syncer.list(t.Context()) }()
+		time.Sleep(partialAfter + 300*time.Millisecond)
+		if got := keys(); partial != slices.Equal(got, []string{"k/a"}) {
+			t.Errorf("partial %v: the copy has %q in the middle of the listing", partial, got)
+		}
+		if _, known := syncer.Shared(Version{}); known {
+			t.Error("a part of a listing is shared with peers")
+		}
+		if !<-listed || !slices.Equal(keys(), []string{"k/a", "k/c"}) {
+			t.Errorf("partial %v: the copy has %q after the listing, want both keys", partial, keys())
+		}
+	}
+}
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -42,6 +42,8 @@
 	// that is longer: listings of many pages, most of them of other writers, must leave the store and
 	// its link to other calls.
 	reconcilePerPage = 100 * time.Millisecond
+	// partialAfter is how long the first listing takes until the pages that have been read count.
+	partialAfter = 500 * time.Millisecond
 	// expireInterval is how often keys whose grace period is over are dropped.
 	expireInterval = 150 * time.Millisecond
 	// fetchTimeout bounds the fetch of a peer's copy, including tries at several peers.
@@ -78,8 +80,10 @@
 	// Single is set if Prefix is the key of the only pair. It is the first of all keys with the
 	// prefix, so that a listing ends with its page.
 	Single bool
-	Client store.Client
-	Now    func() time.Duration // time on a monotonic clock
+	// Partial is set if some of the pairs are better than none, while the first listing is under way.
+	Partial bool
+	Client  store.Client
+	Now     func() time.Duration // time on a monotonic clock
 	// Watchers returns the number of processes that watch the store.
 	Watchers func() int
 	// Sparing halves the rate of listings and of repeated calls, for keys whose changes need not
