Watch the root of the two lists from the latest change that was delivered

Callers saw: nothing; the store of the product's own interface was called five times a second by each entry that watches, and sent the value each time, once another writer had a key that begins with the root's.

Cause: a watch covers all keys that begin with its key, and its next version came from the root alone, so that a change of another key was delivered again at once, for good.

Change: the next watch is for changes after all that were delivered.

--- a/internal/dissemination/watch.go
+++ b/internal/dissemination/watch.go
@@ -181,16 +181,16 @@
 	}
 }
 
+// onWatch applies a change of the root. The next watch is for changes after all that this one has
+// delivered, also those of other keys that begin with the root's.
 func (m *Core) onWatch(now time.Duration, r store.Result) {
 	for _, pair := range r.Pairs {
-		if pair.Key != declaration.RootKey {
-			continue
-		}
-		if pair.Deleted {
-			m.watch.version = pair.Version
-			continue
+		if pair.Key == declaration.RootKey && !pair.Deleted {
+			m.onRootRecord(now, pair.Value, pair.Version)
 		}
-		m.onRootRecord(now, pair.Value, pair.Version)
+	}
+	for _, pair := range r.Pairs {
+		m.watch.version = max(m.watch.version, pair.Version)
 	}
 }
 
