Write large and readable registrations of another writer in the soak

Cause: the soak of the real programs wrote one registration of three bytes that can't be read, so that it could not find review/6. Change: five of 31 with each version of the configuration: short and 1 MiB ones that can't be read, and some of services that no configuration names.

--- a/internal/fleetsoak/fleet.go
+++ b/internal/fleetsoak/fleet.go
@@ -106,10 +106,15 @@
 	f.evacuations.writeAgain(f.store)
 }
 
-// configure publishes the next version of the configuration, which moves a route, beside an odd registration.
+// oddWrites is the number of odd registrations that are written with each version.
+const oddWrites = 5
+
+// configure publishes the next version of the configuration, which moves a route, beside odd registrations.
 func (f *fleet) configure() {
 	f.version++
-	f.store.RegisterOdd(f.version)
+	for i := range oddWrites {
+		f.store.RegisterOdd(oddWrites*f.version + i)
+	}
 	f.store.Configure(f.version)
 }
 
