--- a/internal/storecopy/spare.go
+++ b/internal/storecopy/spare.go
@@ -69,3 +69,20 @@
 // LacksSpare reports whether pairs that were not needed have been left out. If they are needed now,
 // Reconcile reads them again.
 func (s *Syncer) LacksSpare() bool { return s.spareBytes.Load() > MaxSpareBytes }
+
+// selectPairs returns the pairs of a peer's listing, or of its changes, as they are held. A peer of an
+// earlier build also sends those without a use.
+func (s *Syncer) selectPairs(l Listing) []store.Pair {
+	op := store.Op{Keep: s.cfg.Keep}
+	selected := make([]store.Pair, len(l.Pairs))
+	for i, p := range l.Pairs {
+		selected[i] = op.Select(p)
+	}
+	if l.After != 0 {
+		return s.boundSpare(selected)
+	}
+	var listed collection
+	listed.add(selected)
+	s.spareBytes.Store(listed.spare)
+	return listed.pairs
+}
--- a/internal/storecopy/syncer.go
+++ b/internal/storecopy/syncer.go
@@ -436,23 +436,6 @@
 	return equal
 }
 
-// selectPairs returns the pairs of a peer's listing, or of its changes, as they are held. A peer of an
-// earlier build also sends those without a use.
-func (s *Syncer) selectPairs(l Listing) []store.Pair {
-	op := store.Op{Keep: s.cfg.Keep}
-	selected := make([]store.Pair, len(l.Pairs))
-	for i, p := range l.Pairs {
-		selected[i] = op.Select(p)
-	}
-	if l.After != 0 {
-		return s.boundSpare(selected)
-	}
-	var listed collection
-	listed.add(selected)
-	s.spareBytes.Store(listed.spare)
-	return listed.pairs
-}
-
 // apply runs change on the copy and calls Config.Changed if it reports a change.
 // It returns what change returns. took is the duration of the call to the source.
 func (s *Syncer) apply(source Source, took time.Duration, change func(now time.Duration) bool) bool {
