Give the entries of a script addresses of their own

The operators' address of entry-1 was the callers' address of entry-3 in its log.

Cause: each entry's ports were closed again before the next entry's were chosen, so that the system could give the same one twice.

Change: ports below the ephemeral ones, none twice, as the platform's tests choose theirs.

Test, failing before: TestProcessesOfAScriptGetAddressesOfTheirOwn ("127.0.0.1:40487 was returned twice").

--- a/cmd/trefoilpath/fleet_test.go
+++ b/cmd/trefoilpath/fleet_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
+	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -60,16 +63,57 @@
 	s.StoreURL, s.VMListURL = storeURL, vmListURL
 	s.BalancerLagMS, s.DrainWaitMS = 0, 1_000
 	for _, address := range []*string{&s.ListenCallers, &s.ListenOperators, &s.ListenPeers} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+		var err error
+		if *address, err = freeAddress(); err != nil {
 			return s, err
 		}
-		defer l.Close()
-		*address = l.Addr().String()
 	}
 	return s, nil
 }
 
+// usedAddresses are the addresses that freeAddress has returned. Nothing listens on them until a process
+// starts, so that they look free.
+var usedAddresses sync.Map
+
+// freeAddress returns an address on loopback whose port is free, and that it has not returned before. The
+// port is below the ephemeral ones, so that no other listener is assigned it before the process opens it.
+func freeAddress() (string, error) {
+	var failed error
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			failed = err
+			continue
+		}
+		if err := l.Close(); err != nil {
+			return "", err
+		}
+		if _, used := usedAddresses.LoadOrStore(address, true); !used {
+			return address, nil
+		}
+	}
+	return "", fmt.Errorf("no free port was found: %w", failed)
+}
+
+// TestProcessesOfAScriptGetAddressesOfTheirOwn guards against two processes that are given the same port,
+// of which the second one can't start.
+func TestProcessesOfAScriptGetAddressesOfTheirOwn(t *testing.T) {
+	seen := make(map[string]bool)
+	for range 300 {
+		s, err := fleetSettings("entry", "", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, address := range []string{s.ListenCallers, s.ListenOperators, s.ListenPeers} {
+			if seen[address] {
+				t.Fatalf("%s was returned twice", address)
+			}
+			seen[address] = true
+		}
+	}
+}
+
 // writeSettings writes the settings and the hash of the operators' key, which
 // json.Marshal of the settings does not show.
 func writeSettings(path string, s settings.Entry) error {
