Let first pages follow the store while no first listing is complete

Callers saw: nothing; found by reading the diff. While one first listing after the other fails in the middle, an endpoint that has begun to leave, or is gone, stayed as the first of them had it, since later pages only added keys.

Change: pages replace what is held up to their last key.

Test, new: TestFirstPagesFollowTheStoreUntilAListingIsComplete.

--- a/internal/storecopy/copy.go
+++ b/internal/storecopy/copy.go
@@ -232,19 +232,28 @@
 	return changed
 }
 
-// AddFirst adds pairs of a listing that is not complete to a copy that has not been listed, and reports
-// whether there were new ones. The version stays zero.
-func (c *Copy) AddFirst(pairs []store.Pair) bool {
+// ApplyFirst updates a copy that has not been listed to the first pages of a listing, up to the key last,
+// and reports whether the keys or their values changed. The version stays zero.
+func (c *Copy) ApplyFirst(pairs []store.Pair, last string) bool {
 	if c.version.Revision != 0 {
 		return false
 	}
-	before := len(c.pairs)
+	changed := false
+	listed := make(map[string]bool, len(pairs))
 	for _, p := range pairs {
-		if _, ok := c.pairs[p.Key]; !ok {
+		listed[p.Key] = true
+		if held, ok := c.pairs[p.Key]; !ok || held.Version != p.Version {
 			c.pairs[p.Key] = p
+			changed = true
+		}
+	}
+	for key := range c.pairs { // an earlier listing that failed may have brought more
+		if key <= last && !listed[key] {
+			delete(c.pairs, key)
+			changed = true
 		}
 	}
-	return len(c.pairs) > before
+	return changed
 }
 
 // ApplyChanges applies changes up to a revision of the current era, as a watch or a
--- a/internal/storecopy/listing.go
+++ b/internal/storecopy/listing.go
@@ -33,7 +33,9 @@
 		case listed.size > MaxCopyBytes:
 			reason = GiveUpSize
 		default:
-			s.applyFirstPages(listed.pairs, s.cfg.Now()-began)
+			if last.More {
+				s.applyFirstPages(listed.pairs, last.Pairs[len(last.Pairs)-1].Key, s.cfg.Now()-began)
+			}
 			continue
 		}
 		if reason != "" && s.cfg.GaveUp != nil {
@@ -49,13 +51,13 @@
 	return r
 }
 
-// applyFirstPages applies the pairs of the first pages while there is no copy yet and the listing takes
-// long: a process that has lost its copy serves with the endpoints that it has read.
-func (s *Syncer) applyFirstPages(pairs []store.Pair, took time.Duration) {
+// applyFirstPages applies the pairs of the first pages, up to the key last, while there is no copy yet and
+// the listing takes long: a process that has lost its copy serves with the endpoints that it has read.
+func (s *Syncer) applyFirstPages(pairs []store.Pair, last string, took time.Duration) {
 	if !s.cfg.Partial || took < partialAfter {
 		return
 	}
-	s.apply(SourceListing, took, func(time.Duration) bool { return !s.hasCopy && s.copy.AddFirst(pairs) })
+	s.apply(SourceListing, took, func(time.Duration) bool { return !s.hasCopy && s.copy.ApplyFirst(pairs, last) })
 }
 
 // GiveUpReason says why a listing is given up although the store answers.
--- a/internal/storecopy/otherwriters_test.go
+++ b/internal/storecopy/otherwriters_test.go
@@ -248,3 +248,27 @@
 		}
 	}
 }
+
+// TestFirstPagesFollowTheStoreUntilAListingIsComplete guards against an endpoint that leaves, or is gone,
+// while one listing after the other fails in the middle.
+func TestFirstPagesFollowTheStoreUntilAListingIsComplete(t *testing.T) {
+	c := NewCopy(Policy{})
+	pairs := []store.Pair{{Key: "k/a", Version: 1}, {Key: "k/b", Version: 2}, {Key: "k/d", Version: 3}}
+	if !c.ApplyFirst(pairs, "k/d") || c.ApplyFirst(pairs[:1], "k/a") {
+		t.Error("want a change by new keys, and none by the first page of the same")
+	}
+	if !c.ApplyFirst([]store.Pair{{Key: "k/a", Version: 4}}, "k/c") {
+		t.Error("want a change: k/a was written and k/b deleted")
+	}
+	var got []string
+	for _, p := range c.Listing().Pairs {
+		got = append(got, fmt.Sprint(p.Key, p.Version))
+	}
+	if !slices.Equal(got, []string{"k/a4", "k/d3"}) || c.Version() != (Version{}) {
+		t.Errorf("%q at version %+v, want k/a at 4 and k/d at 3, at none", got, c.Version())
+	}
+	c.ApplyListing(0, Listing{Revision: 9, Era: 1, Pairs: []store.Pair{{Key: "k/a", Version: 4}}})
+	if c.ApplyFirst(pairs, "k/d") || len(c.Listing().Pairs) != 1 {
+		t.Errorf("%+v: the first pages of a listing count for a copy that has been listed", c.Listing())
+	}
+}
