Review: a lone gateway whose connections to the store fell silent runs a dropped key

Cause: a watch call that falls silent is given up after 21.5 s, or if a listing finds what it has not brought. The listings of a lone gateway are 1.5 to 2.5 s apart; configApplyMs is 2 s.

No code of the project changes.

--- /dev/null
+++ b/review/11/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Exit code 1: the rule was broken, 0: it held, 2: the case couldn't run. TROUBLE=0 leaves the disruption out.
+# MOMENT=any drops the keys at any moment instead of soon after a listing.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/trefoilpath ] && [ -x target/review-3/world3 ] || exit 2
+flags=(-case silence -root . -record review/11/record.txt)
+[ "${TROUBLE:-1}" = 0 ] && flags+=(-trouble=false)
+[ "${MOMENT:-}" = any ] && flags+=(-any-moment)
+exec target/review-3/world3 "${flags[@]}"
